--- /dev/null
+++ b/bench/Main.cpp
@@ -0,0 +1,1 @@
+int main() { return 2; }
