--- /dev/null
+++ b/libs/steering/Steering.h
@@ -0,0 +1,165 @@
+#ifndef LYCHEE_STEERING_STEERING_H
+#define LYCHEE_STEERING_STEERING_H
+
+#include "base/Id.h"
+#include "base/Time.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace lychee::steering {
+
+/// What is known of a caller's request when it arrives, its key checked.
+struct Request {
+  base::RequestId Id_;
+  base::ServiceId Service_;
+  base::CustomerId Customer_;
+  base::KeyId Key_;
+  std::string_view Method_;
+  std::string_view Path_;
+  /// Hash of caller address and key: the caller's stable place in a shift.
+  std::uint64_t CallerHash_ = 0;
+  /// Hash of customer, method, path and body prefix, for crash suspects.
+  std::uint64_t Fingerprint_ = 0;
+  /// Regions for this caller, nearest first.
+  std::vector<base::RegionId> Preference_;
+  base::TimePoint Deadline_{};
+  std::uint64_t BodyBytes_ = 0;
+  bool Idempotent_ = false;
+};
+
+/// Whether a refused or failed request may have run at a target.
+enum class Ran { No, Maybe };
+
+/// Why a request was refused; each names one place in the decisions.
+enum class Refusal {
+  None,
+  UnknownKey,
+  KeyWithdrawn,
+  KeysStale,
+  UnknownService,
+  OverRate,
+  DeadlineTooShort,
+  QueueFull,
+  NoHealthyTarget,
+  NoHeadroom,
+  CrashSuspect,
+  ClaimHeldElsewhere,
+  ClaimStoreDown,
+  AlreadyRun,
+  Stopping,
+  TargetFailed,
+  DeadlinePassed,
+};
+
+/// \returns the name that stands in problem documents and log lines.
+std::string_view nameOf(Refusal Reason) noexcept;
+
+/// A target that was weighed and not taken, and why.
+struct PassedOver {
+  base::TargetId Target_;
+  std::string_view Reason_;
+};
+
+/// What is to be done with a request now.
+struct Decision {
+  enum class Action {
+    /// Send it to Target_ at Address_ now.
+    Send,
+    /// Hold it; its ticket comes up in a later Wakeups, by WaitUntil_ at last.
+    Wait,
+    /// Answer the caller with Refusal_.
+    Refuse,
+  };
+
+  Action Action_ = Action::Refuse;
+  /// Names this request in later calls; 0 where it is refused.
+  std::uint64_t Ticket_ = 0;
+
+  base::TargetId Target_;
+  std::string Address_;
+  base::RegionId Region_;
+  /// One word for the log: why this target or region.
+  std::string_view Reason_;
+  std::vector<PassedOver> PassedOver_;
+
+  base::TimePoint WaitUntil_{};
+
+  Refusal Refusal_ = Refusal::None;
+  Ran Ran_ = Ran::No;
+  /// When coming back helps; zero where waiting does not help.
+  base::Duration RetryAfter_{};
+  std::uint64_t SettingsVersion_ = 0;
+};
+
+/// A decision for a request that had waited.
+struct Wakeup {
+  std::uint64_t Ticket_ = 0;
+  Decision Decision_;
+};
+
+/// The point at which a send to a target ended. \see retrying
+enum class SendEnd {
+  Answered,
+  /// The target answered that it did not run the request (503 with its mark).
+  Shed,
+  ConnectFailed,
+  /// The connection ended before one byte of the request was written.
+  ClosedUnwritten,
+  /// It ended, or went silent, after the request was written in part.
+  LostPartlyWritten,
+  /// It ended or went silent after the whole request, before any answer.
+  LostUnanswered,
+  /// The answer was cut short of its length.
+  AnswerCut,
+  /// The caller hung up, or its deadline passed.
+  Cancelled,
+};
+
+/// How a send went, as this host saw it.
+struct SendReport {
+  SendEnd End_ = SendEnd::Answered;
+  int Status_ = 0;
+  /// Time at the target: from the first byte written to the last byte read.
+  base::Duration Took_{};
+  /// True where bytes of the answer have gone to the caller already.
+  bool AnswerStarted_ = false;
+  std::uint64_t AnswerBytes_ = 0;
+};
+
+/// One request's way through the decisions, in the order in which they are
+/// made: customer's rate, crash suspects, room, region, target, and after a
+/// failed send whether it may be sent again. The daemon's gateway and the
+/// scenarios drive the same object, so that what is measured is what runs.
+///
+/// No socket, no clock and no thread inside; calls may come from several
+/// threads. \see gateway::Gateway, scenario::Engine
+class Steering {
+public:
+  Steering() = default;
+  Steering(const Steering &) = delete;
+  Steering &operator=(const Steering &) = delete;
+  virtual ~Steering() = default;
+
+  /// Decides on a new request.
+  virtual Decision arrive(const Request &Arrived, base::TimePoint Now) = 0;
+
+  /// Reports the end of a send. Unless the request is answered, the decision
+  /// says whether to send it again (Send), or what to tell the caller
+  /// (Refuse). \p Woken gains the requests that the freed room lets go.
+  virtual Decision finish(std::uint64_t Ticket, const SendReport &Report,
+                          base::TimePoint Now, std::vector<Wakeup> &Woken) = 0;
+
+  /// Gives up a request that waits: its caller hung up.
+  virtual void cancel(std::uint64_t Ticket, base::TimePoint Now) = 0;
+
+  /// Refuses waiting requests that can no longer make it, and lets others go
+  /// as room allows. To be called at least every 10 ms while any waits.
+  virtual void tick(base::TimePoint Now, std::vector<Wakeup> &Woken) = 0;
+};
+
+} // namespace lychee::steering
+
+#endif
--- a/tests/base/HashTest.cpp
+++ b/tests/base/HashTest.cpp
@@ -2,7 +2,7 @@
 
 #include "CppUTest/TestHarness.h"
 
-using namespace lychee;
+namespace base = lychee::base;
 
 TEST_GROUP(Hash){};
 
