Steering of one host: rate, room, target, waiting and retries

FleetSteering is the Steering that daemon, gateway and scenarios share. It is thin yet: a token bucket a customer times this host's share, the target with the fewest requests in flight in the nearest region with a free slot, one first-come queue a service, and a retry where the send provably did not run or is idempotent.

--- a/libs/settings/Intent.h
+++ b/libs/settings/Intent.h
@@ -108,7 +108,7 @@
   double Step_ = 0;
   /// Time between two steps.
   base::Duration Pace_{};
-  base::WallPoint Start_{};
+  base::WallPoint Start_;
   State State_ = State::Running;
 };
 
--- /dev/null
+++ b/libs/steering/FleetSteering.h
@@ -0,0 +1,75 @@
+#ifndef LYCHEE_STEERING_FLEETSTEERING_H
+#define LYCHEE_STEERING_FLEETSTEERING_H
+
+#include "settings/Intent.h"
+#include "steering/RateTable.h"
+#include "steering/ServiceSteering.h"
+#include "steering/Steering.h"
+
+#include <memory>
+#include <mutex>
+#include <vector>
+
+namespace lychee::steering {
+
+/// What one host's steering is made from.
+struct SteeringSettings {
+  base::HostId Host_;
+  base::RegionId Region_;
+  /// Seeds the choices among equal targets, so that hosts differ.
+  std::uint64_t Seed_ = 1;
+  ServiceLimits Limits_;
+};
+
+/// The steering of one host of the fleet: the operators' intent, this host's
+/// shares of the fleet's budgets and what it saw itself. One instance a
+/// process; scenarios hold one a simulated host.
+///
+/// Thread-safe. Each service is under a lock of its own, customers' rates are
+/// in shards; two calls that take different services never wait for each
+/// other. \see ServiceSteering, RateTable
+class FleetSteering final : public Steering {
+public:
+  explicit FleetSteering(SteeringSettings Settings);
+  FleetSteering(const FleetSteering &) = delete;
+  FleetSteering &operator=(const FleetSteering &) = delete;
+
+  /// Puts a version of the operators' intent in force. An older version than
+  /// the one in force is passed over: hosts never go back.
+  void applyIntent(const std::shared_ptr<const settings::Intent> &Intent,
+                   base::TimePoint Now);
+
+  /// Sets what part of a customer's rate and burst this host may give out, 0
+  /// to 1. Until the first call a customer has DefaultShare_.
+  void setRateShare(const base::CustomerId &Customer, double Share,
+                    base::TimePoint Now);
+
+  /// Sets the share of customers for which setRateShare was never called, such
+  /// as one by the number of hosts.
+  void setDefaultRateShare(double Share, base::TimePoint Now);
+
+  Decision arrive(const Request &Arrived, base::TimePoint Now) override;
+  Decision finish(std::uint64_t Ticket, const SendReport &Report,
+                  base::TimePoint Now, std::vector<Wakeup> &Woken) override;
+  void cancel(std::uint64_t Ticket, base::TimePoint Now) override;
+  void tick(base::TimePoint Now, std::vector<Wakeup> &Woken) override;
+
+private:
+  using ServicePointer = std::shared_ptr<ServiceSteering>;
+
+  ServicePointer find(const base::ServiceId &Service) const;
+  ServicePointer find(std::uint64_t Ticket) const;
+  std::vector<ServicePointer> services() const;
+
+  const SteeringSettings Settings_;
+  RateTable Rates_;
+  /// Guards the two below; held for a look-up only.
+  mutable std::mutex Lock_;
+  std::shared_ptr<const settings::Intent> Intent_;
+  /// A ticket's low bits are an index into this; a service never leaves it.
+  std::vector<ServicePointer> Services_;
+};
+
+} // namespace lychee::steering
+
+#endif
--- /dev/null
+++ b/tests/steering/FleetSteeringTest.cpp
@@ -0,0 +1,94 @@
+#include "steering/FleetSteering.h"
+
+#include "CppUTest/TestHarness.h"
+
+namespace base = lychee::base;
+namespace settings = lychee::settings;
+namespace steering = lychee::steering;
+
+using Action = steering::Decision::Action;
+
+TEST_GROUP(FleetSteering) {
+  base::TimePoint Now_{std::chrono::seconds(100)};
+  steering::FleetSteering Steering_{
+      {base::HostId("host-1"), base::RegionId("near"), 1, {}}};
+  std::vector<steering::Wakeup> Woken_;
+
+  void setup() override {
+    settings::Intent Intent;
+    Intent.Version_ = 1;
+    Intent.Regions_[base::RegionId("near")] = {base::RegionId("near"),
+                                               {base::ZoneId("near-1")}};
+    Intent.Customers_[base::CustomerId("parish")] = {base::CustomerId("parish"),
+                                                     100, 10, 1};
+    settings::Service Rota;
+    Rota.Id_ = base::ServiceId("rota");
+    for (const char *Name : {"rota-1", "rota-2"})
+      Rota.Targets_.push_back({.Id_ = base::TargetId(Name),
+                               .Zone_ = base::ZoneId("near-1"),
+                               .Address_ = "127.0.0.1:1"});
+    Intent.Services_[Rota.Id_] = Rota;
+    Steering_.applyIntent(std::make_shared<settings::Intent>(Intent), Now_);
+    Now_ += std::chrono::seconds(1);
+  }
+
+  steering::Request request() const {
+    steering::Request Made;
+    Made.Service_ = base::ServiceId("rota");
+    Made.Customer_ = base::CustomerId("parish");
+    Made.Preference_ = {base::RegionId("near")};
+    Made.Deadline_ = Now_ + std::chrono::seconds(1);
+    return Made;
+  }
+
+  steering::Decision end(std::uint64_t Ticket, steering::SendEnd End) {
+    return Steering_.finish(Ticket, {.End_ = End}, Now_, Woken_);
+  }
+};
+
+TEST(FleetSteering, aThirdRequestWaitsUntilASlotIsFree) {
+  const auto First = Steering_.arrive(request(), Now_);
+  const auto Second = Steering_.arrive(request(), Now_);
+  CHECK(First.Action_ == Action::Send && Second.Action_ == Action::Send);
+  CHECK(First.Target_ != Second.Target_);
+  const auto Third = Steering_.arrive(request(), Now_);
+  CHECK(Third.Action_ == Action::Wait);
+  end(Second.Ticket_, steering::SendEnd::Answered);
+  LONGS_EQUAL(1, Woken_.size());
+  LONGS_EQUAL(Third.Ticket_, Woken_[0].Ticket_);
+  CHECK(Woken_[0].Decision_.Target_ == Second.Target_);
+}
+
+TEST(FleetSteering, aWaitEndsWithTheDeadline) {
+  Steering_.arrive(request(), Now_);
+  Steering_.arrive(request(), Now_);
+  Steering_.arrive(request(), Now_);
+  Steering_.tick(Now_ + std::chrono::seconds(1), Woken_);
+  LONGS_EQUAL(1, Woken_.size());
+  CHECK(Woken_[0].Decision_.Refusal_ == steering::Refusal::DeadlinePassed);
+  CHECK(Woken_[0].Decision_.Ran_ == steering::Ran::No);
+}
+
+TEST(FleetSteering, overItsRateACustomerIsTurnedAwayWithATime) {
+  for (int Count = 0; Count < 10; ++Count)
+    Steering_.arrive(request(), Now_);
+  const auto Over = Steering_.arrive(request(), Now_);
+  CHECK(Over.Refusal_ == steering::Refusal::OverRate);
+  CHECK(Over.RetryAfter_ > base::Duration(0));
+}
+
+TEST(FleetSteering, aSendThatMayHaveRunIsNotMadeAgain) {
+  // The target loses the connection after the whole request was written. The
+  // request is not idempotent: a second send could run it twice.
+  const auto First = Steering_.arrive(request(), Now_);
+  const auto Next = end(First.Ticket_, steering::SendEnd::LostUnanswered);
+  CHECK(Next.Action_ == Action::Refuse);
+  CHECK(Next.Ran_ == steering::Ran::Maybe);
+}
+
+TEST(FleetSteering, aShedRequestGoesToAnotherTarget) {
+  const auto First = Steering_.arrive(request(), Now_);
+  const auto Next = end(First.Ticket_, steering::SendEnd::Shed);
+  CHECK(Next.Action_ == Action::Send);
+  CHECK(Next.Target_ != First.Target_);
+}
