Admission, placement and retrying: first working decisions

Fair queue by weighted deficit round robin charged by measured slot time, deadline-aware admission, target pool with home slots and two choices, region choice under headroom and link, truth table of sends, retry budget, hedging rule, crash suspects and the state machine of at-most-once claims.

Found while writing the tests: a party that rejoined the ring in small debt needed two passes for one turn and got a third instead of half of the time; the prior of a target counted this host among the others.

--- /dev/null
+++ b/libs/admission/AdmissionControl.h
@@ -0,0 +1,164 @@
+#ifndef LYCHEE_ADMISSION_ADMISSIONCONTROL_H
+#define LYCHEE_ADMISSION_ADMISSIONCONTROL_H
+
+#include "admission/FairQueue.h"
+#include "admission/WorkEstimate.h"
+
+#include <string_view>
+
+namespace lychee::admission {
+
+/// Why a request was not let in.
+enum class Cause : std::uint8_t {
+  None,
+  /// The customer's share of its fleet rate is used up.
+  OverRate,
+  /// Even alone, the work would end after the deadline.
+  DeadlineTooShort,
+  /// The wait in line would end after the deadline.
+  WaitTooLong,
+  /// The customer has as many requests in line as it may.
+  QueueFull,
+  /// It waited in vain: what the customer sends stays above what it is served.
+  Saturated,
+  /// It waited until its deadline could no longer be met.
+  DeadlinePassed,
+};
+
+/// \returns the name that stands in log lines.
+std::string_view nameOf(Cause Reason) noexcept;
+
+/// What the customer's fleet rate says; from the budget of shares.
+struct RateCheck {
+  bool Allowed_ = true;
+  /// When a token will be there; only where not allowed.
+  base::Duration RetryAfter_{};
+};
+
+/// A request that asks to be let in.
+struct Arrival {
+  std::uint64_t Ticket_ = 0;
+  CustomerIndex Customer_ = 0;
+  /// Hash of caller and key.
+  std::uint64_t Caller_ = 0;
+  base::TimePoint Deadline_;
+  RateCheck Rate_;
+  /// True where a target has room for it now.
+  bool Room_ = false;
+};
+
+/// What becomes of a request, and why.
+struct AdmissionVerdict {
+  enum class Action : std::uint8_t { Go, Wait, Refuse };
+
+  Action Action_ = Action::Refuse;
+  Cause Cause_ = Cause::None;
+  /// Where it stands in line, to give it up early.
+  Place Place_;
+  /// How long the wait is expected to last.
+  base::Duration ExpectedWait_{};
+  /// For a refusal: when coming back helps, zero where waiting does not.
+  base::Duration RetryAfter_{};
+  /// What it is charged until its work is measured; for finished().
+  base::Duration ExpectedWork_{};
+};
+
+/// A request that waited and is given up.
+struct GivenUp {
+  Waiting Request_;
+  Cause Cause_ = Cause::None;
+  base::Duration RetryAfter_{};
+};
+
+/// Who is let in at one service, who waits and for how long, who is turned
+/// away at once.
+///
+/// Load patterns and rules, each with what goes wrong without it:
+///  - A customer above its fleet rate: refused first, before it takes room.
+///  - A burst above the slots: waits in a FairQueue, as long as each request
+///    can still meet its deadline; refused at once where it cannot, as a
+///    request that waits in vain holds its caller back and takes a slot for an
+///    answer that no one reads.
+///  - Saturation: what a customer sends stays above what it is served. Its
+///    line would grow to the full deadline, and everyone would be served just
+///    before giving up. A customer that has had requests in line for
+///    SaturatedAfter_ without a break gets only waits up to ShortWait_.
+///  - Long work among short, heavy callers: see FairQueue.
+///
+/// Not thread-safe: the owner guards it by its service's lock.
+class AdmissionControl {
+public:
+  struct Limits {
+    /// A line that has not run empty for this long is no burst.
+    base::Duration SaturatedAfter_ = std::chrono::seconds(2);
+    /// Longest wait then.
+    base::Duration ShortWait_ = std::chrono::milliseconds(200);
+    /// Then the latest request of the customer goes first.
+    bool NewestFirst_ = false;
+    /// Requests of one customer in line: bounds memory, as waits are bounded
+    /// by deadlines already.
+    std::size_t MostWaiting_ = 4096;
+    /// Work of one ordinary request before any is measured.
+    base::Duration ExpectedWork_ = std::chrono::milliseconds(20);
+  };
+
+  explicit AdmissionControl(const Limits &Set)
+      : Limits_(Set), Work_(Set.ExpectedWork_) {}
+  AdmissionControl(const AdmissionControl &) = delete;
+  AdmissionControl &operator=(const AdmissionControl &) = delete;
+
+  CustomerIndex enrol(const base::CustomerId &Customer, std::uint32_t Weight) {
+    return Queue_.enrol(Customer, Weight);
+  }
+
+  /// Decides on a new request. One that may go counts as running until
+  /// finished() is told of it.
+  AdmissionVerdict arrive(const Arrival &Request, base::TimePoint Now);
+
+  /// \returns the request that gets the room that has become free, if any
+  /// waits; it counts as running. Those met on the way that can no longer meet
+  /// their deadline are added to \p Left.
+  std::optional<Waiting> next(base::TimePoint Now, std::vector<GivenUp> &Left);
+
+  /// Puts back a request that next() gave out and that found no room.
+  Place putBack(const Waiting &Request, base::TimePoint Now);
+
+  /// A request let in has ended and took \p Took of slot time.
+  /// \param Expected  the ExpectedWork_ of its verdict, or the Work_ with
+  /// which next() gave it out.
+  /// \param Measured  false where the send failed: such a time says nothing
+  /// about the work of others, but is charged.
+  void finished(CustomerIndex Customer, std::uint64_t Caller,
+                base::Duration Expected, base::Duration Took,
+                bool Measured) noexcept;
+
+  /// Gives up a waiting request whose caller hung up.
+  void cancel(Place Where) { Queue_.remove(Where); }
+
+  /// Gives up requests that can no longer be served in time. To be called at
+  /// least every 10 ms while any waits.
+  void expire(base::TimePoint Now, std::vector<GivenUp> &Left);
+
+  std::size_t waiting() const noexcept { return Queue_.size(); }
+  std::uint32_t running() const noexcept { return Running_; }
+  base::Duration expectedWork() const noexcept { return Work_.mean(); }
+
+private:
+  bool isSaturated(CustomerIndex Customer, base::TimePoint Now) const noexcept;
+  base::Duration expectedWait(const Arrival &Request) const;
+  std::optional<Cause> mustLeave(const Waiting &Request,
+                                 base::TimePoint Now) const noexcept;
+  AdmissionVerdict refuse(Cause Reason, base::Duration RetryAfter) const;
+  AdmissionVerdict judgeWait(const Arrival &Request, base::TimePoint Now);
+  GivenUp giveUp(const Waiting &Request, Cause Reason) const;
+
+  Limits Limits_;
+  FairQueue Queue_;
+  WorkEstimate Work_;
+  std::uint32_t Running_ = 0;
+  std::vector<Waiting> Scratch_;
+};
+
+} // namespace lychee::admission
+
+#endif
--- /dev/null
+++ b/libs/admission/FairQueue.h
@@ -0,0 +1,121 @@
+#ifndef LYCHEE_ADMISSION_FAIRQUEUE_H
+#define LYCHEE_ADMISSION_FAIRQUEUE_H
+
+#include "admission/DeficitRing.h"
+#include "admission/Waiting.h"
+#include "base/Id.h"
+
+#include <functional>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace lychee::admission {
+
+/// Requests that wait for room at one service, in the order in which they get
+/// it: customers by weight, within a customer its callers equally, both
+/// charged by the slot time that their work took.
+///
+/// Load patterns: one customer sends several times its rate, one caller of a
+/// customer sends most of its requests, or one customer's requests take a
+/// hundred times longer. In one common line each of them makes everyone wait
+/// behind it. Counting requests and not slot time would let the long work of
+/// one displace the short work of all.
+///
+/// Not thread-safe: the owner guards it by its service's lock. A push or pop
+/// allocates nothing once the queue has been as long before.
+/// \see AdmissionControl
+class FairQueue {
+public:
+  FairQueue() = default;
+  FairQueue(const FairQueue &) = delete;
+  FairQueue &operator=(const FairQueue &) = delete;
+
+  /// \returns the number of \p Customer in this queue, for as long as the
+  /// queue lives; sets its weight.
+  CustomerIndex enrol(const base::CustomerId &Customer, std::uint32_t Weight);
+
+  /// Puts a request in line.
+  Place push(const Waiting &Request, base::TimePoint Now);
+
+  /// Takes out whose turn it is, and charges its expected work.
+  /// \param NewestFirst  says of each customer whether its latest request goes
+  /// first; see AdmissionControl for when that helps.
+  std::optional<Waiting>
+  pop(const std::function<bool(CustomerIndex)> &NewestFirst);
+
+  /// Corrects the charge of a request that was popped, or charges one that did
+  /// not have to wait (with an expectation of zero).
+  void settle(CustomerIndex Customer, std::uint64_t Caller,
+              base::Duration Expected, base::Duration Took) noexcept;
+
+  /// Takes a request out before its turn.
+  /// \returns it, or nothing where it has left the line already.
+  std::optional<Waiting> remove(Place Where);
+
+  /// Takes out every request for which \p Leaves holds, into \p Left.
+  void removeIf(const std::function<bool(const Waiting &)> &Leaves,
+                std::vector<Waiting> &Left);
+
+  /// \returns the slot time that is served before a request that this caller
+  /// would push now, with everyone's share taken into account.
+  base::Duration workAhead(CustomerIndex Customer, std::uint64_t Caller) const;
+
+  std::size_t size() const noexcept { return Size_; }
+  std::size_t sizeOf(CustomerIndex Customer) const noexcept;
+
+  /// \returns since when the customer has had a request in line, without a
+  /// break; nothing where it has none.
+  std::optional<base::TimePoint>
+  busySince(CustomerIndex Customer) const noexcept;
+
+private:
+  static constexpr std::uint32_t None = UINT32_MAX;
+
+  struct Node {
+    Waiting Request_;
+    std::uint32_t Flow_ = None;
+    std::uint32_t Previous_ = None;
+    std::uint32_t Next_ = None;
+    std::uint32_t Generation_ = 0;
+  };
+
+  /// One caller's requests.
+  struct Flow {
+    std::uint64_t Caller_ = 0;
+    CustomerIndex Customer_ = 0;
+    std::uint32_t First_ = None;
+    std::uint32_t Last_ = None;
+    base::Duration Work_{};
+  };
+
+  struct CustomerLine {
+    DeficitRing Callers_;
+    std::unordered_map<std::uint64_t, std::uint32_t> FlowOf_;
+    std::size_t Size_ = 0;
+    base::Duration Work_{};
+    base::TimePoint BusySince_;
+  };
+
+  std::uint32_t flowOf(CustomerIndex Customer, std::uint64_t Caller);
+  std::uint32_t takeNode(const Waiting &Request, std::uint32_t FlowIndex);
+  void dropFlows(CustomerLine &Idle);
+  Waiting unlink(std::uint32_t NodeIndex);
+
+  std::vector<Node> Nodes_;
+  std::vector<std::uint32_t> FreeNodes_;
+  std::vector<Flow> Flows_;
+  /// Beside Flows_, one each.
+  std::vector<RingEntry> FlowEntries_;
+  std::vector<std::uint32_t> FreeFlows_;
+  std::vector<CustomerLine> Customers_;
+  /// Beside Customers_, one each.
+  std::vector<RingEntry> CustomerEntries_;
+  DeficitRing Ring_;
+  std::unordered_map<base::CustomerId, CustomerIndex> IndexOf_;
+  std::size_t Size_ = 0;
+};
+
+} // namespace lychee::admission
+
+#endif
--- /dev/null
+++ b/libs/retrying/CrashSuspects.cpp
@@ -0,0 +1,102 @@
+#include "retrying/CrashSuspects.h"
+
+#include "base/Hash.h"
+
+#include <algorithm>
+
+namespace lychee::retrying {
+
+void CrashSuspects::lost(std::uint64_t Fingerprint,
+                         const base::TargetId &Target, base::TimePoint Now) {
+  add(Fingerprint, {base::stableHash(Target.name()), Now});
+}
+
+void CrashSuspects::answered(std::uint64_t Fingerprint) {
+  if (Count_.load(std::memory_order_relaxed) == 0)
+    return;
+  Shard &Home = shardOf(Fingerprint);
+  const std::scoped_lock Guard(Home.Lock_);
+  Count_ -= Home.Known_.erase(Fingerprint);
+}
+
+base::TimePoint CrashSuspects::suspectUntil(std::uint64_t Fingerprint,
+                                            base::TimePoint Now) const {
+  if (Count_.load(std::memory_order_relaxed) == 0)
+    return Now;
+  const Shard &Home = shardOf(Fingerprint);
+  const std::scoped_lock Guard(Home.Lock_);
+  const auto Found = Home.Known_.find(Fingerprint);
+  if (Found == Home.Known_.end() || Found->second[1].Target_ == 0)
+    return Now;
+  const Losses &Seen = Found->second;
+  const base::TimePoint Older = std::min(Seen[0].At_, Seen[1].At_);
+  const base::TimePoint Newer = std::max(Seen[0].At_, Seen[1].At_);
+  if (Newer - Older > EvidenceAge)
+    return Now;
+  return std::max(Now, Newer + EvidenceAge);
+}
+
+std::vector<CrashEvidence> CrashSuspects::evidence(base::TimePoint Now) const {
+  std::vector<CrashEvidence> All;
+  for (const Shard &Each : Shards_) {
+    const std::scoped_lock Guard(Each.Lock_);
+    for (const auto &[Fingerprint, Seen] : Each.Known_)
+      for (const Loss &One : Seen)
+        if (One.Target_ != 0 && Now - One.At_ <= EvidenceAge)
+          All.push_back({Fingerprint, One.Target_, Now - One.At_});
+  }
+  return All;
+}
+
+void CrashSuspects::merge(std::span<const CrashEvidence> Told,
+                          base::TimePoint Now) {
+  for (const CrashEvidence &One : Told)
+    if (One.Age_ <= EvidenceAge)
+      add(One.Fingerprint_, {One.Target_, Now - One.Age_});
+}
+
+CrashSuspects::Shard &
+CrashSuspects::shardOf(std::uint64_t Fingerprint) const noexcept {
+  return Shards_[Fingerprint % ShardCount];
+}
+
+void CrashSuspects::add(std::uint64_t Fingerprint, Loss Seen) {
+  Shard &Home = shardOf(Fingerprint);
+  const std::scoped_lock Guard(Home.Lock_);
+  if (Home.Known_.size() >= MostFingerprints / ShardCount &&
+      !Home.Known_.contains(Fingerprint))
+    makeRoom(Home);
+  const auto [Place, Fresh] = Home.Known_.try_emplace(Fingerprint);
+  if (Fresh)
+    ++Count_;
+  Losses &Known = Place->second;
+  const auto Same =
+      std::find_if(Known.begin(), Known.end(), [&Seen](const Loss &One) {
+        return One.Target_ == Seen.Target_;
+      });
+  if (Same != Known.end()) {
+    Same->At_ = std::max(Same->At_, Seen.At_);
+    return;
+  }
+  Loss &Oldest = Known[0].Target_ == 0          ? Known[0]
+                 : Known[1].Target_ == 0        ? Known[1]
+                 : Known[0].At_ <= Known[1].At_ ? Known[0]
+                                                : Known[1];
+  if (Oldest.Target_ == 0 || Oldest.At_ < Seen.At_)
+    Oldest = Seen;
+}
+
+void CrashSuspects::makeRoom(Shard &Full) {
+  const auto LatestOf = [](const Losses &Seen) {
+    return std::max(Seen[0].At_, Seen[1].At_);
+  };
+  const auto Oldest =
+      std::min_element(Full.Known_.begin(), Full.Known_.end(),
+                       [LatestOf](const auto &Left, const auto &Right) {
+                         return LatestOf(Left.second) < LatestOf(Right.second);
+                       });
+  Full.Known_.erase(Oldest);
+  --Count_;
+}
+
+} // namespace lychee::retrying
--- /dev/null
+++ b/libs/retrying/SendVerdict.cpp
@@ -0,0 +1,69 @@
+#include "retrying/SendVerdict.h"
+
+#include <array>
+
+namespace lychee::retrying {
+
+namespace {
+
+struct EndRow {
+  std::string_view Name_;
+  Ran Ran_;
+  bool Cancelled_;
+};
+
+/// In the order of SendEnd.
+constexpr std::array<EndRow, SendEndCount> EndRows = {{
+    {"answered", Ran::Yes, false},
+    {"shed", Ran::No, false},
+    {"connect-failed", Ran::No, false},
+    {"closed-unwritten", Ran::No, false},
+    {"lost-partly-written", Ran::Maybe, false},
+    {"lost-unanswered", Ran::Maybe, false},
+    {"answer-cut", Ran::Maybe, false},
+    {"answer-unusable", Ran::Maybe, false},
+    {"cancelled-unwritten", Ran::No, true},
+    {"cancelled", Ran::Maybe, true},
+}};
+
+const EndRow &rowOf(SendEnd End) noexcept {
+  return EndRows[static_cast<std::size_t>(End)];
+}
+
+Resend resendRule(const EndRow &Row, const SendFacts &Facts) noexcept {
+  if (Row.Ran_ == Ran::Yes)
+    return Resend::NotNeeded;
+  if (Row.Cancelled_)
+    return Resend::ForbiddenCancelled;
+  if (Facts.AnswerStarted_)
+    return Resend::ForbiddenAnswerStarted;
+  if (Row.Ran_ == Ran::No)
+    return Resend::Allowed;
+  return Facts.Idempotent_ ? Resend::AllowedAsIdempotent
+                           : Resend::ForbiddenMayHaveRun;
+}
+
+} // namespace
+
+SendVerdict judgeSend(const SendFacts &Facts) noexcept {
+  const EndRow &Row = rowOf(Facts.End_);
+  SendVerdict Verdict;
+  // Bytes of an answer prove that the target began to work, whatever the
+  // connection did afterwards.
+  Verdict.Ran_ =
+      Facts.AnswerStarted_ && Row.Ran_ == Ran::No ? Ran::Maybe : Row.Ran_;
+  Verdict.Resend_ = resendRule(Row, Facts);
+  return Verdict;
+}
+
+std::string_view nameOf(SendEnd End) noexcept { return rowOf(End).Name_; }
+
+std::string_view nameOf(Resend Rule) noexcept {
+  static constexpr std::array<std::string_view, 6> Names = {
+      "not-needed",   "not-run",        "idempotent",
+      "may-have-run", "answer-started", "cancelled",
+  };
+  return Names[static_cast<std::size_t>(Rule)];
+}
+
+} // namespace lychee::retrying
--- /dev/null
+++ b/tests/admission/FairQueueTest.cpp
@@ -0,0 +1,165 @@
+#include "admission/FairQueue.h"
+
+#include <array>
+#include <map>
+
+#include "CppUTest/TestHarness.h"
+
+using lychee::admission::CustomerIndex;
+using lychee::admission::FairQueue;
+using lychee::admission::Place;
+using lychee::admission::Waiting;
+using lychee::base::CustomerId;
+using lychee::base::Duration;
+using lychee::base::TimePoint;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Duration OrdinaryWork = 20ms;
+
+bool oldestFirst(CustomerIndex /*Customer*/) { return false; }
+bool newestFirst(CustomerIndex /*Customer*/) { return true; }
+
+} // namespace
+
+TEST_GROUP(FairQueue) {
+  FairQueue Queue_;
+  std::uint64_t LastTicket_ = 0;
+
+  CustomerIndex customer(const char *Name, std::uint32_t Weight = 1) {
+    return Queue_.enrol(CustomerId(Name), Weight);
+  }
+
+  Place push(CustomerIndex Customer, std::uint64_t Caller = 1) {
+    Waiting Request;
+    Request.Ticket_ = ++LastTicket_;
+    Request.Customer_ = Customer;
+    Request.Caller_ = Caller;
+    Request.Work_ = OrdinaryWork;
+    return Queue_.push(Request, TimePoint());
+  }
+
+  void pushMany(CustomerIndex Customer, int Count, std::uint64_t Caller = 1) {
+    for (int Each = 0; Each < Count; ++Each)
+      push(Customer, Caller);
+  }
+
+  /// \returns whose turn it is; ticket 0 where the queue is empty.
+  Waiting pop(bool (*Order)(CustomerIndex) = oldestFirst) {
+    return Queue_.pop(Order).value_or(Waiting());
+  }
+
+  /// Serves \p Count requests, each of which takes \p Took of its customer.
+  std::map<CustomerIndex, int> serve(
+      int Count, const std::map<CustomerIndex, Duration> &Took = {}) {
+    std::map<CustomerIndex, int> Served;
+    for (int Each = 0; Each < Count; ++Each) {
+      const Waiting Chosen = pop();
+      ++Served[Chosen.Customer_];
+      const auto Known = Took.find(Chosen.Customer_);
+      if (Known != Took.end())
+        Queue_.settle(Chosen.Customer_, Chosen.Caller_, Chosen.Work_,
+                      Known->second);
+    }
+    return Served;
+  }
+};
+
+TEST(FairQueue, anEmptyQueueGivesNothing) {
+  CHECK_FALSE(Queue_.pop(oldestFirst).has_value());
+}
+
+TEST(FairQueue, oneCallersRequestsKeepTheirOrder) {
+  const CustomerIndex Only = customer("one");
+  pushMany(Only, 3);
+  for (std::uint64_t Ticket = 1; Ticket <= 3; ++Ticket)
+    UNSIGNED_LONGS_EQUAL(Ticket, pop().Ticket_);
+}
+
+TEST(FairQueue, newestFirstTurnsTheOrderRound) {
+  const CustomerIndex Only = customer("one");
+  pushMany(Only, 3);
+  UNSIGNED_LONGS_EQUAL(3, pop(newestFirst).Ticket_);
+}
+
+// One customer has put 1,000 requests in line when another sends its first.
+// In one common line that one would wait behind all of them. Here it is next.
+TEST(FairQueue, aQuietCustomerDoesNotWaitBehindAHeavyOne) {
+  const CustomerIndex Heavy = customer("heavy");
+  const CustomerIndex Quiet = customer("quiet");
+  pushMany(Heavy, 1000);
+  serve(10);
+  push(Quiet);
+  UNSIGNED_LONGS_EQUAL(Quiet, pop().Customer_);
+}
+
+TEST(FairQueue, slotTimeFollowsTheWeights) {
+  const CustomerIndex One = customer("one", 1);
+  const CustomerIndex Three = customer("three", 3);
+  pushMany(One, 1000);
+  pushMany(Three, 1000);
+  const auto Served = serve(800);
+  CHECK(Served.at(One) >= 195 && Served.at(One) <= 205);
+}
+
+// Two customers send as many requests, but one's take a hundred times as long.
+// Counted by requests, it would get 99% of the slot time. Charged by time, its
+// requests come up a hundred times less often while both wait.
+TEST(FairQueue, longWorkIsChargedByItsTimeAndNotByItsCount) {
+  const CustomerIndex Long = customer("long");
+  const CustomerIndex Short = customer("short");
+  pushMany(Long, 2000);
+  pushMany(Short, 2000);
+  const auto Served = serve(1010, {{Long, 2s}, {Short, 20ms}});
+  CHECK(Served.at(Long) >= 8 && Served.at(Long) <= 14);
+}
+
+// One caller of a customer sends most of its requests. The customer's other
+// callers would wait behind it; here each caller gets the same slot time.
+TEST(FairQueue, callersOfOneCustomerAreServedEqually) {
+  const CustomerIndex Only = customer("one");
+  pushMany(Only, 1000, 7);
+  for (std::uint64_t Caller = 100; Caller < 110; ++Caller)
+    push(Only, Caller);
+  int FromHeavy = 0;
+  for (int Each = 0; Each < 12; ++Each)
+    if (pop().Caller_ == 7)
+      ++FromHeavy;
+  CHECK(FromHeavy <= 2);
+}
+
+// A customer uses its turn, leaves the line, and comes back at once, again and
+// again. Were each return a first request, it would always go before those that
+// stay in line. Its debt stays until the rounds have paid it.
+TEST(FairQueue, leavingAndComingBackDoesNotWashOffADebt) {
+  const CustomerIndex Steady = customer("steady");
+  const CustomerIndex Flicker = customer("flicker");
+  pushMany(Steady, 1000);
+  int FromFlicker = 0;
+  for (int Each = 0; Each < 200; ++Each) {
+    if (Queue_.sizeOf(Flicker) == 0)
+      push(Flicker);
+    if (pop().Customer_ == Flicker)
+      ++FromFlicker;
+  }
+  CHECK(FromFlicker >= 95 && FromFlicker <= 105);
+}
+
+TEST(FairQueue, aRequestIsGivenUpOnceAndOnlyOnce) {
+  const CustomerIndex Only = customer("one");
+  const Place Second = (push(Only), push(Only));
+  LONGS_EQUAL(2, Queue_.remove(Second).value_or(Waiting()).Ticket_);
+  CHECK_FALSE(Queue_.remove(Second).has_value());
+  push(Only); // takes the freed place
+  CHECK_FALSE(Queue_.remove(Second).has_value());
+  LONGS_EQUAL(2, Queue_.size());
+}
+
+TEST(FairQueue, workAheadCountsOnlyWhatIsServedBefore) {
+  const CustomerIndex Heavy = customer("heavy");
+  const CustomerIndex Quiet = customer("quiet");
+  pushMany(Heavy, 1000);
+  CHECK(Queue_.workAhead(Heavy, 1) >= 1000 * OrdinaryWork);
+  CHECK(Queue_.workAhead(Quiet, 2) <= 3 * OrdinaryWork);
+}
--- /dev/null
+++ b/tests/placement/TargetPoolTest.cpp
@@ -0,0 +1,216 @@
+#include "placement/TargetPool.h"
+
+#include <map>
+#include <set>
+#include <string>
+
+#include "CppUTest/TestHarness.h"
+
+using lychee::base::Duration;
+using lychee::base::HostId;
+using lychee::base::Random;
+using lychee::base::TargetId;
+using lychee::base::TimePoint;
+using lychee::placement::InFlight;
+using lychee::placement::Outcome;
+using lychee::placement::PoolState;
+using lychee::placement::TargetChoice;
+using lychee::placement::TargetHealth;
+using lychee::placement::TargetIndex;
+using lychee::placement::TargetPool;
+using lychee::placement::TargetSpec;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::vector<TargetSpec> targets(int Count, std::uint32_t Slots = 3) {
+  std::vector<TargetSpec> All;
+  All.reserve(static_cast<std::size_t>(Count));
+  for (int Each = 0; Each < Count; ++Each)
+    All.push_back({TargetId("target-" + std::to_string(Each)), Slots, false});
+  return All;
+}
+
+} // namespace
+
+TEST_GROUP(TargetPool) {
+  TargetPool Pool_{HostId("self")};
+  Random Numbers_{7};
+  TimePoint Now_ = TimePoint(100s);
+
+  TargetChoice choose() { return Pool_.choose({}, Now_, Numbers_); }
+
+  /// Sends \p Count requests that each end at once.
+  void send(TargetIndex Target, Outcome Seen, int Count = 1,
+            Duration Took = 20ms) {
+    for (int Each = 0; Each < Count; ++Each) {
+      Pool_.started(Target);
+      Pool_.finished(Target, Seen, Took, Now_);
+    }
+  }
+
+  std::set<TargetIndex> chosenIn(int Draws) {
+    std::set<TargetIndex> Chosen;
+    for (int Each = 0; Each < Draws; ++Each)
+      if (const auto Target = choose().Target_)
+        Chosen.insert(*Target);
+    return Chosen;
+  }
+};
+
+TEST(TargetPool, withoutTargetsItSaysSo) {
+  const TargetChoice Choice = choose();
+  CHECK_FALSE(Choice.Target_.has_value());
+  STRCMP_EQUAL("no-target", std::string(Choice.Reason_).c_str());
+}
+
+TEST(TargetPool, noTargetGetsMoreThanItsSlots) {
+  Pool_.setTargets(targets(5), Now_);
+  for (int Each = 0; Each < 15; ++Each) {
+    const TargetChoice Choice = choose();
+    CHECK(Choice.Target_.has_value());
+    Pool_.started(Choice.Target_.value_or(0));
+  }
+  STRCMP_EQUAL("all-full", std::string(choose().Reason_).c_str());
+  for (TargetIndex Target = 0; Target < 5; ++Target)
+    DOUBLES_EQUAL(3, Pool_.load(Target, Now_), 0.01);
+}
+
+TEST(TargetPool, aLeavingTargetGetsNoNewWorkAndItsRunningWorkEnds) {
+  auto Declared = targets(3);
+  Pool_.setTargets(Declared, Now_);
+  Pool_.started(0);
+  Declared[0].Leaving_ = true;
+  Pool_.setTargets(Declared, Now_);
+  CHECK_FALSE(chosenIn(200).contains(0));
+  Pool_.finished(0, Outcome::Good, 20ms, Now_);
+  DOUBLES_EQUAL(0, Pool_.load(0, Now_), 0.01);
+}
+
+TEST(TargetPool, aRetryNeverGoesToTheTargetJustTried) {
+  Pool_.setTargets(targets(2), Now_);
+  const TargetIndex Tried = 1;
+  for (int Each = 0; Each < 100; ++Each)
+    LONGS_EQUAL(
+        0, Pool_.choose({&Tried, 1}, Now_, Numbers_).Target_.value_or(Tried));
+}
+
+// A target is gone: each connection to it fails. Sent to again and again it
+// would fail a part of all requests. After three it gets none for a while, then
+// one slot's worth, and is out again at the first failure, for twice as long.
+TEST(TargetPool, anUnreachableTargetIsEjectedAndComesBackByOneSlot) {
+  Pool_.setTargets(targets(6), Now_);
+  send(2, Outcome::Unreachable, 3);
+  CHECK(Pool_.isEjected(2, Now_));
+  CHECK_FALSE(chosenIn(200).contains(2));
+  Now_ += TargetHealth::FirstEjection;
+  CHECK(chosenIn(200).contains(2));
+  Pool_.started(2);
+  CHECK_FALSE(chosenIn(200).contains(2));
+  Pool_.finished(2, Outcome::Unreachable, 1ms, Now_);
+  Now_ += TargetHealth::FirstEjection;
+  CHECK(Pool_.isEjected(2, Now_));
+}
+
+TEST(TargetPool, aSlowTargetIsEjectedAsAnOutlier) {
+  Pool_.setTargets(targets(6), Now_);
+  for (TargetIndex Target = 0; Target < 6; ++Target)
+    send(Target, Outcome::Good, 10, 20ms);
+  Pool_.tick(Now_);
+  send(4, Outcome::Good, 20, 500ms);
+  CHECK(Pool_.isEjected(4, Now_));
+}
+
+// All targets begin to answer slowly at once, as when their database is slow.
+// Ejecting them one after another would put the whole load on the last ones.
+// At most three in ten are ejected; then the measurement is doubted, work is
+// spread over all, and the decision says so.
+TEST(TargetPool, whenMostLookBadTheMeasurementIsDoubted) {
+  Pool_.setTargets(targets(10), Now_);
+  for (TargetIndex Target = 0; Target < 10; ++Target)
+    send(Target, Outcome::Faulty, 30);
+  int Ejected = 0;
+  for (TargetIndex Target = 0; Target < 10; ++Target)
+    Ejected += Pool_.isEjected(Target, Now_) ? 1 : 0;
+  LONGS_EQUAL(3, Ejected);
+  LONGS_EQUAL(10, chosenIn(500).size());
+  CHECK(PoolState::Trust::Suspect == Pool_.state(Now_).Trust_);
+}
+
+// An availability zone is lost, and with it half of a region's targets. That is
+// more than are ejected for slowness, but connections that fail are no doubtful
+// sign: the half that answers gets all the work, and no caller waits for a
+// connection that cannot come.
+TEST(TargetPool, aLostZoneIsEjectedAsAWhole) {
+  Pool_.setTargets(targets(10), Now_);
+  for (TargetIndex Target = 0; Target < 5; ++Target) {
+    send(Target, Outcome::Unreachable, 3);
+    send(9, Outcome::Good);
+  }
+  for (const TargetIndex Target : chosenIn(500))
+    CHECK(Target >= 5);
+  LONGS_EQUAL(5, Pool_.state(Now_).Usable_);
+}
+
+// A whole region is lost. No target answers, so none is better than another,
+// and every send would only wait for a connection. The pool says that it is
+// lost, lets one probe through each half second, and is back with one answer.
+TEST(TargetPool, aLostRegionGetsProbesOnly) {
+  Pool_.setTargets(targets(10), Now_);
+  for (TargetIndex Target = 0; Target < 10; ++Target)
+    send(Target, Outcome::Unreachable, 3);
+  Now_ += 1s;
+  CHECK(PoolState::Trust::Lost == Pool_.state(Now_).Trust_);
+  STRCMP_EQUAL("probe", std::string(choose().Reason_).c_str());
+  STRCMP_EQUAL("all-lost", std::string(choose().Reason_).c_str());
+  Now_ += 500ms;
+  const TargetChoice Probe = choose();
+  CHECK(Probe.Target_.has_value());
+  send(Probe.Target_.value_or(0), Outcome::Good);
+  CHECK(PoolState::Trust::Lost != Pool_.state(Now_).Trust_);
+}
+
+// A target sheds although its report says that it is idle. Believed, the report
+// would draw all hosts to it. What this host saw goes first: the target counts
+// as full for about the time of one request.
+TEST(TargetPool, aShedOutranksAReportOfAnIdleTarget) {
+  Pool_.setTargets(targets(4), Now_);
+  send(1, Outcome::Shed);
+  Pool_.reported(1, 0, Now_);
+  CHECK_FALSE(chosenIn(200).contains(1));
+  Now_ += 30ms;
+  CHECK(chosenIn(200).contains(1));
+}
+
+// One target's reports stop. As empty it would be flooded, as full it would
+// never be heard of again: its estimate decays to the mean of the pool.
+TEST(TargetPool, aMissingReportDecaysToThePoolsMean) {
+  Pool_.setTargets(targets(4, 8), Now_);
+  const std::vector<HostId> Peers = {HostId("a"), HostId("b")};
+  Pool_.setPeers(Peers);
+  for (const HostId &Peer : Peers)
+    Pool_.heard(Peer, std::vector<InFlight>{{0, 1}, {1, 1}, {2, 1}, {3, 1}},
+                Now_);
+  Pool_.reported(0, 8, Now_);
+  CHECK(Pool_.load(0, Now_) > 3);
+  Now_ += 20s;
+  DOUBLES_EQUAL(2, Pool_.load(0, Now_), 0.6);
+}
+
+TEST(TargetPool, aSilentPeerIsTakenToDoAsTheOthersDo) {
+  Pool_.setTargets(targets(4, 8), Now_);
+  const std::vector<HostId> Peers = {HostId("a"), HostId("b")};
+  Pool_.setPeers(Peers);
+  for (const HostId &Peer : Peers)
+    Pool_.heard(Peer, std::vector<InFlight>{{0, 2}, {1, 2}, {2, 2}, {3, 2}},
+                Now_);
+  for (TargetIndex Target = 0; Target < 4; ++Target)
+    for (int Each = 0; Each < 2; ++Each)
+      Pool_.started(Target);
+  Now_ += 2s;
+  Pool_.heard(Peers[0], std::vector<InFlight>{{0, 2}, {1, 2}, {2, 2}, {3, 2}},
+              Now_);
+  Pool_.tick(Now_);
+  for (TargetIndex Target = 0; Target < 4; ++Target)
+    DOUBLES_EQUAL(6, Pool_.load(Target, Now_), 0.2);
+}
