Steering by the decision libraries: admission, placement, retrying

A line and a target pool for each region of a service, spill by RegionChooser, second sends under both retry budgets, crash suspects. SendEnd is retrying's (a superset of the former). SendReport says whether a send ended in silence, as silence is no sign of a crash. Hosts tell each other what they have in flight.

--- a/libs/scenario/Engine.cpp
+++ b/libs/scenario/Engine.cpp
@@ -144,9 +144,9 @@
     if (Target.ReportsStopped_ || Target.Fake_->down())
       continue;
     const std::size_t Load = Target.Lies_ ? 0 : Target.Fake_->load();
-    deliverReport(
-        {Target.Intent_.Id_, static_cast<std::uint32_t>(Load), Events_.now()},
-        Target.ReportLag_);
+    deliverReport({Target.Service_, Target.Intent_.Id_,
+                   static_cast<std::uint32_t>(Load), Events_.now()},
+                  Target.ReportLag_);
   }
 }
 
--- a/libs/scenario/FleetStrategy.h
+++ b/libs/scenario/FleetStrategy.h
@@ -24,10 +24,16 @@
   void hostBack(std::size_t Host, base::TimePoint Now) override;
 
 private:
+  /// How often hosts tell each other what they have in flight.
+  static constexpr base::Duration RoundInterval = std::chrono::milliseconds(50);
+
   void begin(std::size_t Host);
+  void setPeers();
+  void tellPeers(std::size_t From, base::TimePoint Now);
 
   PeerNetwork Peers_;
   std::uint64_t Seed_ = 0;
+  base::TimePoint LastRound_;
   std::vector<std::unique_ptr<steering::FleetSteering>> Hosts_;
 };
 
--- a/libs/scenario/Strategy.h
+++ b/libs/scenario/Strategy.h
@@ -11,6 +11,7 @@
 
 /// A target's report of its own load, as a host hears it.
 struct LoadReport {
+  base::ServiceId Service_;
   base::TargetId Target_;
   /// Requests it works on or holds.
   std::uint32_t Load_ = 0;
--- a/libs/steering/FleetSteering.cpp
+++ b/libs/steering/FleetSteering.cpp
@@ -30,12 +30,15 @@
         continue;
       const auto Index = static_cast<std::uint16_t>(Services_.size());
       Services_.push_back(std::make_shared<ServiceSteering>(
-          Id, Index, Settings_.Limits_, Settings_.Seed_ + Index));
+          Id, Index,
+          HostContext{Settings_.Host_, Settings_.Limits_, &Suspects_},
+          Settings_.Seed_ + Index));
+      Services_.back()->setPeers(Peers_);
     }
   }
   Rates_.applyIntent(*Intent, Now);
   for (const ServicePointer &Service : services())
-    Service->applyIntent(*Intent);
+    Service->applyIntent(*Intent, Now);
 }
 
 void FleetSteering::setRateShare(const base::CustomerId &Customer, double Share,
@@ -47,21 +50,48 @@
   Rates_.setDefaultShare(Share, Now);
 }
 
+void FleetSteering::setPeers(std::span<const base::HostId> Peers) {
+  {
+    const std::scoped_lock Guard(Lock_);
+    Peers_.assign(Peers.begin(), Peers.end());
+  }
+  for (const ServicePointer &Service : services())
+    Service->setPeers(Peers);
+}
+
+std::vector<PeerLoad> FleetSteering::ownLoads() const {
+  std::vector<PeerLoad> Loads;
+  for (const ServicePointer &Service : services())
+    Service->addOwnLoads(Loads);
+  return Loads;
+}
+
+void FleetSteering::heardPeer(const base::HostId &Peer,
+                              std::span<const PeerLoad> Loads,
+                              base::TimePoint Now) {
+  for (const ServicePointer &Service : services())
+    Service->heardPeer(Peer, Loads, Now);
+}
+
+void FleetSteering::reported(const base::ServiceId &Service,
+                             const base::TargetId &Target, std::uint32_t Load,
+                             base::TimePoint MeasuredAt) {
+  if (const ServicePointer Known = find(Service))
+    Known->reported(Target, Load, MeasuredAt);
+}
+
 Decision FleetSteering::arrive(const Request &Arrived, base::TimePoint Now) {
   const ServicePointer Service = find(Arrived.Service_);
-  Decision Refused;
   if (!Service) {
+    Decision Refused;
     Refused.Refusal_ = Refusal::UnknownService;
     Refused.Reason_ = nameOf(Refused.Refusal_);
     return Refused;
   }
-  const auto ComeBackAfter = Rates_.take(Arrived.Customer_, Now);
-  if (!ComeBackAfter)
-    return Service->arrive(Arrived, Now);
-  Refused.Refusal_ = Refusal::OverRate;
-  Refused.Reason_ = nameOf(Refused.Refusal_);
-  Refused.RetryAfter_ = *ComeBackAfter;
-  return Refused;
+  admission::RateCheck Rate;
+  if (const auto ComeBackAfter = Rates_.take(Arrived.Customer_, Now))
+    Rate = {false, *ComeBackAfter};
+  return Service->arrive(Arrived, Rate, Now);
 }
 
 Decision FleetSteering::finish(std::uint64_t Ticket, const SendReport &Report,
--- a/libs/steering/FleetSteering.h
+++ b/libs/steering/FleetSteering.h
@@ -22,8 +22,8 @@
 };
 
 /// The steering of one host of the fleet: the operators' intent, this host's
-/// shares of the fleet's budgets and what it saw itself. One instance a
-/// process; scenarios hold one a simulated host.
+/// shares of the fleet's budgets, what its peers tell and what it saw itself.
+/// One instance a process; scenarios hold one a simulated host.
 ///
 /// Thread-safe. Each service is under a lock of its own, customers' rates are
 /// in shards; two calls that take different services never wait for each
@@ -48,6 +48,22 @@
   /// as one by the number of hosts.
   void setDefaultRateShare(double Share, base::TimePoint Now);
 
+  /// Sets the other hosts of the fleet, which send to the same targets.
+  void setPeers(std::span<const base::HostId> Peers);
+
+  /// \returns what this host has in flight, for its peers; to be sent about
+  /// every 50 ms.
+  std::vector<PeerLoad> ownLoads() const;
+  void heardPeer(const base::HostId &Peer, std::span<const PeerLoad> Loads,
+                 base::TimePoint Now);
+
+  /// A target told how many requests it works on or holds.
+  void reported(const base::ServiceId &Service, const base::TargetId &Target,
+                std::uint32_t Load, base::TimePoint MeasuredAt);
+
+  /// Requests that are taken to crash targets; peers merge each other's.
+  retrying::CrashSuspects &suspects() noexcept { return Suspects_; }
+
   Decision arrive(const Request &Arrived, base::TimePoint Now) override;
   Decision finish(std::uint64_t Ticket, const SendReport &Report,
                   base::TimePoint Now, std::vector<Wakeup> &Woken) override;
@@ -63,11 +79,13 @@
 
   const SteeringSettings Settings_;
   RateTable Rates_;
-  /// Guards the two below; held for a look-up only.
+  retrying::CrashSuspects Suspects_;
+  /// Guards all below; held for a look-up only.
   mutable std::mutex Lock_;
   std::shared_ptr<const settings::Intent> Intent_;
   /// A ticket's low bits are an index into this; a service never leaves it.
   std::vector<ServicePointer> Services_;
+  std::vector<base::HostId> Peers_;
 };
 
 } // namespace lychee::steering
--- /dev/null
+++ b/libs/steering/ServicePlacement.cpp
@@ -0,0 +1,95 @@
+#include "steering/ServiceSteering.h"
+
+namespace lychee::steering {
+
+namespace {
+
+using Trust = placement::PoolState::Trust;
+
+/// Share of a region's slots that work steered in from elsewhere leaves free:
+/// the region's own callers come at random, and each slot that steered work
+/// takes beyond this makes one of them wait.
+constexpr double ReservedForOwnCallers = 0.1;
+
+/// Round trip between two regions without a declared link: long, so that such
+/// a region comes last.
+constexpr base::Duration UnknownRoundTrip = std::chrono::milliseconds(200);
+
+} // namespace
+
+RegionPool *ServiceSteering::poolOf(const base::RegionId &Region) const {
+  const auto Known = Pools_.find(Region);
+  return Known == Pools_.end() ? nullptr : Known->second.get();
+}
+
+base::Duration ServiceSteering::roundTrip(const base::RegionId &From,
+                                          const base::RegionId &To) const {
+  if (From == To)
+    return {};
+  const auto Known = RoundTrips_.find({From, To});
+  return Known == RoundTrips_.end() ? UnknownRoundTrip : Known->second;
+}
+
+RegionPool *ServiceSteering::homeOf(const Pending &Wanted,
+                                    base::TimePoint Now) {
+  RegionPool *Lost = nullptr;
+  for (const base::RegionId &Region : Wanted.Request_.Preference_) {
+    RegionPool *Pool = poolOf(Region);
+    if (!Pool)
+      continue;
+    const placement::PoolState State = Pool->targets().state(Now);
+    if (State.Trust_ != Trust::Lost && State.Usable_ > 0)
+      return Pool;
+    if (!Lost && State.Trust_ == Trust::Lost)
+      Lost = Pool;
+  }
+  return Lost;
+}
+
+placement::TargetChoice ServiceSteering::choose(RegionPool &Pool,
+                                                const Pending &Wanted,
+                                                base::TimePoint Now) {
+  std::span<const placement::TargetIndex> Excluded;
+  if (Wanted.Sends_ > 0 && Wanted.Pool_ == &Pool)
+    Excluded = {&Wanted.SentTo_, 1};
+  return Pool.targets().choose(Excluded, Now, Random_);
+}
+
+bool ServiceSteering::hasHeadroom(const RegionPool &Pool,
+                                  base::TimePoint Now) const noexcept {
+  const placement::PoolState State = Pool.targets().state(Now);
+  return State.InFlight_ + 1 <= (1 - ReservedForOwnCallers) * State.Slots_;
+}
+
+std::optional<ServiceSteering::Found>
+ServiceSteering::elsewhere(const Pending &Wanted, RegionPool &Home,
+                           base::Duration Wait, base::TimePoint Now,
+                           std::string_view &Why) {
+  std::vector<Found> Places{{&Home, {}}};
+  std::vector<placement::RegionOption> Options(1);
+  Options.front().Usable_ = Home.targets().state(Now).Usable_;
+  Options.front().Wait_ = Wait;
+  for (const base::RegionId &Region : Wanted.Request_.Preference_) {
+    RegionPool *Pool = poolOf(Region);
+    if (!Pool || Pool == &Home)
+      continue;
+    Found Place{Pool, {}};
+    placement::RegionOption Option;
+    Option.Usable_ = Pool->targets().state(Now).Usable_;
+    Option.RoundTrip_ = roundTrip(Home.region(), Region);
+    Option.Headroom_ = hasHeadroom(*Pool, Now);
+    if (Option.Headroom_ && Pool->line().waiting() == 0)
+      Place.Choice_ = choose(*Pool, Wanted, Now);
+    Option.Room_ = Place.Choice_.Target_.has_value();
+    Places.push_back(Place);
+    Options.push_back(Option);
+  }
+  const placement::RegionChoice Chosen =
+      placement::RegionChooser::choose(Options);
+  Why = Chosen.Reason_;
+  if (!Chosen.Region_ || *Chosen.Region_ == 0)
+    return std::nullopt;
+  return Places[*Chosen.Region_];
+}
+
+} // namespace lychee::steering
--- a/libs/steering/ServiceSteering.cpp
+++ b/libs/steering/ServiceSteering.cpp
@@ -1,7 +1,7 @@
 #include "steering/ServiceSteering.h"
 
 #include <algorithm>
-#include <map>
+#include <limits>
 
 namespace lychee::steering {
 
@@ -9,219 +9,394 @@
 
 /// Bits of a ticket that name the service.
 constexpr unsigned IndexBits = 16;
+/// How often medians and ejections are brought up to date.
+constexpr base::Duration UpkeepInterval = std::chrono::milliseconds(100);
 
-bool provablyNotRun(SendEnd End) noexcept {
-  return End == SendEnd::Shed || End == SendEnd::ConnectFailed ||
-         End == SendEnd::ClosedUnwritten;
+using AdmissionAction = admission::AdmissionVerdict::Action;
+
+Refusal refusalOf(admission::Cause Cause) noexcept {
+  switch (Cause) {
+  case admission::Cause::None:
+    return Refusal::None;
+  case admission::Cause::OverRate:
+    return Refusal::OverRate;
+  case admission::Cause::DeadlineTooShort:
+    return Refusal::DeadlineTooShort;
+  case admission::Cause::WaitTooLong:
+  case admission::Cause::QueueFull:
+  case admission::Cause::Saturated:
+    return Refusal::QueueFull;
+  case admission::Cause::DeadlinePassed:
+    return Refusal::DeadlinePassed;
+  }
+  return Refusal::QueueFull;
+}
+
+/// What the end of a send says of the target's health.
+placement::Outcome outcomeOf(const SendReport &Report,
+                             base::Duration ExpectedWork) noexcept {
+  /// A send that was given up after this many times its expected work speaks
+  /// against its target; one given up sooner was short of time.
+  constexpr int TellingWaits = 5;
+  constexpr int FirstServerError = 500;
+  switch (Report.End_) {
+  case SendEnd::Answered:
+    return Report.Status_ >= FirstServerError ? placement::Outcome::Faulty
+                                              : placement::Outcome::Good;
+  case SendEnd::Shed:
+    return placement::Outcome::Shed;
+  case SendEnd::ConnectFailed:
+  case SendEnd::LostPartlyWritten:
+  case SendEnd::LostUnanswered:
+    return placement::Outcome::Unreachable;
+  case SendEnd::AnswerCut:
+  case SendEnd::AnswerUnusable:
+    return placement::Outcome::Faulty;
+  case SendEnd::Cancelled:
+    return Report.Took_ > ExpectedWork * TellingWaits
+               ? placement::Outcome::Faulty
+               : placement::Outcome::Cancelled;
+  case SendEnd::ClosedUnwritten:
+  case SendEnd::CancelledUnwritten:
+    // A target may close an idle connection at any time.
+    return placement::Outcome::Cancelled;
+  }
+  return placement::Outcome::Cancelled;
 }
 
-std::map<base::ZoneId, base::RegionId>
-regionsByZone(const settings::Intent &Intent) {
-  std::map<base::ZoneId, base::RegionId> Regions;
-  for (const auto &[Id, Region] : Intent.Regions_)
-    for (const base::ZoneId &Zone : Region.Zones_)
-      Regions[Zone] = Id;
-  return Regions;
+Ran ranOf(bool MayHaveRun) noexcept {
+  return MayHaveRun ? Ran::Maybe : Ran::No;
 }
 
 } // namespace
 
 ServiceSteering::ServiceSteering(base::ServiceId Service, std::uint16_t Index,
-                                 const ServiceLimits &Limits,
-                                 std::uint64_t Seed)
-    : Service_(std::move(Service)), Index_(Index), Limits_(Limits),
-      Random_(Seed) {}
+                                 const HostContext &Context, std::uint64_t Seed)
+    : Service_(std::move(Service)), Index_(Index), Context_(Context),
+      Random_(Seed), Retries_(Context.Limits_.Retries_) {}
 
-void ServiceSteering::applyIntent(const settings::Intent &Intent) {
+void ServiceSteering::applyIntent(const settings::Intent &Intent,
+                                  base::TimePoint Now) {
   const std::scoped_lock Guard(Lock_);
   Version_ = Intent.Version_;
-  for (TargetState &Known : Targets_)
-    Known.Listed_ = false;
-  const auto Found = Intent.Services_.find(Service_);
-  if (Found == Intent.Services_.end())
-    return;
-  const auto Regions = regionsByZone(Intent);
-  for (const settings::Target &Wanted : Found->second.Targets_) {
-    auto Place = std::ranges::find_if(Targets_, [&](const TargetState &Known) {
-      return Known.Target_.Id_ == Wanted.Id_;
-    });
-    if (Place == Targets_.end())
-      Place = Targets_.insert(Place, TargetState{});
-    Place->Target_ = Wanted;
-    Place->Listed_ = true;
-    const auto Region = Regions.find(Wanted.Zone_);
-    if (Region != Regions.end())
-      Place->Region_ = Region->second;
+  for (const settings::Link &Link : Intent.Links_) {
+    RoundTrips_[{Link.Left_, Link.Right_}] = 2 * Link.OneWayDelay_;
+    RoundTrips_[{Link.Right_, Link.Left_}] = 2 * Link.OneWayDelay_;
+  }
+  const auto Known = Intent.Services_.find(Service_);
+  for (const auto &[Id, Region] : Intent.Regions_) {
+    std::vector<settings::Target> Here;
+    admission::AdmissionControl::Limits Limits;
+    if (Known != Intent.Services_.end()) {
+      Limits.ExpectedWork_ = Known->second.ExpectedWork_;
+      std::ranges::copy_if(
+          Known->second.Targets_, std::back_inserter(Here),
+          [&Zones = Region.Zones_](const settings::Target &Target) {
+            return std::ranges::find(Zones, Target.Zone_) != Zones.end();
+          });
+    }
+    std::unique_ptr<RegionPool> &Pool = Pools_[Id];
+    if (!Pool) {
+      Pool = std::make_unique<RegionPool>(Id, Context_.Host_, Limits);
+      Pool->targets().setPeers(Peers_);
+    }
+    Pool->applyIntent(Intent, Here, Now);
   }
-  std::erase_if(Targets_, [](const TargetState &Known) {
-    return !Known.Listed_ && Known.InFlight_ == 0;
-  });
 }
 
-Decision ServiceSteering::arrive(const Request &Arrived, base::TimePoint Now) {
+void ServiceSteering::setPeers(std::span<const base::HostId> Peers) {
   const std::scoped_lock Guard(Lock_);
-  if (Arrived.Deadline_ <= Now)
-    return refuse(Refusal::DeadlineTooShort, Ran::No);
-  const std::uint64_t Ticket = (++LastSerial_ << IndexBits) | Index_;
-  Pending &Wanted = Pending_[Ticket];
-  Wanted.Request_ = Arrived;
-  // The views point into the caller's header, which may be gone before a
-  // waiting request is looked at again.
-  Wanted.Request_.Method_ = {};
-  Wanted.Request_.Path_ = {};
-  return place(Ticket, Wanted, Now);
+  Peers_.assign(Peers.begin(), Peers.end());
+  for (const auto &[Id, Pool] : Pools_)
+    Pool->targets().setPeers(Peers);
 }
 
-Decision ServiceSteering::finish(std::uint64_t Ticket, const SendReport &Report,
-                                 base::TimePoint Now,
-                                 std::vector<Wakeup> &Woken) {
+void ServiceSteering::heardPeer(const base::HostId &Peer,
+                                std::span<const PeerLoad> Loads,
+                                base::TimePoint Now) {
   const std::scoped_lock Guard(Lock_);
-  const auto Found = Pending_.find(Ticket);
-  if (Found == Pending_.end() || Found->second.Waits_)
-    return refuse(Refusal::None, Ran::Maybe);
-  for (TargetState &Known : Targets_)
-    if (Known.Target_.Id_ == Found->second.SentTo_ && Known.InFlight_ > 0)
-      --Known.InFlight_;
-  Decision Next = retry(Ticket, Report, Now);
-  if (Next.Action_ == Decision::Action::Refuse)
-    Pending_.erase(Ticket);
-  letWaitingGo(Now, Woken);
-  return Next;
+  for (const auto &[Id, Pool] : Pools_) {
+    std::vector<placement::InFlight> Counts;
+    for (const PeerLoad &Load : Loads)
+      if (Load.Service_ == Service_)
+        if (const auto Target = Pool->targets().indexOf(Load.Target_))
+          Counts.push_back({*Target, Load.InFlight_});
+    Pool->targets().heard(Peer, Counts, Now);
+  }
 }
 
-void ServiceSteering::cancel(std::uint64_t Ticket, base::TimePoint) {
+void ServiceSteering::addOwnLoads(std::vector<PeerLoad> &Loads) const {
   const std::scoped_lock Guard(Lock_);
-  const auto Found = Pending_.find(Ticket);
-  if (Found == Pending_.end() || !Found->second.Waits_)
-    return;
-  std::erase(Waiting_, Ticket);
-  Pending_.erase(Found);
+  for (const auto &[Id, Pool] : Pools_)
+    for (const placement::InFlight &Own : Pool->targets().ownInFlight())
+      Loads.push_back(
+          {Service_, Pool->targets().nameOf(Own.Target_), Own.Count_});
 }
 
-void ServiceSteering::tick(base::TimePoint Now, std::vector<Wakeup> &Woken) {
+void ServiceSteering::reported(const base::TargetId &Target, std::uint32_t Load,
+                               base::TimePoint MeasuredAt) {
   const std::scoped_lock Guard(Lock_);
-  std::erase_if(Waiting_, [&](std::uint64_t Ticket) {
-    if (Pending_[Ticket].Request_.Deadline_ > Now)
-      return false;
-    Woken.push_back({Ticket, refuse(Refusal::DeadlinePassed, Ran::No)});
-    Pending_.erase(Ticket);
-    return true;
-  });
-  letWaitingGo(Now, Woken);
+  for (const auto &[Id, Pool] : Pools_)
+    if (const auto Index = Pool->targets().indexOf(Target))
+      Pool->targets().reported(*Index, Load, MeasuredAt);
 }
 
-ServiceSteering::Choice ServiceSteering::choose(const Pending &Wanted) {
-  Choice Best;
-  for (const base::RegionId &Region : Wanted.Request_.Preference_) {
-    std::uint32_t Ties = 0;
-    for (TargetState &Known : Targets_) {
-      if (Known.Region_ != Region || !Known.Listed_ || Known.Target_.Leaving_)
-        continue;
-      if (Wanted.Sends_ > 0 && Known.Target_.Id_ == Wanted.SentTo_)
-        continue;
-      if (Best.Room_ == Room::NoTarget)
-        Best.Room_ = Room::AllBusy;
-      if (Known.InFlight_ >= Known.Target_.Slots_)
-        continue;
-      const bool Better =
-          !Best.Target_ || Known.InFlight_ < Best.Target_->InFlight_;
-      const bool Equal = !Better && Known.InFlight_ == Best.Target_->InFlight_;
-      Ties = Better ? 1 : Ties + (Equal ? 1 : 0);
-      if (Better || (Equal && base::drawBelow(Random_, Ties) == 0))
-        Best.Target_ = &Known;
-    }
-    if (Best.Target_) {
-      Best.Room_ = Room::Found;
-      return Best;
-    }
+Decision ServiceSteering::arrive(const Request &Arrived,
+                                 const admission::RateCheck &Rate,
+                                 base::TimePoint Now) {
+  const base::TimePoint SuspectUntil =
+      Context_.Suspects_->suspectUntil(Arrived.Fingerprint_, Now);
+  const std::scoped_lock Guard(Lock_);
+  if (SuspectUntil > Now) {
+    Decision Refused = refuse(Refusal::CrashSuspect, Ran::No);
+    Refused.RetryAfter_ = SuspectUntil - Now;
+    return Refused;
   }
-  return Best;
+  const std::uint64_t Ticket = (++LastSerial_ << IndexBits) | Index_;
+  Pending &Wanted = Pending_[Ticket];
+  Wanted.Request_ = Arrived;
+  // The views point into the caller's header, which may be gone before a
+  // waiting request is looked at again.
+  Wanted.Request_.Method_ = {};
+  Wanted.Request_.Path_ = {};
+  Decision Taken = enter(Ticket, Wanted, Rate, Now);
+  if (Taken.Action_ == Decision::Action::Refuse)
+    Pending_.erase(Ticket);
+  return Taken;
 }
 
-Decision ServiceSteering::place(std::uint64_t Ticket, Pending &Wanted,
-                                base::TimePoint) {
-  const Choice Chosen = choose(Wanted);
-  if (Chosen.Room_ == Room::Found)
-    return send(Ticket, Wanted, *Chosen.Target_);
-  const bool Queueable =
-      Chosen.Room_ == Room::AllBusy && Waiting_.size() < Limits_.QueueLength_;
-  if (Queueable)
-    return hold(Ticket, Wanted);
-  Pending_.erase(Ticket);
-  return refuse(Chosen.Room_ == Room::AllBusy ? Refusal::QueueFull
-                                              : Refusal::NoHealthyTarget,
-                Ran::No);
+Decision ServiceSteering::enter(std::uint64_t Ticket, Pending &Wanted,
+                                const admission::RateCheck &Rate,
+                                base::TimePoint Now) {
+  RegionPool *Home = homeOf(Wanted, Now);
+  const auto Customer =
+      Home ? Home->customer(Wanted.Request_.Customer_) : std::nullopt;
+  if (!Customer)
+    return refuse(Refusal::NoHealthyTarget, ranOf(Wanted.MayHaveRun_));
+  Wanted.Customer_ = *Customer;
+  admission::Arrival Arrival;
+  Arrival.Ticket_ = Ticket;
+  Arrival.Customer_ = *Customer;
+  Arrival.Caller_ = Wanted.Request_.CallerHash_;
+  Arrival.Deadline_ = Wanted.Request_.Deadline_;
+  Arrival.Rate_ = Rate;
+  Found Near{Home, {}};
+  if (Rate.Allowed_)
+    Near.Choice_ = choose(*Home, Wanted, Now);
+  Arrival.Room_ = Near.Choice_.Target_.has_value();
+  const admission::AdmissionVerdict Verdict = Home->line().arrive(Arrival, Now);
+  Wanted.Charged_ = Verdict.ExpectedWork_;
+  if (Verdict.Action_ == AdmissionAction::Go)
+    return send(Ticket, Wanted, Near, "nearest");
+  const bool Waits = Verdict.Action_ == AdmissionAction::Wait;
+  const bool Hopeless = Verdict.Cause_ == admission::Cause::OverRate ||
+                        Verdict.Cause_ == admission::Cause::DeadlineTooShort;
+  if (!Waits && Hopeless)
+    return refuse(Wanted, Verdict);
+  const base::Duration Wait =
+      Waits ? Verdict.ExpectedWait_ : Arrival.Deadline_ - Now;
+  std::string_view Why;
+  const auto Other = elsewhere(Wanted, *Home, Wait, Now, Why);
+  if (Other) {
+    if (Waits)
+      Home->line().cancel(Verdict.Place_);
+    Arrival.Room_ = true;
+    Wanted.Customer_ = Other->Pool_->customer(Wanted.Request_.Customer_)
+                           .value_or(Wanted.Customer_);
+    Arrival.Customer_ = Wanted.Customer_;
+    const auto There = Other->Pool_->line().arrive(Arrival, Now);
+    Wanted.Charged_ = There.ExpectedWork_;
+    if (There.Action_ == AdmissionAction::Go)
+      return send(Ticket, Wanted, *Other, Why);
+    return refuse(Wanted, There);
+  }
+  if (!Waits)
+    return refuse(Wanted, Verdict);
+  Wanted.Pool_ = Home;
+  Wanted.Place_ = Verdict.Place_;
+  return hold(Ticket, Wanted);
 }
 
 Decision ServiceSteering::send(std::uint64_t Ticket, Pending &Wanted,
-                               TargetState &Target) {
-  ++Target.InFlight_;
+                               const Found &Where, std::string_view Why) {
+  const placement::TargetIndex Target = *Where.Choice_.Target_;
+  placement::TargetPool &Targets = Where.Pool_->targets();
+  Targets.started(Target);
   ++Wanted.Sends_;
-  Wanted.SentTo_ = Target.Target_.Id_;
+  Wanted.Pool_ = Where.Pool_;
+  Wanted.SentTo_ = Target;
   Wanted.Waits_ = false;
   Decision Taken;
   Taken.Action_ = Decision::Action::Send;
   Taken.Ticket_ = Ticket;
-  Taken.Target_ = Target.Target_.Id_;
-  Taken.Address_ = Target.Target_.Address_;
-  Taken.Region_ = Target.Region_;
-  Taken.Reason_ = Wanted.Sends_ > 1 ? "retry" : "least-in-flight";
+  Taken.Target_ = Targets.nameOf(Target);
+  Taken.Address_ = Where.Pool_->address(Target);
+  Taken.Region_ = Where.Pool_->region();
+  Taken.Reason_ = Why == "nearest" ? Where.Choice_.Reason_ : Why;
+  for (const placement::Passed &Other : Where.Choice_.passed())
+    Taken.PassedOver_.push_back({Targets.nameOf(Other.Target_), Other.Reason_});
   Taken.SettingsVersion_ = Version_;
   return Taken;
 }
 
-Decision ServiceSteering::hold(std::uint64_t Ticket, Pending &Wanted) {
+Decision ServiceSteering::hold(std::uint64_t Ticket, Pending &Wanted) const {
   Wanted.Waits_ = true;
-  Waiting_.push_back(Ticket);
   Decision Taken;
   Taken.Action_ = Decision::Action::Wait;
   Taken.Ticket_ = Ticket;
-  Taken.Reason_ = "no-free-slot";
+  Taken.Region_ = Wanted.Pool_->region();
+  Taken.Reason_ = "all-full";
   Taken.WaitUntil_ = Wanted.Request_.Deadline_;
   Taken.SettingsVersion_ = Version_;
   return Taken;
 }
 
-Decision ServiceSteering::refuse(Refusal Reason, Ran MayHaveRun) const {
+Decision ServiceSteering::refuse(Refusal Reason, Ran MayHaveRun,
+                                 std::string_view Why) const {
+  /// Until the next look at targets that are lost, or at a full region.
+  constexpr base::Duration ComeBack = std::chrono::seconds(1);
   Decision Taken;
   Taken.Refusal_ = Reason;
   Taken.Ran_ = MayHaveRun;
-  Taken.Reason_ = nameOf(Reason);
+  Taken.Reason_ = Why.empty() ? nameOf(Reason) : Why;
   Taken.SettingsVersion_ = Version_;
   if (Reason == Refusal::QueueFull || Reason == Refusal::NoHealthyTarget)
-    Taken.RetryAfter_ = std::chrono::seconds(1);
+    Taken.RetryAfter_ = ComeBack;
   return Taken;
 }
 
-Decision ServiceSteering::retry(std::uint64_t Ticket, const SendReport &Report,
-                                base::TimePoint Now) {
-  if (Report.End_ == SendEnd::Answered)
+Decision
+ServiceSteering::refuse(const Pending &Wanted,
+                        const admission::AdmissionVerdict &Verdict) const {
+  Decision Taken = refuse(refusalOf(Verdict.Cause_), ranOf(Wanted.MayHaveRun_),
+                          admission::nameOf(Verdict.Cause_));
+  Taken.RetryAfter_ = Verdict.RetryAfter_;
+  return Taken;
+}
+
+Decision ServiceSteering::finish(std::uint64_t Ticket, const SendReport &Report,
+                                 base::TimePoint Now,
+                                 std::vector<Wakeup> &Woken) {
+  const std::scoped_lock Guard(Lock_);
+  const auto Place = Pending_.find(Ticket);
+  if (Place == Pending_.end() || Place->second.Waits_)
     return refuse(Refusal::None, Ran::Maybe);
-  Pending &Failed = Pending_[Ticket];
-  const bool NotRun = provablyNotRun(Report.End_);
-  const Ran MayHaveRun = NotRun ? Ran::No : Ran::Maybe;
-  if (Report.End_ == SendEnd::Cancelled || Failed.Request_.Deadline_ <= Now)
-    return refuse(Refusal::DeadlinePassed, MayHaveRun);
-  const bool Safe = NotRun || Failed.Request_.Idempotent_;
-  if (!Safe || Report.AnswerStarted_ || Failed.Sends_ >= Limits_.Sends_)
-    return refuse(Refusal::TargetFailed, MayHaveRun);
-  Decision Next = place(Ticket, Failed, Now);
-  // An earlier send may have run even where the last one found no room.
+  release(Place->second, Report, Now);
+  Decision Next = afterFailure(Ticket, Place->second, Report, Now);
   if (Next.Action_ == Decision::Action::Refuse)
-    Next.Ran_ = MayHaveRun;
+    Pending_.erase(Ticket);
+  letWaitingGo(Now, Woken);
   return Next;
 }
 
+void ServiceSteering::release(Pending &Ended, const SendReport &Report,
+                              base::TimePoint Now) {
+  RegionPool &Pool = *Ended.Pool_;
+  const placement::TargetIndex Target = Ended.SentTo_;
+  const placement::Outcome Seen = outcomeOf(Report, Pool.line().expectedWork());
+  Pool.targets().finished(Target, Seen, Report.Took_, Now);
+  Pool.line().finished(Ended.Customer_, Ended.Request_.CallerHash_,
+                       Ended.Charged_, Report.Took_,
+                       Seen == placement::Outcome::Good);
+  const std::uint64_t Fingerprint = Ended.Request_.Fingerprint_;
+  if (Report.End_ == SendEnd::Answered) {
+    Retries_.succeeded();
+    Pool.retries(Target).succeeded();
+    Context_.Suspects_->answered(Fingerprint);
+  }
+  const bool Reset = Report.End_ == SendEnd::LostUnanswered ||
+                     Report.End_ == SendEnd::LostPartlyWritten ||
+                     Report.End_ == SendEnd::AnswerCut;
+  if (Reset && !Report.Silent_)
+    Context_.Suspects_->lost(Fingerprint, Pool.targets().nameOf(Target), Now);
+}
+
+Decision ServiceSteering::afterFailure(std::uint64_t Ticket, Pending &Failed,
+                                       const SendReport &Report,
+                                       base::TimePoint Now) {
+  const retrying::SendVerdict Verdict = retrying::judgeSend(
+      {Report.End_, Failed.Request_.Idempotent_, Report.AnswerStarted_});
+  if (Verdict.Resend_ == retrying::Resend::NotNeeded)
+    return refuse(Refusal::None, Ran::Maybe);
+  Failed.MayHaveRun_ = Failed.MayHaveRun_ || Verdict.Ran_ != retrying::Ran::No;
+  const Ran MayHaveRun = ranOf(Failed.MayHaveRun_);
+  const bool Cancelled =
+      Verdict.Resend_ == retrying::Resend::ForbiddenCancelled;
+  if (Cancelled || Failed.Request_.Deadline_ <= Now)
+    return refuse(Refusal::DeadlinePassed, MayHaveRun);
+  if (!Verdict.mayResend() || Failed.Sends_ >= Context_.Limits_.Sends_)
+    return refuse(Refusal::TargetFailed, MayHaveRun);
+  if (Context_.Suspects_->suspectUntil(Failed.Request_.Fingerprint_, Now) > Now)
+    return refuse(Refusal::CrashSuspect, MayHaveRun);
+  // Both budgets: the host's bounds the sum, the target's keeps one that fails
+  // from using up all of it.
+  if (!retrying::RetryBudget::spendBoth(
+          Retries_, Failed.Pool_->retries(Failed.SentTo_), Now))
+    return refuse(Refusal::TargetFailed, MayHaveRun, "retry-budget");
+  return enter(Ticket, Failed, {}, Now);
+}
+
+void ServiceSteering::cancel(std::uint64_t Ticket, base::TimePoint) {
+  const std::scoped_lock Guard(Lock_);
+  const auto Place = Pending_.find(Ticket);
+  if (Place == Pending_.end() || !Place->second.Waits_)
+    return;
+  Place->second.Pool_->line().cancel(Place->second.Place_);
+  Pending_.erase(Place);
+}
+
+void ServiceSteering::tick(base::TimePoint Now, std::vector<Wakeup> &Woken) {
+  const std::scoped_lock Guard(Lock_);
+  const bool Upkeep = Now - LastUpkeep_ >= UpkeepInterval;
+  if (Upkeep)
+    LastUpkeep_ = Now;
+  for (const auto &[Id, Pool] : Pools_) {
+    if (Upkeep)
+      Pool->targets().tick(Now);
+    std::vector<admission::GivenUp> Left;
+    Pool->line().expire(Now, Left);
+    giveUp(Left, Woken);
+  }
+  letWaitingGo(Now, Woken);
+}
+
 void ServiceSteering::letWaitingGo(base::TimePoint Now,
                                    std::vector<Wakeup> &Woken) {
-  while (!Waiting_.empty()) {
-    const std::uint64_t Ticket = Waiting_.front();
-    Pending &First = Pending_[Ticket];
-    const Choice Chosen = choose(First);
-    if (Chosen.Room_ != Room::Found || First.Request_.Deadline_ <= Now)
-      return;
-    Waiting_.pop_front();
-    Woken.push_back({Ticket, send(Ticket, First, *Chosen.Target_)});
+  for (const auto &[Id, Pool] : Pools_) {
+    std::vector<admission::GivenUp> Left;
+    while (Pool->line().waiting() > 0) {
+      Found Where{Pool.get(), Pool->targets().choose({}, Now, Random_)};
+      if (!Where.Choice_.Target_)
+        break;
+      const auto Next = Pool->line().next(Now, Left);
+      if (!Next)
+        break;
+      Pending &First = Pending_.at(Next->Ticket_);
+      // A second send goes to another target than the one that failed.
+      if (First.Sends_ > 0 && First.SentTo_ == Where.Choice_.Target_) {
+        Where.Choice_ = choose(*Pool, First, Now);
+        if (!Where.Choice_.Target_) {
+          First.Place_ = Pool->line().putBack(*Next, Now);
+          break;
+        }
+      }
+      First.Charged_ = Next->Work_;
+      Woken.push_back(
+          {Next->Ticket_, send(Next->Ticket_, First, Where, "waited")});
+    }
+    giveUp(Left, Woken);
+  }
+}
+
+void ServiceSteering::giveUp(std::span<const admission::GivenUp> Left,
+                             std::vector<Wakeup> &Woken) {
+  for (const admission::GivenUp &Each : Left) {
+    const Pending &Ended = Pending_.at(Each.Request_.Ticket_);
+    Decision Refused = refuse(refusalOf(Each.Cause_), ranOf(Ended.MayHaveRun_),
+                              admission::nameOf(Each.Cause_));
+    Refused.RetryAfter_ = Each.RetryAfter_;
+    Woken.push_back({Each.Request_.Ticket_, Refused});
+    Pending_.erase(Each.Request_.Ticket_);
   }
 }
 
--- a/libs/steering/ServiceSteering.h
+++ b/libs/steering/ServiceSteering.h
@@ -2,86 +2,134 @@
 #define LYCHEE_STEERING_SERVICESTEERING_H
 
 #include "base/Random.h"
-#include "settings/Intent.h"
+#include "placement/RegionChooser.h"
+#include "retrying/CrashSuspects.h"
+#include "steering/RegionPool.h"
 #include "steering/Steering.h"
 
-#include <deque>
+#include <map>
+#include <memory>
 #include <mutex>
-#include <unordered_map>
 
 namespace lychee::steering {
 
-/// Bounds of one service's waiting and retrying at one host.
+/// Bounds of one service's retrying at one host.
 struct ServiceLimits {
-  /// Requests that may wait at one host for one service. A queue that holds
-  /// more than can be worked off within a deadline only makes callers wait for
-  /// a refusal.
-  std::size_t QueueLength_ = 256;
-  /// Sends of one request, the first included.
+  /// Sends of one request, the first included: two failures in a row at
+  /// different targets speak against the request or the region, and a fourth
+  /// target would learn it the same way.
   std::uint32_t Sends_ = 3;
+  retrying::RetryBudget::Limits Retries_;
 };
 
-/// One service's targets, running and waiting requests at one host, under one
-/// lock. \see FleetSteering
+/// What one host's services have in common.
+struct HostContext {
+  base::HostId Host_;
+  ServiceLimits Limits_;
+  /// Shared by all services; thread-safe.
+  retrying::CrashSuspects *Suspects_ = nullptr;
+};
+
+/// One service at one host: its targets by region, its running and waiting
+/// requests, under one lock. Decides in this order: crash suspects, the
+/// customer's rate, the region, room there, the target; after a failed send
+/// whether it may be sent again. \see FleetSteering
 class ServiceSteering {
 public:
   /// \param Index  the low bits of its tickets.
   ServiceSteering(base::ServiceId Service, std::uint16_t Index,
-                  const ServiceLimits &Limits, std::uint64_t Seed);
+                  const HostContext &Context, std::uint64_t Seed);
   ServiceSteering(const ServiceSteering &) = delete;
   ServiceSteering &operator=(const ServiceSteering &) = delete;
 
   const base::ServiceId &id() const noexcept { return Service_; }
 
-  /// Takes over targets. One that left the intent gets no new work; what runs
-  /// there ends.
-  void applyIntent(const settings::Intent &Intent);
+  /// Takes over targets, customers and links. A target that left the intent
+  /// gets no new work; what runs there ends.
+  void applyIntent(const settings::Intent &Intent, base::TimePoint Now);
+
+  /// Sets the other hosts that send to the same targets.
+  void setPeers(std::span<const base::HostId> Peers);
+  void heardPeer(const base::HostId &Peer, std::span<const PeerLoad> Loads,
+                 base::TimePoint Now);
+  void addOwnLoads(std::vector<PeerLoad> &Loads) const;
+  void reported(const base::TargetId &Target, std::uint32_t Load,
+                base::TimePoint MeasuredAt);
 
-  Decision arrive(const Request &Arrived, base::TimePoint Now);
+  Decision arrive(const Request &Arrived, const admission::RateCheck &Rate,
+                  base::TimePoint Now);
   Decision finish(std::uint64_t Ticket, const SendReport &Report,
                   base::TimePoint Now, std::vector<Wakeup> &Woken);
   void cancel(std::uint64_t Ticket, base::TimePoint Now);
   void tick(base::TimePoint Now, std::vector<Wakeup> &Woken);
 
 private:
-  struct TargetState {
-    settings::Target Target_;
-    base::RegionId Region_;
-    std::uint32_t InFlight_ = 0;
-    bool Listed_ = true;
-  };
   /// A request between its arrival and its last decision.
   struct Pending {
     Request Request_;
-    base::TargetId SentTo_;
+    /// The region that it waits for, or was sent to.
+    RegionPool *Pool_ = nullptr;
+    admission::Place Place_;
+    admission::CustomerIndex Customer_ = 0;
+    /// What the line charged for it.
+    base::Duration Charged_{};
     std::uint32_t Sends_ = 0;
+    /// In Pool_; where it was sent at all.
+    placement::TargetIndex SentTo_ = 0;
     bool Waits_ = false;
+    /// An earlier send may have run.
+    bool MayHaveRun_ = false;
   };
-  enum class Room { Found, AllBusy, NoTarget };
-  struct Choice {
-    Room Room_ = Room::NoTarget;
-    TargetState *Target_ = nullptr;
+
+  /// A target found, in a pool.
+  struct Found {
+    RegionPool *Pool_ = nullptr;
+    placement::TargetChoice Choice_;
   };
 
-  Choice choose(const Pending &Wanted);
-  Decision place(std::uint64_t Ticket, Pending &Wanted, base::TimePoint Now);
-  Decision send(std::uint64_t Ticket, Pending &Wanted, TargetState &Target);
-  Decision hold(std::uint64_t Ticket, Pending &Wanted);
-  Decision refuse(Refusal Reason, Ran MayHaveRun) const;
-  Decision retry(std::uint64_t Ticket, const SendReport &Report,
-                 base::TimePoint Now);
+  // The way of a request, in ServiceSteering.cpp.
+  Decision enter(std::uint64_t Ticket, Pending &Wanted,
+                 const admission::RateCheck &Rate, base::TimePoint Now);
+  Decision send(std::uint64_t Ticket, Pending &Wanted, const Found &Where,
+                std::string_view Why);
+  Decision hold(std::uint64_t Ticket, Pending &Wanted) const;
+  Decision refuse(Refusal Reason, Ran MayHaveRun,
+                  std::string_view Why = {}) const;
+  Decision refuse(const Pending &Wanted,
+                  const admission::AdmissionVerdict &Verdict) const;
+  Decision afterFailure(std::uint64_t Ticket, Pending &Failed,
+                        const SendReport &Report, base::TimePoint Now);
+  void release(Pending &Ended, const SendReport &Report, base::TimePoint Now);
   void letWaitingGo(base::TimePoint Now, std::vector<Wakeup> &Woken);
+  void giveUp(std::span<const admission::GivenUp> Left,
+              std::vector<Wakeup> &Woken);
+
+  // Where it goes, in ServicePlacement.cpp.
+  RegionPool *homeOf(const Pending &Wanted, base::TimePoint Now);
+  placement::TargetChoice choose(RegionPool &Pool, const Pending &Wanted,
+                                 base::TimePoint Now);
+  std::optional<Found> elsewhere(const Pending &Wanted, RegionPool &Home,
+                                 base::Duration Wait, base::TimePoint Now,
+                                 std::string_view &Why);
+  bool hasHeadroom(const RegionPool &Pool, base::TimePoint Now) const noexcept;
+  base::Duration roundTrip(const base::RegionId &From,
+                           const base::RegionId &To) const;
+  RegionPool *poolOf(const base::RegionId &Region) const;
 
   const base::ServiceId Service_;
   const std::uint16_t Index_;
-  const ServiceLimits Limits_;
-  std::mutex Lock_;
+  const HostContext Context_;
+  mutable std::mutex Lock_;
   base::Random Random_;
   std::uint64_t Version_ = 0;
   std::uint64_t LastSerial_ = 0;
-  std::vector<TargetState> Targets_;
+  retrying::RetryBudget Retries_;
+  std::map<base::RegionId, std::unique_ptr<RegionPool>> Pools_;
+  std::map<std::pair<base::RegionId, base::RegionId>, base::Duration>
+      RoundTrips_;
   std::unordered_map<std::uint64_t, Pending> Pending_;
-  std::deque<std::uint64_t> Waiting_;
+  std::vector<base::HostId> Peers_;
+  base::TimePoint LastUpkeep_;
 };
 
 } // namespace lychee::steering
--- a/libs/steering/Steering.h
+++ b/libs/steering/Steering.h
@@ -3,6 +3,7 @@
 
 #include "base/Id.h"
 #include "base/Time.h"
+#include "retrying/SendVerdict.h"
 
 #include <cstdint>
 #include <string>
@@ -100,23 +101,8 @@
   Decision Decision_;
 };
 
-/// The point at which a send to a target ended. \see retrying
-enum class SendEnd {
-  Answered,
-  /// The target answered that it did not run the request (503 with its mark).
-  Shed,
-  ConnectFailed,
-  /// The connection ended before one byte of the request was written.
-  ClosedUnwritten,
-  /// It ended, or went silent, after the request was written in part.
-  LostPartlyWritten,
-  /// It ended or went silent after the whole request, before any answer.
-  LostUnanswered,
-  /// The answer was cut short of its length.
-  AnswerCut,
-  /// The caller hung up, or its deadline passed.
-  Cancelled,
-};
+/// The point at which a send to a target ended. \see retrying::judgeSend
+using SendEnd = retrying::SendEnd;
 
 /// How a send went, as this host saw it.
 struct SendReport {
@@ -127,6 +113,9 @@
   /// True where bytes of the answer have gone to the caller already.
   bool AnswerStarted_ = false;
   std::uint64_t AnswerBytes_ = 0;
+  /// True where the send ended because nothing came for too long, and not
+  /// because the connection ended: silence is no sign of a crash.
+  bool Silent_ = false;
 };
 
 /// One request's way through the decisions, in the order in which they are
