--- a/libs/retrying/Claim.h
+++ b/libs/retrying/Claim.h
@@ -39,7 +39,7 @@
   ClaimKey Key_;
   /// Hash of what was asked, so that one key for two requests is noticed.
   std::uint64_t Fingerprint_ = 0;
-  /// Which permission to run this is; rises within one owner.
+  /// Which permission to run this is; no two of a key are the same.
   std::uint64_t Grant_ = 0;
   ClaimState State_ = ClaimState::Granted;
   std::uint16_t Status_ = 0;
--- a/libs/retrying/ClaimTable.cpp
+++ b/libs/retrying/ClaimTable.cpp
@@ -6,6 +6,13 @@
 
 namespace lychee::retrying {
 
+namespace {
+
+/// Grants between two loads: 4 billion.
+constexpr unsigned GrantBits = 32;
+
+} // namespace
+
 bool ClaimTable::load(const ClaimObject &Read, std::uint64_t Epoch) {
   assert(!Loaded_ && "a table is given up before it is loaded again");
   if (Read.Epoch_ > Epoch)
@@ -19,8 +26,11 @@
   for (const ClaimRecord &Each : Read.Records_) {
     const bool Done = Each.State_ == ClaimState::Done;
     Claims_[Each.Key_] = {Each, Done ? Phase::Done : Phase::Held, false};
-    LastGrant_ = std::max(LastGrant_, Each.Grant_);
   }
+  // Above every number granted before: whoever granted one wrote the object
+  // since it was loaded, so that this version is higher. A number used twice
+  // would let a late word about the first run free the second.
+  LastGrant_ = Version_ << GrantBits;
   Loaded_ = true;
   return true;
 }
