--- a/libs/placement/TargetPool.cpp
+++ b/libs/placement/TargetPool.cpp
@@ -38,7 +38,8 @@
   }
   if (trust(Now) == Trust::Lost)
     return probe(Now, Random);
-  if (Limits_.HomeFirst_ && tryHome(Excluded, Now, Random, Choice))
+  const bool Divided = Entries_[Active_.front()].Share_.has_value();
+  if (Limits_.HomeFirst_ && !Divided && tryHome(Excluded, Now, Random, Choice))
     return Choice;
   if (tryTwo(Active_, Excluded, Now, Random, Choice))
     return Choice;
@@ -67,6 +68,11 @@
                                       base::TimePoint Now) const noexcept {
   const Entry &Each = Entries_[Target];
   const std::uint32_t Usable = Each.Health_.usableSlots(Each.Slots_, Now);
+  if (Each.Share_) {
+    const std::uint32_t Mine = std::min(Usable, *Each.Share_);
+    const bool Room = Each.Own_ < Mine && Now >= Each.FullUntil_;
+    return {Target, static_cast<double>(Each.Own_) / Usable, Room};
+  }
   const double Load = load(Target, Now);
   // Others' part is an estimate: a slot that is rather free than taken counts
   // as free.
@@ -75,6 +81,16 @@
   return {Target, Load / Usable, Free};
 }
 
+std::uint32_t TargetPool::freeShare(TargetIndex Target,
+                                    base::TimePoint Now) const noexcept {
+  const Entry &Each = Entries_[Target];
+  if (Each.Health_.isEjected(Now) || Now < Each.FullUntil_)
+    return 0;
+  const std::uint32_t Usable = Each.Health_.usableSlots(Each.Slots_, Now);
+  const std::uint32_t Mine = std::min(Usable, Each.Share_.value_or(Usable));
+  return Mine > Each.Own_ ? Mine - Each.Own_ : 0;
+}
+
 bool TargetPool::tryHome(std::span<const TargetIndex> Excluded,
                          base::TimePoint Now, base::Random &Random,
                          TargetChoice &Choice) const noexcept {
--- a/libs/placement/TargetPool.h
+++ b/libs/placement/TargetPool.h
@@ -108,6 +108,26 @@
   /// Sets the other hosts that send to these targets.
   void setPeers(std::span<const base::HostId> Peers);
 
+  /// Limits this host to its own part of a target's slots. What others do there
+  /// then no longer matters, as they keep to their parts. \see
+  /// steering::SlotBook
+  void setShare(TargetIndex Target, std::uint32_t Slots) noexcept {
+    Entries_[Target].Share_ = Slots;
+  }
+
+  /// \returns how many slots of this host's part are free; zero while the
+  /// target gets no work.
+  std::uint32_t freeShare(TargetIndex Target,
+                          base::TimePoint Now) const noexcept;
+
+  /// \returns what this host has in flight there.
+  std::uint32_t inFlight(TargetIndex Target) const noexcept {
+    return Entries_[Target].Own_;
+  }
+
+  /// \returns the targets that may get work.
+  std::span<const TargetIndex> active() const noexcept { return Active_; }
+
   /// \param Excluded  targets this request was just sent to in vain.
   TargetChoice choose(std::span<const TargetIndex> Excluded,
                       base::TimePoint Now, base::Random &Random);
@@ -166,6 +186,8 @@
     std::uint32_t Slots_ = 1;
     std::uint32_t Home_ = 0;
     std::uint32_t Own_ = 0;
+    /// This host's part of the slots; without, all hosts share them freely.
+    std::optional<std::uint32_t> Share_;
     bool Leaving_ = false;
     bool Gone_ = false;
     Report Report_;
--- a/libs/scenario/Engine.cpp
+++ b/libs/scenario/Engine.cpp
@@ -99,6 +99,10 @@
                       Run();
                   });
   };
+  Peers.Wake_ = [this](std::size_t Host,
+                       const std::vector<steering::Wakeup> &Woken) {
+    wake(Host, Woken);
+  };
   Plays_.start(Peers, Played_.Seed_, Start_);
   const auto Intent = std::make_shared<const settings::Intent>(Intent_);
   for (std::size_t Host = 0; Host < Hosts_.size(); ++Host)
--- a/libs/scenario/FleetStrategy.cpp
+++ b/libs/scenario/FleetStrategy.cpp
@@ -3,13 +3,15 @@
 namespace lychee::scenario {
 
 void FleetStrategy::start(PeerNetwork Peers, std::uint64_t Seed,
-                          base::TimePoint) {
+                          base::TimePoint Now) {
   Peers_ = std::move(Peers);
   Seed_ = Seed;
+  Now_ = Now;
+  LeasesEnd_ = Now;
   Hosts_.resize(Peers_.Hosts_);
   for (std::size_t Host = 0; Host < Hosts_.size(); ++Host)
     begin(Host);
-  setPeers();
+  changeMembers(Now);
 }
 
 void FleetStrategy::begin(std::size_t Host) {
@@ -39,43 +41,107 @@
 }
 
 void FleetStrategy::tick(base::TimePoint Now) {
-  if (Now - LastRound_ < RoundInterval)
-    return;
-  LastRound_ = Now;
-  for (std::size_t From = 0; From < Hosts_.size(); ++From)
-    if (Peers_.Alive_(From))
+  Now_ = Now;
+  settle(Now);
+  const bool Round = Now - LastRound_ >= RoundInterval;
+  if (Round)
+    LastRound_ = Now;
+  for (std::size_t From = 0; From < Hosts_.size(); ++From) {
+    if (!Peers_.Alive_(From))
+      continue;
+    if (Round)
       tellPeers(From, Now);
+    if (Rules_.Exchange_)
+      askForSlots(From, Now);
+  }
 }
 
 void FleetStrategy::tellPeers(std::size_t From, base::TimePoint Now) {
-  const auto Loads = std::make_shared<const std::vector<steering::PeerLoad>>(
-      Hosts_[From]->ownLoads());
+  const auto Round =
+      std::make_shared<const steering::HostRound>(Hosts_[From]->round(Now));
   const auto Suspects =
       std::make_shared<const std::vector<retrying::CrashEvidence>>(
           Hosts_[From]->suspects().evidence(Now));
   for (std::size_t To = 0; To < Hosts_.size(); ++To)
     if (To != From)
-      Peers_.Send_(From, To, [this, From, To, Now, Loads, Suspects] {
-        Hosts_[To]->heardPeer(Peers_.Name_(From), *Loads, Now);
+      Peers_.Send_(From, To, [this, To, Now, Round, Suspects] {
+        Hosts_[To]->heardRound(*Round, Now);
         Hosts_[To]->suspects().merge(*Suspects, Now);
       });
 }
 
-void FleetStrategy::setPeers() {
+std::optional<std::size_t>
+FleetStrategy::placeOf(const base::HostId &Host) const {
+  for (std::size_t Place = 0; Place < Hosts_.size(); ++Place)
+    if (Peers_.Alive_(Place) && Peers_.Name_(Place) == Host)
+      return Place;
+  return std::nullopt;
+}
+
+void FleetStrategy::askForSlots(std::size_t From, base::TimePoint Now) {
+  for (const steering::SlotAsk &Ask : Hosts_[From]->slotAsks(Now)) {
+    const auto Donor = placeOf(Ask.Donor_);
+    if (!Donor)
+      continue;
+    Peers_.Send_(From, *Donor, [this, From, Place = *Donor, Ask, Now] {
+      giveSlots(Place, From, Ask, Now);
+    });
+  }
+}
+
+void FleetStrategy::giveSlots(std::size_t Donor, std::size_t Asker,
+                              const steering::SlotAsk &Ask,
+                              base::TimePoint Now) {
+  const auto Gift = Hosts_[Donor]->giveSlots(Ask, Now);
+  if (!Gift)
+    return;
+  Peers_.Send_(Donor, Asker, [this, Asker, Given = *Gift, Now] {
+    std::vector<steering::Wakeup> Woken;
+    Hosts_[Asker]->acceptSlots(Given, Now, Woken);
+    Peers_.Wake_(Asker, Woken);
+  });
+}
+
+void FleetStrategy::changeMembers(base::TimePoint) {
+  std::vector<steering::Member> Members;
+  for (std::size_t Host = 0; Host < Hosts_.size(); ++Host)
+    if (Peers_.Alive_(Host))
+      Members.push_back({Peers_.Name_(Host), Peers_.Region_(Host)});
+  ++Epoch_;
+  Settled_ = false;
   for (std::size_t Host = 0; Host < Hosts_.size(); ++Host) {
+    if (!Peers_.Alive_(Host))
+      continue;
     std::vector<base::HostId> Others;
-    for (std::size_t Other = 0; Other < Hosts_.size(); ++Other)
-      if (Other != Host && Peers_.Alive_(Other))
-        Others.push_back(Peers_.Name_(Other));
+    for (const steering::Member &Each : Members)
+      if (Each.Host_ != Peers_.Name_(Host))
+        Others.push_back(Each.Host_);
     Hosts_[Host]->setPeers(Others);
+    if (Rules_.Slots_)
+      Hosts_[Host]->enterEpoch(Epoch_, Members);
   }
 }
 
-void FleetStrategy::hostGone(std::size_t, base::TimePoint) { setPeers(); }
+void FleetStrategy::settle(base::TimePoint Now) {
+  if (Settled_ || !Rules_.Slots_ || Now < LeasesEnd_)
+    return;
+  for (std::size_t Host = 0; Host < Hosts_.size(); ++Host)
+    if (Peers_.Alive_(Host) && !Hosts_[Host]->fitsEpoch())
+      return;
+  Settled_ = true;
+  for (std::size_t Host = 0; Host < Hosts_.size(); ++Host)
+    if (Peers_.Alive_(Host))
+      Hosts_[Host]->settleEpoch(Epoch_);
+}
+
+void FleetStrategy::hostGone(std::size_t, base::TimePoint Now) {
+  LeasesEnd_ = Now + LeaseTime;
+  changeMembers(Now);
+}
 
-void FleetStrategy::hostBack(std::size_t Host, base::TimePoint) {
+void FleetStrategy::hostBack(std::size_t Host, base::TimePoint Now) {
   begin(Host);
-  setPeers();
+  changeMembers(Now);
 }
 
 } // namespace lychee::scenario
--- a/libs/scenario/FleetStrategy.h
+++ b/libs/scenario/FleetStrategy.h
@@ -6,10 +6,25 @@
 
 namespace lychee::scenario {
 
-/// The project's own steering, one FleetSteering a host.
+/// Parts of the project's own steering that a comparison takes away.
+struct FleetRules {
+  /// Requests go to the nearest region or nowhere.
+  bool LocalOnly_ = false;
+  /// Shares of budgets move between hosts; without, each keeps an equal one.
+  bool Exchange_ = true;
+  /// All wait in one line, first come, first served.
+  bool OneLine_ = false;
+  /// Targets' slots are divided among hosts; without, hosts go by what the
+  /// others say they have in flight.
+  bool Slots_ = true;
+};
+
+/// The project's own steering, one FleetSteering a host, and a small fake of
+/// what the fleet library does around it: rounds between hosts, asks and
+/// gifts, and membership epochs.
 class FleetStrategy final : public Strategy {
 public:
-  FleetStrategy() = default;
+  explicit FleetStrategy(FleetRules Rules = {}) : Rules_(Rules) {}
 
   void start(PeerNetwork Peers, std::uint64_t Seed,
              base::TimePoint Now) override;
@@ -24,17 +39,30 @@
   void hostBack(std::size_t Host, base::TimePoint Now) override;
 
 private:
-  /// How often hosts tell each other what they have in flight.
+  /// How often hosts tell each other how they stand.
   static constexpr base::Duration RoundInterval = std::chrono::milliseconds(50);
+  /// From a host's end until its lease is known to have run out.
+  static constexpr base::Duration LeaseTime = std::chrono::seconds(3);
 
   void begin(std::size_t Host);
-  void setPeers();
   void tellPeers(std::size_t From, base::TimePoint Now);
+  void askForSlots(std::size_t From, base::TimePoint Now);
+  void giveSlots(std::size_t Donor, std::size_t Asker,
+                 const steering::SlotAsk &Ask, base::TimePoint Now);
+  void changeMembers(base::TimePoint Now);
+  void settle(base::TimePoint Now);
+  std::optional<std::size_t> placeOf(const base::HostId &Host) const;
 
+  const FleetRules Rules_;
   PeerNetwork Peers_;
   std::uint64_t Seed_ = 0;
-  base::TimePoint LastRound_;
   std::vector<std::unique_ptr<steering::FleetSteering>> Hosts_;
+  base::TimePoint Now_;
+  base::TimePoint LastRound_;
+  std::uint64_t Epoch_ = 0;
+  bool Settled_ = false;
+  /// Before this, a host that is gone may still hold a lease.
+  base::TimePoint LeasesEnd_;
 };
 
 } // namespace lychee::scenario
--- a/libs/scenario/Strategy.h
+++ b/libs/scenario/Strategy.h
@@ -30,6 +30,10 @@
   std::function<void(std::size_t From, std::size_t To,
                      std::function<void()> Arrive)>
       Send_;
+  /// Hands on decisions on requests that waited at \p Host.
+  std::function<void(std::size_t Host,
+                     const std::vector<steering::Wakeup> &Woken)>
+      Wake_;
 };
 
 /// The steering of a whole fleet, as an Engine plays it: one Steering a host
--- a/libs/steering/FleetSteering.cpp
+++ b/libs/steering/FleetSteering.cpp
@@ -31,9 +31,13 @@
       const auto Index = static_cast<std::uint16_t>(Services_.size());
       Services_.push_back(std::make_shared<ServiceSteering>(
           Id, Index,
-          HostContext{Settings_.Host_, Settings_.Limits_, &Suspects_},
+          HostContext{Settings_.Host_, Settings_.Region_, Settings_.Limits_,
+                      &Suspects_},
           Settings_.Seed_ + Index));
       Services_.back()->setPeers(Peers_);
+      Services_.back()->enterEpoch(Epoch_, Members_);
+      if (Settled_)
+        Services_.back()->settle(Epoch_);
     }
   }
   Rates_.applyIntent(*Intent, Now);
@@ -59,18 +63,78 @@
     Service->setPeers(Peers);
 }
 
-std::vector<PeerLoad> FleetSteering::ownLoads() const {
-  std::vector<PeerLoad> Loads;
+HostRound FleetSteering::round(base::TimePoint Now) const {
+  HostRound Round;
+  Round.Host_ = Settings_.Host_;
   for (const ServicePointer &Service : services())
-    Service->addOwnLoads(Loads);
-  return Loads;
+    Service->addRound(Round, Now);
+  return Round;
 }
 
-void FleetSteering::heardPeer(const base::HostId &Peer,
-                              std::span<const PeerLoad> Loads,
-                              base::TimePoint Now) {
+void FleetSteering::heardRound(const HostRound &Round, base::TimePoint Now) {
   for (const ServicePointer &Service : services())
-    Service->heardPeer(Peer, Loads, Now);
+    Service->heardRound(Round, Now);
+}
+
+void FleetSteering::enterEpoch(std::uint64_t Epoch,
+                               std::span<const Member> Members) {
+  {
+    const std::scoped_lock Guard(Lock_);
+    if (Epoch <= Epoch_)
+      return;
+    Epoch_ = Epoch;
+    Settled_ = false;
+    Members_.assign(Members.begin(), Members.end());
+  }
+  for (const ServicePointer &Service : services())
+    Service->enterEpoch(Epoch, Members);
+}
+
+bool FleetSteering::fitsEpoch() const {
+  return std::ranges::all_of(
+      services(), [](const ServicePointer &Each) { return Each->fits(); });
+}
+
+void FleetSteering::settleEpoch(std::uint64_t Epoch) {
+  {
+    const std::scoped_lock Guard(Lock_);
+    if (Epoch != Epoch_)
+      return;
+    Settled_ = true;
+  }
+  for (const ServicePointer &Service : services())
+    Service->settle(Epoch);
+}
+
+std::vector<SlotAsk> FleetSteering::slotAsks(base::TimePoint Now) {
+  std::vector<SlotAsk> Asks;
+  for (const ServicePointer &Service : services())
+    Service->addAsks(Asks, Now);
+  return Asks;
+}
+
+std::optional<SlotGift> FleetSteering::giveSlots(const SlotAsk &Asked,
+                                                 base::TimePoint Now) {
+  const ServicePointer Service = find(Asked.Service_);
+  if (!Service)
+    return std::nullopt;
+  SlotGift Gift;
+  Gift.Counts_ = Service->giveSlots(Asked, Now);
+  if (Gift.Counts_.empty())
+    return std::nullopt;
+  Gift.Donor_ = Settings_.Host_;
+  Gift.Receiver_ = Asked.Asker_;
+  Gift.Service_ = Asked.Service_;
+  Gift.Region_ = Asked.Region_;
+  return Gift;
+}
+
+void FleetSteering::acceptSlots(const SlotGift &Gift, base::TimePoint Now,
+                                std::vector<Wakeup> &Woken) {
+  if (Gift.Receiver_ != Settings_.Host_)
+    return;
+  if (const ServicePointer Service = find(Gift.Service_))
+    Service->acceptSlots(Gift, Now, Woken);
 }
 
 void FleetSteering::reported(const base::ServiceId &Service,
--- a/libs/steering/FleetSteering.h
+++ b/libs/steering/FleetSteering.h
@@ -51,11 +51,28 @@
   /// Sets the other hosts of the fleet, which send to the same targets.
   void setPeers(std::span<const base::HostId> Peers);
 
-  /// \returns what this host has in flight, for its peers; to be sent about
-  /// every 50 ms.
-  std::vector<PeerLoad> ownLoads() const;
-  void heardPeer(const base::HostId &Peer, std::span<const PeerLoad> Loads,
-                 base::TimePoint Now);
+  /// \returns what to tell all peers now; to be called about every 50 ms.
+  HostRound round(base::TimePoint Now) const;
+  void heardRound(const HostRound &Round, base::TimePoint Now);
+
+  // Division of targets' slots among hosts. Without an epoch hosts go by what
+  // the others say they have in flight. \see SlotBook
+
+  /// Enters a membership epoch.
+  /// \param Members  all hosts of it, this one included.
+  void enterEpoch(std::uint64_t Epoch, std::span<const Member> Members);
+  /// \returns true where nothing older than the epoch is in use any more, so
+  /// that this host may tell the others that it has entered.
+  bool fitsEpoch() const;
+  /// All hosts of older epochs have entered, or are gone.
+  void settleEpoch(std::uint64_t Epoch);
+  /// \returns what to ask of peers now, each ask to its Donor_; to be called
+  /// every few milliseconds.
+  std::vector<SlotAsk> slotAsks(base::TimePoint Now);
+  /// \returns what to tell the asker; empty where nothing can be given.
+  std::optional<SlotGift> giveSlots(const SlotAsk &Asked, base::TimePoint Now);
+  void acceptSlots(const SlotGift &Gift, base::TimePoint Now,
+                   std::vector<Wakeup> &Woken);
 
   /// A target told how many requests it works on or holds.
   void reported(const base::ServiceId &Service, const base::TargetId &Target,
@@ -86,6 +103,9 @@
   /// A ticket's low bits are an index into this; a service never leaves it.
   std::vector<ServicePointer> Services_;
   std::vector<base::HostId> Peers_;
+  std::uint64_t Epoch_ = 0;
+  std::vector<Member> Members_;
+  bool Settled_ = false;
 };
 
 } // namespace lychee::steering
--- a/libs/steering/RegionPool.cpp
+++ b/libs/steering/RegionPool.cpp
@@ -1,10 +1,28 @@
 #include "steering/RegionPool.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace lychee::steering {
 
+namespace {
+
+/// Before a donor is asked once more: about the round trip between regions, so
+/// that an ask is not repeated while its answer is on the way.
+constexpr base::Duration AskAgainAfar = std::chrono::milliseconds(50);
+/// The same within a region.
+constexpr base::Duration AskAgainNear = std::chrono::milliseconds(5);
+/// Share of its slots that a host of the region does not give to hosts of
+/// others: the region's own callers come at random, and each slot given away
+/// is 20 ms from coming back.
+constexpr double KeptFromAfar = 0.2;
+
+} // namespace
+
 RegionPool::RegionPool(const base::RegionId &Region, const base::HostId &Self,
                        const admission::AdmissionControl::Limits &Limits)
-    : Region_(Region), Targets_(Self), Line_(Limits) {}
+    : Self_(Self), Region_(Region), Targets_(Self), Line_(Limits),
+      Slots_(Self) {}
 
 void RegionPool::applyIntent(const settings::Intent &Intent,
                              std::span<const settings::Target> Targets,
@@ -15,6 +33,8 @@
     Addresses_[Declared.Id_] = Declared.Address_;
   }
   Targets_.setTargets(Specs, Now);
+  Slots_.setTargets(Specs);
+  refreshShares();
   // A customer that is gone keeps its number: requests of it may still wait.
   for (const auto &[Id, Customer] : Intent.Customers_)
     Customers_[Id] = Line_.enrol(Id, Customer.Weight_);
@@ -28,4 +48,174 @@
   return Found->second;
 }
 
+void RegionPool::enterEpoch(std::uint64_t Epoch,
+                            std::span<const Member> Members) {
+  std::vector<base::HostId> All;
+  std::vector<base::HostId> Near;
+  std::map<base::HostId, Peer> Old = std::exchange(Peers_, {});
+  for (const Member &Each : Members) {
+    All.push_back(Each.Host_);
+    if (Each.Region_ == Region_)
+      Near.push_back(Each.Host_);
+    if (Each.Host_ == Self_)
+      continue;
+    Peers_[Each.Host_] = Old[Each.Host_];
+    Peers_[Each.Host_].Region_ = Each.Region_;
+  }
+  Slots_.enterEpoch(Epoch, Near.empty() ? All : Near, All);
+  refreshShares();
+}
+
+void RegionPool::settle(std::uint64_t Epoch) {
+  Slots_.settle(Epoch);
+  refreshShares();
+}
+
+void RegionPool::refreshShares() {
+  if (!Slots_.divides())
+    return;
+  for (const placement::TargetIndex Target : Targets_.active()) {
+    const base::TargetId &Name = Targets_.nameOf(Target);
+    const auto Recalled = Recalled_.find(Name);
+    const std::int64_t Kept =
+        Recalled == Recalled_.end() ? 0 : Recalled->second;
+    Targets_.setShare(Target, static_cast<std::uint32_t>(std::max<std::int64_t>(
+                                  0, Slots_.held(Name) - Kept)));
+  }
+}
+
+bool RegionPool::fits() const {
+  return std::ranges::all_of(Targets_.active(),
+                             [this](placement::TargetIndex Target) {
+                               return Targets_.inFlight(Target) <=
+                                      Slots_.held(Targets_.nameOf(Target));
+                             });
+}
+
+std::uint32_t RegionPool::spare(base::TimePoint Now) const {
+  std::uint32_t Sum = 0;
+  for (const placement::TargetIndex Target : Targets_.active())
+    Sum += Targets_.freeShare(Target, Now);
+  return Sum;
+}
+
+void RegionPool::heardSpare(const base::HostId &Host, std::uint32_t Spare) {
+  const auto Known = Peers_.find(Host);
+  if (Known != Peers_.end())
+    Known->second.Spare_ = Spare;
+}
+
+RegionPool::Peer *RegionPool::bestDonor(base::TimePoint Now,
+                                        base::HostId &Donor) {
+  Peer *Best = nullptr;
+  for (auto &[Host, Each] : Peers_) {
+    const base::Duration Again =
+        Each.Region_ == Region_ ? AskAgainNear : AskAgainAfar;
+    if (Each.Spare_ == 0 || Now - Each.AskedAt_ < Again)
+      continue;
+    const bool Nearer =
+        Best && Each.Region_ == Region_ && Best->Region_ != Region_;
+    const bool SameDistance =
+        Best && (Each.Region_ == Region_) == (Best->Region_ == Region_);
+    if (Best && !Nearer && !(SameDistance && Each.Spare_ > Best->Spare_))
+      continue;
+    Best = &Each;
+    Donor = Host;
+  }
+  return Best;
+}
+
+void RegionPool::addAsks(std::vector<SlotAsk> &Asks, base::TimePoint Now) {
+  if (!Slots_.divides())
+    return;
+  addRecalls(Asks);
+  std::uint32_t Missing =
+      static_cast<std::uint32_t>(Line_.waiting()) + std::exchange(Wanted_, 0);
+  base::HostId Donor;
+  while (Missing > 0) {
+    Peer *Best = bestDonor(Now, Donor);
+    if (!Best)
+      return;
+    const std::uint32_t Slots = std::min(Missing, Best->Spare_);
+    Best->AskedAt_ = Now;
+    Best->Spare_ -= Slots;
+    Missing -= Slots;
+    SlotAsk Ask;
+    Ask.Asker_ = Self_;
+    Ask.Donor_ = Donor;
+    Ask.Region_ = Region_;
+    Ask.Slots_ = Slots;
+    Asks.push_back(Ask);
+  }
+}
+
+void RegionPool::addRecalls(std::vector<SlotAsk> &Asks) {
+  for (const placement::TargetIndex Target : Targets_.active()) {
+    const base::TargetId &Name = Targets_.nameOf(Target);
+    if (Slots_.held(Name) >= 0)
+      continue;
+    for (const auto &[Host, Each] : Peers_) {
+      SlotAsk Ask;
+      Ask.Asker_ = Self_;
+      Ask.Donor_ = Host;
+      Ask.Region_ = Region_;
+      Ask.Slots_ = 1;
+      Ask.Recalled_ = Name;
+      Asks.push_back(Ask);
+    }
+  }
+}
+
+std::uint32_t RegionPool::mayGive(const SlotAsk &Asked,
+                                  base::TimePoint Now) const {
+  if (Line_.waiting() > 0)
+    return 0;
+  const std::uint32_t Free = spare(Now);
+  if (Asked.AskerRegion_ == Region_)
+    return std::min(Asked.Slots_, (Free + 1) / 2);
+  std::int64_t Held = 0;
+  for (const placement::TargetIndex Target : Targets_.active())
+    Held += std::max<std::int64_t>(0, Slots_.held(Targets_.nameOf(Target)));
+  const auto Kept = static_cast<std::uint32_t>(
+      KeptFromAfar * static_cast<double>(Held) + 0.5);
+  return Free > Kept ? std::min(Asked.Slots_, Free - Kept) : 0;
+}
+
+std::vector<SlotCount> RegionPool::give(const SlotAsk &Asked,
+                                        base::TimePoint Now) {
+  std::vector<SlotCount> Told;
+  if (!Peers_.contains(Asked.Asker_))
+    return Told;
+  const bool Recall = !Asked.Recalled_.empty();
+  std::uint32_t Left = Recall ? Asked.Slots_ : mayGive(Asked, Now);
+  for (const placement::TargetIndex Target : Targets_.active()) {
+    const base::TargetId &Name = Targets_.nameOf(Target);
+    if (Recall && Name != Asked.Recalled_)
+      continue;
+    const std::int64_t Free =
+        Recall ? Slots_.held(Name) - Targets_.inFlight(Target)
+               : Targets_.freeShare(Target, Now);
+    const auto Given =
+        static_cast<std::uint32_t>(std::clamp<std::int64_t>(Free, 0, Left));
+    if (Given > 0)
+      Told.push_back(Slots_.give(Asked.Asker_, Name, Given));
+    if (Recall && Given == 0 && Slots_.held(Name) > 0)
+      Recalled_[Name] = 1;
+    else if (Recall)
+      Recalled_.erase(Name);
+    Left -= Given;
+  }
+  refreshShares();
+  return Told;
+}
+
+bool RegionPool::accept(const base::HostId &Donor,
+                        std::span<const SlotCount> Told) {
+  bool Gained = false;
+  for (const SlotCount &Count : Told)
+    Gained = Slots_.accept(Donor, Count) || Gained;
+  refreshShares();
+  return Gained;
+}
+
 } // namespace lychee::steering
--- a/libs/steering/RegionPool.h
+++ b/libs/steering/RegionPool.h
@@ -5,7 +5,8 @@
 #include "placement/TargetPool.h"
 #include "retrying/RetryBudget.h"
 #include "settings/Intent.h"
-#include "steering/PeerLoad.h"
+#include "steering/SlotBook.h"
+#include "steering/SlotMessages.h"
 
 #include <unordered_map>
 
@@ -38,6 +39,29 @@
   std::optional<admission::CustomerIndex>
   customer(const base::CustomerId &Customer) const;
 
+  // Slots, and what hosts tell each other of them; \see SlotBook.
+
+  void enterEpoch(std::uint64_t Epoch, std::span<const Member> Members);
+  void settle(std::uint64_t Epoch);
+  bool divides() const noexcept { return Slots_.divides(); }
+
+  /// \returns true where no more is in use than this host holds.
+  bool fits() const;
+
+  /// \returns free slots that this host could give.
+  std::uint32_t spare(base::TimePoint Now) const;
+  void heardSpare(const base::HostId &Host, std::uint32_t Spare);
+
+  /// Someone waits elsewhere and would be steered here.
+  void want(std::uint32_t Slots) noexcept { Wanted_ = Slots; }
+
+  /// Adds what to ask of peers now.
+  void addAsks(std::vector<SlotAsk> &Asks, base::TimePoint Now);
+
+  /// Gives what can be given of what a peer asks.
+  std::vector<SlotCount> give(const SlotAsk &Asked, base::TimePoint Now);
+  bool accept(const base::HostId &Donor, std::span<const SlotCount> Told);
+
   const std::string &address(placement::TargetIndex Target) const {
     return Addresses_.at(Targets_.nameOf(Target));
   }
@@ -48,9 +72,27 @@
   }
 
 private:
+  /// What is known of a member.
+  struct Peer {
+    base::RegionId Region_;
+    std::uint32_t Spare_ = 0;
+    base::TimePoint AskedAt_;
+  };
+
+  void refreshShares();
+  void addRecalls(std::vector<SlotAsk> &Asks);
+  std::uint32_t mayGive(const SlotAsk &Asked, base::TimePoint Now) const;
+  Peer *bestDonor(base::TimePoint Now, base::HostId &Donor);
+
+  const base::HostId Self_;
   const base::RegionId Region_;
   placement::TargetPool Targets_;
   admission::AdmissionControl Line_;
+  SlotBook Slots_;
+  std::map<base::HostId, Peer> Peers_;
+  std::uint32_t Wanted_ = 0;
+  /// Slots that a peer wants back, kept free until it asks again.
+  std::map<base::TargetId, std::uint32_t> Recalled_;
   std::unordered_map<base::CustomerId, admission::CustomerIndex> Customers_;
   std::unordered_map<base::TargetId, std::string> Addresses_;
   std::unordered_map<placement::TargetIndex, retrying::RetryBudget> Retries_;
--- a/libs/steering/ServiceSteering.cpp
+++ b/libs/steering/ServiceSteering.cpp
@@ -99,48 +99,14 @@
     if (!Pool) {
       Pool = std::make_unique<RegionPool>(Id, Context_.Host_, Limits);
       Pool->targets().setPeers(Peers_);
+      Pool->enterEpoch(Epoch_, Members_);
+      if (Settled_)
+        Pool->settle(Epoch_);
     }
     Pool->applyIntent(Intent, Here, Now);
   }
 }
 
-void ServiceSteering::setPeers(std::span<const base::HostId> Peers) {
-  const std::scoped_lock Guard(Lock_);
-  Peers_.assign(Peers.begin(), Peers.end());
-  for (const auto &[Id, Pool] : Pools_)
-    Pool->targets().setPeers(Peers);
-}
-
-void ServiceSteering::heardPeer(const base::HostId &Peer,
-                                std::span<const PeerLoad> Loads,
-                                base::TimePoint Now) {
-  const std::scoped_lock Guard(Lock_);
-  for (const auto &[Id, Pool] : Pools_) {
-    std::vector<placement::InFlight> Counts;
-    for (const PeerLoad &Load : Loads)
-      if (Load.Service_ == Service_)
-        if (const auto Target = Pool->targets().indexOf(Load.Target_))
-          Counts.push_back({*Target, Load.InFlight_});
-    Pool->targets().heard(Peer, Counts, Now);
-  }
-}
-
-void ServiceSteering::addOwnLoads(std::vector<PeerLoad> &Loads) const {
-  const std::scoped_lock Guard(Lock_);
-  for (const auto &[Id, Pool] : Pools_)
-    for (const placement::InFlight &Own : Pool->targets().ownInFlight())
-      Loads.push_back(
-          {Service_, Pool->targets().nameOf(Own.Target_), Own.Count_});
-}
-
-void ServiceSteering::reported(const base::TargetId &Target, std::uint32_t Load,
-                               base::TimePoint MeasuredAt) {
-  const std::scoped_lock Guard(Lock_);
-  for (const auto &[Id, Pool] : Pools_)
-    if (const auto Index = Pool->targets().indexOf(Target))
-      Pool->targets().reported(*Index, Load, MeasuredAt);
-}
-
 Decision ServiceSteering::arrive(const Request &Arrived,
                                  const admission::RateCheck &Rate,
                                  base::TimePoint Now) {
--- a/libs/steering/ServiceSteering.h
+++ b/libs/steering/ServiceSteering.h
@@ -25,6 +25,7 @@
 /// What one host's services have in common.
 struct HostContext {
   base::HostId Host_;
+  base::RegionId Region_;
   ServiceLimits Limits_;
   /// Shared by all services; thread-safe.
   retrying::CrashSuspects *Suspects_ = nullptr;
@@ -50,9 +51,18 @@
 
   /// Sets the other hosts that send to the same targets.
   void setPeers(std::span<const base::HostId> Peers);
-  void heardPeer(const base::HostId &Peer, std::span<const PeerLoad> Loads,
-                 base::TimePoint Now);
-  void addOwnLoads(std::vector<PeerLoad> &Loads) const;
+  void heardRound(const HostRound &Round, base::TimePoint Now);
+  /// Adds what this host tells its peers.
+  void addRound(HostRound &Round, base::TimePoint Now) const;
+  // Slots, \see SlotBook.
+  void enterEpoch(std::uint64_t Epoch, std::span<const Member> Members);
+  void settle(std::uint64_t Epoch);
+  bool fits() const;
+  void addAsks(std::vector<SlotAsk> &Asks, base::TimePoint Now);
+  std::vector<SlotCount> giveSlots(const SlotAsk &Asked, base::TimePoint Now);
+  void acceptSlots(const SlotGift &Gift, base::TimePoint Now,
+                   std::vector<Wakeup> &Woken);
+
   void reported(const base::TargetId &Target, std::uint32_t Load,
                 base::TimePoint MeasuredAt);
 
@@ -129,6 +139,9 @@
       RoundTrips_;
   std::unordered_map<std::uint64_t, Pending> Pending_;
   std::vector<base::HostId> Peers_;
+  std::uint64_t Epoch_ = 0;
+  std::vector<Member> Members_;
+  bool Settled_ = false;
   base::TimePoint LastUpkeep_;
 };
 
--- /dev/null
+++ b/libs/steering/SlotMessages.h
@@ -0,0 +1,62 @@
+#ifndef LYCHEE_STEERING_SLOTMESSAGES_H
+#define LYCHEE_STEERING_SLOTMESSAGES_H
+
+#include "base/Id.h"
+#include "steering/SlotBook.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace lychee::steering {
+
+/// How many requests one host has in flight at one target.
+struct PeerLoad {
+  base::ServiceId Service_;
+  base::TargetId Target_;
+  std::uint32_t InFlight_ = 0;
+
+  bool operator==(const PeerLoad &) const = default;
+};
+
+/// Free slots that a host could give of one service in one region.
+struct SpareSlots {
+  base::ServiceId Service_;
+  base::RegionId Region_;
+  std::uint32_t Spare_ = 0;
+
+  bool operator==(const SpareSlots &) const = default;
+};
+
+/// What a host tells all others about every 50 ms.
+struct HostRound {
+  base::HostId Host_;
+  /// Left out where slots are divided, as no one needs it then.
+  std::vector<PeerLoad> Loads_;
+  std::vector<SpareSlots> Spare_;
+};
+
+/// A host's wish for slots that \p Donor_ has free.
+struct SlotAsk {
+  base::HostId Asker_;
+  base::RegionId AskerRegion_;
+  base::HostId Donor_;
+  base::ServiceId Service_;
+  base::RegionId Region_;
+  std::uint32_t Slots_ = 0;
+  /// Empty for any; else slots of this target are wanted back.
+  base::TargetId Recalled_;
+};
+
+/// Slots that \p Donor_ gave, as counts that only rise. \see SlotBook
+struct SlotGift {
+  base::HostId Donor_;
+  base::HostId Receiver_;
+  base::ServiceId Service_;
+  base::RegionId Region_;
+  std::vector<SlotCount> Counts_;
+};
+
+} // namespace lychee::steering
+
+#endif
