Budget: shares of a total that never add up to more

Cause: a customer's rate holds over all hosts together, while hosts die, pause and lose each other. Shares are fractions moved donor first, valid in one membership epoch and under a lease.

--- a/cmake/Lychee.cmake
+++ b/cmake/Lychee.cmake
@@ -1,8 +1,11 @@
 # Helpers that give each folder of the workspace one short CMakeLists.txt.
 
 add_library(lychee_options INTERFACE)
-target_compile_options(lychee_options INTERFACE -Wall -Wextra -Wpedantic -Wshadow -Werror -fno-omit-frame-pointer)
-target_compile_definitions(lychee_options INTERFACE BOOST_ASIO_NO_DEPRECATED ELPP_THREAD_SAFE ELPP_NO_DEFAULT_LOG_FILE)
+target_compile_options(lychee_options INTERFACE -Wall -Wextra -Wpedantic -Wshadow -Werror -fno-omit-frame-pointer
+  # Assertions state a caller's duty and stay on in every build.
+  -UNDEBUG)
+target_compile_definitions(lychee_options INTERFACE BOOST_ASIO_NO_DEPRECATED ELPP_THREAD_SAFE ELPP_NO_DEFAULT_LOG_FILE
+  BOOST_DISABLE_ASSERTS)
 if(LYCHEE_SANITIZE)
   target_compile_options(lychee_options INTERFACE -fsanitize=${LYCHEE_SANITIZE} -fno-sanitize-recover=all)
   target_link_options(lychee_options INTERFACE -fsanitize=${LYCHEE_SANITIZE})
--- /dev/null
+++ b/libs/budget/EpochSettlement.cpp
@@ -0,0 +1,26 @@
+#include "budget/EpochSettlement.h"
+
+namespace lychee::budget {
+
+void EpochSettlement::begin(std::uint64_t Epoch,
+                            std::span<const base::HostId> Members) {
+  if (Epoch <= Epoch_)
+    return;
+  // Holders of the epoch before, whether it had settled or not. A new member
+  // holds nothing, so it is not waited for.
+  Open_.insert(Members_.begin(), Members_.end());
+  Epoch_ = Epoch;
+  Members_ = std::set<base::HostId>(Members.begin(), Members.end());
+}
+
+void EpochSettlement::acknowledge(const base::HostId &Host,
+                                  std::uint64_t Epoch) {
+  if (Epoch == Epoch_)
+    Open_.erase(Host);
+}
+
+void EpochSettlement::leaseEnded(const base::HostId &Host) {
+  Open_.erase(Host);
+}
+
+} // namespace lychee::budget
--- /dev/null
+++ b/libs/budget/ExchangePolicy.cpp
@@ -0,0 +1,75 @@
+#include "budget/ExchangePolicy.h"
+
+#include "base/WideInteger.h"
+
+#include <algorithm>
+
+namespace lychee::budget {
+
+namespace {
+
+/// \returns the parts of the whole that hold \p Tokens of \p Burst, rounded up.
+Parts capacityFor(std::int64_t Tokens, std::int64_t Burst) noexcept {
+  if (Burst <= 0 || Tokens <= 0)
+    return 0;
+  const base::Int128 Product =
+      static_cast<base::Int128>(Tokens) * Whole + Burst - 1;
+  return static_cast<Parts>(std::min<base::Int128>(Product / Burst, Whole));
+}
+
+} // namespace
+
+Parts ExchangePolicy::needed(const ShareState &Own) const noexcept {
+  const double Needed = static_cast<double>(Own.Demand_) * DemandMargin_;
+  return static_cast<Parts>(std::min(Needed, static_cast<double>(Whole)));
+}
+
+Parts ExchangePolicy::floorOf(const ShareState &Own) const noexcept {
+  return static_cast<Parts>(static_cast<double>(equalShare(Own.Hosts_).Rate_) *
+                            Floor_);
+}
+
+ExchangeAmount ExchangePolicy::wanted(const ShareState &Own) const noexcept {
+  ExchangeAmount Ask;
+  Ask.Parts_.Rate_ = std::max<Parts>(0, needed(Own) - Own.Held_.Rate_);
+  Ask.Tokens_ = std::max<std::int64_t>(0, Own.Soon_ - Own.Level_);
+  Ask.Parts_.Capacity_ = capacityFor(Ask.Tokens_, Own.Burst_);
+  // A difference too small to matter is not worth a message: a tenth of what
+  // is held, unless the tokens are about to run out.
+  if (Ask.Tokens_ == 0 && Ask.Parts_.Rate_ < Own.Held_.Rate_ / 10)
+    return {};
+  return Ask;
+}
+
+Parts ExchangePolicy::spareRate(const ShareState &Own) const noexcept {
+  const Parts Kept = std::max(needed(Own), floorOf(Own));
+  return std::max<Parts>(0, Own.Held_.Rate_ - Kept);
+}
+
+std::int64_t ExchangePolicy::spareTokens(const ShareState &Own) const noexcept {
+  const std::int64_t Floor = static_cast<std::int64_t>(
+      static_cast<double>(Own.Burst_) / std::max(1U, Own.Hosts_) * Floor_);
+  const std::int64_t Kept = std::max(2 * Own.Soon_, Floor);
+  return std::max<std::int64_t>(0, Own.Level_ - Kept);
+}
+
+ExchangeAmount
+ExchangePolicy::granted(const ShareState &Own, Parts AskedRate,
+                        std::int64_t AskedTokens) const noexcept {
+  ExchangeAmount Given;
+  Given.Parts_.Rate_ = std::min(AskedRate, spareRate(Own));
+  Given.Tokens_ = std::min(AskedTokens, spareTokens(Own));
+  const Parts ForTokens = capacityFor(Given.Tokens_, Own.Burst_);
+  // The room for tokens goes along with the rate, or a host that was given a
+  // busy customer's rate could not hold the tokens between two requests.
+  const Parts ForRate =
+      Own.Held_.Rate_ <= 0
+          ? 0
+          : static_cast<Parts>(static_cast<base::Int128>(Own.Held_.Capacity_) *
+                               Given.Parts_.Rate_ / Own.Held_.Rate_);
+  const Parts Most = std::max<Parts>(0, Own.Held_.Capacity_ - floorOf(Own));
+  Given.Parts_.Capacity_ = std::min(std::max(ForTokens, ForRate), Most);
+  return Given;
+}
+
+} // namespace lychee::budget
--- /dev/null
+++ b/tests/budget/RateShareTest.cpp
@@ -0,0 +1,148 @@
+#include "budget/RateShare.h"
+
+#include "CppUTest/TestHarness.h"
+
+namespace base = lychee::base;
+namespace budget = lychee::budget;
+using budget::RateShare;
+using budget::RateTotal;
+using budget::SpendResult;
+using budget::TokensPerRequest;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr base::TimePoint Start{seconds(1000)};
+constexpr base::Duration LeaseTerm = seconds(2000);
+const base::HostId One("one");
+const base::HostId Two("two");
+
+RateShare makeShare(const base::HostId &Self, double Rate, double Burst) {
+  RateShare Share("customer", Self, RateTotal::fromRequests(Rate, Burst),
+                  Start);
+  Share.enterEpoch(1, budget::equalShare(2), Start + LeaseTerm, Start);
+  Share.settle(1, Start);
+  return Share;
+}
+
+/// \returns the transfer, which the test expects to have been made.
+budget::Transfer take(const std::optional<budget::Transfer> &Made) {
+  CHECK(Made.has_value());
+  return Made.value_or(budget::Transfer());
+}
+
+} // namespace
+
+TEST_GROUP(RateShare){};
+
+// A fleet is restarted ten times in a minute.
+// Were buckets to start full, each restart would hand the customer its whole
+// burst once more.
+TEST(RateShare, aFreshBucketHoldsNothing) {
+  RateShare Share = makeShare(One, 100, 50);
+  CHECK(SpendResult::Short == Share.spend(TokensPerRequest, Start));
+  CHECK(SpendResult::Granted ==
+        Share.spend(TokensPerRequest, Start + milliseconds(21)));
+}
+
+// Half the fleet's clocks run fast by as much as a slewed clock may.
+// Each host fills by its own clock; together they must stay within the rate by
+// true time: half of 100/s for a thousand seconds is 50,000 requests, and 500
+// in a million more would be 25 too many.
+TEST(RateShare, aFastClockDoesNotRaiseTheRate) {
+  RateShare Share = makeShare(One, 100, 8);
+  constexpr double Fast = 1.0005;
+  std::int64_t Granted = 0;
+  for (int Step = 1; Step <= 1000 * 100; ++Step) {
+    const base::TimePoint Now = Start + base::fromSeconds(Step * 0.01 * Fast);
+    Granted += Share.spend(TokensPerRequest, Now) == SpendResult::Granted;
+  }
+  CHECK(Granted <= 50'000);
+  CHECK(Granted >= 49'950);
+}
+
+TEST(RateShare, nothingIsSpentWithoutALease) {
+  RateShare Share = makeShare(One, 100, 50);
+  const base::TimePoint Lapsed = Start + LeaseTerm;
+  CHECK(SpendResult::Granted ==
+        Share.spend(TokensPerRequest, Lapsed - milliseconds(1)));
+  CHECK(SpendResult::NoShare == Share.spend(TokensPerRequest, Lapsed));
+}
+
+// The store is slow, so a lease lapses, and is renewed in the same epoch.
+// Nobody else can have been given the share, so it is good again at once.
+TEST(RateShare, aRenewalInTheSameEpochBringsTheShareBack) {
+  RateShare Share = makeShare(One, 100, 50);
+  const base::TimePoint Late = Start + LeaseTerm + seconds(1);
+  Share.setTotal(RateTotal::fromRequests(200, 50), Late);
+  CHECK(SpendResult::NoShare == Share.spend(TokensPerRequest, Late));
+  Share.renewLease(1, Late + seconds(10), Late);
+  CHECK(SpendResult::Granted ==
+        Share.spend(TokensPerRequest, Late + milliseconds(100)));
+}
+
+// A host is paused past its lease, left out of one epoch and taken into the
+// next. Its parts went to others meanwhile; it begins with nothing, and gets
+// its allotment once the epoch settles.
+TEST(RateShare, nothingIsKeptAcrossALapsedLease) {
+  RateShare Share = makeShare(One, 100, 50);
+  const base::TimePoint Late = Start + LeaseTerm + seconds(1);
+  Share.enterEpoch(3, budget::equalShare(2), Late + seconds(10), Late);
+  CHECK(SpendResult::NoShare == Share.spend(TokensPerRequest, Late));
+  Share.settle(3, Late);
+  CHECK(SpendResult::Short == Share.spend(TokensPerRequest, Late));
+}
+
+TEST(RateShare, aTransferMovesPartsAndTokensOnce) {
+  RateShare Donor = makeShare(One, 100, 50);
+  RateShare Receiver = makeShare(Two, 100, 50);
+  const base::TimePoint Now = Start + seconds(1);
+  const budget::Transfer Given = take(Donor.donate(
+      Two, {budget::Whole / 4, budget::Whole / 4}, 10 * TokensPerRequest, Now));
+  LONGS_EQUAL(10 * TokensPerRequest, Given.Tokens_);
+  // The donor kept a quarter of the capacity, 12.5 of its 25 tokens.
+  LONGS_EQUAL(TokensPerRequest * 25 / 2, Donor.level(Now));
+  CHECK(Receiver.accept(Given, Now));
+  LONGS_EQUAL(35 * TokensPerRequest, Receiver.level(Now));
+  CHECK_FALSE(Receiver.accept(Given, Now));
+  LONGS_EQUAL(35 * TokensPerRequest, Receiver.level(Now));
+}
+
+// A donor gives all tokens it has, and keeps capacity for more.
+// Left in its bucket as well, they would be spent twice.
+TEST(RateShare, tokensLeaveTheDonor) {
+  RateShare Donor = makeShare(One, 100, 50);
+  const base::TimePoint Now = Start + milliseconds(202);
+  const budget::Transfer Given = take(
+      Donor.donate(Two, {0, budget::Whole / 4}, 10 * TokensPerRequest, Now));
+  LONGS_EQUAL(10 * TokensPerRequest, Given.Tokens_);
+  CHECK(SpendResult::Short == Donor.spend(TokensPerRequest, Now));
+}
+
+// A donor has many tokens and gives little capacity with them.
+// While the message travels, the donor's bucket refills to its bound; tokens
+// beyond the capacity that went along would make the whole more than a burst.
+TEST(RateShare, aTransferCarriesNoMoreTokensThanItsCapacity) {
+  RateShare Donor = makeShare(One, 100, 50);
+  const base::TimePoint Now = Start + seconds(1);
+  const budget::Transfer Given = take(
+      Donor.donate(Two, {0, budget::Whole / 50}, 20 * TokensPerRequest, Now));
+  CHECK(Given.Tokens_ <= TokensPerRequest);
+}
+
+// Operators double a customer's rate while a transfer is on its way.
+// The donor still knew the old rate, the receiver knows the new one. Shares are
+// fractions, so the crossing neither makes nor loses budget.
+TEST(RateShare, aTransferThatCrossesAChangeOfRateKeepsTheSum) {
+  RateShare Donor = makeShare(One, 100, 50);
+  RateShare Receiver = makeShare(Two, 100, 50);
+  const budget::Transfer Given =
+      take(Donor.donate(Two, {budget::Whole / 4, 0}, 0, Start));
+  Receiver.setTotal(RateTotal::fromRequests(200, 50), Start);
+  CHECK(Receiver.accept(Given, Start));
+  Donor.setTotal(RateTotal::fromRequests(200, 50), Start);
+  const budget::Parts Sum =
+      Donor.share().usable(Start).Rate_ + Receiver.share().usable(Start).Rate_;
+  LONGS_EQUAL(budget::Whole, Sum);
+}
