settings: daemon files, operators' tree, key ring and worked trees

parseDaemonSettings and parseIntent read INI texts through libinih and tell all problems at once with file, line, key, found and allowed.

Seams changed: ClientBlock names its site by position in Intent::SiteOrder_ (8 bytes instead of 40: 1.8 million blocks would take 72 MB of 32 MB allowed for control). New: Link::Id_, Customer::Team_, Service::ExpectedBytes_, Intent::LeavingHosts_, DaemonSettings::BootstrapTokenHash_. .clang-tidy lets is_transparent keep the name that the standard library looks for.

--- a/libs/settings/DaemonSettings.h
+++ b/libs/settings/DaemonSettings.h
@@ -62,6 +62,11 @@
   base::Duration LookupTimeToLive_ = std::chrono::seconds(5);
   base::Duration StopDeadline_ = std::chrono::seconds(30);
 
+  // [operators]
+  /// SHA-256 of the token that opens every path, hexadecimal; empty where only
+  /// the teams' own tokens count. A new fleet's first settings need it.
+  std::string BootstrapTokenHash_;
+
   // [log]
   std::string LogLevel_ = "info";
 };
--- a/libs/settings/Intent.h
+++ b/libs/settings/Intent.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -19,6 +20,7 @@
 
 /// The line between two regions, the same each way.
 struct Link {
+  base::LinkId Id_;
   base::RegionId Left_;
   base::RegionId Right_;
   /// Bits a second each way that steering may use, summed over all hosts.
@@ -54,12 +56,15 @@
   base::Duration Deadline_ = std::chrono::seconds(10);
   /// Work of one ordinary request, for the first estimate of a wait.
   base::Duration ExpectedWork_ = std::chrono::milliseconds(20);
+  /// Bytes that one ordinary request moves, the larger of the two ways.
+  std::uint64_t ExpectedBytes_ = std::uint64_t{32} * 1024;
   std::vector<Target> Targets_;
 };
 
 /// Who owns keys and pays for a rate.
 struct Customer {
   base::CustomerId Id_;
+  base::TeamId Team_;
   /// Requests a second over all hosts together.
   double RatePerSecond_ = 0;
   /// Requests that may come at once after a quiet time, over all hosts.
@@ -75,17 +80,22 @@
   base::CustomerId Customer_;
   /// Hexadecimal.
   std::string Salt_;
-  /// SHA-256 of salt followed by key, hexadecimal.
+  /// SHA-256 of Salt_ (its hexadecimal text) followed by the whole key as a
+  /// caller shows it, "ID.SECRET"; hexadecimal. \see hashKey
   std::string Hash_;
   bool Withdrawn_ = false;
 };
 
-/// Callers' addresses and the site that serves them best.
+/// Callers' addresses and the site that serves them best. Eight bytes, as
+/// there may be millions: a site's name in each would take five times that.
 struct ClientBlock {
   /// IPv4 network in host byte order and its length, such as 10.1.0.0/16.
   std::uint32_t Network_ = 0;
   std::uint8_t PrefixLength_ = 0;
-  base::SiteId Site_;
+  /// Position in Intent::SiteOrder_.
+  std::uint16_t SiteIndex_ = 0;
+
+  auto operator<=>(const ClientBlock &) const = default;
 };
 
 /// A named nearness: regions in order of preference for its callers.
@@ -108,7 +118,7 @@
   double Step_ = 0;
   /// Time between two steps.
   base::Duration Pace_{};
-  base::WallPoint Start_{};
+  base::WallPoint Start_;
   State State_ = State::Running;
 };
 
@@ -120,11 +130,16 @@
   std::map<base::RegionId, Region> Regions_;
   std::vector<Link> Links_;
   std::map<base::SiteId, Site> Sites_;
+  /// The sites' names in order; client blocks name a site by position.
+  std::vector<base::SiteId> SiteOrder_;
+  /// Sorted by network and length, each once.
   std::vector<ClientBlock> ClientBlocks_;
   std::map<base::ServiceId, Service> Services_;
   std::map<base::CustomerId, Customer> Customers_;
   std::map<base::KeyId, Key> Keys_;
   std::map<base::PlanId, ShiftPlan> Plans_;
+  /// Hosts that operators drain: look-ups stop naming them.
+  std::set<base::HostId> LeavingHosts_;
   /// SHA-256 of the token that opens each team's subtree, hexadecimal.
   std::map<base::TeamId, std::string> TeamTokenHashes_;
 };
