reporting: decision log, metrics and log set-up

One key=value line a decision, the recent ones kept within a bound in bytes for explain; prometheus-cpp's registry behind four small classes, with a limit of series a family; easylogging++ compiled once, made at the first line.

Tried first: easylogging++'s own storage before main(); CppUTest's allocator, switched off in main(), then freed memory that it had not given (crash in the runner). Its hierarchical levels put info above error: filtered here.

--- /dev/null
+++ b/libs/reporting/DecisionLog.h
@@ -0,0 +1,100 @@
+#ifndef LYCHEE_REPORTING_DECISIONLOG_H
+#define LYCHEE_REPORTING_DECISIONLOG_H
+
+#include "base/Id.h"
+#include "base/Time.h"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <mutex>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace lychee::reporting {
+
+/// A candidate that was weighed and not taken, and why.
+struct PassedOverCandidate {
+  std::string_view Candidate_;
+  std::string_view Reason_;
+};
+
+/// One routing or placement decision on a request, as the log tells it. Has no
+/// place for a caller's key, only for the key's id.
+struct DecisionRecord {
+  /// "send", "wait", "refuse", "retry", "answered" ...
+  std::string_view Event_;
+  base::RequestId Request_;
+  base::CustomerId Customer_;
+  base::KeyId Key_;
+  base::ServiceId Service_;
+  base::RegionId Region_;
+  base::TargetId Target_;
+  /// Why this event, this region and this target.
+  std::string_view Reason_;
+  std::span<const PassedOverCandidate> PassedOver_;
+  std::uint64_t SettingsVersion_ = 0;
+  /// The answer's status, where the decision ends the request; else 0.
+  int Status_ = 0;
+  /// "no" or "maybe" where the request is refused; else empty.
+  std::string_view Ran_;
+};
+
+/// Writes one key=value line for each decision and remembers the recent ones
+/// for `lychee explain`. The memory has a bound in bytes, so that a flood of
+/// requests costs old explanations and never the process.
+///
+/// Sharded by request, each shard under its own lock; the sink is called
+/// outside of every lock.
+class DecisionLog {
+public:
+  using LineSink = std::function<void(const std::string &Line)>;
+
+  /// At some 250 bytes a line and three lines a request this keeps the last
+  /// 20,000 requests, ten seconds of a small host's busiest hour.
+  static constexpr std::size_t DefaultBoundBytes = std::size_t{16} << 20;
+
+  /// \param Sink  takes each line for the log; may be empty.
+  explicit DecisionLog(LineSink Sink,
+                       std::size_t BoundBytes = DefaultBoundBytes);
+  DecisionLog(const DecisionLog &) = delete;
+  DecisionLog &operator=(const DecisionLog &) = delete;
+
+  void record(const DecisionRecord &Taken, base::WallPoint Now);
+
+  /// \returns the remembered lines of a request, oldest first.
+  std::vector<std::string> explain(const base::RequestId &Request) const;
+
+  /// \returns the bytes that the remembered lines take, their overhead counted.
+  std::size_t rememberedBytes() const;
+
+private:
+  struct Entry {
+    std::uint64_t RequestHash_ = 0;
+    std::string Line_;
+  };
+
+  struct Shard {
+    mutable std::mutex Lock_;
+    std::deque<Entry> Entries_;
+    std::size_t Bytes_ = 0;
+  };
+
+  /// Two hosts' worth of cores: threads seldom meet at a shard.
+  static constexpr std::size_t ShardCount = 32;
+
+  static std::size_t costOf(const Entry &Remembered) noexcept;
+  void remember(const base::RequestId &Request, std::string Line);
+
+  const LineSink Sink_;
+  const std::size_t ShardBoundBytes_;
+  std::array<Shard, ShardCount> Shards_;
+};
+
+} // namespace lychee::reporting
+
+#endif
--- /dev/null
+++ b/libs/reporting/Log.h
@@ -0,0 +1,28 @@
+#ifndef LYCHEE_REPORTING_LOG_H
+#define LYCHEE_REPORTING_LOG_H
+
+#include "base/KeyValueLine.h"
+
+#include <string>
+#include <string_view>
+
+namespace lychee::reporting {
+
+enum class LogLevel { Debug, Info, Warning, Error };
+
+/// Sets easylogging++ up for this process: one line an event to standard
+/// error, no file. To be called once, before the first line.
+/// \param Level  "debug", "info", "warning" or "error": what is told at least.
+void configureLog(std::string_view Level);
+
+/// Writes "time=... level=... EVENT", without secrets. \see maskSecrets
+void logLine(LogLevel Level, const base::KeyValueLine &Event);
+
+/// \returns \p Line with what follows "Bearer" masked. Code that logs has no
+/// key at hand; a library's error text that quotes a header would carry one
+/// into the log all the same, and logs are kept and copied.
+std::string maskSecrets(std::string_view Line);
+
+} // namespace lychee::reporting
+
+#endif
--- a/tests/settings/KeyRingTest.cpp
+++ b/tests/settings/KeyRingTest.cpp
@@ -17,20 +17,21 @@
 constexpr std::string_view WithdrawnKey =
     "st-vitus-0.example-only-d0530e1059632c4edea5065df8ebc8a3";
 
-} // namespace
-
-TEST_GROUP(KeyRing){settings::KeyRing ring() const {settings::Problems Found;
-return settings::KeyRing(
-    take(settings::parseIntent(tests::readExample("glockenwerk"), Found)));
+settings::KeyRing ring() {
+  settings::Problems Found;
+  return settings::KeyRing(
+      take(settings::parseIntent(tests::readExample("glockenwerk"), Found)));
 }
 
-KeyRefusal refusalOf(std::string_view Presented) const {
+KeyRefusal refusalOf(std::string_view Presented) {
   KeyRefusal Why = KeyRefusal::None;
   CHECK_FALSE(ring().check(Presented, Why).has_value());
   return Why;
 }
-}
-;
+
+} // namespace
+
+TEST_GROUP(KeyRing){};
 
 TEST(KeyRing, aKeyOpensItsCustomer) {
   KeyRefusal Why = KeyRefusal::Unknown;
