Store adapter, stand-in store and calls between peers

PeerServer and PeerClient carry JSON-RPC through libjsonrpccpp with proofs by the fleet secret. A small library, transport, holds the HTTP client and listener that both share.

--- /dev/null
+++ b/libs/fleet/PeerAuthenticator.cpp
@@ -0,0 +1,120 @@
+#include "fleet/PeerAuthenticator.h"
+
+#include "base/Hash.h"
+
+#include <array>
+#include <cstdlib>
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
+
+namespace lychee::fleet {
+
+namespace {
+
+constexpr std::int64_t WindowMilliseconds =
+    base::toMilliseconds(PeerAuthenticator::TimeWindow);
+
+std::int64_t millisecondsOf(base::WallPoint Point) {
+  return base::toMilliseconds(Point.time_since_epoch());
+}
+
+} // namespace
+
+std::string_view nameOf(ProofVerdict Verdict) noexcept {
+  switch (Verdict) {
+  case ProofVerdict::Proven:
+    return "proven";
+  case ProofVerdict::WrongSignature:
+    return "wrong_signature";
+  case ProofVerdict::OutOfTime:
+    return "out_of_time";
+  case ProofVerdict::Replayed:
+    return "replayed";
+  case ProofVerdict::Flooded:
+    return "flooded";
+  }
+  return "unknown";
+}
+
+PeerAuthenticator::PeerAuthenticator(std::string_view FleetSecret)
+    : Secret_(FleetSecret) {}
+
+std::string PeerAuthenticator::hmacHex(std::string_view Text) const {
+  static constexpr char HexDigits[] = "0123456789abcdef";
+  std::array<unsigned char, EVP_MAX_MD_SIZE> Digest{};
+  unsigned Length = 0;
+  HMAC(EVP_sha256(), Secret_.data(), static_cast<int>(Secret_.size()),
+       reinterpret_cast<const unsigned char *>(Text.data()), Text.size(),
+       Digest.data(), &Length);
+  std::string Hex;
+  Hex.reserve(2 * std::size_t{Length});
+  for (unsigned Index = 0; Index < Length; ++Index) {
+    Hex += HexDigits[Digest[Index] >> 4];
+    Hex += HexDigits[Digest[Index] & 0xf];
+  }
+  return Hex;
+}
+
+std::string PeerAuthenticator::signatureOf(std::string_view Body,
+                                           const PeerProof &Proof) const {
+  // Each field but the last is free of line ends: two different proofs never
+  // give the same text.
+  std::string Text = "call\n" + Proof.Host_ + '\n' +
+                     std::to_string(Proof.SentAt_) + '\n' + Proof.Nonce_ + '\n';
+  Text += Body;
+  return hmacHex(Text);
+}
+
+PeerProof PeerAuthenticator::sign(std::string_view Body,
+                                  const base::HostId &Self,
+                                  std::string_view Nonce,
+                                  base::WallPoint Now) const {
+  PeerProof Proof{Self.name(), millisecondsOf(Now), std::string(Nonce), ""};
+  Proof.Signature_ = signatureOf(Body, Proof);
+  return Proof;
+}
+
+ProofVerdict PeerAuthenticator::check(std::string_view Body,
+                                      const PeerProof &Proof,
+                                      base::WallPoint Now) {
+  if (Proof.Host_.empty() ||
+      !base::equalInConstantTime(signatureOf(Body, Proof), Proof.Signature_))
+    return ProofVerdict::WrongSignature;
+  const std::int64_t NowMilliseconds = millisecondsOf(Now);
+  if (std::abs(NowMilliseconds - Proof.SentAt_) > WindowMilliseconds)
+    return ProofVerdict::OutOfTime;
+  return remember(Proof, NowMilliseconds);
+}
+
+ProofVerdict PeerAuthenticator::remember(const PeerProof &Proof,
+                                         std::int64_t NowMilliseconds) {
+  const std::lock_guard Guard(Lock_);
+  // A proof older than the window is refused by its time: forgetting is safe.
+  while (!SeenByTime_.empty() &&
+         SeenByTime_.begin()->first < NowMilliseconds - WindowMilliseconds) {
+    Seen_.erase(SeenByTime_.begin()->second);
+    SeenByTime_.erase(SeenByTime_.begin());
+  }
+  if (Seen_.size() >= NonceLimit)
+    return ProofVerdict::Flooded;
+  auto Key = std::make_pair(Proof.Host_, Proof.Nonce_);
+  if (!Seen_.insert(Key).second)
+    return ProofVerdict::Replayed;
+  SeenByTime_.emplace(Proof.SentAt_, std::move(Key));
+  return ProofVerdict::Proven;
+}
+
+std::string PeerAuthenticator::signAnswer(std::string_view Body,
+                                          std::string_view Nonce) const {
+  std::string Text = "answer\n" + std::string(Nonce) + '\n';
+  Text += Body;
+  return hmacHex(Text);
+}
+
+bool PeerAuthenticator::checkAnswer(std::string_view Body,
+                                    std::string_view Nonce,
+                                    std::string_view Signature) const {
+  return base::equalInConstantTime(signAnswer(Body, Nonce), Signature);
+}
+
+} // namespace lychee::fleet
--- /dev/null
+++ b/libs/transport/HttpClient.cpp
@@ -0,0 +1,171 @@
+#include "transport/HttpClient.h"
+
+#include "base/SystemClock.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+namespace lychee::transport {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
+
+/// Kept connections to one server; a burst of calls opens more and drops them.
+constexpr std::size_t IdleConnectionLimit = 4;
+
+http::request<http::string_body> toBeast(HttpRequest &Request,
+                                         const std::string &Peer) {
+  http::request<http::string_body> Message;
+  Message.version(11);
+  Message.method_string(Request.Method_);
+  Message.target(Request.Target_);
+  Message.set(http::field::host, Peer);
+  for (const HttpHeader &Header : Request.Headers_)
+    Message.insert(Header.Name_, Header.Value_);
+  Message.body() = std::move(Request.Body_);
+  Message.prepare_payload();
+  return Message;
+}
+
+HttpAnswer fromBeast(http::response<http::string_body> Message) {
+  HttpAnswer Answer;
+  Answer.Status_ = Message.result_int();
+  for (const auto &Field : Message)
+    Answer.Headers_.push_back(
+        {std::string(Field.name_string()), std::string(Field.value())});
+  Answer.Body_ = std::move(Message.body());
+  return Answer;
+}
+
+} // namespace
+
+/// One connection on a strand of its own: Beast's stream timer and its reads
+/// and writes must not run at the same time.
+class HttpClient::Connection {
+public:
+  explicit Connection(const asio::any_io_executor &Executor)
+      : Stream_(asio::make_strand(Executor)) {}
+
+  auto strand() { return Stream_.get_executor(); }
+
+  bool idleTooLong(base::TimePoint Now, base::Duration Limit) const {
+    return Now - LastUse_ > Limit;
+  }
+
+  asio::awaitable<std::optional<HttpAnswer>>
+  run(http::request<http::string_body> Message, HttpClientOptions Options,
+      base::Duration Timeout, bool *Sent, std::string *Reason) {
+    Stream_.expires_after(Timeout);
+    if (!Connected_ && !co_await connect(Options, Reason))
+      co_return std::nullopt;
+    *Sent = true;
+    auto [WriteFailure, Written] =
+        co_await http::async_write(Stream_, Message, AsTuple);
+    if (WriteFailure) {
+      *Reason = "write: " + WriteFailure.message();
+      co_return std::nullopt;
+    }
+    http::response_parser<http::string_body> Parser;
+    Parser.body_limit(Options.BodyLimitBytes_);
+    auto [ReadFailure, Read] =
+        co_await http::async_read(Stream_, Buffer_, Parser, AsTuple);
+    if (ReadFailure) {
+      *Reason = "read: " + ReadFailure.message();
+      co_return std::nullopt;
+    }
+    Reusable_ = Parser.keep_alive();
+    LastUse_ = base::SystemClock::monotonicNow();
+    Stream_.expires_never();
+    co_return fromBeast(Parser.release());
+  }
+
+  bool reusable() const noexcept { return Reusable_; }
+
+private:
+  asio::awaitable<bool> connect(const HttpClientOptions &Options,
+                                std::string *Reason) {
+    beast::error_code AddressFailure;
+    const auto Address =
+        asio::ip::make_address(Options.Address_, AddressFailure);
+    if (AddressFailure) {
+      *Reason = "address: " + AddressFailure.message();
+      co_return false;
+    }
+    const asio::ip::tcp::endpoint Endpoint(Address, Options.Port_);
+    auto [Failure] = co_await Stream_.async_connect(Endpoint, AsTuple);
+    if (Failure) {
+      *Reason = "connect: " + Failure.message();
+      co_return false;
+    }
+    beast::error_code Ignored;
+    Stream_.socket().set_option(asio::ip::tcp::no_delay(true), Ignored);
+    Connected_ = true;
+    co_return true;
+  }
+
+  beast::tcp_stream Stream_;
+  beast::flat_buffer Buffer_;
+  base::TimePoint LastUse_;
+  bool Connected_ = false;
+  bool Reusable_ = false;
+};
+
+HttpClient::HttpClient(asio::any_io_executor Executor,
+                       HttpClientOptions Options)
+    : Executor_(std::move(Executor)), Options_(std::move(Options)),
+      Peer_(Options_.Address_ + ":" + std::to_string(Options_.Port_)) {}
+
+HttpClient::~HttpClient() = default;
+
+asio::awaitable<std::optional<HttpAnswer>>
+HttpClient::exchange(HttpRequest Request, base::Duration Timeout,
+                     std::string_view Step, bool &Sent, base::Error &Last) {
+  Sent = false;
+  std::string Reason;
+  std::shared_ptr<Connection> Used = takeIdle();
+  if (!Used)
+    Used = std::make_shared<Connection>(Executor_);
+  auto Message = toBeast(Request, Peer_);
+  std::optional<HttpAnswer> Answer = co_await asio::co_spawn(
+      Used->strand(),
+      Used->run(std::move(Message), Options_, Timeout, &Sent, &Reason),
+      asio::use_awaitable);
+  if (!Answer) {
+    Last = {std::string(Step), Peer_, Reason};
+    co_return std::nullopt;
+  }
+  if (Used->reusable())
+    keepIdle(std::move(Used));
+  co_return Answer;
+}
+
+std::shared_ptr<HttpClient::Connection> HttpClient::takeIdle() {
+  const base::TimePoint Now = base::SystemClock::monotonicNow();
+  const std::lock_guard Guard(Lock_);
+  while (!Idle_.empty()) {
+    std::shared_ptr<Connection> Candidate = std::move(Idle_.back());
+    Idle_.pop_back();
+    if (!Candidate->idleTooLong(Now, Options_.IdleLimit_))
+      return Candidate;
+  }
+  return nullptr;
+}
+
+void HttpClient::keepIdle(std::shared_ptr<Connection> Kept) {
+  const std::lock_guard Guard(Lock_);
+  if (Idle_.size() < IdleConnectionLimit)
+    Idle_.push_back(std::move(Kept));
+}
+
+} // namespace lychee::transport
--- /dev/null
+++ b/tests/fleet/PeerAuthenticatorTest.cpp
@@ -0,0 +1,72 @@
+#include "fleet/PeerAuthenticator.h"
+
+#include "CppUTest/TestHarness.h"
+
+namespace base = lychee::base;
+namespace fleet = lychee::fleet;
+using fleet::ProofVerdict;
+
+TEST_GROUP(PeerAuthenticator) {
+  fleet::PeerAuthenticator Authenticator_{"0123456789abcdef0123456789abcdef"};
+  base::WallPoint Now_{std::chrono::hours(24 * 365 * 56)};
+
+  fleet::PeerProof proof(const char *Nonce) {
+    return Authenticator_.sign("body", base::HostId("h1"), Nonce, Now_);
+  }
+
+  ProofVerdict check(const fleet::PeerProof &Proof, const char *Body = "body") {
+    return Authenticator_.check(Body, Proof, Now_);
+  }
+};
+
+TEST(PeerAuthenticator, proofHoldsOnce) {
+  CHECK(check(proof("n1")) == ProofVerdict::Proven);
+  CHECK(check(proof("n1")) == ProofVerdict::Replayed);
+  CHECK(check(proof("n2")) == ProofVerdict::Proven);
+}
+
+TEST(PeerAuthenticator, everyChangedFieldBreaksTheProof) {
+  CHECK(check(proof("n"), "other") == ProofVerdict::WrongSignature);
+  fleet::PeerProof Changed = proof("n");
+  Changed.Host_ = "h2";
+  CHECK(check(Changed) == ProofVerdict::WrongSignature);
+  Changed = proof("n");
+  Changed.Nonce_ = "m";
+  CHECK(check(Changed) == ProofVerdict::WrongSignature);
+  Changed = proof("n");
+  ++Changed.SentAt_;
+  CHECK(check(Changed) == ProofVerdict::WrongSignature);
+  CHECK(check({}) == ProofVerdict::WrongSignature);
+}
+
+// A recorded call is sent again after the nonce has been forgotten: the time
+// bound must refuse it, whichever side of the window it falls on.
+TEST(PeerAuthenticator, replayAfterTheNonceIsForgottenIsOutOfTime) {
+  const fleet::PeerProof Recorded = proof("n");
+  CHECK(check(Recorded) == ProofVerdict::Proven);
+  for (int Step = 0; Step < 40; ++Step) {
+    Now_ += std::chrono::seconds(1);
+    const std::string Other = "other" + std::to_string(Step);
+    CHECK(check(proof(Other.c_str())) == ProofVerdict::Proven);
+    CHECK(check(Recorded) != ProofVerdict::Proven);
+  }
+  Now_ -= std::chrono::seconds(80);
+  CHECK(check(Recorded) == ProofVerdict::OutOfTime);
+}
+
+TEST(PeerAuthenticator, rememberedNoncesAreBounded) {
+  std::size_t Taken = 0;
+  while (check(proof(std::to_string(Taken).c_str())) == ProofVerdict::Proven)
+    ++Taken;
+  UNSIGNED_LONGS_EQUAL(fleet::PeerAuthenticator::NonceLimit, Taken);
+  CHECK(check(proof("more")) == ProofVerdict::Flooded);
+  Now_ += fleet::PeerAuthenticator::TimeWindow + std::chrono::seconds(1);
+  CHECK(check(proof("more")) == ProofVerdict::Proven);
+}
+
+TEST(PeerAuthenticator, answerIsBoundToItsCall) {
+  const std::string Signature = Authenticator_.signAnswer("ok", "n1");
+  CHECK(Authenticator_.checkAnswer("ok", "n1", Signature));
+  CHECK_FALSE(Authenticator_.checkAnswer("ok", "n2", Signature));
+  CHECK_FALSE(Authenticator_.checkAnswer("no", "n1", Signature));
+}
