--- a/libs/scenario/IntentBuilder.cpp
+++ b/libs/scenario/IntentBuilder.cpp
@@ -57,9 +57,11 @@
         Id, {base::ZoneId(Name + "-a"), base::ZoneId(Name + "-b")}};
   }
   for (const LinkSpec &Link : Played.Links_)
-    Made.Links_.push_back({base::RegionId(Link.Left_),
-                           base::RegionId(Link.Right_), Link.BitsPerSecond_,
-                           Link.OneWayDelay_});
+    Made.Links_.push_back({.Id_ = base::LinkId(Link.Left_ + "-" + Link.Right_),
+                           .Left_ = base::RegionId(Link.Left_),
+                           .Right_ = base::RegionId(Link.Right_),
+                           .BitsPerSecond_ = Link.BitsPerSecond_,
+                           .OneWayDelay_ = Link.OneWayDelay_});
   for (const ServiceSpec &Declared : Played.Services_) {
     settings::Service Service;
     Service.Id_ = base::ServiceId(Declared.Name_);
@@ -71,8 +73,12 @@
     addTargets(Made, Targets);
   for (const CustomerSpec &Customer : Played.Customers_) {
     const base::CustomerId Id(Customer.Name_);
-    Made.Customers_[Id] = {Id, Customer.RatePerSecond_, Customer.Burst_,
-                           Customer.Weight_};
+    settings::Customer Declared;
+    Declared.Id_ = Id;
+    Declared.RatePerSecond_ = Customer.RatePerSecond_;
+    Declared.Burst_ = Customer.Burst_;
+    Declared.Weight_ = Customer.Weight_;
+    Made.Customers_[Id] = Declared;
   }
   return Made;
 }
--- a/tests/steering/FleetSteeringTest.cpp
+++ b/tests/steering/FleetSteeringTest.cpp
@@ -19,8 +19,11 @@
     Intent.Version_ = 1;
     Intent.Regions_[base::RegionId("near")] = {base::RegionId("near"),
                                                {base::ZoneId("near-1")}};
-    Intent.Customers_[base::CustomerId("parish")] = {base::CustomerId("parish"),
-                                                     100, 10, 1};
+    settings::Customer Parish;
+    Parish.Id_ = base::CustomerId("parish");
+    Parish.RatePerSecond_ = 100;
+    Parish.Burst_ = 10;
+    Intent.Customers_[Parish.Id_] = Parish;
     settings::Service Rota;
     Rota.Id_ = base::ServiceId("rota");
     for (const char *Name : {"rota-1", "rota-2"})
