--- a/libs/steering/ServiceSteering.cpp
+++ b/libs/steering/ServiceSteering.cpp
@@ -1,6 +1,7 @@
 #include "steering/ServiceSteering.h"
 
 #include <algorithm>
+#include <cassert>
 #include <limits>
 
 namespace lychee::steering {
@@ -219,6 +220,8 @@
 
 Decision ServiceSteering::send(std::uint64_t Ticket, Pending &Wanted,
                                const Found &Where, std::string_view Why) {
+  assert(Where.Choice_.Target_.has_value() &&
+         "the caller sends only where a target was chosen");
   const placement::TargetIndex Target = *Where.Choice_.Target_;
   placement::TargetPool &Targets = Where.Pool_->targets();
   Targets.started(Target);
