--- /dev/null
+++ b/libs/fleet/LeaseGuard.cpp
@@ -0,0 +1,55 @@
+#include "fleet/LeaseGuard.h"
+
+#include <algorithm>
+
+namespace lychee::fleet {
+
+std::string_view nameOf(LeaseState State) noexcept {
+  switch (State) {
+  case LeaseState::Standing:
+    return "standing";
+  case LeaseState::Lapsed:
+    return "lapsed";
+  case LeaseState::OtherEpoch:
+    return "other_epoch";
+  }
+  return "unknown";
+}
+
+LeaseState LeaseGuard::check(base::TimePoint Now, std::uint64_t Epoch) const {
+  const std::lock_guard Guard(Lock_);
+  if (Now >= Until_)
+    return LeaseState::Lapsed;
+  return Epoch == Epoch_ ? LeaseState::Standing : LeaseState::OtherEpoch;
+}
+
+std::uint64_t LeaseGuard::epoch() const {
+  const std::lock_guard Guard(Lock_);
+  return Epoch_;
+}
+
+std::uint64_t LeaseGuard::tenure() const {
+  const std::lock_guard Guard(Lock_);
+  return Tenure_;
+}
+
+void LeaseGuard::extend(base::TimePoint Until, base::TimePoint Now) {
+  const std::lock_guard Guard(Lock_);
+  if (Until <= Now || Until <= Until_)
+    return;
+  if (Now >= Until_)
+    ++Tenure_;
+  Until_ = Until;
+}
+
+void LeaseGuard::enter(std::uint64_t Epoch) {
+  const std::lock_guard Guard(Lock_);
+  Epoch_ = std::max(Epoch_, Epoch);
+}
+
+void LeaseGuard::drop() {
+  const std::lock_guard Guard(Lock_);
+  Until_ = {};
+}
+
+} // namespace lychee::fleet
