--- a/libs/settings/Intent.h
+++ b/libs/settings/Intent.h
@@ -118,8 +118,11 @@
   double Step_ = 0;
   /// Time between two steps.
   base::Duration Pace_{};
-  base::WallPoint Start_;
   State State_ = State::Running;
+  /// When the state began, and the share moved by then: the plan's start and 0
+  /// until an operator pauses, starts or aborts it.
+  base::WallPoint Start_;
+  double Reached_ = 0;
 };
 
 /// All that operators want, checked as a whole: what hosts steer by. Made only
--- a/libs/settings/IntentParser.cpp
+++ b/libs/settings/IntentParser.cpp
@@ -12,6 +12,10 @@
 constexpr std::size_t Sha256Digits = 64;
 constexpr std::uint64_t GiB = 1ULL << 30;
 constexpr std::string_view Suffix = ".ini";
+constexpr std::string_view NetworkTeam = "network";
+
+/// The store holds values of a megabyte.
+constexpr std::size_t DocumentLimitBytes = std::size_t{1} << 20;
 
 /// What one section's reader works with.
 struct Place {
@@ -139,6 +143,7 @@
   At.Reader_.number("step", Read.Step_, {0.001, 1}, Need::Required);
   At.Reader_.duration("pace", Read.Pace_, {1s, 24h}, Need::Required);
   At.Reader_.wallTime("start", Read.Start_);
+  At.Reader_.number("reached", Read.Reached_, {0, 1});
   Read.State_ =
       static_cast<ShiftPlan::State>(At.Reader_.choice("state", States, 0));
   At.Draft_.Wanted_.Plans_[Read.Id_] = Read;
@@ -165,21 +170,25 @@
 struct SectionRule {
   std::string_view Kind_;
   void (*Read_)(const Place &);
+  /// Whether only the network's team may write it: places and hosts are
+  /// shared by all teams, and draining a host takes from all.
+  bool OfNetwork_ = false;
   /// Whether two sections may bear the same heading.
   bool Repeatable_ = false;
 };
 
-constexpr std::array<SectionRule, 11> Rules{{{"region", readRegion},
-                                             {"link", readLink},
-                                             {"site", readSite},
-                                             {"clients", readClients, true},
-                                             {"service", readService},
-                                             {"target", readTarget},
-                                             {"customer", readCustomer},
-                                             {"key", readKey},
-                                             {"shift", readShift},
-                                             {"team", readTeam},
-                                             {"host", readHost}}};
+constexpr std::array<SectionRule, 11> Rules{
+    {{"region", readRegion, true},
+     {"link", readLink, true},
+     {"site", readSite, true},
+     {"clients", readClients, true, true},
+     {"service", readService},
+     {"target", readTarget},
+     {"customer", readCustomer},
+     {"key", readKey},
+     {"shift", readShift},
+     {"team", readTeam},
+     {"host", readHost, true}}};
 
 const SectionRule *findRule(std::string_view Kind) {
   const auto Match =
@@ -219,6 +228,9 @@
     return Reader.rejectSection(
         Section.Name_.empty() ? "no name" : "name " + Section.Name_,
         "1 to 40 lower-case letters, digits and inner hyphens");
+  if (Rule->OfNetwork_ && Here.Team_.name() != NetworkTeam)
+    return Reader.rejectSection("it in a document of team " + Here.Team_.name(),
+                                "it in documents of team network only");
   if (!Rule->Repeatable_ && !claimHeading(Section, Here, Reader, Draft))
     return;
   Rule->Read_({Section, Reader, Here, Draft});
@@ -249,6 +261,13 @@
                      "TEAM/NAME.ini of lower-case letters, digits, hyphens"});
     return;
   }
+  if (Text.size() > DocumentLimitBytes) {
+    Found.push_back({std::string(Path), 0, "document",
+                     std::to_string(Text.size()) + " bytes",
+                     "at most " + std::to_string(DocumentLimitBytes) +
+                         " bytes; cut it into several"});
+    return;
+  }
   const IniDocument Document = readIni(Text, Path, Found);
   Origin Here;
   Here.File_ = Path;
--- a/tests/settings/DaemonSettingsTest.cpp
+++ b/tests/settings/DaemonSettingsTest.cpp
@@ -6,7 +6,7 @@
 
 namespace settings = lychee::settings;
 using lychee::tests::describeAll;
-using lychee::tests::take;
+using lychee::tests::require;
 
 namespace {
 
@@ -30,7 +30,7 @@
 
 TEST(DaemonSettings, readsWhatStandsAndKeepsDefaultsForTheRest) {
   settings::Problems Found;
-  const settings::DaemonSettings Read = take(settings::parseDaemonSettings(
+  const settings::DaemonSettings Read = require(settings::parseDaemonSettings(
       Whole + "timeout = 250ms\n", "edge.ini", Found));
   STRCMP_EQUAL("", describeAll(Found).c_str());
   STRCMP_EQUAL("edge-1", Read.Host_.name().c_str());
--- a/tests/settings/Fixture.h
+++ b/tests/settings/Fixture.h
@@ -3,11 +3,11 @@
 
 #include "settings/DaemonSettings.h"
 #include "settings/SettingsTree.h"
+#include "support/Require.h"
 
 #include <filesystem>
 #include <fstream>
 #include <iterator>
-#include <optional>
 #include <string>
 #include <string_view>
 
@@ -31,11 +31,6 @@
   return Tree;
 }
 
-/// \returns the value, which must be there; the caller checks the problems.
-template <typename Value> Value take(const std::optional<Value> &Parsed) {
-  return Parsed.value_or(Value());
-}
-
 /// \returns all problems, one a line.
 inline std::string describeAll(const settings::Problems &Found) {
   std::string Text;
--- a/tests/settings/IntentTest.cpp
+++ b/tests/settings/IntentTest.cpp
@@ -7,7 +7,7 @@
 namespace tests = lychee::tests;
 using tests::describeAll;
 using tests::edit;
-using tests::take;
+using tests::require;
 
 namespace {
 
@@ -24,7 +24,7 @@
                 std::uint32_t Connections) {
   settings::Problems Found;
   const settings::Intent Wanted =
-      take(settings::parseIntent(tests::readExample(Deployment), Found));
+      require(settings::parseIntent(tests::readExample(Deployment), Found));
   STRCMP_EQUAL("", describeAll(Found).c_str());
   std::size_t Zones = 0;
   for (const auto &[Id, Region] : Wanted.Regions_)
@@ -71,7 +71,7 @@
 
 TEST(Intent, clientBlocksNameTheirSiteByPosition) {
   settings::Problems Found;
-  const settings::Intent Wanted = take(settings::parseIntent(Tree_, Found));
+  const settings::Intent Wanted = require(settings::parseIntent(Tree_, Found));
   const settings::ClientBlock &First = Wanted.ClientBlocks_.front();
   LONGS_EQUAL(10U << 24 | 10U << 16, First.Network_);
   STRCMP_EQUAL("fukuoka-clients",
@@ -101,6 +101,8 @@
   Tree_.Documents_["vault/more.ini"] =
       "[service case-portal]\npath = /x\nhosts = other.example\n"
       "[service copy]\npath = /\nhosts = portal.kitakyushu.example\n"
+      "[region north]\nzones = north-1\n";
+  Tree_.Documents_["network/more.ini"] =
       "[clients kumamoto-clients]\nblocks = 10.10.0.0/20\n";
   const std::string Report = problemsOf(Tree_);
   STRCMP_CONTAINS("vault/more.ini:1: service case-portal: found a second "
@@ -109,6 +111,9 @@
                   Report.c_str());
   STRCMP_CONTAINS("service copy.path: found portal.kitakyushu.example/",
                   Report.c_str());
+  STRCMP_CONTAINS("vault/more.ini:7: region north: found it in a document of "
+                  "team vault, allowed it in documents of team network only",
+                  Report.c_str());
   STRCMP_CONTAINS("clients kumamoto-clients: found 10.10.0.0/20, allowed a "
                   "block once; site fukuoka-clients has it",
                   Report.c_str());
--- a/tests/settings/KeyRingTest.cpp
+++ b/tests/settings/KeyRingTest.cpp
@@ -7,7 +7,7 @@
 namespace settings = lychee::settings;
 namespace tests = lychee::tests;
 using settings::KeyRefusal;
-using tests::take;
+using tests::require;
 
 namespace {
 
@@ -20,7 +20,7 @@
 settings::KeyRing ring() {
   settings::Problems Found;
   return settings::KeyRing(
-      take(settings::parseIntent(tests::readExample("glockenwerk"), Found)));
+      require(settings::parseIntent(tests::readExample("glockenwerk"), Found)));
 }
 
 KeyRefusal refusalOf(std::string_view Presented) {
@@ -35,7 +35,7 @@
 
 TEST(KeyRing, aKeyOpensItsCustomer) {
   KeyRefusal Why = KeyRefusal::Unknown;
-  const settings::KeyOwner Owner = take(ring().check(Good, Why));
+  const settings::KeyOwner Owner = require(ring().check(Good, Why));
   STRCMP_EQUAL("st-anna", Owner.Customer_.name().c_str());
   STRCMP_EQUAL("st-anna-1", Owner.Key_.name().c_str());
   CHECK(Why == KeyRefusal::None);
