Daemon: first assembly of the whole path

Settings from the store, key check, routing, steering, forwarding, operators' calls and metrics in one process.

--- /dev/null
+++ b/apps/lycheed/Daemon.h
@@ -0,0 +1,84 @@
+#ifndef LYCHEE_APPS_LYCHEED_DAEMON_H
+#define LYCHEE_APPS_LYCHEED_DAEMON_H
+
+#include "fleet/PeerServer.h"
+#include "gateway/Gateway.h"
+#include "lycheed/DecisionReporter.h"
+#include "lycheed/FleetDirectory.h"
+#include "lycheed/IntentRouter.h"
+#include "lycheed/KeyCheck.h"
+#include "lycheed/LoadReporter.h"
+#include "lycheed/NoClaims.h"
+#include "lycheed/SettingsFeed.h"
+#include "operations/OperatorRpc.h"
+#include "store/GuardedStore.h"
+#include "store/HttpStore.h"
+#include "transport/HttpServer.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <memory>
+#include <thread>
+#include <vector>
+
+namespace lychee::daemon {
+
+/// One host of the fleet: builds every part from its settings, lets them know
+/// each other, and takes them down in order. The parts decide and act; this
+/// class only joins them. \see docs/ARCHITECTURE.md
+class Daemon final : public operations::FleetView {
+public:
+  explicit Daemon(const settings::DaemonSettings &Settings);
+  Daemon(const Daemon &) = delete;
+  Daemon &operator=(const Daemon &) = delete;
+  ~Daemon() override;
+
+  /// Serves until a signal ends it. \returns the process's exit code.
+  int run();
+
+  // What operators ask for.
+  std::shared_ptr<const settings::Intent> intent() const override;
+  operations::HostStatus status(base::TimePoint Now) const override;
+  std::vector<operations::MemberStatus> members() const override;
+  std::vector<std::string>
+  explain(const base::RequestId &Request) const override;
+
+private:
+  bool startAll(base::Error &Last);
+  void stopAll();
+  void bindOperators();
+  void putInForce(const settings::SettingsTree &Tree);
+  transport::HttpServerOptions optionsFor(const settings::Endpoint &Where);
+
+  const settings::DaemonSettings Settings_;
+  boost::asio::io_context Control_;
+  std::vector<std::thread> ControlThreads_;
+
+  reporting::Metrics Metrics_;
+  reporting::DecisionLog Decisions_;
+  SettingsHolder Holder_;
+
+  store::HttpStore HttpStore_;
+  store::GuardedStore Store_;
+  SettingsFeed Feed_;
+
+  steering::FleetSteering Steering_;
+  KeyCheck Keys_;
+  IntentRouter Router_;
+  FleetDirectory Directory_;
+  NoClaims Claims_;
+  DecisionReporter Reporter_;
+  LoadReporter Loads_;
+  gateway::Gateway Gateway_;
+
+  operations::OperatorApi Operators_;
+  operations::OperatorRpc OperatorRpc_;
+  fleet::RpcDispatcher Handlers_;
+  fleet::PeerAuthenticator Authenticator_;
+  std::unique_ptr<fleet::PeerServer> Peers_;
+  std::unique_ptr<transport::HttpServer> MetricsServer_;
+};
+
+} // namespace lychee::daemon
+
+#endif
--- /dev/null
+++ b/apps/lycheed/DecisionReporter.cpp
@@ -0,0 +1,98 @@
+#include "lycheed/DecisionReporter.h"
+
+#include "base/SystemClock.h"
+
+#include <vector>
+
+namespace lychee::daemon {
+
+namespace {
+
+reporting::DecisionRecord recordOf(const steering::Request &Request) {
+  reporting::DecisionRecord Record;
+  Record.Request_ = Request.Id_;
+  Record.Customer_ = Request.Customer_;
+  Record.Key_ = Request.Key_;
+  Record.Service_ = Request.Service_;
+  return Record;
+}
+
+} // namespace
+
+DecisionReporter::DecisionReporter(reporting::DecisionLog &Log,
+                                   reporting::Metrics &Metrics)
+    : Log_(Log),
+      Sends_(Metrics.counter("lychee_sends_total", "Requests sent to targets")),
+      Waits_(Metrics.counter("lychee_waits_total",
+                             "Requests that waited for room")),
+      Refusals_(Metrics.counter("lychee_refusals_total", "Requests refused")),
+      Answers_(Metrics.counter("lychee_answers_total",
+                               "Answers of targets passed to callers")),
+      Failures_(Metrics.counter("lychee_send_failures_total",
+                                "Sends that ended without a whole answer")),
+      TargetSeconds_(Metrics.histogram("lychee_target_seconds",
+                                       "Time of a send at its target")) {}
+
+void DecisionReporter::decided(const steering::Request &Request,
+                               const steering::Decision &Made,
+                               base::TimePoint /*Now*/) {
+  reporting::DecisionRecord Record = recordOf(Request);
+  Record.Region_ = Made.Region_;
+  Record.Target_ = Made.Target_;
+  Record.Reason_ = Made.Reason_;
+  Record.SettingsVersion_ = Made.SettingsVersion_;
+  std::vector<reporting::PassedOverCandidate> PassedOver;
+  PassedOver.reserve(Made.PassedOver_.size());
+  for (const steering::PassedOver &Each : Made.PassedOver_)
+    PassedOver.push_back({Each.Target_.name(), Each.Reason_});
+  Record.PassedOver_ = PassedOver;
+  switch (Made.Action_) {
+  case steering::Decision::Action::Send:
+    Record.Event_ = "send";
+    Sends_.add();
+    break;
+  case steering::Decision::Action::Wait:
+    Record.Event_ = "wait";
+    Waits_.add();
+    break;
+  case steering::Decision::Action::Refuse:
+    Record.Event_ = "refuse";
+    Record.Reason_ = steering::nameOf(Made.Refusal_);
+    Record.Ran_ = Made.Ran_ == steering::Ran::No ? "no" : "maybe";
+    Refusals_.add();
+    break;
+  }
+  Log_.record(Record, base::SystemClock::wallNow());
+}
+
+void DecisionReporter::sendEnded(const steering::Request &Request,
+                                 const steering::Decision &Sent,
+                                 const steering::SendReport &Report,
+                                 base::TimePoint /*Now*/) {
+  TargetSeconds_.observe(base::toSeconds(Report.Took_));
+  if (Report.End_ == steering::SendEnd::Answered) {
+    Answers_.add();
+    return;
+  }
+  Failures_.add();
+  reporting::DecisionRecord Record = recordOf(Request);
+  Record.Event_ = "send-failed";
+  Record.Region_ = Sent.Region_;
+  Record.Target_ = Sent.Target_;
+  Record.Reason_ = retrying::nameOf(Report.End_);
+  Record.Status_ = Report.Status_;
+  Record.SettingsVersion_ = Sent.SettingsVersion_;
+  Log_.record(Record, base::SystemClock::wallNow());
+}
+
+void DecisionReporter::requestEnded(const steering::Request &Request,
+                                    int Status, std::string_view Outcome,
+                                    base::TimePoint /*Now*/) {
+  reporting::DecisionRecord Record = recordOf(Request);
+  Record.Event_ = "end";
+  Record.Reason_ = Outcome;
+  Record.Status_ = Status;
+  Log_.record(Record, base::SystemClock::wallNow());
+}
+
+} // namespace lychee::daemon
--- /dev/null
+++ b/apps/lycheed/DecisionReporter.h
@@ -0,0 +1,41 @@
+#ifndef LYCHEE_APPS_LYCHEED_DECISIONREPORTER_H
+#define LYCHEE_APPS_LYCHEED_DECISIONREPORTER_H
+
+#include "gateway/DecisionListener.h"
+#include "reporting/DecisionLog.h"
+#include "reporting/Metrics.h"
+
+#include <array>
+#include <atomic>
+#include <cstdint>
+
+namespace lychee::daemon {
+
+/// Hands each decision on a request to the log, to the memory of the explain
+/// command and to the metrics. \see reporting::DecisionLog
+class DecisionReporter final : public gateway::DecisionListener {
+public:
+  DecisionReporter(reporting::DecisionLog &Log, reporting::Metrics &Metrics);
+
+  void decided(const steering::Request &Request, const steering::Decision &Made,
+               base::TimePoint Now) override;
+  void sendEnded(const steering::Request &Request,
+                 const steering::Decision &Sent,
+                 const steering::SendReport &Report,
+                 base::TimePoint Now) override;
+  void requestEnded(const steering::Request &Request, int Status,
+                    std::string_view Outcome, base::TimePoint Now) override;
+
+private:
+  reporting::DecisionLog &Log_;
+  reporting::Counter Sends_;
+  reporting::Counter Waits_;
+  reporting::Counter Refusals_;
+  reporting::Counter Answers_;
+  reporting::Counter Failures_;
+  reporting::Histogram TargetSeconds_;
+};
+
+} // namespace lychee::daemon
+
+#endif
--- /dev/null
+++ b/apps/lycheed/LoadReporter.cpp
@@ -0,0 +1,12 @@
+#include "lycheed/LoadReporter.h"
+
+namespace lychee::daemon {
+
+void LoadReporter::observed(const gateway::TargetObservation &Seen,
+                            base::TimePoint Now) {
+  if (Seen.HasLoad_)
+    Steering_.reported(Seen.Service_, Seen.Target_,
+                       Seen.Running_ + Seen.Waiting_, Now);
+}
+
+} // namespace lychee::daemon
--- a/libs/reporting/Log.cpp
+++ b/libs/reporting/Log.cpp
@@ -90,10 +90,14 @@
 }
 
 void logLine(LogLevel Level, const base::KeyValueLine &Event) {
+  logLine(Level, std::string_view(Event.text()));
+}
+
+void logLine(LogLevel Level, std::string_view Event) {
   if (Level < LeastLevel.load(std::memory_order_relaxed))
     return;
   createStorage();
-  const std::string Text = maskSecrets(Event.text());
+  const std::string Text = maskSecrets(Event);
   switch (Level) {
   case LogLevel::Debug:
     LOG(DEBUG) << "level=debug " << Text;
--- a/libs/reporting/Log.h
+++ b/libs/reporting/Log.h
@@ -18,6 +18,10 @@
 /// Writes "time=... level=... EVENT", without secrets. \see maskSecrets
 void logLine(LogLevel Level, const base::KeyValueLine &Event);
 
+/// \copydoc logLine
+/// \param Event  a line that a KeyValueLine made.
+void logLine(LogLevel Level, std::string_view Event);
+
 /// \returns \p Line with what follows "Bearer" masked. Code that logs has no
 /// key at hand; a library's error text that quotes a header would carry one
 /// into the log all the same, and logs are kept and copied.
