--- /dev/null
+++ b/libs/fleet/Directory.h
@@ -0,0 +1,44 @@
+#ifndef LYCHEE_FLEET_DIRECTORY_H
+#define LYCHEE_FLEET_DIRECTORY_H
+
+#include "base/Id.h"
+#include "fleet/Member.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace lychee::fleet {
+
+/// All hosts of the fleet by zone, as one object of the store. It changes only
+/// when a host comes or goes or a relay changes, never by a renewal.
+struct Directory {
+  static constexpr std::string_view Path = "fleet/directory";
+
+  struct Zone {
+    std::uint64_t Generation_ = 0;
+    base::HostId Relay_;
+    std::vector<Member> Members_;
+
+    bool operator==(const Zone &) const = default;
+  };
+
+  /// The membership epoch: rises whenever a host comes or goes.
+  std::uint64_t Epoch_ = 0;
+  std::map<base::ZoneId, Zone> Zones_;
+
+  std::size_t hostCount() const noexcept;
+  const Member *find(const base::HostId &Host) const noexcept;
+
+  /// \returns the directory with \p Record's zone as it is now; nothing where
+  /// that changes nothing.
+  std::optional<Directory> with(const ZoneRecord &Record) const;
+
+  bool operator==(const Directory &) const = default;
+};
+
+} // namespace lychee::fleet
+
+#endif
