--- a/tests/operations/FakeStore.h
+++ b/tests/operations/FakeStore.h
@@ -114,7 +114,7 @@
     return Status;
   }
   std::vector<operations::MemberStatus> members() const override {
-    return {{base::HostId("edge-1"), base::ZoneId("n-1"), "127.0.0.1:1"}};
+    return {{base::HostId("edge-1"), base::ZoneId("n-1"), Address_}};
   }
   std::vector<std::string>
   explain(const base::RequestId &Request) const override {
@@ -124,6 +124,7 @@
   }
 
   std::shared_ptr<const settings::Intent> Intent_;
+  std::string Address_ = "127.0.0.1:1";
 };
 
 /// \returns the result of a coroutine that waits for nothing but itself.
--- a/tests/operations/OperatorApiTest.cpp
+++ b/tests/operations/OperatorApiTest.cpp
@@ -165,8 +165,9 @@
   Store_.LoseAnswerOf_ = "settings/root";
   Store_.LostAnswers_ = 1;
   Store_.DownAfterLostAnswer_ = true;
+  operations::OperatorApi Impatient(Store_, Fleet_, "", base::Duration::zero());
   CHECK_FALSE(
-      resultOf(Api_.apply(Request, PortalToken, Now, Last_)).has_value());
+      resultOf(Impatient.apply(Request, PortalToken, Now, Last_)).has_value());
   CHECK(Last_.Kind_ == Failure::Unknown);
   Store_.Down_ = false;
   Last_ = {};
