--- /dev/null
+++ b/libs/steering/RegionPool.h
@@ -0,0 +1,103 @@
+#ifndef LYCHEE_STEERING_REGIONPOOL_H
+#define LYCHEE_STEERING_REGIONPOOL_H
+
+#include "admission/AdmissionControl.h"
+#include "placement/TargetPool.h"
+#include "retrying/RetryBudget.h"
+#include "settings/Intent.h"
+#include "steering/SlotBook.h"
+#include "steering/SlotMessages.h"
+
+#include <unordered_map>
+
+namespace lychee::steering {
+
+/// One service in one region, as one host sees it: the targets there, and the
+/// line of requests that wait for them. A line for each region, since a slot
+/// that becomes free helps only those who wait for that region.
+///
+/// Not thread-safe: guarded by the lock of its ServiceSteering.
+class RegionPool {
+public:
+  RegionPool(const base::RegionId &Region, const base::HostId &Self,
+             const admission::AdmissionControl::Limits &Limits);
+  RegionPool(const RegionPool &) = delete;
+  RegionPool &operator=(const RegionPool &) = delete;
+
+  /// \param Targets  those of the service that stand in this region.
+  void applyIntent(const settings::Intent &Intent,
+                   std::span<const settings::Target> Targets,
+                   base::TimePoint Now);
+
+  const base::RegionId &region() const noexcept { return Region_; }
+  placement::TargetPool &targets() noexcept { return Targets_; }
+  const placement::TargetPool &targets() const noexcept { return Targets_; }
+  admission::AdmissionControl &line() noexcept { return Line_; }
+
+  /// \returns the number of a customer in the line; one that the intent does
+  /// not name has none.
+  std::optional<admission::CustomerIndex>
+  customer(const base::CustomerId &Customer) const;
+
+  // Slots, and what hosts tell each other of them; \see SlotBook.
+
+  void enterEpoch(std::uint64_t Epoch, std::span<const Member> Members);
+  void settle(std::uint64_t Epoch);
+  bool divides() const noexcept { return Slots_.divides(); }
+
+  /// \returns true where no more is in use than this host holds.
+  bool fits() const;
+
+  /// \returns free slots that this host could give.
+  std::uint32_t spare(base::TimePoint Now) const;
+  void heardSpare(const base::HostId &Host, std::uint32_t Spare);
+
+  /// Someone waits elsewhere and would be steered here.
+  void want(std::uint32_t Slots) noexcept { Wanted_ = Slots; }
+
+  /// Adds what to ask of peers now.
+  void addAsks(std::vector<SlotAsk> &Asks, base::TimePoint Now);
+
+  /// Gives what can be given of what a peer asks.
+  std::vector<SlotCount> give(const SlotAsk &Asked, base::TimePoint Now);
+  bool accept(const base::HostId &Donor, std::span<const SlotCount> Told);
+
+  const std::string &address(placement::TargetIndex Target) const {
+    return Addresses_.at(Targets_.nameOf(Target));
+  }
+
+  /// \returns the budget of second sends to a target.
+  retrying::RetryBudget &retries(placement::TargetIndex Target) {
+    return Retries_[Target];
+  }
+
+private:
+  /// What is known of a member.
+  struct Peer {
+    base::RegionId Region_;
+    std::uint32_t Spare_ = 0;
+    base::TimePoint AskedAt_;
+  };
+
+  void refreshShares();
+  void addRecalls(std::vector<SlotAsk> &Asks);
+  std::uint32_t mayGive(const SlotAsk &Asked, base::TimePoint Now) const;
+  Peer *bestDonor(base::TimePoint Now, base::HostId &Donor);
+
+  const base::HostId Self_;
+  const base::RegionId Region_;
+  placement::TargetPool Targets_;
+  admission::AdmissionControl Line_;
+  SlotBook Slots_;
+  std::map<base::HostId, Peer> Peers_;
+  std::uint32_t Wanted_ = 0;
+  /// Slots that a peer wants back, kept free until it asks again.
+  std::map<base::TargetId, std::uint32_t> Recalled_;
+  std::unordered_map<base::CustomerId, admission::CustomerIndex> Customers_;
+  std::unordered_map<base::TargetId, std::string> Addresses_;
+  std::unordered_map<placement::TargetIndex, retrying::RetryBudget> Retries_;
+};
+
+} // namespace lychee::steering
+
+#endif
