Gateway: polls, graceful stop, faults of targets, limits and fuzz of the edge

TargetPoller asks each target for health and load on a connection of its own and tries a new one before it calls a target unwell. StopSequence takes a host down without cutting a request: readiness off, look-ups, cache time, in flight, close; a second call or the deadline cuts and names what it cut.

Found by the tests and mended: Beast takes "Content-Length: 3, 3" for 3 (now 400); a head that ended at half a line break was called malformed instead of timed out; the reason of a failed poll was overwritten by its load poll.

--- a/libs/gateway/CallerConnection.h
+++ b/libs/gateway/CallerConnection.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <span>
 #include <string>
+#include <string_view>
 
 namespace lychee::gateway {
 
@@ -46,6 +47,10 @@
   void markBusy() noexcept { IdleSince_ = base::TimePoint::max(); }
   base::TimePoint idleSince() const noexcept { return IdleSince_; }
 
+  /// The request in progress, for the account of a stop that cuts it.
+  void noteRequest(std::string_view Id) { RequestId_ = Id; }
+  const std::string &requestId() const noexcept { return RequestId_; }
+
   /// Ends the connection with a reset where \p Visibly, so that the caller
   /// cannot take what it has for a whole answer.
   void close(bool Visibly) noexcept;
@@ -58,6 +63,7 @@
   Watch Watch_;
   std::uint32_t Address_ = 0;
   std::function<void()> Interrupt_;
+  std::string RequestId_;
   base::TimePoint IdleSince_ = base::TimePoint::max();
 };
 
--- a/libs/gateway/CallerRequest.cpp
+++ b/libs/gateway/CallerRequest.cpp
@@ -30,6 +30,12 @@
   const auto Codings = Head.count(http::field::transfer_encoding);
   if (Lengths > 1)
     return faultOf("Content-Length stands twice");
+  // Beast takes the list "3, 3" for 3; other servers refuse it or take it for
+  // something else.
+  if (Lengths == 1 &&
+      viewOf(Head[http::field::content_length])
+              .find_first_not_of("0123456789") != std::string_view::npos)
+    return faultOf("Content-Length is not a number");
   if (Lengths > 0 && Codings > 0)
     return faultOf("Content-Length next to Transfer-Encoding");
   if (Codings > 1 ||
--- a/libs/gateway/Exchange.cpp
+++ b/libs/gateway/Exchange.cpp
@@ -11,10 +11,14 @@
                    RequestReader &Reader)
     : Home_(Home), Caller_(Caller), Reader_(Reader), Id_(Home.makeRequestId()),
       Answer_(Home, Caller, Reader, Read_, Id_) {
+  Caller_.noteRequest(Id_.name());
   Home_.shared().InFlight_.fetch_add(1);
 }
 
-Exchange::~Exchange() { Home_.shared().InFlight_.fetch_sub(1); }
+Exchange::~Exchange() {
+  Caller_.noteRequest({});
+  Home_.shared().InFlight_.fetch_sub(1);
+}
 
 Task<Ending> Exchange::run() {
   if (const auto Fault = parseCallerRequest(Reader_.message(), Read_)) {
--- a/libs/gateway/Forwarding.cpp
+++ b/libs/gateway/Forwarding.cpp
@@ -147,9 +147,9 @@
   Caller_.watch().neverExpire();
   Caller_.watch().watchHangUp(-1);
   const base::TimePoint Now = base::SystemClock::monotonicNow();
-  if (Turn->decision()) {
+  if (const auto &Made = Turn->decision()) {
     Shared.Waiting_.leave(Ticket);
-    Decision_ = *Turn->decision();
+    Decision_ = *Made;
     noteDecision(Now);
     co_return true;
   }
--- a/libs/gateway/Gateway.cpp
+++ b/libs/gateway/Gateway.cpp
@@ -12,6 +12,8 @@
   for (std::uint32_t Index = 0; Index < Threads; ++Index)
     Workers_.push_back(std::make_unique<Worker>(State_, Index, Seeds()));
   Listener_ = std::make_unique<Listener>(Workers_);
+  Poller_ = std::make_unique<TargetPoller>(*Workers_.front());
+  Stop_ = std::make_unique<StopSequence>(State_, Workers_, *Listener_);
 }
 
 Gateway::~Gateway() {
@@ -35,6 +37,7 @@
 
 void Gateway::setTargets(std::span<const TargetEntry> Targets) {
   State_.Pools_.setTargets(Targets);
+  Poller_->setTargets({Targets.begin(), Targets.end()});
 }
 
 } // namespace lychee::gateway
--- a/libs/gateway/Gateway.h
+++ b/libs/gateway/Gateway.h
@@ -4,6 +4,8 @@
 #include "base/Error.h"
 #include "gateway/GatewayState.h"
 #include "gateway/Listener.h"
+#include "gateway/StopSequence.h"
+#include "gateway/TargetPoller.h"
 #include "gateway/Worker.h"
 
 #include <memory>
@@ -37,10 +39,23 @@
   /// Makes these the targets that may be connected to. From any thread.
   void setTargets(std::span<const TargetEntry> Targets);
 
+  /// Begins a graceful stop; a second call cuts what is left. From any thread.
+  void requestStop() { Stop_->request(); }
+
+  /// Waits until a requested stop is over, at most its deadline.
+  StopSummary waitUntilStopped() { return Stop_->wait(); }
+
+  /// Requests in progress now.
+  std::uint32_t inFlight() const noexcept { return State_.InFlight_; }
+  /// Connections of callers open now.
+  std::uint32_t connections() const noexcept { return State_.Connections_; }
+
 private:
   GatewayState State_;
   std::vector<std::unique_ptr<Worker>> Workers_;
   std::unique_ptr<Listener> Listener_;
+  std::unique_ptr<TargetPoller> Poller_;
+  std::unique_ptr<StopSequence> Stop_;
 };
 
 } // namespace lychee::gateway
--- a/libs/gateway/GatewaySettings.h
+++ b/libs/gateway/GatewaySettings.h
@@ -39,6 +39,7 @@
   /// life at most this long ago: opening one costs about 1 ms.
   base::Duration ProvenLifeLimit_ = std::chrono::milliseconds(100);
 
+  /// Between two polls of a target; zero: none is made.
   base::Duration PollInterval_ = std::chrono::seconds(1);
   base::Duration PollTimeout_ = std::chrono::seconds(1);
 
--- a/libs/gateway/GatewayState.h
+++ b/libs/gateway/GatewayState.h
@@ -35,8 +35,6 @@
   std::atomic<std::uint32_t> Connections_ = 0;
   /// Requests whose head has come and whose answer is not yet whole.
   std::atomic<std::uint32_t> InFlight_ = 0;
-  /// Requests that were cut by the stop's deadline or a second signal.
-  std::atomic<std::uint32_t> CutByStop_ = 0;
 
   bool isServing() const noexcept { return Phase_ == Phase::Serving; }
 };
--- a/libs/gateway/MessageReader.cpp
+++ b/libs/gateway/MessageReader.cpp
@@ -95,7 +95,8 @@
     if (Text.size() >= Limits_.HeadBytes_)
       co_return ReadEnd::HeadTooLarge;
     // A head that goes wrong early would otherwise be waited for in vain.
-    if (!findHeadFault(Text.substr(0, Text.rfind("\r\n") + 1)).empty())
+    const std::size_t Half = Text.ends_with('\r') ? 1 : 0;
+    if (!findHeadFault(Text.substr(0, Text.size() - Half)).empty())
       co_return ReadEnd::Malformed;
     SearchFrom =
         Text.size() < HeadEnd.size() ? 0 : Text.size() - HeadEnd.size();
--- a/libs/gateway/TargetSend.cpp
+++ b/libs/gateway/TargetSend.cpp
@@ -1,13 +1,12 @@
 #include "gateway/TargetSend.h"
 
 #include "base/SystemClock.h"
-#include "gateway/HeaderPolicy.h"
+#include "gateway/TargetAddress.h"
 #include "gateway/Worker.h"
 
 #include <algorithm>
 #include <array>
 #include <boost/asio/write.hpp>
-#include <charconv>
 
 namespace lychee::gateway {
 
@@ -18,21 +17,6 @@
 /// A target's answer may be as long as it likes: it streams.
 constexpr std::uint64_t AnswerLimitBytes = 1ULL << 50;
 
-std::optional<Tcp::endpoint> endpointOf(std::string_view Address) {
-  const std::size_t Colon = Address.rfind(':');
-  if (Colon == std::string_view::npos)
-    return std::nullopt;
-  std::uint16_t Port = 0;
-  const std::string_view Digits = Address.substr(Colon + 1);
-  std::from_chars(Digits.data(), Digits.data() + Digits.size(), Port);
-  ErrorCode Error;
-  const auto Parsed = boost::asio::ip::make_address(
-      std::string(Address.substr(0, Colon)), Error);
-  if (Error || Port == 0)
-    return std::nullopt;
-  return Tcp::endpoint(Parsed, Port);
-}
-
 } // namespace
 
 TargetSend::TargetSend(Worker &Home, CallerConnection &Caller,
@@ -65,7 +49,7 @@
 }
 
 Task<TargetSend::Failure> TargetSend::connect() {
-  const auto Where = endpointOf(Pool_->address());
+  const auto Where = parseTargetAddress(Pool_->address());
   Connection_ = Pool_->make(Home_.executor(), Home_.index());
   if (!Where || !Connection_)
     co_return steering::SendEnd::ConnectFailed;
--- a/libs/gateway/Worker.cpp
+++ b/libs/gateway/Worker.cpp
@@ -75,6 +75,19 @@
   });
 }
 
+void Worker::cutAll(std::function<void(std::vector<std::string>)> Done) {
+  boost::asio::post(Context_, [this, Done = std::move(Done)] {
+    std::vector<std::string> Cut;
+    for (CallerConnection &Caller : Callers_) {
+      if (!Caller.requestId().empty())
+        Cut.push_back(Caller.requestId());
+      Caller.watch().fire(Watch::Cause::HungUp);
+      Caller.close(true);
+    }
+    Done(std::move(Cut));
+  });
+}
+
 void Worker::deliver(std::vector<steering::Wakeup> &Woken,
                      base::TimePoint Now) {
   while (!Woken.empty()) {
--- a/libs/gateway/Worker.h
+++ b/libs/gateway/Worker.h
@@ -9,8 +9,10 @@
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/intrusive/list.hpp>
+#include <functional>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace lychee::gateway {
 
@@ -45,6 +47,10 @@
   /// that a request already on its way to us is not met by a closed door.
   void closeIdle(base::Duration IdleFor, base::TimePoint Now);
 
+  /// Ends every connection at once. \p Done hears the ids of the requests that
+  /// were in progress, on this worker's thread.
+  void cutAll(std::function<void(std::vector<std::string>)> Done);
+
   /// Hands decisions on waiting requests to their coroutines and gives back
   /// the room of those that nobody waits for.
   void deliver(std::vector<steering::Wakeup> &Woken, base::TimePoint Now);
--- a/tests/gateway/Fixture.cpp
+++ b/tests/gateway/Fixture.cpp
@@ -1,12 +1,14 @@
 #include "gateway/Fixture.h"
 
 #include <chrono>
+#include <stdexcept>
 #include <thread>
 
 namespace lychee::tests {
 
 Fixture::Fixture(std::size_t TargetCount, TargetSettings Like) {
   Settings_.Callers_ = {"127.0.0.1", 0};
+  Settings_.PollInterval_ = {};
   std::vector<std::string> Addresses;
   for (std::size_t Index = 0; Index < TargetCount; ++Index) {
     Like.Name_ = "t" + std::to_string(Index + 1);
@@ -42,6 +44,13 @@
   return Sum;
 }
 
+Faults faultsOf(std::string_view Query) {
+  const auto Set = standins::target::parseFaults(Query);
+  if (!Set)
+    throw std::runtime_error("no such fault: " + std::string(Query));
+  return *Set;
+}
+
 bool waitFor(const std::function<bool()> &State) {
   constexpr int Tries = 5000;
   for (int Try = 0; Try < Tries; ++Try) {
--- a/tests/gateway/Fixture.h
+++ b/tests/gateway/Fixture.h
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <memory>
+#include <string_view>
 #include <vector>
 
 namespace lychee::tests {
@@ -47,6 +48,9 @@
   std::unique_ptr<gateway::Gateway> Gateway_;
 };
 
+/// \returns the faults of a query such as "cut=1&slow_ms=5".
+Faults faultsOf(std::string_view Query);
+
 /// Waits for a state, ten seconds at most. \returns whether it came.
 bool waitFor(const std::function<bool()> &State);
 
