The whole path, end to end

An operator applies a tree with the command line, callers look hosts up, show a key, are routed, forwarded and answered; a withdrawn key stops on an open connection; the key is seen nowhere behind the host.

--- a/tests/path/WholePathTest.cpp
+++ b/tests/path/WholePathTest.cpp
@@ -15,7 +15,8 @@
   TestFleet Fleet_{FleetPlan()};
 
   void setup() override {
-    CHECK_TRUE_TEXT(Fleet_.start(), Fleet_.trouble().c_str());
+    const bool Started = Fleet_.start();
+    CHECK_TRUE_TEXT(Started, Fleet_.trouble().c_str());
   }
 };
 
--- a/tests/support/TestFleet.cpp
+++ b/tests/support/TestFleet.cpp
@@ -93,18 +93,21 @@
 void TestFleet::writeSettings() const {
   writeDocument("team/team.ini", "[team team]\ntoken_hash = " +
                                      base::sha256Hex("team-token") + "\n");
-  writeDocument("team/places.ini", "[region near]\nzones = near-1 near-2\n"
-                                   "[region far]\nzones = far-1 far-2\n"
-                                   "[link near-far]\nbetween = near far\n"
-                                   "capacity = 4Gbit/s\ndelay = 20ms\n");
+  writeDocument("network/team.ini", "[team network]\ntoken_hash = " +
+                                        base::sha256Hex("network-token") +
+                                        "\n");
+  writeDocument("network/places.ini", "[region near]\nzones = near-1 near-2\n"
+                                      "[region far]\nzones = far-1 far-2\n"
+                                      "[link near-far]\nbetween = near far\n"
+                                      "capacity = 4Gbit/s\ndelay = 20ms\n");
   writeDocument(
       "team/customers.ini",
       "[customer parish]\nrate = " + std::to_string(Plan_.RatePerSecond_) +
-          "/s\nburst = " + std::to_string(Plan_.Burst_) + "\n");
+          "\nburst = " + std::to_string(Plan_.Burst_) + "\n");
   writeDocument("team/keys.ini", "[key parish-1]\ncustomer = parish\nsalt = " +
                                      std::string(Salt) + "\nhash = " +
                                      base::sha256Hex(Salt + Key_) + "\n");
-  std::string Service = "[service rota]\npath = /\n"
+  std::string Service = "[service rota]\npath = /\nhosts = rota.example\n"
                         "idempotent = GET HEAD PUT DELETE\n"
                         "deadline = 5s\nwork = 5ms\nbytes = 1KiB\n";
   for (std::size_t Index = 0; Index < Plan_.TargetZones_.size(); ++Index)
