Deficit ring: a party in credit no longer makes the search for a turn endless

Cause: skipRounds took the least number of rounds in debt over all parties, and one in credit by a whole quantum counted as minus one, so that its credit was taken away again in each pass.

--- a/libs/admission/DeficitRing.cpp
+++ b/libs/admission/DeficitRing.cpp
@@ -14,9 +14,10 @@
   return DeficitRing::Quantum * Entry.Weight_;
 }
 
-/// Rounds until the entry may take its turn.
+/// Rounds until the entry may take its turn; none for one in credit, which a
+/// negative number would push back into debt, turn after turn without end.
 std::int64_t roundsInDebt(const RingEntry &Entry) noexcept {
-  return -Entry.Deficit_ / quantumOf(Entry);
+  return std::max<std::int64_t>(0, -Entry.Deficit_ / quantumOf(Entry));
 }
 
 /// Slot time that the entry's turns since it left would have brought.
--- a/libs/steering/ServiceSteering.cpp
+++ b/libs/steering/ServiceSteering.cpp
@@ -266,7 +266,7 @@
   Pool.targets().finished(Target, Seen, Report.Took_, Now);
   Pool.line().finished(Ended.Customer_, Ended.Request_.CallerHash_,
                        Ended.Charged_, Report.Took_,
-                       Seen == placement::Outcome::Good);
+                       Seen == placement::Outcome::Good, Now);
   const std::uint64_t Fingerprint = Ended.Request_.Fingerprint_;
   if (Report.End_ == SendEnd::Answered) {
     Retries_.succeeded();
@@ -345,7 +345,7 @@
       if (First.Sends_ > 0 && First.SentTo_ == Where.Choice_.Target_) {
         Where.Choice_ = choose(*Pool, First, Now);
         if (!Where.Choice_.Target_) {
-          First.Place_ = Pool->line().putBack(*Next, Now);
+          First.Place_ = Pool->line().putBack(*Next);
           break;
         }
       }
