--- a/libs/scenario/FleetStrategy.cpp
+++ b/libs/scenario/FleetStrategy.cpp
@@ -9,6 +9,10 @@
   Now_ = Now;
   LeasesEnd_ = Now;
   Hosts_.resize(Peers_.Hosts_);
+  Rates_.resize(Peers_.Hosts_);
+  Offers_.resize(Peers_.Hosts_);
+  for (auto &Heard : Offers_)
+    Heard.resize(Peers_.Hosts_);
   for (std::size_t Host = 0; Host < Hosts_.size(); ++Host)
     begin(Host);
   changeMembers(Now);
@@ -19,7 +23,11 @@
   Settings.Host_ = Peers_.Name_(Host);
   Settings.Region_ = Peers_.Region_(Host);
   Settings.Seed_ = Seed_ * 1000 + Host;
+  Rates_[Host] = std::make_unique<budget::BudgetBook>(Settings.Host_);
+  Settings.Rates_ = Rates_[Host].get();
   Hosts_[Host] = std::make_unique<steering::FleetSteering>(Settings);
+  // The played hosts' time of day is their monotonic time.
+  Hosts_[Host]->setWallTime(base::WallPoint(Now_.time_since_epoch()), Now_);
 }
 
 steering::Steering &FleetStrategy::steering(std::size_t Host) {
@@ -30,8 +38,6 @@
                                 std::shared_ptr<const settings::Intent> Intent,
                                 base::TimePoint Now) {
   Hosts_[Host]->applyIntent(Intent, Now);
-  Hosts_[Host]->setDefaultRateShare(1.0 / static_cast<double>(Hosts_.size()),
-                                    Now);
 }
 
 void FleetStrategy::report(std::size_t Host, const LoadReport &Heard,
@@ -51,8 +57,10 @@
       continue;
     if (Round)
       tellPeers(From, Now);
-    if (Rules_.Exchange_)
-      askForSlots(From, Now);
+    if (!Rules_.Exchange_)
+      continue;
+    askForSlots(From, Now);
+    exchangeRates(From, Now);
   }
 }
 
@@ -62,9 +70,15 @@
   const auto Suspects =
       std::make_shared<const std::vector<retrying::CrashEvidence>>(
           Hosts_[From]->suspects().evidence(Now));
+  const auto Offers = std::make_shared<const std::vector<budget::SpareOffer>>(
+      Rates_[From]->offers(Now));
   for (std::size_t To = 0; To < Hosts_.size(); ++To)
     if (To != From)
-      Peers_.Send_(From, To, [this, To, Now, Round, Suspects] {
+      Peers_.Send_(From, To, [this, From, To, Now, Round, Suspects, Offers] {
+        auto &Heard = Offers_[To][From];
+        Heard.clear();
+        for (const budget::SpareOffer &Each : *Offers)
+          Heard[Each.Budget_] = Each;
         Hosts_[To]->heardRound(*Round, Now);
         Hosts_[To]->suspects().merge(*Suspects, Now);
       });
@@ -102,13 +116,49 @@
   });
 }
 
-void FleetStrategy::changeMembers(base::TimePoint) {
+void FleetStrategy::exchangeRates(std::size_t From, base::TimePoint Now) {
+  for (const budget::Ask &Ask : Rates_[From]->asksDue(Now)) {
+    std::optional<std::size_t> Donor;
+    budget::SpareOffer Best;
+    for (std::size_t Peer = 0; Peer < Hosts_.size(); ++Peer) {
+      const auto Found = Offers_[From][Peer].find(Ask.Budget_);
+      if (!Peers_.Alive_(Peer) || Found == Offers_[From][Peer].end())
+        continue;
+      const budget::SpareOffer &Offer = Found->second;
+      // One that can spare both is worth more than one with more of either.
+      const bool Better = !Donor || std::pair(Offer.Rate_, Offer.Tokens_) >
+                                        std::pair(Best.Rate_, Best.Tokens_);
+      if (!Better)
+        continue;
+      Donor = Peer;
+      Best = Offer;
+    }
+    if (!Donor)
+      continue;
+    Offers_[From][*Donor].erase(Ask.Budget_);
+    Peers_.Send_(From, *Donor, [this, From, Place = *Donor, Ask, Now] {
+      giveRate(Place, From, Ask, Now);
+    });
+  }
+}
+
+void FleetStrategy::giveRate(std::size_t Donor, std::size_t Asker,
+                             const budget::Ask &Ask, base::TimePoint Now) {
+  const auto Given = Rates_[Donor]->give(Ask, Now);
+  if (Given)
+    Peers_.Send_(Donor, Asker, [this, Asker, Transfer = *Given, Now] {
+      Rates_[Asker]->accept(Transfer, Now);
+    });
+}
+
+void FleetStrategy::changeMembers(base::TimePoint Now) {
   std::vector<steering::Member> Members;
   for (std::size_t Host = 0; Host < Hosts_.size(); ++Host)
     if (Peers_.Alive_(Host))
       Members.push_back({Peers_.Name_(Host), Peers_.Region_(Host)});
   ++Epoch_;
   Settled_ = false;
+  RatesSettled_ = false;
   for (std::size_t Host = 0; Host < Hosts_.size(); ++Host) {
     if (!Peers_.Alive_(Host))
       continue;
@@ -119,11 +169,22 @@
     Hosts_[Host]->setPeers(Others);
     if (Rules_.Slots_)
       Hosts_[Host]->enterEpoch(Epoch_, Members);
+    Rates_[Host]->enterEpoch(
+        {Epoch_, static_cast<std::uint32_t>(Members.size()), Now + LongLease},
+        Now);
   }
 }
 
 void FleetStrategy::settle(base::TimePoint Now) {
-  if (Settled_ || !Rules_.Slots_ || Now < LeasesEnd_)
+  if (Now < LeasesEnd_)
+    return;
+  if (!RatesSettled_) {
+    RatesSettled_ = true;
+    for (std::size_t Host = 0; Host < Hosts_.size(); ++Host)
+      if (Peers_.Alive_(Host))
+        Rates_[Host]->settle(Epoch_, Now);
+  }
+  if (Settled_ || !Rules_.Slots_)
     return;
   for (std::size_t Host = 0; Host < Hosts_.size(); ++Host)
     if (Peers_.Alive_(Host) && !Hosts_[Host]->fitsEpoch())
--- a/libs/scenario/FleetStrategy.h
+++ b/libs/scenario/FleetStrategy.h
@@ -44,11 +44,17 @@
   /// From a host's end until its lease is known to have run out.
   static constexpr base::Duration LeaseTime = std::chrono::seconds(3);
 
+  /// Hosts renew their leases here without fail.
+  static constexpr base::Duration LongLease = std::chrono::hours(1);
+
   void begin(std::size_t Host);
   void tellPeers(std::size_t From, base::TimePoint Now);
   void askForSlots(std::size_t From, base::TimePoint Now);
   void giveSlots(std::size_t Donor, std::size_t Asker,
                  const steering::SlotAsk &Ask, base::TimePoint Now);
+  void exchangeRates(std::size_t From, base::TimePoint Now);
+  void giveRate(std::size_t Donor, std::size_t Asker, const budget::Ask &Ask,
+                base::TimePoint Now);
   void changeMembers(base::TimePoint Now);
   void settle(base::TimePoint Now);
   std::optional<std::size_t> placeOf(const base::HostId &Host) const;
@@ -56,11 +62,15 @@
   const FleetRules Rules_;
   PeerNetwork Peers_;
   std::uint64_t Seed_ = 0;
+  std::vector<std::unique_ptr<budget::BudgetBook>> Rates_;
   std::vector<std::unique_ptr<steering::FleetSteering>> Hosts_;
+  /// What each host last heard that each other could spare, by budget.
+  std::vector<std::vector<std::map<std::string, budget::SpareOffer>>> Offers_;
   base::TimePoint Now_;
   base::TimePoint LastRound_;
   std::uint64_t Epoch_ = 0;
   bool Settled_ = false;
+  bool RatesSettled_ = false;
   /// Before this, a host that is gone may still hold a lease.
   base::TimePoint LeasesEnd_;
 };
--- a/libs/steering/FleetSteering.cpp
+++ b/libs/steering/FleetSteering.cpp
@@ -34,6 +34,7 @@
           HostContext{Settings_.Host_, Settings_.Region_, Settings_.Limits_,
                       &Suspects_},
           Settings_.Seed_ + Index));
+      Services_.back()->setWallOffset(WallOffset_);
       Services_.back()->setPeers(Peers_);
       Services_.back()->enterEpoch(Epoch_, Members_);
       if (Settled_)
@@ -41,6 +42,12 @@
     }
   }
   Rates_.applyIntent(*Intent, Now);
+  if (Settings_.Rates_)
+    for (const auto &[Id, Customer] : Intent->Customers_)
+      Settings_.Rates_->setTotal(rateBudget(Id),
+                                 budget::RateTotal::fromRequests(
+                                     Customer.RatePerSecond_, Customer.Burst_),
+                                 Now);
   for (const ServicePointer &Service : services())
     Service->applyIntent(*Intent, Now);
 }
@@ -152,10 +159,32 @@
     Refused.Reason_ = nameOf(Refused.Refusal_);
     return Refused;
   }
-  admission::RateCheck Rate;
-  if (const auto ComeBackAfter = Rates_.take(Arrived.Customer_, Now))
-    Rate = {false, *ComeBackAfter};
-  return Service->arrive(Arrived, Rate, Now);
+  return Service->arrive(Arrived, checkRate(Arrived.Customer_, Now), Now);
+}
+
+admission::RateCheck FleetSteering::checkRate(const base::CustomerId &Customer,
+                                              base::TimePoint Now) {
+  if (!Settings_.Rates_) {
+    const auto ComeBackAfter = Rates_.take(Customer, Now);
+    return {!ComeBackAfter, ComeBackAfter.value_or(base::Duration())};
+  }
+  /// A customer that is told to come back later than this is told this.
+  constexpr base::Duration LongestRetryAfter = std::chrono::seconds(60);
+  const budget::SpendOutcome Spent =
+      Settings_.Rates_->spend(rateBudget(Customer), Now);
+  return {Spent.Result_ == budget::SpendResult::Granted,
+          std::min(Spent.RefillsIn_, LongestRetryAfter)};
+}
+
+void FleetSteering::setWallTime(base::WallPoint Wall, base::TimePoint Now) {
+  const base::Duration Offset =
+      Wall.time_since_epoch() - Now.time_since_epoch();
+  {
+    const std::scoped_lock Guard(Lock_);
+    WallOffset_ = Offset;
+  }
+  for (const ServicePointer &Service : services())
+    Service->setWallOffset(Offset);
 }
 
 Decision FleetSteering::finish(std::uint64_t Ticket, const SendReport &Report,
--- a/libs/steering/FleetSteering.h
+++ b/libs/steering/FleetSteering.h
@@ -1,6 +1,7 @@
 #ifndef LYCHEE_STEERING_FLEETSTEERING_H
 #define LYCHEE_STEERING_FLEETSTEERING_H
 
+#include "budget/BudgetBook.h"
 #include "settings/Intent.h"
 #include "steering/RateTable.h"
 #include "steering/ServiceSteering.h"
@@ -19,6 +20,10 @@
   /// Seeds the choices among equal targets, so that hosts differ.
   std::uint64_t Seed_ = 1;
   ServiceLimits Limits_;
+  /// This host's shares of customers' rates, which its owner exchanges with
+  /// peers and which outlives the steering. Without one, setRateShare says what
+  /// part of each rate this host may give out.
+  budget::BudgetBook *Rates_ = nullptr;
 };
 
 /// The steering of one host of the fleet: the operators' intent, this host's
@@ -39,6 +44,14 @@
   void applyIntent(const std::shared_ptr<const settings::Intent> &Intent,
                    base::TimePoint Now);
 
+  /// Tells what time of day it is, by which shift plans run.
+  void setWallTime(base::WallPoint Wall, base::TimePoint Now);
+
+  /// \returns the budget of a customer's rate in BudgetBook.
+  static std::string rateBudget(const base::CustomerId &Customer) {
+    return "rate/" + Customer.name();
+  }
+
   /// Sets what part of a customer's rate and burst this host may give out, 0
   /// to 1. Until the first call a customer has DefaultShare_.
   void setRateShare(const base::CustomerId &Customer, double Share,
@@ -90,6 +103,8 @@
 private:
   using ServicePointer = std::shared_ptr<ServiceSteering>;
 
+  admission::RateCheck checkRate(const base::CustomerId &Customer,
+                                 base::TimePoint Now);
   ServicePointer find(const base::ServiceId &Service) const;
   ServicePointer find(std::uint64_t Ticket) const;
   std::vector<ServicePointer> services() const;
@@ -106,6 +121,7 @@
   std::uint64_t Epoch_ = 0;
   std::vector<Member> Members_;
   bool Settled_ = false;
+  base::Duration WallOffset_{};
 };
 
 } // namespace lychee::steering
--- a/libs/steering/RegionPool.cpp
+++ b/libs/steering/RegionPool.cpp
@@ -99,10 +99,20 @@
   return Sum;
 }
 
-void RegionPool::heardSpare(const base::HostId &Host, std::uint32_t Spare) {
+void RegionPool::heardSpare(const base::HostId &Host, std::uint32_t Spare,
+                            base::TimePoint Now) {
   const auto Known = Peers_.find(Host);
-  if (Known != Peers_.end())
-    Known->second.Spare_ = Spare;
+  if (Known == Peers_.end())
+    return;
+  Known->second.Spare_ = Spare;
+  SpareHeardAt_ = Now;
+}
+
+std::uint32_t RegionPool::peersSpare() const noexcept {
+  std::uint32_t Sum = 0;
+  for (const auto &[Host, Each] : Peers_)
+    Sum += Each.Spare_;
+  return Sum;
 }
 
 RegionPool::Peer *RegionPool::bestDonor(base::TimePoint Now,
--- a/libs/steering/RegionPool.h
+++ b/libs/steering/RegionPool.h
@@ -50,7 +50,11 @@
 
   /// \returns free slots that this host could give.
   std::uint32_t spare(base::TimePoint Now) const;
-  void heardSpare(const base::HostId &Host, std::uint32_t Spare);
+  void heardSpare(const base::HostId &Host, std::uint32_t Spare,
+                  base::TimePoint Now);
+  /// \returns free slots that the other hosts told of, and when they did.
+  std::uint32_t peersSpare() const noexcept;
+  base::TimePoint spareHeardAt() const noexcept { return SpareHeardAt_; }
 
   /// Someone waits elsewhere and would be steered here.
   void want(std::uint32_t Slots) noexcept { Wanted_ = Slots; }
@@ -91,6 +95,7 @@
   SlotBook Slots_;
   std::map<base::HostId, Peer> Peers_;
   std::uint32_t Wanted_ = 0;
+  base::TimePoint SpareHeardAt_;
   /// Slots that a peer wants back, kept free until it asks again.
   std::map<base::TargetId, std::uint32_t> Recalled_;
   std::unordered_map<base::CustomerId, admission::CustomerIndex> Customers_;
--- a/libs/steering/ServicePeers.cpp
+++ b/libs/steering/ServicePeers.cpp
@@ -38,7 +38,7 @@
   for (const SpareSlots &Told : Round.Spare_)
     if (RegionPool *Pool = poolOf(Told.Region_))
       if (Told.Service_ == Service_)
-        Pool->heardSpare(Round.Host_, Told.Spare_);
+        Pool->heardSpare(Round.Host_, Told.Spare_, Now);
 }
 
 void ServiceSteering::enterEpoch(std::uint64_t Epoch,
--- a/libs/steering/ServicePlacement.cpp
+++ b/libs/steering/ServicePlacement.cpp
@@ -77,10 +77,16 @@
     placement::RegionOption Option;
     Option.Usable_ = Pool->targets().state(Now).Usable_;
     Option.RoundTrip_ = roundTrip(Home.region(), Region);
-    Option.Headroom_ = hasHeadroom(*Pool, Now);
+    // Where slots are divided, those that this host holds there are its part
+    // of the region's headroom.
+    Option.Headroom_ = Pool->divides() || hasHeadroom(*Pool, Now);
     if (Option.Headroom_ && Pool->line().waiting() == 0)
       Place.Choice_ = choose(*Pool, Wanted, Now);
     Option.Room_ = Place.Choice_.Target_.has_value();
+    const bool WorthIt =
+        Wait > placement::RegionChooser::WaitFactor * Option.RoundTrip_;
+    if (!Option.Room_ && Pool->divides() && WorthIt)
+      Pool->want(1);
     Places.push_back(Place);
     Options.push_back(Option);
   }
--- a/libs/steering/ServiceSteering.cpp
+++ b/libs/steering/ServiceSteering.cpp
@@ -106,6 +106,7 @@
     }
     Pool->applyIntent(Intent, Here, Now);
   }
+  setPlans(Intent, Now);
 }
 
 Decision ServiceSteering::arrive(const Request &Arrived,
@@ -136,6 +137,8 @@
                                 const admission::RateCheck &Rate,
                                 base::TimePoint Now) {
   RegionPool *Home = homeOf(Wanted, Now);
+  if (Home && Rate.Allowed_)
+    Home = shiftedHome(Wanted, *Home, Now);
   const auto Customer =
       Home ? Home->customer(Wanted.Request_.Customer_) : std::nullopt;
   if (!Customer)
@@ -154,7 +157,7 @@
   const admission::AdmissionVerdict Verdict = Home->line().arrive(Arrival, Now);
   Wanted.Charged_ = Verdict.ExpectedWork_;
   if (Verdict.Action_ == AdmissionAction::Go)
-    return send(Ticket, Wanted, Near, "nearest");
+    return send(Ticket, Wanted, Near, Wanted.Shifted_ ? "shift" : "nearest");
   const bool Waits = Verdict.Action_ == AdmissionAction::Wait;
   const bool Hopeless = Verdict.Cause_ == admission::Cause::OverRate ||
                         Verdict.Cause_ == admission::Cause::DeadlineTooShort;
@@ -167,6 +170,7 @@
   if (Other) {
     if (Waits)
       Home->line().cancel(Verdict.Place_);
+    Wanted.Shifted_ = false;
     Arrival.Room_ = true;
     Wanted.Customer_ = Other->Pool_->customer(Wanted.Request_.Customer_)
                            .value_or(Wanted.Customer_);
@@ -269,6 +273,11 @@
                        Seen == placement::Outcome::Good, Now);
   const std::uint64_t Fingerprint = Ended.Request_.Fingerprint_;
   if (Report.End_ == SendEnd::Answered) {
+    shifting::ColdCost &Cold = ColdCosts_[Pool.region()];
+    if (Ended.Shifted_)
+      Cold.movedTook(Report.Took_, Now);
+    else
+      Cold.ownTook(Report.Took_);
     Retries_.succeeded();
     Pool.retries(Target).succeeded();
     Context_.Suspects_->answered(Fingerprint);
@@ -319,6 +328,7 @@
   const bool Upkeep = Now - LastUpkeep_ >= UpkeepInterval;
   if (Upkeep)
     LastUpkeep_ = Now;
+  stepShifts(Now);
   for (const auto &[Id, Pool] : Pools_) {
     if (Upkeep)
       Pool->targets().tick(Now);
@@ -351,7 +361,8 @@
       }
       First.Charged_ = Next->Work_;
       Woken.push_back(
-          {Next->Ticket_, send(Next->Ticket_, First, Where, "waited")});
+          {Next->Ticket_, send(Next->Ticket_, First, Where,
+                               First.Shifted_ ? "shift" : "waited")});
     }
     giveUp(Left, Woken);
   }
--- a/libs/steering/ServiceSteering.h
+++ b/libs/steering/ServiceSteering.h
@@ -4,6 +4,8 @@
 #include "base/Random.h"
 #include "placement/RegionChooser.h"
 #include "retrying/CrashSuspects.h"
+#include "shifting/ColdCost.h"
+#include "shifting/ShiftSet.h"
 #include "steering/RegionPool.h"
 #include "steering/Steering.h"
 
@@ -54,6 +56,9 @@
   void heardRound(const HostRound &Round, base::TimePoint Now);
   /// Adds what this host tells its peers.
   void addRound(HostRound &Round, base::TimePoint Now) const;
+  /// Sets the difference from the monotonic clock to the time of day.
+  void setWallOffset(base::Duration Offset);
+
   // Slots, \see SlotBook.
   void enterEpoch(std::uint64_t Epoch, std::span<const Member> Members);
   void settle(std::uint64_t Epoch);
@@ -87,6 +92,8 @@
     /// In Pool_; where it was sent at all.
     placement::TargetIndex SentTo_ = 0;
     bool Waits_ = false;
+    /// A shift plan moved it to Pool_.
+    bool Shifted_ = false;
     /// An earlier send may have run.
     bool MayHaveRun_ = false;
   };
@@ -121,6 +128,14 @@
   std::optional<Found> elsewhere(const Pending &Wanted, RegionPool &Home,
                                  base::Duration Wait, base::TimePoint Now,
                                  std::string_view &Why);
+  RegionPool *shiftedHome(Pending &Wanted, RegionPool &Home,
+                          base::TimePoint Now);
+  bool takeHeadroom(const base::RegionId &Region, base::TimePoint Now);
+  shifting::RegionsView viewOf(const base::RegionId &Receiver,
+                               const base::RegionId &Sender,
+                               base::TimePoint Now);
+  void setPlans(const settings::Intent &Intent, base::TimePoint Now);
+  void stepShifts(base::TimePoint Now);
   bool hasHeadroom(const RegionPool &Pool, base::TimePoint Now) const noexcept;
   base::Duration roundTrip(const base::RegionId &From,
                            const base::RegionId &To) const;
@@ -143,6 +158,12 @@
   std::vector<Member> Members_;
   bool Settled_ = false;
   base::TimePoint LastUpkeep_;
+  shifting::ShiftSet Shifts_;
+  /// Plans as operators' actions left them.
+  std::map<base::PlanId, shifting::ShiftPlan> Plans_;
+  std::map<base::RegionId, shifting::ColdCost> ColdCosts_;
+  base::Duration WallOffset_{};
+  base::TimePoint LastShiftStep_;
 };
 
 } // namespace lychee::steering
