--- a/apps/lycheed/Daemon.cpp
+++ b/apps/lycheed/Daemon.cpp
@@ -4,9 +4,9 @@
 #include "reporting/Log.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/use_future.hpp>
 #include <csignal>
+#include <exception>
 #include <random>
 
 namespace lychee::daemon {
@@ -44,6 +44,20 @@
   return Made;
 }
 
+/// A control coroutine that ends with an exception has a fault of ours; without
+/// this line the host would go on with settings that never change again.
+void reportEnd(const std::exception_ptr &Thrown) {
+  if (!Thrown)
+    return;
+  try {
+    std::rethrow_exception(Thrown);
+  } catch (const std::exception &Failure) {
+    reporting::logLine(LogLevel::Error, base::KeyValueLine()
+                                            .add("event", "control-failed")
+                                            .add("reason", Failure.what()));
+  }
+}
+
 gateway::HostEntry selfEntry(const settings::DaemonSettings &Settings) {
   return {Settings.Host_, Settings.Region_, Settings.Zone_,
           Settings.Callers_.text()};
@@ -136,7 +150,7 @@
       });
   if (!Peers_->listen(Last) || !MetricsServer_->listen(Last))
     return false;
-  asio::co_spawn(Control_, Feed_.run(), asio::detached);
+  asio::co_spawn(Control_, Feed_.run(), reportEnd);
   return Gateway_.start(Last);
 }
 
