--- a/apps/lycheed/SettingsFeed.cpp
+++ b/apps/lycheed/SettingsFeed.cpp
@@ -16,6 +16,15 @@
 constexpr base::Duration WatchWait = std::chrono::seconds(20);
 constexpr base::Duration RetryPause = std::chrono::milliseconds(500);
 
+void tellWhy(const base::Error &Last) {
+  reporting::logLine(reporting::LogLevel::Warning,
+                     base::KeyValueLine()
+                         .add("event", "settings-not-read")
+                         .add("step", Last.Step_)
+                         .add("peer", Last.Peer_)
+                         .add("reason", Last.Reason_));
+}
+
 } // namespace
 
 SettingsFeed::SettingsFeed(store::Store &Kept, Listener Changed)
@@ -34,12 +43,7 @@
     const auto Root = co_await Store_.watch(settings::SettingsRoot::Path, Known,
                                             WatchWait, Last);
     if (!Root) {
-      reporting::logLine(reporting::LogLevel::Warning,
-                         base::KeyValueLine()
-                             .add("event", "settings-watch-failed")
-                             .add("step", Last.Step_)
-                             .add("peer", Last.Peer_)
-                             .add("reason", Last.Reason_));
+      tellWhy(Last);
       co_await pause();
       continue;
     }
@@ -47,6 +51,7 @@
       continue;
     const auto Loaded = co_await Settings_.load(Last);
     if (!Loaded) {
+      tellWhy(Last);
       co_await pause();
       continue;
     }
--- a/libs/operations/SettingsStore.cpp
+++ b/libs/operations/SettingsStore.cpp
@@ -114,6 +114,10 @@
     co_return false;
   }
   Into = std::move(Object->Value_);
+  // Kept at once: under a budget of calls a load may fail half way, and the
+  // next one must go on from there, or a large tree would never be read.
+  const std::lock_guard Guard(Lock_);
+  Cache_[Hash] = Into;
   co_return true;
 }
 
