--- a/bench/Main.cpp
+++ b/bench/Main.cpp
@@ -25,7 +25,8 @@
 
 namespace {
 
-using namespace lychee;
+namespace bench = lychee::bench;
+namespace scenario = lychee::scenario;
 
 constexpr int ExitFailed = 1;
 constexpr int ExitUsage = 2;
--- a/libs/steering/ServicePeers.cpp
+++ b/libs/steering/ServicePeers.cpp
@@ -90,8 +90,10 @@
                                   std::vector<Wakeup> &Woken) {
   const std::scoped_lock Guard(Lock_);
   RegionPool *Pool = poolOf(Gift.Region_);
-  if (Pool && Pool->accept(Gift.Donor_, Gift.Counts_))
-    letWaitingGo(Now, Woken);
+  if (!Pool || !Pool->accept(Gift.Donor_, Gift.Counts_))
+    return;
+  letWaitingGo(Now, Woken);
+  spillWaiting(Now, Woken);
 }
 
 void ServiceSteering::reported(const base::TargetId &Target, std::uint32_t Load,
--- a/libs/steering/ServicePlacement.cpp
+++ b/libs/steering/ServicePlacement.cpp
@@ -1,5 +1,7 @@
 #include "steering/ServiceSteering.h"
 
+#include <algorithm>
+
 namespace lychee::steering {
 
 namespace {
@@ -98,4 +100,58 @@
   return Places[*Chosen.Region_];
 }
 
+void ServiceSteering::spillWaiting(base::TimePoint Now,
+                                   std::vector<Wakeup> &Woken) {
+  for (const auto &[HomeId, Home] : Pools_) {
+    if (Home->line().waiting() == 0)
+      continue;
+    std::vector<RegionPool *> Others;
+    for (const auto &[Id, Pool] : Pools_)
+      if (Pool != Home)
+        Others.push_back(Pool.get());
+    std::ranges::sort(Others, {}, [&](const RegionPool *Pool) {
+      return roundTrip(HomeId, Pool->region());
+    });
+    for (RegionPool *Other : Others)
+      spillFrom(*Home, *Other, Now, Woken);
+  }
+}
+
+void ServiceSteering::spillFrom(RegionPool &Home, RegionPool &Other,
+                                base::TimePoint Now,
+                                std::vector<Wakeup> &Woken) {
+  /// Most slots that one look asks for; the next look is a tick away.
+  constexpr std::size_t MostWanted = 4;
+  const base::Duration WorthIt = placement::RegionChooser::WaitFactor *
+                                 roundTrip(Home.region(), Other.region());
+  const auto Wait = [&] {
+    return Home.line().expectedWork() * Home.line().waiting() /
+           std::max(1U, Home.line().running());
+  };
+  std::vector<admission::GivenUp> Left;
+  while (Wait() > WorthIt && Other.line().waiting() == 0) {
+    if (!Other.divides() && !hasHeadroom(Other, Now))
+      break;
+    Found Where{&Other, Other.targets().choose({}, Now, Random_)};
+    if (!Where.Choice_.Target_)
+      break;
+    const auto Next = Home.line().next(Now, Left);
+    if (!Next)
+      break;
+    Pending &First = Pending_.at(Next->Ticket_);
+    // It waited here and will run there: this line is charged nothing.
+    Home.line().finished(Next->Customer_, Next->Caller_, Next->Work_, {}, false,
+                         Now);
+    const auto Verdict =
+        enterElsewhere(Next->Ticket_, First, Where, Now, "spill-waited");
+    Woken.push_back({Next->Ticket_, Verdict});
+    if (Verdict.Action_ == Decision::Action::Refuse)
+      Pending_.erase(Next->Ticket_);
+  }
+  giveUp(Left, Woken);
+  if (Other.divides() && Wait() > WorthIt)
+    Other.want(static_cast<std::uint32_t>(
+        std::min(MostWanted, Home.line().waiting())));
+}
+
 } // namespace lychee::steering
--- a/libs/steering/ServiceSteering.cpp
+++ b/libs/steering/ServiceSteering.cpp
@@ -153,6 +153,9 @@
   Found Near{Home, {}};
   if (Rate.Allowed_)
     Near.Choice_ = choose(*Home, Wanted, Now);
+  if (!payForResend(Wanted, Near, Now))
+    return refuse(Refusal::TargetFailed, ranOf(Wanted.MayHaveRun_),
+                  "retry-budget");
   Arrival.Room_ = Near.Choice_.Target_.has_value();
   const admission::AdmissionVerdict Verdict = Home->line().arrive(Arrival, Now);
   Wanted.Charged_ = Verdict.ExpectedWork_;
@@ -170,16 +173,7 @@
   if (Other) {
     if (Waits)
       Home->line().cancel(Verdict.Place_);
-    Wanted.Shifted_ = false;
-    Arrival.Room_ = true;
-    Wanted.Customer_ = Other->Pool_->customer(Wanted.Request_.Customer_)
-                           .value_or(Wanted.Customer_);
-    Arrival.Customer_ = Wanted.Customer_;
-    const auto There = Other->Pool_->line().arrive(Arrival, Now);
-    Wanted.Charged_ = There.ExpectedWork_;
-    if (There.Action_ == AdmissionAction::Go)
-      return send(Ticket, Wanted, *Other, Why);
-    return refuse(Wanted, There);
+    return enterElsewhere(Ticket, Wanted, *Other, Now, Why);
   }
   if (!Waits)
     return refuse(Wanted, Verdict);
@@ -188,6 +182,38 @@
   return hold(Ticket, Wanted);
 }
 
+Decision ServiceSteering::enterElsewhere(std::uint64_t Ticket, Pending &Wanted,
+                                         const Found &Where,
+                                         base::TimePoint Now,
+                                         std::string_view Why) {
+  Wanted.Shifted_ = false;
+  Wanted.Customer_ = Where.Pool_->customer(Wanted.Request_.Customer_)
+                         .value_or(Wanted.Customer_);
+  admission::Arrival Arrival;
+  Arrival.Ticket_ = Ticket;
+  Arrival.Customer_ = Wanted.Customer_;
+  Arrival.Caller_ = Wanted.Request_.CallerHash_;
+  Arrival.Deadline_ = Wanted.Request_.Deadline_;
+  Arrival.Room_ = true;
+  const auto Verdict = Where.Pool_->line().arrive(Arrival, Now);
+  Wanted.Charged_ = Verdict.ExpectedWork_;
+  if (Verdict.Action_ == AdmissionAction::Go)
+    return send(Ticket, Wanted, Where, Why);
+  return refuse(Wanted, Verdict);
+}
+
+bool ServiceSteering::payForResend(const Pending &Wanted, const Found &Near,
+                                   base::TimePoint Now) {
+  if (Wanted.Sends_ == 0)
+    return true;
+  // The target's budget keeps one that comes back from taking all second
+  // sends; one that waits in line finds its target later.
+  if (!Near.Choice_.Target_)
+    return Retries_.spend(Now);
+  return retrying::RetryBudget::spendBoth(
+      Retries_, Near.Pool_->retries(*Near.Choice_.Target_), Now);
+}
+
 Decision ServiceSteering::send(std::uint64_t Ticket, Pending &Wanted,
                                const Found &Where, std::string_view Why) {
   assert(Where.Choice_.Target_.has_value() &&
@@ -306,11 +332,6 @@
     return refuse(Refusal::TargetFailed, MayHaveRun);
   if (Context_.Suspects_->suspectUntil(Failed.Request_.Fingerprint_, Now) > Now)
     return refuse(Refusal::CrashSuspect, MayHaveRun);
-  // Both budgets: the host's bounds the sum, the target's keeps one that fails
-  // from using up all of it.
-  if (!retrying::RetryBudget::spendBoth(
-          Retries_, Failed.Pool_->retries(Failed.SentTo_), Now))
-    return refuse(Refusal::TargetFailed, MayHaveRun, "retry-budget");
   return enter(Ticket, Failed, {}, Now);
 }
 
@@ -337,6 +358,7 @@
     giveUp(Left, Woken);
   }
   letWaitingGo(Now, Woken);
+  spillWaiting(Now, Woken);
 }
 
 void ServiceSteering::letWaitingGo(base::TimePoint Now,
--- a/libs/steering/ServiceSteering.h
+++ b/libs/steering/ServiceSteering.h
@@ -107,6 +107,11 @@
   // The way of a request, in ServiceSteering.cpp.
   Decision enter(std::uint64_t Ticket, Pending &Wanted,
                  const admission::RateCheck &Rate, base::TimePoint Now);
+  Decision enterElsewhere(std::uint64_t Ticket, Pending &Wanted,
+                          const Found &Where, base::TimePoint Now,
+                          std::string_view Why);
+  bool payForResend(const Pending &Wanted, const Found &Near,
+                    base::TimePoint Now);
   Decision send(std::uint64_t Ticket, Pending &Wanted, const Found &Where,
                 std::string_view Why);
   Decision hold(std::uint64_t Ticket, Pending &Wanted) const;
@@ -136,6 +141,9 @@
                                base::TimePoint Now);
   void setPlans(const settings::Intent &Intent, base::TimePoint Now);
   void stepShifts(base::TimePoint Now);
+  void spillWaiting(base::TimePoint Now, std::vector<Wakeup> &Woken);
+  void spillFrom(RegionPool &Home, RegionPool &Other, base::TimePoint Now,
+                 std::vector<Wakeup> &Woken);
   bool hasHeadroom(const RegionPool &Pool, base::TimePoint Now) const noexcept;
   base::Duration roundTrip(const base::RegionId &From,
                            const base::RegionId &To) const;
