A region's slots go to its own hosts first, and from hosts with many to hosts with few

Cause: a host whose line stood never gave a slot, so spilled work kept other regions' slots for good, and one busy host starved its neighbours.

--- a/libs/placement/TargetPool.h
+++ b/libs/placement/TargetPool.h
@@ -125,6 +125,9 @@
     return Entries_[Target].Own_;
   }
 
+  /// \returns what this host has in flight in the whole pool.
+  std::uint32_t ownTotal() const noexcept { return OwnTotal_; }
+
   /// \returns the targets that may get work.
   std::span<const TargetIndex> active() const noexcept { return Active_; }
 
--- a/libs/steering/RegionPool.cpp
+++ b/libs/steering/RegionPool.cpp
@@ -1,6 +1,7 @@
 #include "steering/RegionPool.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace lychee::steering {
@@ -57,8 +58,10 @@
     All.push_back(Each.Host_);
     if (Each.Region_ == Region_)
       Near.push_back(Each.Host_);
-    if (Each.Host_ == Self_)
+    if (Each.Host_ == Self_) {
+      IsNear_ = Each.Region_ == Region_;
       continue;
+    }
     Peers_[Each.Host_] = Old[Each.Host_];
     Peers_[Each.Host_].Region_ = Each.Region_;
   }
@@ -76,14 +79,19 @@
     return;
   for (const placement::TargetIndex Target : Targets_.active()) {
     const base::TargetId &Name = Targets_.nameOf(Target);
-    const auto Recalled = Recalled_.find(Name);
-    const std::int64_t Kept =
-        Recalled == Recalled_.end() ? 0 : Recalled->second;
+    const std::int64_t Kept = Kept_.contains(Name) ? 1 : 0;
     Targets_.setShare(Target, static_cast<std::uint32_t>(std::max<std::int64_t>(
                                   0, Slots_.held(Name) - Kept)));
   }
 }
 
+void RegionPool::upkeep(base::TimePoint Now) {
+  const auto Ended = std::erase_if(
+      Kept_, [Now](const auto &Each) { return Each.second <= Now; });
+  if (Ended > 0)
+    refreshShares();
+}
+
 bool RegionPool::fits() const {
   return std::ranges::all_of(Targets_.active(),
                              [this](placement::TargetIndex Target) {
@@ -99,12 +107,13 @@
   return Sum;
 }
 
-void RegionPool::heardSpare(const base::HostId &Host, std::uint32_t Spare,
+void RegionPool::heardSpare(const base::HostId &Host, const SpareSlots &Told,
                             base::TimePoint Now) {
   const auto Known = Peers_.find(Host);
   if (Known == Peers_.end())
     return;
-  Known->second.Spare_ = Spare;
+  Known->second.Spare_ = Told.Spare_;
+  Known->second.Used_ = Told.Used_;
   SpareHeardAt_ = Now;
 }
 
@@ -115,19 +124,33 @@
   return Sum;
 }
 
+bool RegionPool::mayAsk(const Peer &Each, base::TimePoint Now) const noexcept {
+  const bool Near = Each.Region_ == Region_;
+  if (Now - Each.AskedAt_ < (Near ? AskAgainNear : AskAgainAfar))
+    return false;
+  if (Each.Spare_ > 0)
+    return true;
+  // Where nothing is free, hosts of other regions give back, and those of this
+  // one who have most share with those who have least.
+  return IsNear_ && Each.Used_ > (Near ? 2 * Targets_.ownTotal() + 1 : 0);
+}
+
+bool RegionPool::isBetterDonor(const Peer &Each,
+                               const Peer *Best) const noexcept {
+  if (!Best)
+    return true;
+  const auto Rank = [this](const Peer &Ranked) {
+    return std::tuple(Ranked.Spare_ > 0, Ranked.Region_ == Region_,
+                      Ranked.Spare_, Ranked.Used_);
+  };
+  return Rank(Each) > Rank(*Best);
+}
+
 RegionPool::Peer *RegionPool::bestDonor(base::TimePoint Now,
                                         base::HostId &Donor) {
   Peer *Best = nullptr;
   for (auto &[Host, Each] : Peers_) {
-    const base::Duration Again =
-        Each.Region_ == Region_ ? AskAgainNear : AskAgainAfar;
-    if (Each.Spare_ == 0 || Now - Each.AskedAt_ < Again)
-      continue;
-    const bool Nearer =
-        Best && Each.Region_ == Region_ && Best->Region_ != Region_;
-    const bool SameDistance =
-        Best && (Each.Region_ == Region_) == (Best->Region_ == Region_);
-    if (Best && !Nearer && !(SameDistance && Each.Spare_ > Best->Spare_))
+    if (!mayAsk(Each, Now) || !isBetterDonor(Each, Best))
       continue;
     Best = &Each;
     Donor = Host;
@@ -138,7 +161,7 @@
 void RegionPool::addAsks(std::vector<SlotAsk> &Asks, base::TimePoint Now) {
   if (!Slots_.divides())
     return;
-  addRecalls(Asks);
+  addRecalls(Asks, Now);
   std::uint32_t Missing =
       static_cast<std::uint32_t>(Line_.waiting()) + std::exchange(Wanted_, 0);
   base::HostId Donor;
@@ -146,24 +169,28 @@
     Peer *Best = bestDonor(Now, Donor);
     if (!Best)
       return;
-    const std::uint32_t Slots = std::min(Missing, Best->Spare_);
+    const std::uint32_t Slots = std::min(Missing, std::max(1U, Best->Spare_));
     Best->AskedAt_ = Now;
-    Best->Spare_ -= Slots;
+    Best->Spare_ -= std::min(Best->Spare_, Slots);
     Missing -= Slots;
     SlotAsk Ask;
     Ask.Asker_ = Self_;
     Ask.Donor_ = Donor;
     Ask.Region_ = Region_;
     Ask.Slots_ = Slots;
+    Ask.AskerUses_ = Targets_.ownTotal();
     Asks.push_back(Ask);
   }
 }
 
-void RegionPool::addRecalls(std::vector<SlotAsk> &Asks) {
+void RegionPool::addRecalls(std::vector<SlotAsk> &Asks, base::TimePoint Now) {
+  if (Now - RecalledAt_ < AskAgainAfar)
+    return;
   for (const placement::TargetIndex Target : Targets_.active()) {
     const base::TargetId &Name = Targets_.nameOf(Target);
     if (Slots_.held(Name) >= 0)
       continue;
+    RecalledAt_ = Now;
     for (const auto &[Host, Each] : Peers_) {
       SlotAsk Ask;
       Ask.Asker_ = Self_;
@@ -178,9 +205,11 @@
 
 std::uint32_t RegionPool::mayGive(const SlotAsk &Asked,
                                   base::TimePoint Now) const {
+  const std::uint32_t Free = spare(Now);
+  if (goesFirst(Asked))
+    return std::min(Asked.Slots_, Free);
   if (Line_.waiting() > 0)
     return 0;
-  const std::uint32_t Free = spare(Now);
   if (Asked.AskerRegion_ == Region_)
     return std::min(Asked.Slots_, (Free + 1) / 2);
   std::int64_t Held = 0;
@@ -191,34 +220,64 @@
   return Free > Kept ? std::min(Asked.Slots_, Free - Kept) : 0;
 }
 
+bool RegionPool::goesFirst(const SlotAsk &Asked) const noexcept {
+  // A region's slots are its own hosts' first: steered work that kept them
+  // while its own line stands would leave the region's callers waiting for
+  // room that other regions' callers use.
+  const bool AskerNear = Asked.AskerRegion_ == Region_;
+  return AskerNear &&
+         (!IsNear_ || 2 * Asked.AskerUses_ + 1 < Targets_.ownTotal());
+}
+
 std::vector<SlotCount> RegionPool::give(const SlotAsk &Asked,
                                         base::TimePoint Now) {
   std::vector<SlotCount> Told;
   if (!Peers_.contains(Asked.Asker_))
     return Told;
   const bool Recall = !Asked.Recalled_.empty();
-  std::uint32_t Left = Recall ? Asked.Slots_ : mayGive(Asked, Now);
+  if (Recall || (spare(Now) == 0 && goesFirst(Asked)))
+    return giveKept(Asked, Now);
+  std::uint32_t Left = mayGive(Asked, Now);
   for (const placement::TargetIndex Target : Targets_.active()) {
-    const base::TargetId &Name = Targets_.nameOf(Target);
-    if (Recall && Name != Asked.Recalled_)
-      continue;
-    const std::int64_t Free =
-        Recall ? Slots_.held(Name) - Targets_.inFlight(Target)
-               : Targets_.freeShare(Target, Now);
-    const auto Given =
-        static_cast<std::uint32_t>(std::clamp<std::int64_t>(Free, 0, Left));
+    const std::uint32_t Given = std::min(Left, Targets_.freeShare(Target, Now));
     if (Given > 0)
-      Told.push_back(Slots_.give(Asked.Asker_, Name, Given));
-    if (Recall && Given == 0 && Slots_.held(Name) > 0)
-      Recalled_[Name] = 1;
-    else if (Recall)
-      Recalled_.erase(Name);
+      Told.push_back(Slots_.give(Asked.Asker_, Targets_.nameOf(Target), Given));
     Left -= Given;
   }
   refreshShares();
   return Told;
 }
 
+std::vector<SlotCount> RegionPool::giveKept(const SlotAsk &Asked,
+                                            base::TimePoint Now) {
+  // Long enough for the peer to ask again, and no longer: the slot is idle.
+  const bool Near = Asked.AskerRegion_ == Region_;
+  const base::Duration KeepTime = Near ? 4 * AskAgainNear : 2 * AskAgainAfar;
+  placement::TargetIndex Busiest = 0;
+  std::int64_t MostHeld = 0;
+  for (const placement::TargetIndex Target : Targets_.active()) {
+    const base::TargetId &Name = Targets_.nameOf(Target);
+    if (!Asked.Recalled_.empty() && Name != Asked.Recalled_)
+      continue;
+    const std::int64_t Held = Slots_.held(Name);
+    if (Held > Targets_.inFlight(Target)) {
+      Kept_.erase(Name);
+      const SlotCount Given = Slots_.give(Asked.Asker_, Name, 1);
+      refreshShares();
+      return {Given};
+    }
+    if (Held > MostHeld) {
+      MostHeld = Held;
+      Busiest = Target;
+    }
+  }
+  // None is free: the next one that ends is kept for the asker.
+  if (MostHeld > 0)
+    Kept_[Targets_.nameOf(Busiest)] = Now + KeepTime;
+  refreshShares();
+  return {};
+}
+
 bool RegionPool::accept(const base::HostId &Donor,
                         std::span<const SlotCount> Told) {
   bool Gained = false;
--- a/libs/steering/RegionPool.h
+++ b/libs/steering/RegionPool.h
@@ -50,12 +50,15 @@
 
   /// \returns free slots that this host could give.
   std::uint32_t spare(base::TimePoint Now) const;
-  void heardSpare(const base::HostId &Host, std::uint32_t Spare,
+  void heardSpare(const base::HostId &Host, const SpareSlots &Told,
                   base::TimePoint Now);
   /// \returns free slots that the other hosts told of, and when they did.
   std::uint32_t peersSpare() const noexcept;
   base::TimePoint spareHeardAt() const noexcept { return SpareHeardAt_; }
 
+  /// Ends what was kept for peers that did not ask again; every 10 ms or so.
+  void upkeep(base::TimePoint Now);
+
   /// Someone waits elsewhere and would be steered here.
   void want(std::uint32_t Slots) noexcept { Wanted_ = Slots; }
 
@@ -80,12 +83,17 @@
   struct Peer {
     base::RegionId Region_;
     std::uint32_t Spare_ = 0;
+    std::uint32_t Used_ = 0;
     base::TimePoint AskedAt_;
   };
 
   void refreshShares();
-  void addRecalls(std::vector<SlotAsk> &Asks);
+  void addRecalls(std::vector<SlotAsk> &Asks, base::TimePoint Now);
   std::uint32_t mayGive(const SlotAsk &Asked, base::TimePoint Now) const;
+  std::vector<SlotCount> giveKept(const SlotAsk &Asked, base::TimePoint Now);
+  bool goesFirst(const SlotAsk &Asked) const noexcept;
+  bool isBetterDonor(const Peer &Each, const Peer *Best) const noexcept;
+  bool mayAsk(const Peer &Each, base::TimePoint Now) const noexcept;
   Peer *bestDonor(base::TimePoint Now, base::HostId &Donor);
 
   const base::HostId Self_;
@@ -95,9 +103,13 @@
   SlotBook Slots_;
   std::map<base::HostId, Peer> Peers_;
   std::uint32_t Wanted_ = 0;
+  /// This host stands in the region.
+  bool IsNear_ = false;
+  base::TimePoint RecalledAt_;
   base::TimePoint SpareHeardAt_;
-  /// Slots that a peer wants back, kept free until it asks again.
-  std::map<base::TargetId, std::uint32_t> Recalled_;
+  /// Targets of which one slot is kept free for a peer, and until when: it asks
+  /// again within this time, or needs it no longer.
+  std::map<base::TargetId, base::TimePoint> Kept_;
   std::unordered_map<base::CustomerId, admission::CustomerIndex> Customers_;
   std::unordered_map<base::TargetId, std::string> Addresses_;
   std::unordered_map<placement::TargetIndex, retrying::RetryBudget> Retries_;
--- a/libs/steering/ServicePeers.cpp
+++ b/libs/steering/ServicePeers.cpp
@@ -16,7 +16,8 @@
   const std::scoped_lock Guard(Lock_);
   for (const auto &[Id, Pool] : Pools_) {
     if (Pool->divides()) {
-      Round.Spare_.push_back({Service_, Id, Pool->spare(Now)});
+      Round.Spare_.push_back(
+          {Service_, Id, Pool->spare(Now), Pool->targets().ownTotal()});
       continue;
     }
     for (const placement::InFlight &Own : Pool->targets().ownInFlight())
@@ -38,7 +39,7 @@
   for (const SpareSlots &Told : Round.Spare_)
     if (RegionPool *Pool = poolOf(Told.Region_))
       if (Told.Service_ == Service_)
-        Pool->heardSpare(Round.Host_, Told.Spare_, Now);
+        Pool->heardSpare(Round.Host_, Told, Now);
 }
 
 void ServiceSteering::enterEpoch(std::uint64_t Epoch,
--- a/libs/steering/ServiceSteering.cpp
+++ b/libs/steering/ServiceSteering.cpp
@@ -353,6 +353,7 @@
   for (const auto &[Id, Pool] : Pools_) {
     if (Upkeep)
       Pool->targets().tick(Now);
+    Pool->upkeep(Now);
     std::vector<admission::GivenUp> Left;
     Pool->line().expire(Now, Left);
     giveUp(Left, Woken);
--- a/libs/steering/SlotMessages.h
+++ b/libs/steering/SlotMessages.h
@@ -19,11 +19,14 @@
   bool operator==(const PeerLoad &) const = default;
 };
 
-/// Free slots that a host could give of one service in one region.
+/// How a host stands with one service in one region.
 struct SpareSlots {
   base::ServiceId Service_;
   base::RegionId Region_;
+  /// Free slots that it could give.
   std::uint32_t Spare_ = 0;
+  /// Slots that it has in use.
+  std::uint32_t Used_ = 0;
 
   bool operator==(const SpareSlots &) const = default;
 };
@@ -44,6 +47,9 @@
   base::ServiceId Service_;
   base::RegionId Region_;
   std::uint32_t Slots_ = 0;
+  /// Slots that the asker has in use: one that has fewer than the donor gets
+  /// some although requests wait there too.
+  std::uint32_t AskerUses_ = 0;
   /// Empty for any; else slots of this target are wanted back.
   base::TargetId Recalled_;
 };
