Exchange: shares, slots, crash evidence and epochs between hosts

Reports every 250 ms to at most 16 peers, asks every 10 ms where something is lacking. An epoch settles when every member says that it stands in it; a host that the directory left out has no lease by then.

--- /dev/null
+++ b/libs/exchange/ExchangeNode.h
@@ -0,0 +1,112 @@
+#ifndef LYCHEE_EXCHANGE_EXCHANGENODE_H
+#define LYCHEE_EXCHANGE_EXCHANGENODE_H
+
+#include "base/Random.h"
+#include "budget/BudgetBook.h"
+#include "exchange/EpochTracker.h"
+#include "exchange/OfferBook.h"
+#include "fleet/Directory.h"
+#include "fleet/PeerClient.h"
+#include "fleet/rpc/RpcDispatcher.h"
+#include "steering/FleetSteering.h"
+
+#include <atomic>
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace lychee::exchange {
+
+/// What the exchange moves, and whom it tells.
+struct ExchangeParts {
+  steering::FleetSteering &Steering_;
+  budget::BudgetBook &Rates_;
+  /// Takes decisions on requests that waited for the slots of a gift.
+  std::function<void(std::span<steering::Wakeup>)> Wake_;
+  /// \returns until when this host's lease in \p Epoch stands; a time in the
+  /// past where it has none. Asked again before each use.
+  std::function<base::TimePoint(std::uint64_t Epoch)> LeaseUntil_;
+};
+
+/// One host's exchange with its peers: tells them every ReportInterval what it
+/// can spare, asks for what it lacks, answers their asks, and enters and
+/// settles membership epochs.
+///
+/// Costs of control are bounded: a report goes to at most FanOut peers at a
+/// time, the next one to the next, so that a host's messages do not grow with
+/// the fleet. \see budget::BudgetBook, steering::FleetSteering
+class ExchangeNode {
+public:
+  /// Binds the exchange's methods to \p Handlers.
+  ExchangeNode(const boost::asio::any_io_executor &Executor,
+               fleet::PeerClient &Peers, fleet::RpcDispatcher &Handlers,
+               base::HostId SelfName, std::uint64_t Incarnation,
+               ExchangeParts Parts);
+  ExchangeNode(const ExchangeNode &) = delete;
+  ExchangeNode &operator=(const ExchangeNode &) = delete;
+
+  /// Names one start of one host: a restarted host holds nothing of what it
+  /// held before.
+  static base::HostId processId(const base::HostId &Name,
+                                std::uint64_t Incarnation);
+
+  void start();
+  void stop() noexcept { Stopped_ = true; }
+
+  /// The fleet's members changed. From any thread.
+  void directoryChanged(const fleet::Directory &Changed, base::TimePoint Now);
+
+  std::uint64_t epoch() const { return Epochs_.epoch(); }
+  bool settled() const { return Epochs_.settled(); }
+
+  static constexpr base::Duration ReportInterval =
+      std::chrono::milliseconds(250);
+  static constexpr base::Duration AskInterval = std::chrono::milliseconds(10);
+  static constexpr base::Duration CallTimeout = std::chrono::milliseconds(500);
+  static constexpr std::size_t FanOut = 16;
+
+private:
+  using Task = boost::asio::awaitable<void>;
+
+  Task askLoop();
+  Task reportLoop();
+  Task tell(std::string Address, std::string Report);
+  Task askSlots(std::string Address, steering::SlotAsk Asked);
+  Task askRate(std::string Address, budget::Ask Asked);
+
+  void bind(fleet::RpcDispatcher &Handlers);
+  fleet::RpcOutcome hearReport(const std::string &Text);
+  fleet::RpcOutcome hearSlotAsk(const std::string &Text);
+  fleet::RpcOutcome hearAsk(const std::string &Text);
+
+  void followEpoch(base::TimePoint Now);
+  std::string report(base::TimePoint Now) const;
+  std::vector<std::string> nextPeers();
+  std::optional<std::string> addressOf(const base::HostId &Process) const;
+  void spawn(Task Started);
+
+  const boost::asio::any_io_executor Executor_;
+  fleet::PeerClient &Peers_;
+  const base::HostId Self_;
+  const ExchangeParts Parts_;
+  EpochTracker Epochs_;
+  OfferBook Offers_;
+  std::atomic<bool> Stopped_ = false;
+  std::atomic<std::uint64_t> Settled_ = 0;
+
+  mutable std::mutex Lock_;
+  /// Process id to IP:PORT, without this host.
+  std::map<base::HostId, std::string> Addresses_;
+  std::size_t NextPeer_ = 0;
+};
+
+} // namespace lychee::exchange
+
+#endif
