--- a/libs/fleet/ZoneKeeper.cpp
+++ b/libs/fleet/ZoneKeeper.cpp
@@ -128,6 +128,12 @@
   return Found != Heard_.end() && isOlder(Listed, Found->second.Member_);
 }
 
+bool ZoneKeeper::leaseIsOver(const base::HostId &Host,
+                             base::TimePoint Now) const {
+  const Member *Listed = Record_.find(Host);
+  return !Listed || mustGo(*Listed, Now);
+}
+
 std::vector<Member> ZoneKeeper::admitted(base::TimePoint Now) const {
   std::vector<Member> New;
   for (const auto &[Host, Known] : Heard_)
--- a/libs/fleet/ZoneKeeper.h
+++ b/libs/fleet/ZoneKeeper.h
@@ -60,6 +60,10 @@
   /// is being written, or where no record holds this start of this host yet.
   bool pledge(const base::HostId &Host, base::TimePoint Now);
 
+  /// \returns true where \p Host's lease is over for certain, as far as silence
+  /// or the platform can prove it; \see pledge.
+  bool leaseIsOver(const base::HostId &Host, base::TimePoint Now) const;
+
   /// \returns what to write now, if anything.
   std::optional<RecordPlan> plan(base::TimePoint Now) const;
 
--- a/tests/support/IoThreads.h
+++ b/tests/support/IoThreads.h
@@ -26,6 +26,8 @@
 
   boost::asio::any_io_executor executor() { return Context_.get_executor(); }
 
+  boost::asio::io_context &context() noexcept { return Context_; }
+
   template <typename Result>
   Result run(boost::asio::awaitable<Result> Operation) {
     return boost::asio::co_spawn(Context_, std::move(Operation),
