--- a/libs/steering/FleetSteering.h
+++ b/libs/steering/FleetSteering.h
@@ -1,6 +1,7 @@
 #ifndef LYCHEE_STEERING_FLEETSTEERING_H
 #define LYCHEE_STEERING_FLEETSTEERING_H
 
+#include "budget/BudgetBook.h"
 #include "settings/Intent.h"
 #include "steering/RateTable.h"
 #include "steering/ServiceSteering.h"
@@ -19,6 +20,10 @@
   /// Seeds the choices among equal targets, so that hosts differ.
   std::uint64_t Seed_ = 1;
   ServiceLimits Limits_;
+  /// This host's shares of customers' rates, which its owner exchanges with
+  /// peers and which outlives the steering. Without one, setRateShare says what
+  /// part of each rate this host may give out.
+  budget::BudgetBook *Rates_ = nullptr;
 };
 
 /// The steering of one host of the fleet: the operators' intent, this host's
@@ -39,6 +44,14 @@
   void applyIntent(const std::shared_ptr<const settings::Intent> &Intent,
                    base::TimePoint Now);
 
+  /// Tells what time of day it is, by which shift plans run.
+  void setWallTime(base::WallPoint Wall, base::TimePoint Now);
+
+  /// \returns the budget of a customer's rate in BudgetBook.
+  static std::string rateBudget(const base::CustomerId &Customer) {
+    return "rate/" + Customer.name();
+  }
+
   /// Sets what part of a customer's rate and burst this host may give out, 0
   /// to 1. Until the first call a customer has DefaultShare_.
   void setRateShare(const base::CustomerId &Customer, double Share,
@@ -51,11 +64,28 @@
   /// Sets the other hosts of the fleet, which send to the same targets.
   void setPeers(std::span<const base::HostId> Peers);
 
-  /// \returns what this host has in flight, for its peers; to be sent about
-  /// every 50 ms.
-  std::vector<PeerLoad> ownLoads() const;
-  void heardPeer(const base::HostId &Peer, std::span<const PeerLoad> Loads,
-                 base::TimePoint Now);
+  /// \returns what to tell all peers now; to be called about every 50 ms.
+  HostRound round(base::TimePoint Now) const;
+  void heardRound(const HostRound &Round, base::TimePoint Now);
+
+  // Division of targets' slots among hosts. Without an epoch hosts go by what
+  // the others say they have in flight. \see SlotBook
+
+  /// Enters a membership epoch.
+  /// \param Members  all hosts of it, this one included.
+  void enterEpoch(std::uint64_t Epoch, std::span<const Member> Members);
+  /// \returns true where nothing older than the epoch is in use any more, so
+  /// that this host may tell the others that it has entered.
+  bool fitsEpoch() const;
+  /// All hosts of older epochs have entered, or are gone.
+  void settleEpoch(std::uint64_t Epoch);
+  /// \returns what to ask of peers now, each ask to its Donor_; to be called
+  /// every few milliseconds.
+  std::vector<SlotAsk> slotAsks(base::TimePoint Now);
+  /// \returns what to tell the asker; empty where nothing can be given.
+  std::optional<SlotGift> giveSlots(const SlotAsk &Asked, base::TimePoint Now);
+  void acceptSlots(const SlotGift &Gift, base::TimePoint Now,
+                   std::vector<Wakeup> &Woken);
 
   /// A target told how many requests it works on or holds.
   void reported(const base::ServiceId &Service, const base::TargetId &Target,
@@ -73,6 +103,8 @@
 private:
   using ServicePointer = std::shared_ptr<ServiceSteering>;
 
+  admission::RateCheck checkRate(const base::CustomerId &Customer,
+                                 base::TimePoint Now);
   ServicePointer find(const base::ServiceId &Service) const;
   ServicePointer find(std::uint64_t Ticket) const;
   std::vector<ServicePointer> services() const;
@@ -86,6 +118,10 @@
   /// A ticket's low bits are an index into this; a service never leaves it.
   std::vector<ServicePointer> Services_;
   std::vector<base::HostId> Peers_;
+  std::uint64_t Epoch_ = 0;
+  std::vector<Member> Members_;
+  bool Settled_ = false;
+  base::Duration WallOffset_{};
 };
 
 } // namespace lychee::steering
--- a/libs/steering/ServiceSteering.h
+++ b/libs/steering/ServiceSteering.h
@@ -4,6 +4,8 @@
 #include "base/Random.h"
 #include "placement/RegionChooser.h"
 #include "retrying/CrashSuspects.h"
+#include "shifting/ColdCost.h"
+#include "shifting/ShiftSet.h"
 #include "steering/RegionPool.h"
 #include "steering/Steering.h"
 
@@ -25,6 +27,7 @@
 /// What one host's services have in common.
 struct HostContext {
   base::HostId Host_;
+  base::RegionId Region_;
   ServiceLimits Limits_;
   /// Shared by all services; thread-safe.
   retrying::CrashSuspects *Suspects_ = nullptr;
@@ -50,9 +53,21 @@
 
   /// Sets the other hosts that send to the same targets.
   void setPeers(std::span<const base::HostId> Peers);
-  void heardPeer(const base::HostId &Peer, std::span<const PeerLoad> Loads,
-                 base::TimePoint Now);
-  void addOwnLoads(std::vector<PeerLoad> &Loads) const;
+  void heardRound(const HostRound &Round, base::TimePoint Now);
+  /// Adds what this host tells its peers.
+  void addRound(HostRound &Round, base::TimePoint Now) const;
+  /// Sets the difference from the monotonic clock to the time of day.
+  void setWallOffset(base::Duration Offset);
+
+  // Slots, \see SlotBook.
+  void enterEpoch(std::uint64_t Epoch, std::span<const Member> Members);
+  void settle(std::uint64_t Epoch);
+  bool fits() const;
+  void addAsks(std::vector<SlotAsk> &Asks, base::TimePoint Now);
+  std::vector<SlotCount> giveSlots(const SlotAsk &Asked, base::TimePoint Now);
+  void acceptSlots(const SlotGift &Gift, base::TimePoint Now,
+                   std::vector<Wakeup> &Woken);
+
   void reported(const base::TargetId &Target, std::uint32_t Load,
                 base::TimePoint MeasuredAt);
 
@@ -77,6 +92,8 @@
     /// In Pool_; where it was sent at all.
     placement::TargetIndex SentTo_ = 0;
     bool Waits_ = false;
+    /// A shift plan moved it to Pool_.
+    bool Shifted_ = false;
     /// An earlier send may have run.
     bool MayHaveRun_ = false;
   };
@@ -111,6 +128,14 @@
   std::optional<Found> elsewhere(const Pending &Wanted, RegionPool &Home,
                                  base::Duration Wait, base::TimePoint Now,
                                  std::string_view &Why);
+  RegionPool *shiftedHome(Pending &Wanted, RegionPool &Home,
+                          base::TimePoint Now);
+  bool takeHeadroom(const base::RegionId &Region, base::TimePoint Now);
+  shifting::RegionsView viewOf(const base::RegionId &Receiver,
+                               const base::RegionId &Sender,
+                               base::TimePoint Now);
+  void setPlans(const settings::Intent &Intent, base::TimePoint Now);
+  void stepShifts(base::TimePoint Now);
   bool hasHeadroom(const RegionPool &Pool, base::TimePoint Now) const noexcept;
   base::Duration roundTrip(const base::RegionId &From,
                            const base::RegionId &To) const;
@@ -129,7 +154,16 @@
       RoundTrips_;
   std::unordered_map<std::uint64_t, Pending> Pending_;
   std::vector<base::HostId> Peers_;
+  std::uint64_t Epoch_ = 0;
+  std::vector<Member> Members_;
+  bool Settled_ = false;
   base::TimePoint LastUpkeep_;
+  shifting::ShiftSet Shifts_;
+  /// Plans as operators' actions left them.
+  std::map<base::PlanId, shifting::ShiftPlan> Plans_;
+  std::map<base::RegionId, shifting::ColdCost> ColdCosts_;
+  base::Duration WallOffset_{};
+  base::TimePoint LastShiftStep_;
 };
 
 } // namespace lychee::steering
