Daemon: membership, spread of settings, shares and graceful stop joined

Hosts find each other through lease records, hear settings from their zone's relay, divide customers' rates and targets' slots, and refuse keys that they cannot know to be fresh within 5 s.

--- a/apps/lycheed/Daemon.cpp
+++ b/apps/lycheed/Daemon.cpp
@@ -1,17 +1,21 @@
 #include "lycheed/Daemon.h"
 
 #include "base/SystemClock.h"
+#include "lycheed/DaemonParts.h"
 #include "reporting/Log.h"
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/use_future.hpp>
 #include <csignal>
-#include <exception>
-#include <random>
+#include <utility>
 
 namespace lychee::daemon {
 
 namespace asio = boost::asio;
+using base::SystemClock;
 using reporting::LogLevel;
 
 namespace {
@@ -20,83 +24,95 @@
 /// tree of settings while the other answers heartbeats.
 constexpr int ControlThreadCount = 2;
 
-/// A new start has a seed of its own, so that request ids never repeat.
-std::uint64_t drawSeed() {
-  std::random_device Source;
-  return (static_cast<std::uint64_t>(Source()) << 32) | Source();
-}
+/// A withdrawn key stops working this soon, on every host, whatever fails: a
+/// host that cannot know its settings to be this fresh refuses. The bound that
+/// users were promised is "within seconds".
+constexpr base::Duration KeyFreshnessBound = std::chrono::seconds(5);
 
-store::HttpStoreOptions storeOptions(const settings::DaemonSettings &Settings) {
-  store::HttpStoreOptions Options;
-  Options.Address_ = Settings.Store_.Address_;
-  Options.Port_ = Settings.Store_.Port_;
-  Options.Host_ = Settings.Host_.name();
-  Options.Timeout_ = Settings.StoreTimeout_;
-  return Options;
-}
-
-steering::SteeringSettings
-steeringSettings(const settings::DaemonSettings &Settings) {
-  steering::SteeringSettings Made;
-  Made.Host_ = Settings.Host_;
-  Made.Region_ = Settings.Region_;
-  Made.Seed_ = drawSeed();
-  return Made;
-}
+/// Shift plans step by minutes; their clock is told much more often.
+constexpr base::Duration WallTimeInterval = std::chrono::seconds(1);
 
-/// A control coroutine that ends with an exception has a fault of ours; without
-/// this line the host would go on with settings that never change again.
-void reportEnd(const std::exception_ptr &Thrown) {
-  if (!Thrown)
-    return;
-  try {
-    std::rethrow_exception(Thrown);
-  } catch (const std::exception &Failure) {
-    reporting::logLine(LogLevel::Error, base::KeyValueLine()
-                                            .add("event", "control-failed")
-                                            .add("reason", Failure.what()));
-  }
-}
-
-gateway::HostEntry selfEntry(const settings::DaemonSettings &Settings) {
-  return {Settings.Host_, Settings.Region_, Settings.Zone_,
-          Settings.Callers_.text()};
-}
+constexpr int ExitStartFailed = 1;
+constexpr int ExitRequestsCut = 3;
+constexpr int ExitRemoved = 4;
 
 } // namespace
 
 Daemon::Daemon(const settings::DaemonSettings &Settings)
-    : Settings_(Settings), Decisions_([](const std::string &Line) {
+    : Settings_(Settings), Incarnation_(drawIncarnation()), Signals_(Control_),
+      Decisions_([](const std::string &Line) {
         reporting::logLine(LogLevel::Info, std::string_view(Line));
       }),
       Holder_(Settings.Region_),
       HttpStore_(Control_.get_executor(), storeOptions(Settings)),
       Store_(HttpStore_, Settings.StoreCallsPerSecond_),
-      Feed_(Store_,
-            [this](const settings::SettingsTree &Tree) { putInForce(Tree); }),
-      Steering_(steeringSettings(Settings)),
-      Keys_(Holder_, [](base::TimePoint) { return true; }), Router_(Holder_),
-      Directory_(Holder_, Settings.Host_, Settings.LookupTimeToLive_, {}),
+      Rates_(exchange::ExchangeNode::processId(Settings.Host_, Incarnation_)),
+      Steering_(steeringSettings(Settings, Incarnation_, Rates_)),
+      Keys_(Holder_,
+            [this](base::TimePoint Now) {
+              const auto Age = Fleet_.settingsAge(Now);
+              return Age && *Age <= KeyFreshnessBound;
+            }),
+      Router_(Holder_),
+      Directory_(Holder_, Settings.Host_, Settings.LookupTimeToLive_,
+                 [this] { Fleet_.setLeaving(); }),
       Reporter_(Decisions_, Metrics_), Loads_(Steering_),
       Gateway_(
           gateway::gatewaySettingsOf(Settings),
           {Steering_, Keys_, Router_, Directory_, Claims_, Reporter_, Loads_},
           drawSeed()),
       Operators_(Store_, *this, Settings.BootstrapTokenHash_),
-      OperatorRpc_(Operators_), Authenticator_(Settings.FleetSecret_) {
+      OperatorRpc_(Operators_), Authenticator_(Settings.FleetSecret_),
+      PeerClient_(Control_.get_executor(), Settings.Host_, Authenticator_,
+                  drawSeed()),
+      Fleet_(Control_, Store_, PeerClient_, Handlers_, fleetOptions(),
+             fleetListeners()),
+      Exchange_(Control_.get_executor(), PeerClient_, Handlers_, Settings.Host_,
+                Incarnation_, exchangeParts()) {
   Directory_.setHosts({selfEntry(Settings)});
+  bindOperators();
 }
 
-Daemon::~Daemon() { stopAll(); }
+Daemon::~Daemon() { stopControl(); }
+
+// Joining the parts.
 
-transport::HttpServerOptions
-Daemon::optionsFor(const settings::Endpoint &Where) {
-  transport::HttpServerOptions Options;
-  Options.Address_ = Where.Address_;
-  Options.Port_ = Where.Port_;
+fleet::FleetNodeOptions Daemon::fleetOptions() const {
+  fleet::FleetNodeOptions Options;
+  Options.Zone_ = Settings_.Zone_;
+  Options.Self_.Host_ = Settings_.Host_;
+  Options.Self_.Region_ = Settings_.Region_;
+  Options.Self_.Peers_ = Settings_.Peers_.text();
+  Options.Self_.Callers_ = Settings_.Callers_.text();
+  Options.Self_.Incarnation_ = Incarnation_;
+  for (const settings::Endpoint &Each : Settings_.Seeds_)
+    Options.Seeds_.push_back(Each.text());
+  Options.Seed_ = drawSeed();
   return Options;
 }
 
+fleet::FleetListeners Daemon::fleetListeners() {
+  fleet::FleetListeners Listeners;
+  Listeners.SettingsInForce_ = [this](const settings::SettingsTree &Tree) {
+    putInForce(Tree);
+  };
+  Listeners.DirectoryChanged_ = [this](const fleet::Directory &Changed) {
+    takeDirectory(Changed);
+  };
+  Listeners.Log_ = [](std::string_view Line) {
+    reporting::logLine(LogLevel::Info, Line);
+  };
+  return Listeners;
+}
+
+exchange::ExchangeParts Daemon::exchangeParts() {
+  return {Steering_, Rates_,
+          [this](std::vector<steering::Wakeup> &Woken) {
+            Gateway_.deliver(Woken, SystemClock::monotonicNow());
+          },
+          [this](std::uint64_t) { return Fleet_.guard().until(); }};
+}
+
 void Daemon::bindOperators() {
   for (const std::string &Method : operations::OperatorRpc::methods())
     Handlers_.bind(Method, [this, Method](const fleet::RpcCaller &Caller,
@@ -104,13 +120,15 @@
       std::future<std::string> Answer = asio::co_spawn(
           Control_,
           OperatorRpc_.call(Method, Parameters, Caller.OperatorToken_,
-                            base::SystemClock::wallNow(),
-                            base::SystemClock::monotonicNow()),
+                            SystemClock::wallNow(),
+                            SystemClock::monotonicNow()),
           asio::use_future);
       return fleet::RpcOutcome{0, Answer.get()};
     });
 }
 
+// What the fleet tells.
+
 void Daemon::putInForce(const settings::SettingsTree &Tree) {
   settings::Problems Found;
   const std::shared_ptr<const SettingsSnapshot> Fresh =
@@ -122,20 +140,44 @@
                                             .add("problem", Each.describe()));
   if (!Fresh)
     return;
-  const base::TimePoint Now = base::SystemClock::monotonicNow();
+  const base::TimePoint Now = SystemClock::monotonicNow();
+  for (const auto &[Id, Customer] : Fresh->intent()->Customers_)
+    Rates_.setTotal(steering::FleetSteering::rateBudget(Id),
+                    budget::RateTotal::fromRequests(Customer.RatePerSecond_,
+                                                    Customer.Burst_),
+                    Now);
   Steering_.applyIntent(Fresh->intent(), Now);
-  std::vector<gateway::TargetEntry> Targets;
-  for (const auto &[Id, Service] : Fresh->intent()->Services_)
-    for (const settings::Target &Each : Service.Targets_)
-      Targets.push_back({Each.Id_, Id, Each.Address_, Each.Connections_});
-  Gateway_.setTargets(Targets);
+  Gateway_.setTargets(targetEntries(*Fresh->intent()));
   reporting::logLine(LogLevel::Info, base::KeyValueLine()
                                          .add("event", "settings-in-force")
                                          .add("version", Tree.Version_));
 }
 
+void Daemon::takeDirectory(const fleet::Directory &Changed) {
+  Directory_.setHosts(hostEntries(Changed));
+  Exchange_.directoryChanged(Changed, SystemClock::monotonicNow());
+  const fleet::Member *Self = Changed.find(Settings_.Host_);
+  const bool IsMember = Self != nullptr && Self->Incarnation_ == Incarnation_;
+  if (IsMember) {
+    WasMember_ = true;
+    return;
+  }
+  if (!WasMember_ || Directory_.leaving() || Removed_.exchange(true))
+    return;
+  // Left out while paused or cut off: its shares belong to others. Coming back
+  // under the same process id, its counts of slots given and received would no
+  // longer match its peers'. A new start has a new id and holds nothing.
+  reporting::logLine(LogLevel::Error, base::KeyValueLine()
+                                          .add("event", "removed")
+                                          .add("action", "stop")
+                                          .add("epoch", Changed.Epoch_));
+  Gateway_.requestStop();
+  Control_.stop();
+}
+
+// Start and stop.
+
 bool Daemon::startAll(base::Error &Last) {
-  bindOperators();
   Peers_ = std::make_unique<fleet::PeerServer>(Control_.get_executor(),
                                                optionsFor(Settings_.Peers_),
                                                Handlers_, Authenticator_);
@@ -150,65 +192,101 @@
       });
   if (!Peers_->listen(Last) || !MetricsServer_->listen(Last))
     return false;
-  asio::co_spawn(Control_, Feed_.run(), reportEnd);
-  return Gateway_.start(Last);
+  if (!Gateway_.start(Last))
+    return false;
+  Fleet_.start();
+  Exchange_.start();
+  asio::co_spawn(Control_, tellWallTime(), reportEnd);
+  return true;
+}
+
+asio::awaitable<void> Daemon::tellWallTime() {
+  asio::steady_timer Timer(co_await asio::this_coro::executor);
+  while (true) {
+    Steering_.setWallTime(SystemClock::wallNow(), SystemClock::monotonicNow());
+    Timer.expires_after(WallTimeInterval);
+    co_await Timer.async_wait(asio::use_awaitable);
+  }
+}
+
+void Daemon::awaitSignal() {
+  Signals_.async_wait([this](const boost::system::error_code &Failure, int) {
+    if (Failure)
+      return;
+    // The first begins a graceful stop, the second cuts what is left.
+    Gateway_.requestStop();
+    awaitSignal();
+  });
 }
 
 int Daemon::run() {
-  asio::signal_set Signals(Control_, SIGTERM, SIGINT);
-  asio::io_context Waiting;
   base::Error Last;
+  Signals_.add(SIGTERM);
+  Signals_.add(SIGINT);
+  awaitSignal();
   if (!startAll(Last)) {
     reporting::logLine(LogLevel::Error, base::KeyValueLine()
                                             .add("event", "start-failed")
                                             .add("step", Last.Step_)
                                             .add("peer", Last.Peer_)
                                             .add("reason", Last.Reason_));
-    return 1;
+    return ExitStartFailed;
   }
-  Signals.async_wait([this](auto, auto) { Control_.stop(); });
-  for (int Index = 1; Index < ControlThreadCount; ++Index)
+  for (int Index = 0; Index < ControlThreadCount; ++Index)
     ControlThreads_.emplace_back([this] { Control_.run(); });
   reporting::logLine(LogLevel::Info,
                      base::KeyValueLine()
                          .add("event", "serving")
                          .add("host", Settings_.Host_.name())
+                         .add("incarnation", Incarnation_)
                          .add("callers", Gateway_.callers().text())
                          .add("peers", Settings_.Peers_.text()));
-  Control_.run();
-  stopAll();
-  reporting::logLine(LogLevel::Info,
-                     base::KeyValueLine().add("event", "stopped"));
-  return 0;
+  const gateway::StopSummary Summary = Gateway_.waitUntilStopped();
+  tellStop(Summary);
+  if (!Removed_)
+    asio::co_spawn(Control_, Fleet_.leave(), asio::use_future).wait();
+  stopControl();
+  if (Removed_)
+    return ExitRemoved;
+  return Summary.CutRequests_.empty() ? 0 : ExitRequestsCut;
 }
 
-void Daemon::stopAll() {
-  Feed_.stop();
+void Daemon::stopControl() {
+  Fleet_.stop();
+  Exchange_.stop();
   Control_.stop();
   for (std::thread &Each : ControlThreads_)
     Each.join();
   ControlThreads_.clear();
 }
 
+// What operators ask for.
+
 std::shared_ptr<const settings::Intent> Daemon::intent() const {
   const std::shared_ptr<const SettingsSnapshot> Current = Holder_.current();
   return Current ? Current->intent() : nullptr;
 }
 
-operations::HostStatus Daemon::status(base::TimePoint /*Now*/) const {
+operations::HostStatus Daemon::status(base::TimePoint Now) const {
   operations::HostStatus Status;
   Status.Host_ = Settings_.Host_;
   Status.Region_ = Settings_.Region_;
   Status.Zone_ = Settings_.Zone_;
   const std::shared_ptr<const settings::Intent> Current = intent();
   Status.SettingsVersion_ = Current ? Current->Version_ : 0;
+  Status.SettingsAge_ = Fleet_.settingsAge(Now).value_or(base::Duration::max());
+  Status.LeaseValid_ = Now < Fleet_.guard().until();
   Status.Stopping_ = Directory_.leaving();
+  Status.RequestsInFlight_ = Gateway_.inFlight();
   return Status;
 }
 
 std::vector<operations::MemberStatus> Daemon::members() const {
-  return {{Settings_.Host_, Settings_.Zone_, Settings_.Peers_.text(),
-           Directory_.leaving()}};
+  std::vector<operations::MemberStatus> Members;
+  for (const auto &[Id, Zone] : Fleet_.directory().Zones_)
+    for (const fleet::Member &Each : Zone.Members_)
+      Members.push_back({Each.Host_, Id, Each.Peers_, Each.Leaving_});
+  return Members;
 }
 
 std::vector<std::string> Daemon::explain(const base::RequestId &Request) const {
--- a/apps/lycheed/Daemon.h
+++ b/apps/lycheed/Daemon.h
@@ -1,6 +1,8 @@
 #ifndef LYCHEE_APPS_LYCHEED_DAEMON_H
 #define LYCHEE_APPS_LYCHEED_DAEMON_H
 
+#include "exchange/ExchangeNode.h"
+#include "fleet/FleetNode.h"
 #include "fleet/PeerServer.h"
 #include "gateway/Gateway.h"
 #include "lycheed/DecisionReporter.h"
@@ -9,12 +11,12 @@
 #include "lycheed/KeyCheck.h"
 #include "lycheed/LoadReporter.h"
 #include "lycheed/NoClaims.h"
-#include "lycheed/SettingsFeed.h"
 #include "operations/OperatorRpc.h"
 #include "store/GuardedStore.h"
 #include "store/HttpStore.h"
 #include "transport/HttpServer.h"
 
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <memory>
@@ -45,13 +47,21 @@
 
 private:
   bool startAll(base::Error &Last);
-  void stopAll();
+  void stopControl();
   void bindOperators();
+  void awaitSignal();
+  boost::asio::awaitable<void> tellWallTime();
+  fleet::FleetNodeOptions fleetOptions() const;
+  fleet::FleetListeners fleetListeners();
+  exchange::ExchangeParts exchangeParts();
   void putInForce(const settings::SettingsTree &Tree);
-  transport::HttpServerOptions optionsFor(const settings::Endpoint &Where);
+  void takeDirectory(const fleet::Directory &Changed);
 
   const settings::DaemonSettings Settings_;
+  /// Names this start of the process among all starts of this host.
+  const std::uint64_t Incarnation_;
   boost::asio::io_context Control_;
+  boost::asio::signal_set Signals_;
   std::vector<std::thread> ControlThreads_;
 
   reporting::Metrics Metrics_;
@@ -60,8 +70,8 @@
 
   store::HttpStore HttpStore_;
   store::GuardedStore Store_;
-  SettingsFeed Feed_;
 
+  budget::BudgetBook Rates_;
   steering::FleetSteering Steering_;
   KeyCheck Keys_;
   IntentRouter Router_;
@@ -75,8 +85,15 @@
   operations::OperatorRpc OperatorRpc_;
   fleet::RpcDispatcher Handlers_;
   fleet::PeerAuthenticator Authenticator_;
+  fleet::PeerClient PeerClient_;
+  fleet::FleetNode Fleet_;
+  exchange::ExchangeNode Exchange_;
   std::unique_ptr<fleet::PeerServer> Peers_;
   std::unique_ptr<transport::HttpServer> MetricsServer_;
+
+  /// Set once the directory has named this process.
+  std::atomic<bool> WasMember_ = false;
+  std::atomic<bool> Removed_ = false;
 };
 
 } // namespace lychee::daemon
--- /dev/null
+++ b/apps/lycheed/DaemonParts.cpp
@@ -0,0 +1,98 @@
+#include "lycheed/DaemonParts.h"
+
+#include "base/SystemClock.h"
+#include "exchange/ExchangeNode.h"
+#include "reporting/Log.h"
+
+#include <random>
+
+namespace lychee::daemon {
+
+using reporting::LogLevel;
+
+std::uint64_t drawSeed() {
+  std::random_device Source;
+  return (static_cast<std::uint64_t>(Source()) << 32) | Source();
+}
+
+std::uint64_t drawIncarnation() {
+  return static_cast<std::uint64_t>(
+      base::toMilliseconds(base::SystemClock::wallNow().time_since_epoch()));
+}
+
+store::HttpStoreOptions storeOptions(const settings::DaemonSettings &Settings) {
+  store::HttpStoreOptions Options;
+  Options.Address_ = Settings.Store_.Address_;
+  Options.Port_ = Settings.Store_.Port_;
+  Options.Host_ = Settings.Host_.name();
+  Options.Timeout_ = Settings.StoreTimeout_;
+  return Options;
+}
+
+steering::SteeringSettings
+steeringSettings(const settings::DaemonSettings &Settings,
+                 std::uint64_t Incarnation, budget::BudgetBook &Rates) {
+  steering::SteeringSettings Made;
+  Made.Host_ = exchange::ExchangeNode::processId(Settings.Host_, Incarnation);
+  Made.Region_ = Settings.Region_;
+  Made.Seed_ = drawSeed();
+  Made.Rates_ = &Rates;
+  return Made;
+}
+
+transport::HttpServerOptions optionsFor(const settings::Endpoint &Where) {
+  transport::HttpServerOptions Options;
+  Options.Address_ = Where.Address_;
+  Options.Port_ = Where.Port_;
+  return Options;
+}
+
+gateway::HostEntry selfEntry(const settings::DaemonSettings &Settings) {
+  return {Settings.Host_, Settings.Region_, Settings.Zone_,
+          Settings.Callers_.text()};
+}
+
+std::vector<gateway::HostEntry> hostEntries(const fleet::Directory &From) {
+  std::vector<gateway::HostEntry> Hosts;
+  Hosts.reserve(From.hostCount());
+  for (const auto &[Id, Zone] : From.Zones_)
+    for (const fleet::Member &Each : Zone.Members_)
+      if (!Each.Leaving_)
+        Hosts.push_back({Each.Host_, Each.Region_, Id, Each.Callers_});
+  return Hosts;
+}
+
+std::vector<gateway::TargetEntry> targetEntries(const settings::Intent &From) {
+  std::vector<gateway::TargetEntry> Targets;
+  for (const auto &[Id, Service] : From.Services_)
+    for (const settings::Target &Each : Service.Targets_)
+      Targets.push_back({Each.Id_, Id, Each.Address_, Each.Connections_});
+  return Targets;
+}
+
+void tellStop(const gateway::StopSummary &Summary) {
+  for (const std::string &Each : Summary.CutRequests_)
+    reporting::logLine(
+        LogLevel::Warning,
+        base::KeyValueLine().add("event", "stop-cut").add("request", Each));
+  reporting::logLine(LogLevel::Info,
+                     base::KeyValueLine()
+                         .add("event", "stop-ended")
+                         .add("took_ms", base::toMilliseconds(Summary.Took_))
+                         .add("cut_requests", Summary.CutRequests_.size())
+                         .add("cut_connections", Summary.CutConnections_));
+}
+
+void reportEnd(const std::exception_ptr &Thrown) {
+  if (!Thrown)
+    return;
+  try {
+    std::rethrow_exception(Thrown);
+  } catch (const std::exception &Failure) {
+    reporting::logLine(LogLevel::Error, base::KeyValueLine()
+                                            .add("event", "control-failed")
+                                            .add("reason", Failure.what()));
+  }
+}
+
+} // namespace lychee::daemon
--- /dev/null
+++ b/apps/lycheed/DaemonParts.h
@@ -0,0 +1,53 @@
+#ifndef LYCHEE_APPS_LYCHEED_DAEMONPARTS_H
+#define LYCHEE_APPS_LYCHEED_DAEMONPARTS_H
+
+#include "budget/BudgetBook.h"
+#include "fleet/Directory.h"
+#include "gateway/HostDirectory.h"
+#include "gateway/StopSequence.h"
+#include "gateway/TargetObserver.h"
+#include "settings/DaemonSettings.h"
+#include "settings/Intent.h"
+#include "steering/FleetSteering.h"
+#include "store/HttpStore.h"
+#include "transport/HttpServer.h"
+
+#include <exception>
+#include <vector>
+
+/// What the daemon makes its parts from, and turns one part's words into
+/// another's. \see Daemon
+namespace lychee::daemon {
+
+/// A new start has a seed of its own, so that request ids never repeat.
+std::uint64_t drawSeed();
+
+/// \returns milliseconds since 1970: rises with each start of a host.
+std::uint64_t drawIncarnation();
+
+store::HttpStoreOptions storeOptions(const settings::DaemonSettings &Settings);
+
+steering::SteeringSettings
+steeringSettings(const settings::DaemonSettings &Settings,
+                 std::uint64_t Incarnation, budget::BudgetBook &Rates);
+
+transport::HttpServerOptions optionsFor(const settings::Endpoint &Where);
+
+gateway::HostEntry selfEntry(const settings::DaemonSettings &Settings);
+
+/// \returns the hosts that callers may use: leaving ones are absent.
+std::vector<gateway::HostEntry> hostEntries(const fleet::Directory &From);
+
+std::vector<gateway::TargetEntry> targetEntries(const settings::Intent &From);
+
+/// Logs a stop's end, and each request that it cut.
+void tellStop(const gateway::StopSummary &Summary);
+
+/// Ends a control coroutine that must not end: one that threw has a fault of
+/// ours, and without the line the host would go on with state that never
+/// changes again.
+void reportEnd(const std::exception_ptr &Thrown);
+
+} // namespace lychee::daemon
+
+#endif
--- a/libs/exchange/ExchangeNode.h
+++ b/libs/exchange/ExchangeNode.h
@@ -18,7 +18,6 @@
 #include <map>
 #include <mutex>
 #include <optional>
-#include <span>
 #include <string>
 #include <vector>
 
@@ -29,7 +28,7 @@
   steering::FleetSteering &Steering_;
   budget::BudgetBook &Rates_;
   /// Takes decisions on requests that waited for the slots of a gift.
-  std::function<void(std::span<steering::Wakeup>)> Wake_;
+  std::function<void(std::vector<steering::Wakeup> &)> Wake_;
   /// \returns until when this host's lease in \p Epoch stands; a time in the
   /// past where it has none. Asked again before each use.
   std::function<base::TimePoint(std::uint64_t Epoch)> LeaseUntil_;
--- a/libs/fleet/FleetNode.cpp
+++ b/libs/fleet/FleetNode.cpp
@@ -75,7 +75,8 @@
   asio::co_spawn(Strand_, watchLoop(), asio::detached);
 }
 
-std::optional<base::Duration> FleetNode::settingsAge(base::TimePoint Now) {
+std::optional<base::Duration>
+FleetNode::settingsAge(base::TimePoint Now) const {
   return State_.withSettings(
       [Now](const SettingsReplica &Replica) { return Replica.age(Now); });
 }
--- a/libs/fleet/FleetNode.h
+++ b/libs/fleet/FleetNode.h
@@ -59,6 +59,7 @@
   void setLeaving() { State_.setLeaving(); }
 
   LeaseGuard &guard() noexcept { return State_.guard(); }
+  const LeaseGuard &guard() const noexcept { return State_.guard(); }
   Directory directory() const { return State_.directory(); }
   ZoneRecord record() const { return State_.record(); }
   bool isRelay() const { return State_.isRelay(); }
@@ -67,7 +68,7 @@
   /// \returns how long ago every change accepted until then was known to be in
   /// force; nothing where it never was. A host whose answer is past the bound
   /// on withdrawn keys must refuse.
-  std::optional<base::Duration> settingsAge(base::TimePoint Now);
+  std::optional<base::Duration> settingsAge(base::TimePoint Now) const;
 
   /// This host wrote the settings' root at \p StoreVersion.
   void wroteSettings(std::uint64_t StoreVersion, std::string RootText,
--- a/libs/fleet/FleetState.h
+++ b/libs/fleet/FleetState.h
@@ -79,6 +79,7 @@
   // What is known.
 
   LeaseGuard &guard() noexcept { return Guard_; }
+  const LeaseGuard &guard() const noexcept { return Guard_; }
   Versions versions() const;
   Directory directory() const;
   ZoneRecord record() const;
@@ -103,6 +104,10 @@
     const std::lock_guard Guard(Lock_);
     return Use(Replica_);
   }
+  template <typename User> auto withSettings(User Use) const {
+    const std::lock_guard Guard(Lock_);
+    return Use(Replica_);
+  }
 
 private:
   void hearAll(const Json::Value &Request, base::TimePoint Now);
--- a/libs/fleet/LeaseGuard.cpp
+++ b/libs/fleet/LeaseGuard.cpp
@@ -23,6 +23,11 @@
   return Epoch == Epoch_ ? LeaseState::Standing : LeaseState::OtherEpoch;
 }
 
+base::TimePoint LeaseGuard::until() const {
+  const std::lock_guard Guard(Lock_);
+  return Until_;
+}
+
 std::uint64_t LeaseGuard::epoch() const {
   const std::lock_guard Guard(Lock_);
   return Epoch_;
--- a/libs/fleet/LeaseGuard.h
+++ b/libs/fleet/LeaseGuard.h
@@ -33,6 +33,9 @@
 
   LeaseState check(base::TimePoint Now, std::uint64_t Epoch) const;
 
+  /// When the lease ends unless it is extended, by this host's clock.
+  base::TimePoint until() const;
+
   /// The epoch in force on this host; 0 before the first.
   std::uint64_t epoch() const;
 
--- a/libs/gateway/Gateway.h
+++ b/libs/gateway/Gateway.h
@@ -39,6 +39,12 @@
   /// Makes these the targets that may be connected to. From any thread.
   void setTargets(std::span<const TargetEntry> Targets);
 
+  /// Hands over decisions on waiting requests that were made elsewhere, such
+  /// as for slots that a peer gave. From any thread.
+  void deliver(std::vector<steering::Wakeup> &Woken, base::TimePoint Now) {
+    Workers_.front()->deliver(Woken, Now);
+  }
+
   /// Begins a graceful stop; a second call cuts what is left. From any thread.
   void requestStop() { Stop_->request(); }
 
