--- a/apps/lycheed/Daemon.cpp
+++ b/apps/lycheed/Daemon.cpp
@@ -32,6 +32,9 @@
 /// Shift plans step by minutes; their clock is told much more often.
 constexpr base::Duration WallTimeInterval = std::chrono::seconds(1);
 
+/// Three partitions' writes and as many reads back.
+constexpr double ClaimCallsPerSecond = 80;
+
 constexpr int ExitStartFailed = 1;
 constexpr int ExitRequestsCut = 3;
 constexpr int ExitRemoved = 4;
@@ -57,16 +60,21 @@
       Directory_(Holder_, Settings.Host_, Settings.LookupTimeToLive_,
                  [this] { Fleet_.setLeaving(); }),
       Reporter_(Decisions_, Metrics_), Loads_(Steering_),
-      Gateway_(
-          gateway::gatewaySettingsOf(Settings),
-          {Steering_, Keys_, Router_, Directory_, Claims_, Reporter_, Loads_},
-          drawSeed()),
-      Operators_(Store_, *this, Settings.BootstrapTokenHash_),
-      OperatorRpc_(Operators_), Authenticator_(Settings.FleetSecret_),
+      Authenticator_(Settings.FleetSecret_),
       PeerClient_(Control_.get_executor(), Settings.Host_, Authenticator_,
                   drawSeed()),
-      Fleet_(Control_, Store_, PeerClient_, Handlers_, fleetOptions(),
-             fleetListeners()),
+      ClaimStore_(HttpStore_, ClaimCallsPerSecond),
+      ClaimService_(
+          Control_, ClaimStore_, PeerClient_, Handlers_,
+          exchange::ExchangeNode::processId(Settings.Host_, Incarnation_),
+          Incarnation_),
+      Claims_(ClaimService_), Gateway_(gateway::gatewaySettingsOf(Settings),
+                                       {Steering_, Keys_, Router_, Directory_,
+                                        Claims_, Reporter_, Loads_},
+                                       drawSeed()),
+      Operators_(Store_, *this, Settings.BootstrapTokenHash_),
+      OperatorRpc_(Operators_), Fleet_(Control_, Store_, PeerClient_, Handlers_,
+                                       fleetOptions(), fleetListeners()),
       Exchange_(Control_.get_executor(), PeerClient_, Handlers_, Settings.Host_,
                 Incarnation_, exchangeParts()) {
   Directory_.setHosts({selfEntry(Settings)});
@@ -156,6 +164,7 @@
 void Daemon::takeDirectory(const fleet::Directory &Changed) {
   Directory_.setHosts(hostEntries(Changed));
   Exchange_.directoryChanged(Changed, SystemClock::monotonicNow());
+  ClaimService_.membersChanged(Changed.Epoch_, claimMembers(Changed));
   const fleet::Member *Self = Changed.find(Settings_.Host_);
   const bool IsMember = Self != nullptr && Self->Incarnation_ == Incarnation_;
   if (IsMember) {
@@ -196,6 +205,7 @@
     return false;
   Fleet_.start();
   Exchange_.start();
+  ClaimService_.start();
   asio::co_spawn(Control_, tellWallTime(), reportEnd);
   return true;
 }
@@ -252,6 +262,9 @@
 }
 
 void Daemon::stopControl() {
+  // First what waits for the control threads: its handlers end while these run.
+  Peers_.reset();
+  ClaimService_.stop();
   Fleet_.stop();
   Exchange_.stop();
   Control_.stop();
--- a/apps/lycheed/Daemon.h
+++ b/apps/lycheed/Daemon.h
@@ -5,12 +5,12 @@
 #include "fleet/FleetNode.h"
 #include "fleet/PeerServer.h"
 #include "gateway/Gateway.h"
+#include "lycheed/ClaimDesk.h"
 #include "lycheed/DecisionReporter.h"
 #include "lycheed/FleetDirectory.h"
 #include "lycheed/IntentRouter.h"
 #include "lycheed/KeyCheck.h"
 #include "lycheed/LoadReporter.h"
-#include "lycheed/NoClaims.h"
 #include "operations/OperatorRpc.h"
 #include "store/GuardedStore.h"
 #include "store/HttpStore.h"
@@ -76,16 +76,21 @@
   KeyCheck Keys_;
   IntentRouter Router_;
   FleetDirectory Directory_;
-  NoClaims Claims_;
   DecisionReporter Reporter_;
   LoadReporter Loads_;
-  gateway::Gateway Gateway_;
 
-  operations::OperatorApi Operators_;
-  operations::OperatorRpc OperatorRpc_;
   fleet::RpcDispatcher Handlers_;
   fleet::PeerAuthenticator Authenticator_;
   fleet::PeerClient PeerClient_;
+  /// Claims have calls to the store of their own: a burst of bookings must not
+  /// use up the calls that renew leases.
+  store::GuardedStore ClaimStore_;
+  claims::ClaimService ClaimService_;
+  ClaimDesk Claims_;
+  gateway::Gateway Gateway_;
+
+  operations::OperatorApi Operators_;
+  operations::OperatorRpc OperatorRpc_;
   fleet::FleetNode Fleet_;
   exchange::ExchangeNode Exchange_;
   std::unique_ptr<fleet::PeerServer> Peers_;
--- a/apps/lycheed/DaemonParts.cpp
+++ b/apps/lycheed/DaemonParts.cpp
@@ -62,6 +62,17 @@
   return Hosts;
 }
 
+std::vector<claims::ClaimMember> claimMembers(const fleet::Directory &From) {
+  std::vector<claims::ClaimMember> Members;
+  Members.reserve(From.hostCount());
+  for (const auto &[Id, Zone] : From.Zones_)
+    for (const fleet::Member &Each : Zone.Members_)
+      Members.push_back(
+          {exchange::ExchangeNode::processId(Each.Host_, Each.Incarnation_),
+           Each.Peers_});
+  return Members;
+}
+
 std::vector<gateway::TargetEntry> targetEntries(const settings::Intent &From) {
   std::vector<gateway::TargetEntry> Targets;
   for (const auto &[Id, Service] : From.Services_)
--- a/apps/lycheed/DaemonParts.h
+++ b/apps/lycheed/DaemonParts.h
@@ -2,6 +2,7 @@
 #define LYCHEE_APPS_LYCHEED_DAEMONPARTS_H
 
 #include "budget/BudgetBook.h"
+#include "claims/ClaimService.h"
 #include "fleet/Directory.h"
 #include "gateway/HostDirectory.h"
 #include "gateway/StopSequence.h"
@@ -38,6 +39,8 @@
 /// \returns the hosts that callers may use: leaving ones are absent.
 std::vector<gateway::HostEntry> hostEntries(const fleet::Directory &From);
 
+std::vector<claims::ClaimMember> claimMembers(const fleet::Directory &From);
+
 std::vector<gateway::TargetEntry> targetEntries(const settings::Intent &From);
 
 /// Logs a stop's end, and each request that it cut.
--- a/tests/path/WholePathTest.cpp
+++ b/tests/path/WholePathTest.cpp
@@ -94,3 +94,22 @@
   CHECK(Absent(get(Fleet_.metrics(0), "/metrics").Body_));
   CHECK(Absent(Fleet_.lychee({"show"}).Output_));
 }
+
+// A caller sends a booking, and sends it again with the same Idempotency-Key,
+// as if its answer had been lost. The second one is told that it has run, and
+// the target runs it once.
+TEST(WholePath, aBookingSentTwiceRunsOnce) {
+  CallerRequest Booking = Fleet_.request("POST", "/bookings");
+  Booking.Headers_["Idempotency-Key"] = "booking-1";
+  Booking.Body_ = "second bell, Sunday";
+  CallerAnswer First;
+  // Until the host has its partition of claims it refuses, truthfully.
+  CHECK(TestFleet::waitFor([&] {
+    First = call(Fleet_.callers(0), Booking);
+    return First.Status_ != 503;
+  }));
+  LONGS_EQUAL(200, First.Status_);
+  const CallerAnswer Second = call(Fleet_.callers(0), Booking);
+  LONGS_EQUAL(409, Second.Status_);
+  STRCMP_EQUAL("maybe", Second.header("Lychee-Ran").c_str());
+}
