Placement: home slots by demand, then borrowing; cost of decisions

Found by tests: the home pass ignored the slow start of a target that comes back; ten earned tenths of a retry were less than one in floating point.

--- a/bench/decisions/AdmissionTrial.cpp
+++ b/bench/decisions/AdmissionTrial.cpp
@@ -285,14 +285,6 @@
   }
 };
 
-std::string cell(const std::vector<double> &Values) {
-  const Spread Found = Spread::of(Values);
-  std::array<char, 64> Text{};
-  std::snprintf(Text.data(), Text.size(), "%.1f (%.1f-%.1f)", Found.Median_,
-                Found.Least_, Found.Most_);
-  return Text.data();
-}
-
 } // namespace
 
 void runAdmissionTrial(int Seeds) {
@@ -309,10 +301,12 @@
         Found.add(Played);
       }
       std::printf("| %s | %s | %s | %s | %s | %s | %s |\n", Used.Name_,
-                  cell(Found.InTime_).c_str(), cell(Found.Median_).c_str(),
-                  cell(Found.P99_).c_str(), cell(Found.RefusedAfter_).c_str(),
-                  cell(Found.OthersP99_).c_str(),
-                  cell(Found.OthersRefused_).c_str());
+                  Spread::of(Found.InTime_).text().c_str(),
+                  Spread::of(Found.Median_).text().c_str(),
+                  Spread::of(Found.P99_).text().c_str(),
+                  Spread::of(Found.RefusedAfter_).text().c_str(),
+                  Spread::of(Found.OthersP99_).text().c_str(),
+                  Spread::of(Found.OthersRefused_).text().c_str());
     }
   }
 }
--- a/bench/decisions/Trial.h
+++ b/bench/decisions/Trial.h
@@ -5,10 +5,13 @@
 #include "base/Time.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <cstdint>
+#include <cstdio>
 #include <functional>
 #include <queue>
+#include <string>
 #include <vector>
 
 namespace lychee::bench {
@@ -89,6 +92,14 @@
     std::sort(Values.begin(), Values.end());
     return {Values.front(), Values[Values.size() / 2], Values.back()};
   }
+
+  /// \returns "median (least-most)".
+  std::string text() const {
+    std::array<char, 64> Text{};
+    std::snprintf(Text.data(), Text.size(), "%.1f (%.1f-%.1f)", Median_, Least_,
+                  Most_);
+    return Text.data();
+  }
 };
 
 /// Prints each admission discipline beside plain FIFO, over several seeds.
--- a/libs/placement/HomeSlots.cpp
+++ b/libs/placement/HomeSlots.cpp
@@ -2,6 +2,9 @@
 
 #include "base/Hash.h"
 
+#include <algorithm>
+#include <cmath>
+
 namespace lychee::placement {
 
 namespace {
@@ -15,21 +18,28 @@
   return Mixed ^ (Mixed >> 31);
 }
 
+/// \returns the host's score for a slot: exponential of the host's rate, so
+/// that the least score is a host's with a probability as its weight.
+double scoreOf(std::uint64_t SlotHash, const HostWeight &Host) noexcept {
+  const std::uint64_t Hash = mix(SlotHash, base::stableHash(Host.Host_.name()));
+  const double Unit = (static_cast<double>(Hash >> 11) + 0.5) * 0x1.0p-53;
+  return -std::log(Unit) / Host.Weight_;
+}
+
 } // namespace
 
 std::uint32_t homeSlots(const base::TargetId &Target, std::uint32_t Slots,
-                        const base::HostId &Self,
-                        std::span<const base::HostId> Members) noexcept {
+                        const HostWeight &Self,
+                        std::span<const HostWeight> Others) noexcept {
   std::uint32_t Mine = 0;
   for (std::uint32_t Slot = 0; Slot < Slots; ++Slot) {
     const std::uint64_t SlotHash = base::stableHash(Target.name(), Slot);
-    const std::uint64_t SelfWeight =
-        mix(SlotHash, base::stableHash(Self.name()));
-    bool Highest = true;
-    for (const base::HostId &Other : Members)
-      if (mix(SlotHash, base::stableHash(Other.name())) > SelfWeight)
-        Highest = false;
-    if (Highest)
+    const double Own = scoreOf(SlotHash, Self);
+    const bool Least = std::all_of(Others.begin(), Others.end(),
+                                   [SlotHash, Own](const HostWeight &Other) {
+                                     return scoreOf(SlotHash, Other) > Own;
+                                   });
+    if (Least)
       ++Mine;
   }
   return Mine;
--- a/libs/placement/PeerLoads.h
+++ b/libs/placement/PeerLoads.h
@@ -3,6 +3,7 @@
 
 #include "base/Id.h"
 #include "base/Time.h"
+#include "placement/HomeSlots.h"
 
 #include <cstdint>
 #include <map>
@@ -55,8 +56,21 @@
   /// \returns the mean age of what was heard.
   base::Duration age(base::TimePoint Now) const noexcept;
 
+  /// Adds each peer with the work it brings of late, relative to \p Mean
+  /// requests in flight a host.
+  void addWeights(double Mean, std::vector<HostWeight> &Weights) const;
+
+  /// \returns the sum over the peers of the requests each has in flight of
+  /// late.
+  double smoothedTotal() const noexcept;
+
+  /// \returns \p Old moved towards \p Count, as far as \p Time tells.
+  static double smoothed(double Old, double Count,
+                         base::Duration Time) noexcept;
+
 private:
   struct Row {
+    double Smoothed_ = 0;
     base::TimePoint At_;
     bool Heard_ = false;
     std::vector<InFlight> Counts_;
--- a/libs/placement/TargetPool.cpp
+++ b/libs/placement/TargetPool.cpp
@@ -68,10 +68,8 @@
   const Entry &Each = Entries_[Target];
   const std::uint32_t Usable = Each.Health_.usableSlots(Each.Slots_, Now);
   const double Load = load(Target, Now);
-  // Others' part is an estimate: a slot that is rather free than taken counts
-  // as free.
-  static constexpr double Rounding = 0.5;
-  const bool Free = Each.Own_ < Usable && Load + Rounding < Usable;
+  // Others' part is an estimate.
+  const bool Free = Each.Own_ < Usable && Load + 1 + Limits_.Spare_ <= Usable;
   return {Target, Load / Usable, Free};
 }
 
@@ -84,11 +82,15 @@
   const std::uint32_t Start = base::drawBelow(Random, Count);
   for (std::uint32_t Step = 0; Step < Count; ++Step) {
     const TargetIndex Target = Homes_[(Start + Step) % Count];
-    if (Entries_[Target].Own_ >= Entries_[Target].Home_)
+    const Entry &Each = Entries_[Target];
+    if (Each.Own_ >=
+        std::min(Each.Home_, Each.Health_.usableSlots(Each.Slots_, Now)))
       continue;
     if (!mayUse(Target, Excluded, Now, Choice))
       continue;
-    if (!weigh(Target, Now).Free_)
+    // What peers said of it is too old to keep a host from its own slots: that
+    // left whole hosts waiting beside free targets. Its own shed is not.
+    if (Now < Each.FullUntil_)
       continue;
     take(Choice, Target, "home");
     return true;
--- a/libs/placement/TargetPool.h
+++ b/libs/placement/TargetPool.h
@@ -91,6 +91,11 @@
   struct Limits {
     /// Whether home slots go before the two choices.
     bool HomeFirst_ = true;
+    /// Slots that must look free, beyond the one to be used, for a host to use
+    /// a slot that is not its home. Less than none: what others have in flight
+    /// is an estimate, and half a slot too much of it kept requests waiting
+    /// beside free slots (docs/measurements/decisions.md).
+    double Spare_ = -0.5;
     /// Most targets looked at when neither home nor draw finds a free slot.
     std::uint32_t MostScanned_ = 64;
   };
@@ -211,6 +216,10 @@
   std::vector<TargetIndex> Homes_;
   PeerLoads Peers_;
   std::uint32_t OwnTotal_ = 0;
+  /// This host's requests in flight of late.
+  double OwnSmoothed_ = 0;
+  base::TimePoint TickedAt_;
+  base::TimePoint HomesAt_;
   base::Duration MedianLatency_{};
   base::TimePoint SuspectUntil_;
   base::TimePoint LastAnswer_;
--- a/libs/placement/TargetPoolUpkeep.cpp
+++ b/libs/placement/TargetPoolUpkeep.cpp
@@ -22,6 +22,8 @@
 /// Unreachable sends without any answer, and the time, after which a pool is
 /// lost: as many as eject a target, at two of them.
 constexpr std::uint32_t LostAfterSends = 2 * TargetHealth::UnreachableInRow;
+/// Homes follow where callers go; a second is as often as that is worth.
+constexpr base::Duration HomesPace = std::chrono::seconds(1);
 constexpr base::Duration LostAfter = std::chrono::seconds(1);
 
 } // namespace
@@ -71,10 +73,23 @@
 }
 
 void TargetPool::refreshHomes() {
+  const double Hosts = static_cast<double>(Members_.size()) + 1;
+  const double Mean = (OwnSmoothed_ + Peers_.smoothedTotal()) / Hosts;
+  std::vector<HostWeight> Others;
+  HostWeight Own{Self_, 1};
+  // Before anything is known all are alike.
+  static constexpr double LeastMean = 0.1;
+  if (Mean < LeastMean) {
+    for (const base::HostId &Each : Members_)
+      Others.push_back({Each, 1});
+  } else {
+    Peers_.addWeights(Mean, Others);
+    Own.Weight_ = std::max(0.25, OwnSmoothed_ / Mean);
+  }
   Homes_.clear();
   for (const TargetIndex Index : Active_) {
     Entry &Each = Entries_[Index];
-    Each.Home_ = homeSlots(Each.Id_, Each.Slots_, Self_, Members_);
+    Each.Home_ = homeSlots(Each.Id_, Each.Slots_, Own, Others);
     if (Each.Home_ > 0)
       Homes_.push_back(Index);
   }
@@ -82,6 +97,12 @@
 
 void TargetPool::tick(base::TimePoint Now) {
   Peers_.tick(Now);
+  OwnSmoothed_ = PeerLoads::smoothed(OwnSmoothed_, OwnTotal_, Now - TickedAt_);
+  TickedAt_ = Now;
+  if (Now - HomesAt_ >= HomesPace) {
+    HomesAt_ = Now;
+    refreshHomes();
+  }
   Scratch_.clear();
   for (const TargetIndex Index : Active_)
     if (Entries_[Index].Health_.samples() >= TargetHealth::LeastSamples)
--- a/libs/retrying/RetryBudget.cpp
+++ b/libs/retrying/RetryBudget.cpp
@@ -6,9 +6,9 @@
 
 bool RetryBudget::spend(base::TimePoint Now) noexcept {
   refill(Now);
-  if (Tokens_ < 1)
+  if (Tokens_ < OneToken)
     return false;
-  Tokens_ -= 1;
+  Tokens_ -= OneToken;
   return true;
 }
 
@@ -16,15 +16,16 @@
                             base::TimePoint Now) noexcept {
   Host.refill(Now);
   Target.refill(Now);
-  if (Host.Tokens_ < 1 || Target.Tokens_ < 1)
+  if (Host.Tokens_ < OneToken || Target.Tokens_ < OneToken)
     return false;
-  Host.Tokens_ -= 1;
-  Target.Tokens_ -= 1;
+  Host.Tokens_ -= OneToken;
+  Target.Tokens_ -= OneToken;
   return true;
 }
 
 void RetryBudget::earn(double Amount) noexcept {
-  Tokens_ = std::min(Limits_.Most_, Tokens_ + Amount);
+  Tokens_ =
+      std::min(inMicrotokens(Limits_.Most_), Tokens_ + inMicrotokens(Amount));
 }
 
 void RetryBudget::refill(base::TimePoint Now) noexcept {
--- a/libs/retrying/RetryBudget.h
+++ b/libs/retrying/RetryBudget.h
@@ -3,6 +3,9 @@
 
 #include "base/Time.h"
 
+#include <cmath>
+#include <cstdint>
+
 namespace lychee::retrying {
 
 /// Bounds second sends to a fraction of the sends that succeeded.
@@ -33,7 +36,7 @@
 
   RetryBudget() noexcept : RetryBudget(Limits()) {}
   explicit RetryBudget(const Limits &Set) noexcept
-      : Limits_(Set), Tokens_(Set.Most_) {}
+      : Limits_(Set), Tokens_(inMicrotokens(Set.Most_)) {}
 
   void succeeded() noexcept { earn(Limits_.EarnedBySuccess_); }
 
@@ -48,8 +51,15 @@
   void earn(double Amount) noexcept;
   void refill(base::TimePoint Now) noexcept;
 
+  /// Whole numbers: ten tenths in floating point are less than one.
+  static std::int64_t inMicrotokens(double Tokens) noexcept {
+    return std::llround(Tokens * static_cast<double>(OneToken));
+  }
+
+  static constexpr std::int64_t OneToken = 1'000'000;
+
   Limits Limits_;
-  double Tokens_;
+  std::int64_t Tokens_;
   base::TimePoint Refilled_;
 };
 
