--- a/bench/Main.cpp
+++ b/bench/Main.cpp
@@ -4,6 +4,7 @@
 
 #include "scenario/Engine.h"
 #include "scenario/Player.h"
+#include "scenario/RandomScenario.h"
 #include "scenario/ScenarioParser.h"
 
 #include <gflags/gflags.h>
@@ -21,12 +22,17 @@
 DEFINE_string(strategy, "", "one strategy only; all where empty");
 DEFINE_int32(seeds, 3, "seeds played of each, from 1 on");
 DEFINE_int32(threads, 4, "threads that play");
+DEFINE_int32(random, 0,
+             "plays this many random scenarios and nothing else, seeds from "
+             "--first on");
+DEFINE_int32(first, 1, "first seed of --random");
 DEFINE_string(scenario, "", "plays this scenario file and nothing else");
 
 namespace {
 
 namespace bench = lychee::bench;
 namespace scenario = lychee::scenario;
+namespace base = lychee::base;
 
 constexpr int ExitFailed = 1;
 constexpr int ExitUsage = 2;
@@ -69,6 +75,51 @@
   return Result.Unmet_.empty() ? 0 : ExitFailed;
 }
 
+/// \returns what the seed's scenario violates; empty where nothing.
+std::string playRandom(std::uint64_t Seed) {
+  const scenario::Scenario Played = scenario::makeRandomScenario(Seed);
+  const scenario::Verdict Result = scenario::play(Played);
+  std::string Report;
+  for (const std::string &Line : Result.Unmet_)
+    Report += Played.Name_ + ": " + Line + "\n";
+  if (Report.empty())
+    return Report;
+  for (const scenario::EventSpec &Event : Played.Events_)
+    Report += "  at " + std::to_string(base::toMilliseconds(Event.At_)) +
+              "ms for " +
+              std::to_string(
+                  base::toMilliseconds(Event.For_.value_or(base::Duration()))) +
+              "ms " + std::string(scenario::nameOf(Event.Kind_)) + " " +
+              Event.Name_ + "\n";
+  constexpr std::size_t TraceLines = 12;
+  for (std::size_t Line = 0; Line < std::min(TraceLines, Result.Trace_.size());
+       ++Line)
+    Report += "  " + Result.Trace_[Line] + "\n";
+  return Report;
+}
+
+int playRandoms() {
+  std::vector<std::string> Reports(static_cast<std::size_t>(FLAGS_random));
+  std::atomic<std::size_t> Next = 0;
+  {
+    std::vector<std::jthread> Threads;
+    for (int Thread = 0; Thread < std::max(1, FLAGS_threads); ++Thread)
+      Threads.emplace_back([&] {
+        for (std::size_t Job = Next++; Job < Reports.size(); Job = Next++)
+          Reports[Job] =
+              playRandom(Job + static_cast<std::uint64_t>(FLAGS_first));
+      });
+  }
+  int Failed = 0;
+  for (const std::string &Report : Reports) {
+    Failed += Report.empty() ? 0 : 1;
+    std::fputs(Report.c_str(), stdout);
+  }
+  std::printf("%d random scenarios, %d with a violation\n", FLAGS_random,
+              Failed);
+  return Failed == 0 ? 0 : ExitFailed;
+}
+
 void runJob(const Job &Each) {
   const auto Played =
       bench::makeDeployment(FLAGS_deployment, *Each.Pattern_, Each.Seed_);
@@ -122,6 +173,8 @@
   gflags::ParseCommandLineFlags(&ArgumentCount, &Arguments, true);
   if (!FLAGS_scenario.empty())
     return playScenario(FLAGS_scenario);
+  if (FLAGS_random > 0)
+    return playRandoms();
   const bool Csv = FLAGS_output == "csv";
   const bool KnownDeployment =
       bench::makeDeployment(FLAGS_deployment, bench::allPatterns()[0], 1)
--- a/bench/Measures.cpp
+++ b/bench/Measures.cpp
@@ -81,6 +81,7 @@
 
 std::vector<double> measure(const Outcome &Result) {
   std::vector<double> Values;
+  Values.reserve(Measures.size());
   for (const Measure &Each : Measures)
     Values.push_back(Each.Value_(Result));
   return Values;
@@ -114,6 +115,7 @@
     std::printf("| %s | %s |", Each.Pattern_.c_str(), Each.Strategy_.c_str());
     for (std::size_t Column = 0; Column < Measures.size(); ++Column) {
       std::vector<double> Values;
+      Values.reserve(Each.Values_.size());
       for (const std::vector<double> &OfSeed : Each.Values_)
         Values.push_back(OfSeed[Column]);
       std::printf(" %s |", describe(Values).c_str());
--- a/libs/placement/TargetPool.cpp
+++ b/libs/placement/TargetPool.cpp
@@ -170,9 +170,19 @@
   Choice.Reason_ = "all-lost";
   if (Now - LastProbe_ < ProbePace)
     return Choice;
-  LastProbe_ = Now;
   const auto Count = static_cast<std::uint32_t>(Active_.size());
-  take(Choice, Active_[base::drawBelow(Random, Count)], "probe");
+  const std::uint32_t Start = base::drawBelow(Random, Count);
+  for (std::uint32_t Step = 0; Step < Count; ++Step) {
+    const TargetIndex Target = Active_[(Start + Step) % Count];
+    const Entry &Each = Entries_[Target];
+    // A probe needs a slot like any request: when the pool comes back, all
+    // hosts' probes and the work that others begin meet there.
+    if (Each.Own_ >= Each.Share_.value_or(Each.Slots_))
+      continue;
+    LastProbe_ = Now;
+    take(Choice, Target, "probe");
+    return Choice;
+  }
   return Choice;
 }
 
--- a/libs/scenario/Recorder.cpp
+++ b/libs/scenario/Recorder.cpp
@@ -148,6 +148,18 @@
   WasMoved = WasMoved || Moved;
 }
 
+double Recorder::capOf(const EventSpec &Plan) const {
+  // Two plans between the same regions may both be used up; which of them
+  // moved a caller cannot be seen from outside.
+  double Sum = 0;
+  for (const EventSpec &Other : Played_.Events_)
+    if (Other.Kind_ == EventSpec::Kind::ShiftStart &&
+        Other.Service_ == Plan.Service_ && Other.From_ == Plan.From_ &&
+        Other.To_ == Plan.To_)
+      Sum += Other.Cap_;
+  return std::min(Sum, 1.0);
+}
+
 void Recorder::endPlanSecond(const EventSpec &Plan, PlanWatch &Watch) {
   /// Fewer callers say nothing of a share.
   constexpr std::size_t FewestCallers = 50;
@@ -160,8 +172,9 @@
   Largest = std::max(Largest, Moved / Callers);
   // Callers' places are hashes: the share of those who were seen strays from
   // the cap by chance, by more than four deviations once in 30,000 seconds.
-  const double Stray = 4 * std::sqrt(Plan.Cap_ * (1 - Plan.Cap_) / Callers);
-  const double Over = Moved - Callers * (Plan.Cap_ + Stray);
+  const double Cap = capOf(Plan);
+  const double Stray = 4 * std::sqrt(Cap * (1 - Cap) / Callers);
+  const double Over = Moved - Callers * (Cap + Stray);
   if (Over > 0)
     Result_.Violations_.OverCap_ += static_cast<std::uint64_t>(std::ceil(Over));
 }
--- a/libs/scenario/Recorder.h
+++ b/libs/scenario/Recorder.h
@@ -61,6 +61,7 @@
   LoadOutcome &loadOf(const CallerRequest &Asked);
   Window &windowOf(const CallerRequest &Asked);
   void offend(const CallerRequest &Asked, std::uint64_t &Count);
+  double capOf(const EventSpec &Plan) const;
   void endPlanSecond(const EventSpec &Plan, PlanWatch &Watch);
   void countWindows();
   void chooseOffenders();
--- a/libs/scenario/Scenario.h
+++ b/libs/scenario/Scenario.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace lychee::scenario {
@@ -106,6 +107,9 @@
   int Line_ = 0;
 };
 
+/// \returns the name that stands in reports.
+std::string_view nameOf(EventSpec::Kind Kind) noexcept;
+
 /// What must hold of what callers got. \see Expectations
 struct ExpectationSpec {
   enum class Bound { AtMost, AtLeast };
--- a/libs/scenario/ScenarioLine.cpp
+++ b/libs/scenario/ScenarioLine.cpp
@@ -45,10 +45,13 @@
 }
 
 void ScenarioLine::problem(std::string Found, std::string Allowed) {
+  Faulty_ = true;
   Problems_.push_back({Number_, std::move(Found), std::move(Allowed)});
 }
 
 void ScenarioLine::finish() {
+  if (Faulty_)
+    return;
   if (hasWord())
     problem(Words_[Next_], "the end of the line");
   for (const auto &[Name, Value] : Options_)
--- a/libs/scenario/ScenarioLine.h
+++ b/libs/scenario/ScenarioLine.h
@@ -66,7 +66,8 @@
 
   void problem(std::string Found, std::string Allowed);
 
-  /// Notes words and options that nothing has read.
+  /// Notes words and options that nothing has read; not where a fault was
+  /// found before, as reading may have stopped there.
   void finish();
 
 private:
@@ -86,6 +87,7 @@
   std::size_t Next_ = 0;
   std::map<std::string, std::string> Options_;
   std::set<std::string> Read_;
+  bool Faulty_ = false;
 };
 
 } // namespace lychee::scenario
--- a/libs/steering/SlotBook.cpp
+++ b/libs/steering/SlotBook.cpp
@@ -12,13 +12,13 @@
   for (const placement::TargetSpec &Spec : Targets) {
     Entry &Kept = Entries_[Spec.Id_];
     const auto Known = Old.find(Spec.Id_);
-    const bool IsNew = Known == Old.end();
-    if (!IsNew)
+    if (Known != Old.end())
       Kept = std::move(Known->second);
     Kept.Slots_ = Spec.Leaving_ ? 0 : Spec.Slots_;
     divide(Spec.Id_, Kept);
-    // Every host divides a new target in the same way: nobody used it before.
-    if (IsNew || Settled_)
+    // In an epoch that has not settled, a target that is new to this host may
+    // be in use by others: a host that has just started knows none.
+    if (Settled_)
       Kept.OldHome_ = Kept.NewHome_;
     Kept.OldHome_ = std::min(Kept.OldHome_, Kept.Slots_);
   }
@@ -50,12 +50,14 @@
     divide(Target, Each);
     // What a lost host gave belongs to its slots, which are divided anew: it
     // is given up at once. What it was given comes back when it has settled.
+    std::uint32_t GivenToLost = 0;
     std::erase_if(Each.Pairs_, [&](const auto &Kept) {
       if (isMember(Kept.first))
         return false;
-      Each.GivenToLost_ += Kept.second.Given_;
+      GivenToLost += Kept.second.Given_;
       return true;
     });
+    Each.GivenToLost_ += GivenToLost;
   }
 }
 
