--- a/tests/operations/FakeStore.h
+++ b/tests/operations/FakeStore.h
@@ -26,6 +26,11 @@
       Last = {"store.get", "store", "down"};
       co_return std::nullopt;
     }
+    if (GetsLeft_ && (*GetsLeft_)-- == 0) {
+      GetsLeft_ = 0;
+      Last = {"store.get", "store", "over the budget of calls"};
+      co_return std::nullopt;
+    }
     const auto Entry = Objects_.find(std::string(Asked));
     if (Entry == Objects_.end())
       co_return store::Object{std::string(Asked), "", 0};
@@ -99,6 +104,8 @@
   std::string LoseRequestTo_;
   int LostRequests_ = 0;
   int Puts_ = 0;
+  /// Reads that are answered; nothing for all.
+  std::optional<int> GetsLeft_;
 };
 
 /// A host whose settings in force are set by the test.
@@ -114,7 +121,7 @@
     return Status;
   }
   std::vector<operations::MemberStatus> members() const override {
-    return {{base::HostId("edge-1"), base::ZoneId("n-1"), "127.0.0.1:1"}};
+    return {{base::HostId("edge-1"), base::ZoneId("n-1"), Address_}};
   }
   std::vector<std::string>
   explain(const base::RequestId &Request) const override {
@@ -124,6 +131,7 @@
   }
 
   std::shared_ptr<const settings::Intent> Intent_;
+  std::string Address_ = "127.0.0.1:1";
 };
 
 /// \returns the result of a coroutine that waits for nothing but itself.
