--- a/libs/budget/BudgetBook.cpp
+++ b/libs/budget/BudgetBook.cpp
@@ -88,13 +88,24 @@
 }
 
 SpendOutcome BudgetBook::spend(std::string_view Budget, base::TimePoint Now) {
+  return spendFrom(Budget, true, Now);
+}
+
+SpendOutcome BudgetBook::spendAgain(std::string_view Budget,
+                                    base::TimePoint Now) {
+  return spendFrom(Budget, false, Now);
+}
+
+SpendOutcome BudgetBook::spendFrom(std::string_view Budget, bool IsDemand,
+                                   base::TimePoint Now) {
   Shard &Home = shardOf(Budget);
   const std::scoped_lock Guard(Home.Lock_);
   const auto Found = Home.Entries_.find(Budget);
   if (Found == Home.Entries_.end())
     return {SpendResult::NoShare, base::Duration::max()};
   Entry &Of = Found->second;
-  Of.Demand_.note(1, Now);
+  if (IsDemand)
+    Of.Demand_.note(1, Now);
   const SpendResult Result = Of.Share_.spend(TokensPerRequest, Now);
   if (Result == SpendResult::Granted)
     return {Result, base::Duration::zero()};
--- a/libs/budget/BudgetBook.h
+++ b/libs/budget/BudgetBook.h
@@ -68,6 +68,10 @@
   /// \param Now  read after any wait, right before this call.
   SpendOutcome spend(std::string_view Budget, base::TimePoint Now);
 
+  /// The same for a request that was short before and waits for tokens on
+  /// their way: it is not counted as demand once more.
+  SpendOutcome spendAgain(std::string_view Budget, base::TimePoint Now);
+
   // Exchange with peers.
 
   /// \returns an ask for the budget, where one helps and none was made within
@@ -108,6 +112,8 @@
 
   static constexpr std::size_t ShardCount = 16;
 
+  SpendOutcome spendFrom(std::string_view Budget, bool IsDemand,
+                         base::TimePoint Now);
   Shard &shardOf(std::string_view Budget) noexcept;
   ShareState stateOf(Entry &Of, base::TimePoint Now) const noexcept;
   std::optional<Ask> makeAsk(std::string_view Budget, Entry &Of,
--- a/libs/scenario/CallerRequest.h
+++ b/libs/scenario/CallerRequest.h
@@ -28,6 +28,8 @@
   std::uint32_t Sends_ = 0;
   /// Times that a target began to run it.
   std::uint32_t Runs_ = 0;
+  /// Counted against its customer's rate.
+  bool LetIn_ = false;
   bool Ended_ = false;
 };
 
--- a/libs/scenario/Engine.h
+++ b/libs/scenario/Engine.h
@@ -85,6 +85,7 @@
   void endSend(std::size_t Host, std::uint32_t Process, std::uint64_t Send,
                steering::SendEnd End);
   void wake(std::size_t Host, const std::vector<steering::Wakeup> &Woken);
+  void countLetIn(CallerRequest &Asked, const steering::Decision &Taken);
   steering::Request steeringRequest(const CallerRequest &Asked) const;
   void countSend(const CallerRequest &Asked, const PlayedTarget &Target);
   void leaveTarget(PlayedTarget &Left);
--- a/libs/scenario/EngineHosts.cpp
+++ b/libs/scenario/EngineHosts.cpp
@@ -39,14 +39,23 @@
   }
   const steering::Decision Taken =
       Plays_.steering(Host).arrive(steeringRequest(*Asked), Events_.now());
-  if (Taken.Action_ != steering::Decision::Action::Refuse)
-    Recorder_.letIn(*Asked, Events_.now());
   follow(Host, Asked, Taken);
 }
 
+void Engine::countLetIn(CallerRequest &Asked, const steering::Decision &Taken) {
+  // One that waits for tokens is let in when it leaves that wait.
+  const bool Outside = Taken.Action_ == steering::Decision::Action::Refuse ||
+                       Taken.Reason_ == "rate-share-short";
+  if (Asked.LetIn_ || Outside)
+    return;
+  Asked.LetIn_ = true;
+  Recorder_.letIn(Asked, Events_.now());
+}
+
 void Engine::follow(std::size_t Host, const RequestPointer &Asked,
                     const steering::Decision &Taken) {
   noteDecision(Host, *Asked, Taken);
+  countLetIn(*Asked, Taken);
   switch (Taken.Action_) {
   case steering::Decision::Action::Send:
     return send(Host, Asked, Taken);
--- a/libs/steering/FleetSteering.cpp
+++ b/libs/steering/FleetSteering.cpp
@@ -8,6 +8,13 @@
 
 constexpr std::uint64_t IndexMask = 0xffff;
 
+admission::RateCheck rateCheckOf(const budget::SpendOutcome &Spent) {
+  /// A customer that is told to come back later than this is told this.
+  constexpr base::Duration LongestRetryAfter = std::chrono::seconds(60);
+  return {Spent.Result_ == budget::SpendResult::Granted,
+          std::min(Spent.RefillsIn_, LongestRetryAfter)};
+}
+
 } // namespace
 
 FleetSteering::FleetSteering(SteeringSettings Settings)
@@ -30,10 +37,7 @@
         continue;
       const auto Index = static_cast<std::uint16_t>(Services_.size());
       Services_.push_back(std::make_shared<ServiceSteering>(
-          Id, Index,
-          HostContext{Settings_.Host_, Settings_.Region_, Settings_.Limits_,
-                      &Suspects_},
-          Settings_.Seed_ + Index));
+          Id, Index, makeContext(), Settings_.Seed_ + Index));
       Services_.back()->setWallOffset(WallOffset_);
       Services_.back()->setPeers(Peers_);
       Services_.back()->enterEpoch(Epoch_, Members_);
@@ -164,16 +168,25 @@
 
 admission::RateCheck FleetSteering::checkRate(const base::CustomerId &Customer,
                                               base::TimePoint Now) {
-  if (!Settings_.Rates_) {
-    const auto ComeBackAfter = Rates_.take(Customer, Now);
-    return {!ComeBackAfter, ComeBackAfter.value_or(base::Duration())};
-  }
-  /// A customer that is told to come back later than this is told this.
-  constexpr base::Duration LongestRetryAfter = std::chrono::seconds(60);
-  const budget::SpendOutcome Spent =
-      Settings_.Rates_->spend(rateBudget(Customer), Now);
-  return {Spent.Result_ == budget::SpendResult::Granted,
-          std::min(Spent.RefillsIn_, LongestRetryAfter)};
+  if (Settings_.Rates_)
+    return rateCheckOf(Settings_.Rates_->spend(rateBudget(Customer), Now));
+  const auto ComeBackAfter = Rates_.take(Customer, Now);
+  return {!ComeBackAfter, ComeBackAfter.value_or(base::Duration())};
+}
+
+HostContext FleetSteering::makeContext() {
+  HostContext Context;
+  Context.Host_ = Settings_.Host_;
+  Context.Region_ = Settings_.Region_;
+  Context.Limits_ = Settings_.Limits_;
+  Context.Suspects_ = &Suspects_;
+  if (Settings_.Rates_)
+    Context.RateAgain_ = [this](const base::CustomerId &Customer,
+                                base::TimePoint Now) {
+      return rateCheckOf(
+          Settings_.Rates_->spendAgain(rateBudget(Customer), Now));
+    };
+  return Context;
 }
 
 void FleetSteering::setWallTime(base::WallPoint Wall, base::TimePoint Now) {
--- a/libs/steering/FleetSteering.h
+++ b/libs/steering/FleetSteering.h
@@ -105,6 +105,7 @@
 
   admission::RateCheck checkRate(const base::CustomerId &Customer,
                                  base::TimePoint Now);
+  HostContext makeContext();
   ServicePointer find(const base::ServiceId &Service) const;
   ServicePointer find(std::uint64_t Ticket) const;
   std::vector<ServicePointer> services() const;
--- a/libs/steering/ServicePlacement.cpp
+++ b/libs/steering/ServicePlacement.cpp
@@ -121,7 +121,7 @@
                                 base::TimePoint Now,
                                 std::vector<Wakeup> &Woken) {
   /// Most slots that one look asks for; the next look is a tick away.
-  constexpr std::size_t MostWanted = 4;
+  constexpr std::size_t MostWanted = 8;
   const base::Duration WorthIt = placement::RegionChooser::WaitFactor *
                                  roundTrip(Home.region(), Other.region());
   const auto Wait = [&] {
--- a/libs/steering/ServiceSteering.cpp
+++ b/libs/steering/ServiceSteering.cpp
@@ -127,6 +127,8 @@
   // waiting request is looked at again.
   Wanted.Request_.Method_ = {};
   Wanted.Request_.Path_ = {};
+  if (!Rate.Allowed_ && mayWaitForRate(Arrived))
+    return holdForRate(Ticket, Wanted, Now);
   Decision Taken = enter(Ticket, Wanted, Rate, Now);
   if (Taken.Action_ == Decision::Action::Refuse)
     Pending_.erase(Ticket);
@@ -340,7 +342,8 @@
   const auto Place = Pending_.find(Ticket);
   if (Place == Pending_.end() || !Place->second.Waits_)
     return;
-  Place->second.Pool_->line().cancel(Place->second.Place_);
+  if (std::erase(RateWaiting_, Ticket) == 0)
+    Place->second.Pool_->line().cancel(Place->second.Place_);
   Pending_.erase(Place);
 }
 
@@ -350,6 +353,7 @@
   if (Upkeep)
     LastUpkeep_ = Now;
   stepShifts(Now);
+  letRateWaitingGo(Now, Woken);
   for (const auto &[Id, Pool] : Pools_) {
     if (Upkeep)
       Pool->targets().tick(Now);
--- a/libs/steering/ServiceSteering.h
+++ b/libs/steering/ServiceSteering.h
@@ -9,6 +9,8 @@
 #include "steering/RegionPool.h"
 #include "steering/Steering.h"
 
+#include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -31,6 +33,11 @@
   ServiceLimits Limits_;
   /// Shared by all services; thread-safe.
   retrying::CrashSuspects *Suspects_ = nullptr;
+  /// Asks once more whether a customer's rate lets a request in; empty where
+  /// no tokens come from peers.
+  std::function<admission::RateCheck(const base::CustomerId &Customer,
+                                     base::TimePoint Now)>
+      RateAgain_;
 };
 
 /// One service at one host: its targets by region, its running and waiting
@@ -82,6 +89,8 @@
   /// A request between its arrival and its last decision.
   struct Pending {
     Request Request_;
+    /// Until when it waits for tokens of its customer's rate.
+    base::TimePoint RateUntil_;
     /// The region that it waits for, or was sent to.
     RegionPool *Pool_ = nullptr;
     admission::Place Place_;
@@ -114,6 +123,10 @@
                     base::TimePoint Now);
   Decision send(std::uint64_t Ticket, Pending &Wanted, const Found &Where,
                 std::string_view Why);
+  bool mayWaitForRate(const Request &Arrived) const;
+  Decision holdForRate(std::uint64_t Ticket, Pending &Wanted,
+                       base::TimePoint Now);
+  void letRateWaitingGo(base::TimePoint Now, std::vector<Wakeup> &Woken);
   Decision hold(std::uint64_t Ticket, Pending &Wanted) const;
   Decision refuse(Refusal Reason, Ran MayHaveRun,
                   std::string_view Why = {}) const;
@@ -161,6 +174,8 @@
   std::map<std::pair<base::RegionId, base::RegionId>, base::Duration>
       RoundTrips_;
   std::unordered_map<std::uint64_t, Pending> Pending_;
+  /// Tickets that wait for tokens, the oldest first.
+  std::deque<std::uint64_t> RateWaiting_;
   std::vector<base::HostId> Peers_;
   std::uint64_t Epoch_ = 0;
   std::vector<Member> Members_;
