Shares follow callers that move: a fast estimate of what is spare, three donors at once

The demo applies a copy of the worked tree: it left its version file there, which broke the tests that read the tree.

--- a/demo.sh
+++ b/demo.sh
@@ -19,7 +19,7 @@
   sleep 0.2
   for Id in "${Ids[@]}"; do kill -KILL "$Id" 2>/dev/null || true; done
   wait 2>/dev/null || true
-  [ -n "${KEEP:-}" ] && cp -r "$Folder" /tmp/demo-logs; rm -rf "$Folder"
+  rm -rf "$Folder"
 }
 trap finish EXIT
 
@@ -64,7 +64,8 @@
 caller -H "Authorization: Bearer $Key" http://127.0.10.1:23001/summaries
 
 say "Operators apply the whole tree; --wait returns when it is in force on every host"
-$Bin/lychee apply $Example/settings --wait
+cp -r $Example/settings "$Folder/settings"
+$Bin/lychee apply "$Folder/settings" --wait
 
 say "A caller asks which hosts to use: nearest first, and how long the answer may be kept"
 curl -sS --max-time 5 --interface 127.101.0.7 'http://127.0.10.1:23001/.well-known/lychee/hosts?service=case-portal'
--- a/libs/budget/BudgetBook.cpp
+++ b/libs/budget/BudgetBook.cpp
@@ -106,16 +106,28 @@
   Entry &Of = Found->second;
   if (IsDemand)
     Of.Demand_.note(1, Now);
+  Of.Recent_.note(1, Now);
   const SpendResult Result = Of.Share_.spend(TokensPerRequest, Now);
   if (Result == SpendResult::Granted)
     return {Result, base::Duration::zero()};
   return {Result, Of.Share_.timeUntil(TokensPerRequest, Now)};
 }
 
-ShareState BudgetBook::stateOf(Entry &Of, base::TimePoint Now) const noexcept {
+ShareState BudgetBook::needOf(Entry &Of, base::TimePoint Now) const noexcept {
+  return stateOf(
+      Of,
+      std::max(Of.Demand_.ratePerSecond(Now), Of.Recent_.ratePerSecond(Now)),
+      Now);
+}
+
+ShareState BudgetBook::spareOf(Entry &Of, base::TimePoint Now) const noexcept {
+  return stateOf(Of, Of.Recent_.ratePerSecond(Now), Now);
+}
+
+ShareState BudgetBook::stateOf(Entry &Of, double PerSecond,
+                               base::TimePoint Now) const noexcept {
   ShareState State;
   State.Held_ = Of.Share_.share().usable(Now);
-  const double PerSecond = Of.Demand_.ratePerSecond(Now);
   const double TotalRate =
       static_cast<double>(Of.Share_.total().MicroRequestsPerSecond_) * 1e-6;
   if (TotalRate > 0)
@@ -137,7 +149,7 @@
                                        base::TimePoint Now) {
   if (!Of.Share_.share().settled() || Now < Of.LastAsk_ + AskInterval)
     return std::nullopt;
-  ShareState State = stateOf(Of, Now);
+  ShareState State = needOf(Of, Now);
   State.Hosts_ = Grant_.Hosts_;
   const ExchangeAmount Wanted = Policy_.wanted(State);
   if (Wanted.isNothing())
@@ -186,7 +198,7 @@
   Entry &Of = Found->second;
   if (Of.Share_.share().epoch() != Asked.Epoch_)
     return std::nullopt;
-  ShareState State = stateOf(Of, Now);
+  ShareState State = spareOf(Of, Now);
   State.Hosts_ = Grant_.Hosts_;
   const ExchangeAmount Given =
       Policy_.granted(State, Asked.Rate_, Asked.Tokens_);
@@ -210,7 +222,7 @@
   for (Shard &Each : Shards_) {
     const std::scoped_lock Guard(Each.Lock_);
     for (auto &[Name, Of] : Each.Entries_) {
-      ShareState State = stateOf(Of, Now);
+      ShareState State = spareOf(Of, Now);
       State.Hosts_ = Grant_.Hosts_;
       SpareOffer Offer{Name, Policy_.spareRate(State),
                        Policy_.spareTokens(State)};
--- a/libs/budget/BudgetBook.h
+++ b/libs/budget/BudgetBook.h
@@ -102,6 +102,10 @@
 
     RateShare Share_;
     DemandEstimator Demand_;
+    /// Follows within a fifth of a second: what this host could spare. A host
+    /// whose callers have just left would else sit on their rate for seconds,
+    /// and one that gave too much asks for it back.
+    DemandEstimator Recent_{RecentMemory};
     base::TimePoint LastAsk_;
   };
 
@@ -115,7 +119,12 @@
   SpendOutcome spendFrom(std::string_view Budget, bool IsDemand,
                          base::TimePoint Now);
   Shard &shardOf(std::string_view Budget) noexcept;
-  ShareState stateOf(Entry &Of, base::TimePoint Now) const noexcept;
+  static constexpr base::Duration RecentMemory = std::chrono::milliseconds(200);
+
+  ShareState stateOf(Entry &Of, double PerSecond,
+                     base::TimePoint Now) const noexcept;
+  ShareState needOf(Entry &Of, base::TimePoint Now) const noexcept;
+  ShareState spareOf(Entry &Of, base::TimePoint Now) const noexcept;
   std::optional<Ask> makeAsk(std::string_view Budget, Entry &Of,
                              base::TimePoint Now);
   void joinEpoch(Entry &Of, const EpochGrant &Grant, bool Settled,
--- a/libs/exchange/ExchangeNode.cpp
+++ b/libs/exchange/ExchangeNode.cpp
@@ -1,5 +1,6 @@
 #include "exchange/ExchangeNode.h"
 
+#include "base/Hash.h"
 #include "base/SystemClock.h"
 #include "exchange/ExchangeCodec.h"
 #include "reporting/Log.h"
@@ -62,7 +63,8 @@
                            base::HostId SelfName, std::uint64_t Incarnation,
                            ExchangeParts Parts)
     : Executor_(Executor), Peers_(Peers),
-      Self_(processId(SelfName, Incarnation)), Parts_(std::move(Parts)) {
+      Self_(processId(SelfName, Incarnation)), Parts_(std::move(Parts)),
+      Random_(base::stableHash(Self_.name())) {
   bind(Handlers);
 }
 
@@ -115,6 +117,7 @@
     return;
   std::vector<base::HostId> Others = Processes;
   std::erase(Others, Self_);
+  Offers_.setPeers(Others);
   Parts_.Steering_.setPeers(Others);
   Parts_.Steering_.enterEpoch(Changed.Epoch_, Members);
   Parts_.Rates_.enterEpoch({Changed.Epoch_,
@@ -149,12 +152,10 @@
     for (steering::SlotAsk &Each : Parts_.Steering_.slotAsks(Now))
       if (const auto Address = addressOf(Each.Donor_))
         spawn(askSlots(*Address, std::move(Each)));
-    for (budget::Ask &Each : Parts_.Rates_.asksDue(Now)) {
-      const auto Donor = Offers_.takeDonor(Each, Now);
-      const auto Address = Donor ? addressOf(*Donor) : std::nullopt;
-      if (Address)
-        spawn(askRate(*Address, std::move(Each)));
-    }
+    for (const budget::Ask &Each : Parts_.Rates_.asksDue(Now))
+      for (const base::HostId &Donor : Offers_.takeDonors(Each, Now, Random_))
+        if (const auto Address = addressOf(Donor))
+          spawn(askRate(*Address, Each));
     co_await sleep(AskInterval);
   }
 }
--- a/libs/exchange/ExchangeNode.h
+++ b/libs/exchange/ExchangeNode.h
@@ -97,6 +97,8 @@
   const ExchangeParts Parts_;
   EpochTracker Epochs_;
   OfferBook Offers_;
+  /// Of the ask loop alone.
+  base::Random Random_;
   std::atomic<bool> Stopped_ = false;
   std::atomic<std::uint64_t> Settled_ = 0;
 
--- a/libs/exchange/OfferBook.cpp
+++ b/libs/exchange/OfferBook.cpp
@@ -15,15 +15,41 @@
     Offers_[Each.Budget_][Peer] = {Each, Now};
 }
 
-void OfferBook::forget(const base::HostId &Peer) {
+void OfferBook::setPeers(std::span<const base::HostId> Peers) {
   const std::scoped_lock Guard(Lock_);
+  Peers_.assign(Peers.begin(), Peers.end());
   for (auto &[Budget, ByPeer] : Offers_)
-    ByPeer.erase(Peer);
+    std::erase_if(ByPeer, [&](const auto &Entry) {
+      return std::find(Peers_.begin(), Peers_.end(), Entry.first) ==
+             Peers_.end();
+    });
 }
 
-std::optional<base::HostId> OfferBook::takeDonor(const budget::Ask &Asked,
-                                                 base::TimePoint Now) {
+std::vector<base::HostId> OfferBook::takeDonors(const budget::Ask &Asked,
+                                                base::TimePoint Now,
+                                                base::Random &Random) {
   const std::scoped_lock Guard(Lock_);
+  const bool IsShort = Asked.Tokens_ > 0;
+  const std::size_t Most = IsShort ? DonorsAtOnce : 1;
+  std::vector<base::HostId> Donors;
+  while (Donors.size() < Most) {
+    const auto Best = takeBest(Asked, Now);
+    if (!Best)
+      break;
+    Donors.push_back(*Best);
+  }
+  for (std::size_t Draw = Donors.size();
+       IsShort && Draw < Most && !Peers_.empty(); ++Draw) {
+    const base::HostId &Drawn = Peers_[base::drawBelow(
+        Random, static_cast<std::uint32_t>(Peers_.size()))];
+    if (std::find(Donors.begin(), Donors.end(), Drawn) == Donors.end())
+      Donors.push_back(Drawn);
+  }
+  return Donors;
+}
+
+std::optional<base::HostId> OfferBook::takeBest(const budget::Ask &Asked,
+                                                base::TimePoint Now) {
   const auto Found = Offers_.find(Asked.Budget_);
   if (Found == Offers_.end())
     return std::nullopt;
--- a/libs/exchange/OfferBook.h
+++ b/libs/exchange/OfferBook.h
@@ -2,6 +2,7 @@
 #define LYCHEE_EXCHANGE_OFFERBOOK_H
 
 #include "base/Id.h"
+#include "base/Random.h"
 #include "base/Time.h"
 #include "budget/BudgetBook.h"
 
@@ -10,6 +11,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <vector>
 
 namespace lychee::exchange {
 
@@ -30,12 +32,22 @@
   void heard(const base::HostId &Peer,
              std::span<const budget::SpareOffer> Offers, base::TimePoint Now);
 
-  void forget(const base::HostId &Peer);
+  /// Sets who may be asked at all.
+  void setPeers(std::span<const base::HostId> Peers);
 
-  /// \returns whom to ask, and takes its offer out; nothing where no peer has
-  /// any to spare.
-  std::optional<base::HostId> takeDonor(const budget::Ask &Asked,
-                                        base::TimePoint Now);
+  /// \returns whom to ask, best first, and takes their offers out. One donor
+  /// where the rate is to grow; up to DonorsAtOnce where requests wait for
+  /// tokens, drawn among all peers where too few have offered: the host that
+  /// the callers have just left has told of nothing to spare yet.
+  std::vector<base::HostId> takeDonors(const budget::Ask &Asked,
+                                       base::TimePoint Now,
+                                       base::Random &Random);
+
+  /// Asked at once while requests wait. Measured with a customer at 80% of its
+  /// rate whose callers move each 10 s: refused 1.10% with one donor among
+  /// those that offered, 0.80%, 0.50% and 0.36% with one, two and three and
+  /// the draw (lychee-bench-shares).
+  static constexpr std::size_t DonorsAtOnce = 3;
 
 private:
   struct Offer {
@@ -43,7 +55,11 @@
     base::TimePoint HeardAt_;
   };
 
+  std::optional<base::HostId> takeBest(const budget::Ask &Asked,
+                                       base::TimePoint Now);
+
   mutable std::mutex Lock_;
+  std::vector<base::HostId> Peers_;
   /// By budget, then by peer.
   std::map<std::string, std::map<base::HostId, Offer>, std::less<>> Offers_;
 };
--- a/libs/steering/SlotBook.cpp
+++ b/libs/steering/SlotBook.cpp
@@ -26,10 +26,15 @@
 
 void SlotBook::divide(const base::TargetId &Target, Entry &Divided) const {
   const bool IsOwner = std::ranges::find(Owners_, Self_) != Owners_.end();
-  std::vector<base::HostId> Others = Owners_;
-  std::erase(Others, Self_);
-  Divided.NewHome_ =
-      IsOwner ? placement::homeSlots(Target, Divided.Slots_, Self_, Others) : 0;
+  // Equal weights: every host must come to the same division from the epoch
+  // alone, and what hosts bring differs from what each has heard of the others.
+  std::vector<placement::HostWeight> Others;
+  for (const base::HostId &Each : Owners_)
+    if (Each != Self_)
+      Others.push_back({.Host_ = Each});
+  Divided.NewHome_ = IsOwner ? placement::homeSlots(Target, Divided.Slots_,
+                                                    {.Host_ = Self_}, Others)
+                             : 0;
 }
 
 bool SlotBook::isMember(const base::HostId &Host) const noexcept {
