Slots: an epoch settles although hosts owe each other what a lost host had

Cause: where A had given a lost host slots and B had got as many from it, B's debt could be paid by no one, as A's claim was not yet usable; the epoch never settled and its slots stayed idle. Claims now pay debts, one peer at a time.

--- a/libs/steering/RegionPool.cpp
+++ b/libs/steering/RegionPool.cpp
@@ -1,6 +1,7 @@
 #include "steering/RegionPool.h"
 
 #include <algorithm>
+#include <iterator>
 #include <tuple>
 #include <utility>
 
@@ -93,11 +94,13 @@
 }
 
 bool RegionPool::fits() const {
-  return std::ranges::all_of(Targets_.active(),
-                             [this](placement::TargetIndex Target) {
-                               return Targets_.inFlight(Target) <=
-                                      Slots_.held(Targets_.nameOf(Target));
-                             });
+  return std::ranges::all_of(
+      Targets_.active(), [this](placement::TargetIndex Target) {
+        const base::TargetId &Name = Targets_.nameOf(Target);
+        const std::int64_t InUse = Targets_.inFlight(Target);
+        return InUse <= std::max<std::int64_t>(0, Slots_.held(Name)) &&
+               InUse <= Slots_.heldOnceSettled(Name);
+      });
 }
 
 std::uint32_t RegionPool::spare(base::TimePoint Now) const {
@@ -184,23 +187,27 @@
 }
 
 void RegionPool::addRecalls(std::vector<SlotAsk> &Asks, base::TimePoint Now) {
-  if (Now - RecalledAt_ < AskAgainAfar)
+  if (Peers_.empty() || Now - RecalledAt_ < AskAgainAfar)
     return;
+  // One peer at a time: two that gave would leave this host with a slot that a
+  // lost host may still use.
+  const auto Donor = std::next(
+      Peers_.begin(), static_cast<std::ptrdiff_t>(Recalls_ % Peers_.size()));
   for (const placement::TargetIndex Target : Targets_.active()) {
     const base::TargetId &Name = Targets_.nameOf(Target);
-    if (Slots_.held(Name) >= 0)
+    if (Slots_.heldOnceSettled(Name) >= 0)
       continue;
     RecalledAt_ = Now;
-    for (const auto &[Host, Each] : Peers_) {
-      SlotAsk Ask;
-      Ask.Asker_ = Self_;
-      Ask.Donor_ = Host;
-      Ask.Region_ = Region_;
-      Ask.Slots_ = 1;
-      Ask.Recalled_ = Name;
-      Asks.push_back(Ask);
-    }
+    SlotAsk Ask;
+    Ask.Asker_ = Self_;
+    Ask.Donor_ = Donor->first;
+    Ask.Region_ = Region_;
+    Ask.Slots_ = 1;
+    Ask.Recalled_ = Name;
+    Asks.push_back(Ask);
   }
+  if (RecalledAt_ == Now)
+    ++Recalls_;
 }
 
 std::uint32_t RegionPool::mayGive(const SlotAsk &Asked,
@@ -259,7 +266,10 @@
     const base::TargetId &Name = Targets_.nameOf(Target);
     if (!Asked.Recalled_.empty() && Name != Asked.Recalled_)
       continue;
-    const std::int64_t Held = Slots_.held(Name);
+    // What comes back from a lost host can pay a debt before it may be used.
+    const std::int64_t Held = Asked.Recalled_.empty()
+                                  ? Slots_.held(Name)
+                                  : Slots_.heldOnceSettled(Name);
     if (Held > Targets_.inFlight(Target)) {
       Kept_.erase(Name);
       const SlotCount Given = Slots_.give(Asked.Asker_, Name, 1);
--- a/libs/steering/RegionPool.h
+++ b/libs/steering/RegionPool.h
@@ -106,6 +106,8 @@
   /// This host stands in the region.
   bool IsNear_ = false;
   base::TimePoint RecalledAt_;
+  /// Rises with each recall, so that each goes to the next peer.
+  std::size_t Recalls_ = 0;
   base::TimePoint SpareHeardAt_;
   /// Targets of which one slot is kept free for a peer, and until when: it asks
   /// again within this time, or needs it no longer.
--- a/libs/steering/SlotBook.cpp
+++ b/libs/steering/SlotBook.cpp
@@ -88,6 +88,16 @@
   return std::min<std::int64_t>(Held, Each.Slots_);
 }
 
+std::int64_t SlotBook::heldOnceSettled(const base::TargetId &Target) const {
+  const auto Known = Entries_.find(Target);
+  if (Known == Entries_.end())
+    return 0;
+  std::int64_t Held = Known->second.NewHome_;
+  for (const auto &[Host, Counts] : Known->second.Pairs_)
+    Held += static_cast<std::int64_t>(Counts.Received_) - Counts.Given_;
+  return Held;
+}
+
 SlotCount SlotBook::give(const base::HostId &Receiver,
                          const base::TargetId &Target, std::uint32_t Slots) {
   Pair &Counts = Entries_[Target].Pairs_[Receiver];
--- a/libs/steering/SlotBook.h
+++ b/libs/steering/SlotBook.h
@@ -78,6 +78,11 @@
   /// it uses more than a new epoch left it.
   std::int64_t held(const base::TargetId &Target) const;
 
+  /// \returns the slots of \p Target that this host will hold once the epoch
+  /// has settled. Over all hosts they add up to the slots there are; one below
+  /// zero has to get some back before.
+  std::int64_t heldOnceSettled(const base::TargetId &Target) const;
+
   /// Counts slots as given; to be called before the receiver is told.
   /// \returns what to tell it.
   SlotCount give(const base::HostId &Receiver, const base::TargetId &Target,
