--- a/libs/scenario/FleetStrategy.cpp
+++ b/libs/scenario/FleetStrategy.cpp
@@ -10,6 +10,7 @@
   LeasesEnd_ = Now;
   Hosts_.resize(Peers_.Hosts_);
   Rates_.resize(Peers_.Hosts_);
+  Plain_.resize(Peers_.Hosts_);
   Offers_.resize(Peers_.Hosts_);
   for (auto &Heard : Offers_)
     Heard.resize(Peers_.Hosts_);
@@ -23,21 +24,48 @@
   Settings.Host_ = Peers_.Name_(Host);
   Settings.Region_ = Peers_.Region_(Host);
   Settings.Seed_ = Seed_ * 1000 + Host;
+  if (Rules_.OneLine_)
+    Settings.Limits_ = firstComeFirstServed();
   Rates_[Host] = std::make_unique<budget::BudgetBook>(Settings.Host_);
   Settings.Rates_ = Rates_[Host].get();
   Hosts_[Host] = std::make_unique<steering::FleetSteering>(Settings);
+  if (Rules_.LocalOnly_ || Rules_.OneLine_)
+    Plain_[Host] = std::make_unique<PlainSteering>(
+        *Hosts_[Host], Rules_.LocalOnly_,
+        Rules_.OneLine_ ? Rates_[Host].get() : nullptr);
   // The played hosts' time of day is their monotonic time.
   Hosts_[Host]->setWallTime(base::WallPoint(Now_.time_since_epoch()), Now_);
 }
 
+steering::ServiceLimits FleetStrategy::firstComeFirstServed() {
+  constexpr base::Duration Never = std::chrono::hours(1);
+  steering::ServiceLimits Limits;
+  Limits.Line_.PressureMemory_ = Never;
+  Limits.Line_.ShortWait_ = Never;
+  Limits.Line_.NewestFirst_ = false;
+  return Limits;
+}
+
 steering::Steering &FleetStrategy::steering(std::size_t Host) {
+  if (Plain_[Host])
+    return *Plain_[Host];
   return *Hosts_[Host];
 }
 
 void FleetStrategy::applyIntent(std::size_t Host,
                                 std::shared_ptr<const settings::Intent> Intent,
                                 base::TimePoint Now) {
-  Hosts_[Host]->applyIntent(Intent, Now);
+  if (!Rules_.OneLine_)
+    return Hosts_[Host]->applyIntent(Intent, Now);
+  // The one customer's rate is no bound: each one's own was checked before.
+  constexpr double NoBound = 1e6;
+  auto Changed = std::make_shared<settings::Intent>(*Intent);
+  const base::CustomerId Id(PlainSteering::Everyone);
+  settings::Customer &All = Changed->Customers_[Id];
+  All.Id_ = Id;
+  All.RatePerSecond_ = NoBound;
+  All.Burst_ = NoBound;
+  Hosts_[Host]->applyIntent(Changed, Now);
 }
 
 void FleetStrategy::report(std::size_t Host, const LoadReport &Heard,
--- a/libs/scenario/FleetStrategy.h
+++ b/libs/scenario/FleetStrategy.h
@@ -1,6 +1,7 @@
 #ifndef LYCHEE_SCENARIO_FLEETSTRATEGY_H
 #define LYCHEE_SCENARIO_FLEETSTRATEGY_H
 
+#include "scenario/PlainSteering.h"
 #include "scenario/Strategy.h"
 #include "steering/FleetSteering.h"
 
@@ -57,6 +58,7 @@
                 base::TimePoint Now);
   void changeMembers(base::TimePoint Now);
   void settle(base::TimePoint Now);
+  static steering::ServiceLimits firstComeFirstServed();
   std::optional<std::size_t> placeOf(const base::HostId &Host) const;
 
   const FleetRules Rules_;
@@ -64,6 +66,8 @@
   std::uint64_t Seed_ = 0;
   std::vector<std::unique_ptr<budget::BudgetBook>> Rates_;
   std::vector<std::unique_ptr<steering::FleetSteering>> Hosts_;
+  /// What callers meet where the rules take a part away; else empty.
+  std::vector<std::unique_ptr<PlainSteering>> Plain_;
   /// What each host last heard that each other could spare, by budget.
   std::vector<std::vector<std::map<std::string, budget::SpareOffer>>> Offers_;
   base::TimePoint Now_;
--- /dev/null
+++ b/libs/scenario/PlainSteering.cpp
@@ -0,0 +1,26 @@
+#include "scenario/PlainSteering.h"
+
+#include "steering/FleetSteering.h"
+
+namespace lychee::scenario {
+
+steering::Decision PlainSteering::arrive(const steering::Request &Arrived,
+                                         base::TimePoint Now) {
+  steering::Request Plain = Arrived;
+  if (LocalOnly_ && Plain.Preference_.size() > 1)
+    Plain.Preference_.resize(1);
+  if (!Rates_)
+    return Inner_.arrive(Plain, Now);
+  const auto Spent = Rates_->spend(
+      steering::FleetSteering::rateBudget(Arrived.Customer_), Now);
+  if (Spent.Result_ != budget::SpendResult::Granted) {
+    steering::Decision Refused;
+    Refused.Refusal_ = steering::Refusal::OverRate;
+    return Refused;
+  }
+  Plain.Customer_ = base::CustomerId(Everyone);
+  Plain.CallerHash_ = 0;
+  return Inner_.arrive(Plain, Now);
+}
+
+} // namespace lychee::scenario
--- a/libs/steering/ServiceSteering.cpp
+++ b/libs/steering/ServiceSteering.cpp
@@ -87,7 +87,7 @@
   const auto Known = Intent.Services_.find(Service_);
   for (const auto &[Id, Region] : Intent.Regions_) {
     std::vector<settings::Target> Here;
-    admission::AdmissionControl::Limits Limits;
+    admission::AdmissionControl::Limits Limits = Context_.Limits_.Line_;
     if (Known != Intent.Services_.end()) {
       Limits.ExpectedWork_ = Known->second.ExpectedWork_;
       std::ranges::copy_if(
--- a/libs/steering/ServiceSteering.h
+++ b/libs/steering/ServiceSteering.h
@@ -24,6 +24,8 @@
   /// target would learn it the same way.
   std::uint32_t Sends_ = 3;
   retrying::RetryBudget::Limits Retries_;
+  /// Of each region's line; ExpectedWork_ is the service's own.
+  admission::AdmissionControl::Limits Line_;
 };
 
 /// What one host's services have in common.
