Gateway: silent connections are hedged; long uploads outlive the deadline

An idempotent request on a connection that lay idle and stays silent is sent once more on a new one (HedgePolicy: four times the usual time, one in twenty answers). However the second send ends, the refusal then says that the first may have run.

--- a/apps/load/LoadRun.cpp
+++ b/apps/load/LoadRun.cpp
@@ -31,7 +31,7 @@
 
 /// What the connections of one thread found.
 struct Tally {
-  std::vector<std::uint32_t> LatenciesNs_;
+  std::vector<std::int64_t> LatenciesNs_;
   std::uint64_t Failed_ = 0;
 };
 
@@ -41,6 +41,22 @@
           static_cast<std::uint16_t>(std::stoul(Address.substr(Colon + 1)))};
 }
 
+/// Piece in which a body is sent.
+constexpr std::size_t PieceBytes = 64UL * 1024;
+
+asio::awaitable<bool> sendBody(Tcp::socket &Socket, std::uint64_t Left) {
+  static const std::string Piece(PieceBytes, 'x');
+  while (Left > 0) {
+    const std::uint64_t Now = std::min<std::uint64_t>(Left, PieceBytes);
+    const auto [Error, Written] = co_await asio::async_write(
+        Socket, asio::buffer(Piece.data(), Now), Await);
+    if (Error)
+      co_return false;
+    Left -= Now;
+  }
+  co_return true;
+}
+
 asio::awaitable<void> drive(const LoadPlan &Plan, base::TimePoint End,
                             Tally &Found) {
   Tcp::socket Socket(co_await asio::this_coro::executor);
@@ -53,9 +69,14 @@
   Socket.set_option(Tcp::no_delay(true));
   boost::beast::flat_buffer Buffer;
   base::TimePoint Begin = base::SystemClock::monotonicNow();
-  while (Begin < End) {
+  std::uint32_t Sent = 0;
+  while (Begin < End &&
+         (Plan.RequestLimit_ == 0 || Sent < Plan.RequestLimit_)) {
+    ++Sent;
     const auto [WriteError, Written] =
         co_await asio::async_write(Socket, asio::buffer(Plan.Request_), Await);
+    if (Plan.BodyBytes_ > 0)
+      co_await sendBody(Socket, Plan.BodyBytes_);
     http::response<http::string_body> Answer;
     const auto [ReadError, Read] =
         co_await http::async_read(Socket, Buffer, Answer, Await);
@@ -64,8 +85,7 @@
       ++Found.Failed_;
     if (WriteError || ReadError)
       co_return;
-    Found.LatenciesNs_.push_back(
-        static_cast<std::uint32_t>((Now - Begin).count()));
+    Found.LatenciesNs_.push_back((Now - Begin).count());
     Begin = Now;
   }
 }
@@ -88,12 +108,22 @@
          static_cast<double>(sysconf(_SC_CLK_TCK));
 }
 
-double quantileUs(const std::vector<std::uint32_t> &Sorted, double Share) {
+std::uint64_t peakMemoryKbOf(int Process) {
+  std::ifstream File("/proc/" + std::to_string(Process) + "/status");
+  std::string Word;
+  std::uint64_t Peak = 0;
+  while (File >> Word)
+    if (Word == "VmHWM:")
+      File >> Peak;
+  return Peak;
+}
+
+double quantileUs(const std::vector<std::int64_t> &Sorted, double Share) {
   if (Sorted.empty())
     return 0;
   const auto Index =
       static_cast<std::size_t>(Share * static_cast<double>(Sorted.size() - 1));
-  return Sorted[Index] / 1000.0;
+  return static_cast<double>(Sorted[Index]) / 1000.0;
 }
 
 void driveThread(const LoadPlan &Plan, std::uint32_t Connections,
@@ -123,7 +153,7 @@
     Each.join();
   const double Seconds =
       base::toSeconds(base::SystemClock::monotonicNow() - Begin);
-  std::vector<std::uint32_t> All;
+  std::vector<std::int64_t> All;
   LoadResult Made;
   for (const Tally &Each : Tallies) {
     All.insert(All.end(), Each.LatenciesNs_.begin(), Each.LatenciesNs_.end());
@@ -137,6 +167,8 @@
   if (Plan.CpuOf_ > 0 && !All.empty())
     Made.CpuUs_ = (cpuSecondsOf(Plan.CpuOf_) - CpuBefore) * 1e6 /
                   static_cast<double>(All.size());
+  if (Plan.CpuOf_ > 0)
+    Made.PeakMemoryKb_ = peakMemoryKbOf(Plan.CpuOf_);
   return Made;
 }
 
--- a/apps/load/LoadRun.h
+++ b/apps/load/LoadRun.h
@@ -17,8 +17,12 @@
   std::uint32_t Connections_ = 1;
   std::uint32_t Threads_ = 1;
   base::Duration Time_ = std::chrono::seconds(2);
-  /// The whole request as it goes over the wire.
+  /// The head of the request as it goes over the wire.
   std::string Request_;
+  /// Length of the body that follows it.
+  std::uint64_t BodyBytes_ = 0;
+  /// Requests a connection sends at most; 0: as many as there is time for.
+  std::uint32_t RequestLimit_ = 0;
   /// Process whose processor time is told; 0: none.
   int CpuOf_ = 0;
 };
@@ -33,6 +37,8 @@
   double P99Us_ = 0;
   /// Processor time of LoadPlan::CpuOf_ for each answer.
   double CpuUs_ = 0;
+  /// Most memory it has held so far, KiB.
+  std::uint64_t PeakMemoryKb_ = 0;
 };
 
 /// Plays \p Plan from this process. Blocks until it is over.
--- a/apps/load/Main.cpp
+++ b/apps/load/Main.cpp
@@ -13,7 +13,10 @@
 DEFINE_double(seconds, 2, "time a round");
 DEFINE_string(path, "/", "request target");
 DEFINE_string(key, "", "key for the Authorization header");
-DEFINE_int32(cpu_of, 0, "process of --address whose processor time is told");
+DEFINE_uint64(body_bytes, 0, "length of an upload; 0: GET without a body");
+DEFINE_uint32(requests, 0, "requests a connection at most; 0: no limit");
+DEFINE_int32(cpu_of, 0,
+             "process of --address whose processor time and memory are told");
 
 namespace {
 
@@ -21,7 +24,10 @@
 using lychee::load::LoadResult;
 
 std::string requestText() {
-  std::string Text = "GET " + FLAGS_path + " HTTP/1.1\r\nHost: load\r\n";
+  std::string Text = FLAGS_body_bytes > 0 ? "POST " : "GET ";
+  Text += FLAGS_path + " HTTP/1.1\r\nHost: load\r\n";
+  if (FLAGS_body_bytes > 0)
+    Text += "Content-Length: " + std::to_string(FLAGS_body_bytes) + "\r\n";
   if (!FLAGS_key.empty())
     Text += "Authorization: Bearer " + FLAGS_key + "\r\n";
   return Text + "\r\n";
@@ -34,12 +40,14 @@
         return Left.PerSecond_ < Right.PerSecond_;
       });
   const LoadResult Median = lychee::load::medianOf(Results);
-  std::printf(
-      "address=%s connections=%u per_s=%.0f least_per_s=%.0f "
-      "most_per_s=%.0f p50_us=%.1f p99_us=%.1f cpu_us=%.1f failed=%llu\n",
-      Address.c_str(), Connections, Median.PerSecond_, Least->PerSecond_,
-      Most->PerSecond_, Median.P50Us_, Median.P99Us_, Median.CpuUs_,
-      static_cast<unsigned long long>(Median.Failed_));
+  std::printf("address=%s connections=%u per_s=%.0f least_per_s=%.0f "
+              "most_per_s=%.0f p50_us=%.1f p99_us=%.1f cpu_us=%.1f "
+              "peak_kb=%llu failed=%llu\n",
+              Address.c_str(), Connections, Median.PerSecond_,
+              Least->PerSecond_, Most->PerSecond_, Median.P50Us_, Median.P99Us_,
+              Median.CpuUs_,
+              static_cast<unsigned long long>(Median.PeakMemoryKb_),
+              static_cast<unsigned long long>(Median.Failed_));
   std::fflush(stdout);
 }
 
@@ -50,6 +58,8 @@
   Plan.Threads_ = FLAGS_threads;
   Plan.Time_ = lychee::base::fromSeconds(FLAGS_seconds);
   Plan.Request_ = requestText();
+  Plan.BodyBytes_ = FLAGS_body_bytes;
+  Plan.RequestLimit_ = FLAGS_requests;
   Plan.CpuOf_ = FLAGS_cpu_of;
   LoadPlan Other = Plan;
   Other.Address_ = FLAGS_against;
--- a/libs/gateway/Forwarding.cpp
+++ b/libs/gateway/Forwarding.cpp
@@ -46,7 +46,8 @@
   Request_.CallerHash_ =
       base::stableHash(Identity.Key_.name(), Caller.address());
   Request_.Preference_ = std::move(Found.Preference_);
-  Request_.Deadline_ = Now + Read.Deadline_.value_or(Found.Deadline_);
+  ServiceDeadline_ = Found.Deadline_;
+  Request_.Deadline_ = Now + Read.Deadline_.value_or(ServiceDeadline_);
   Request_.BodyBytes_ = Reader.bodyLength().value_or(0);
   Request_.Idempotent_ = Found.Idempotent_;
 }
@@ -114,6 +115,9 @@
       continue;
     }
     if (Decision_.Action_ == steering::Decision::Action::Refuse) {
+      // Whatever the last send proves, an earlier one may have run.
+      if (Ran_ == steering::Ran::Maybe)
+        Decision_.Ran_ = Ran_;
       settle(Ran_ == steering::Ran::No ? ClaimEnd::NotRun : ClaimEnd::Unknown,
              0);
       co_return co_await Answer_.refuse(
@@ -220,15 +224,32 @@
     Failed = co_await writeRequest(Send);
   if (!Failed)
     Failed = co_await Send.readAnswer(Read_.Method_ == "HEAD");
-  if (!Failed && saysNotRun(Send.answer().message()))
+  if (Failed && Send.isSilent() && !Streamed_)
+    Failed = co_await hedge(Send);
+  else if (!Failed && saysNotRun(Send.answer().message()))
     Failed = SendEnd::Shed;
-  else if (Send.hasWritten())
+  if (Send.hasWritten() && Failed != SendEnd::Shed)
     Ran_ = steering::Ran::Maybe;
   if (Failed)
     co_return co_await handleFailure(Send, *Failed, Again);
   co_return co_await answer(Send);
 }
 
+Task<TargetSend::Failure> Forwarding::hedge(TargetSend &Send) {
+  Caller_.watch().rearm();
+  TargetSend::Failure Failed = co_await Send.reopen();
+  if (!Failed)
+    Failed = co_await writeRequest(Send);
+  if (!Failed)
+    Failed = co_await Send.readAnswer(Read_.Method_ == "HEAD");
+  if (!Failed && saysNotRun(Send.answer().message()))
+    Failed = SendEnd::Shed;
+  // However the second send ended, the first one may have run.
+  if (Failed && provesNotRun(*Failed))
+    Failed = SendEnd::LostUnanswered;
+  co_return Failed;
+}
+
 Task<TargetSend::Failure> Forwarding::writeRequest(TargetSend &Send) {
   ForwardedRequest Added;
   Added.RequestId_ = Request_.Id_.name();
@@ -247,8 +268,17 @@
   const std::string_view First =
       HeldIsChunk ? std::string_view() : std::string_view(Held_);
   TargetSend::Failure Failed = co_await Send.write(Head, First, !Streams);
-  if (!Failed && Streams)
-    Failed = co_await streamBody(Send);
+  if (Failed || !Streams)
+    co_return Failed;
+  // Where the caller names no deadline, the service's own counts from the end
+  // of a long upload: how long that takes is the caller's line's affair, and
+  // its progress is bounded.
+  if (!Read_.Deadline_)
+    Send.setDeadline(base::TimePoint::max());
+  Failed = co_await streamBody(Send);
+  if (!Read_.Deadline_)
+    Request_.Deadline_ = base::SystemClock::monotonicNow() + ServiceDeadline_;
+  Send.setDeadline(Request_.Deadline_);
   co_return Failed;
 }
 
--- a/libs/gateway/Forwarding.h
+++ b/libs/gateway/Forwarding.h
@@ -35,6 +35,8 @@
   /// \returns the refusal where the work may not run here now.
   Task<std::optional<steering::Decision>> claim();
   Task<Ending> send(bool &Again);
+  /// Sends an idempotent request once more, on a new connection.
+  Task<TargetSend::Failure> hedge(TargetSend &Send);
   Task<TargetSend::Failure> writeRequest(TargetSend &Send);
   Task<TargetSend::Failure> streamBody(TargetSend &Send);
   Task<Ending> answer(TargetSend &Send);
@@ -52,6 +54,7 @@
   const CallerRequest &Read_;
   CallerAnswer &Answer_;
   steering::Request Request_;
+  base::Duration ServiceDeadline_{};
   steering::Decision Decision_;
   /// The body, or its beginning where it is longer than may be held.
   std::string Held_;
--- a/libs/gateway/GatewaySettings.h
+++ b/libs/gateway/GatewaySettings.h
@@ -39,6 +39,10 @@
   /// life at most this long ago: opening one costs about 1 ms.
   base::Duration ProvenLifeLimit_ = std::chrono::milliseconds(100);
 
+  /// Idempotent work on a connection that lay idle for this long is sent once
+  /// more on a new one when it stays silent. \see HedgePolicy
+  base::Duration HedgeIdleLimit_ = std::chrono::seconds(1);
+
   /// Between two polls of a target; zero: none is made.
   base::Duration PollInterval_ = std::chrono::seconds(1);
   base::Duration PollTimeout_ = std::chrono::seconds(1);
--- a/libs/gateway/TargetPool.cpp
+++ b/libs/gateway/TargetPool.cpp
@@ -67,6 +67,22 @@
   std::erase(Idle_, nullptr);
 }
 
+void TargetPool::noteAnswer(base::Duration Took) {
+  const std::lock_guard Guard(Lock_);
+  Hedging_.answered(Took);
+}
+
+std::optional<base::Duration>
+TargetPool::hedgeDelay(base::Duration IdleFor, base::Duration IdleLimit) const {
+  const std::lock_guard Guard(Lock_);
+  return Hedging_.delayFor(IdleFor, IdleLimit);
+}
+
+void TargetPool::spendHedge() {
+  const std::lock_guard Guard(Lock_);
+  Hedging_.spend();
+}
+
 void TargetPool::setLimit(std::uint32_t Limit) {
   const std::lock_guard Guard(Lock_);
   Limit_ = Limit;
--- a/libs/gateway/TargetPool.h
+++ b/libs/gateway/TargetPool.h
@@ -1,10 +1,12 @@
 #ifndef LYCHEE_GATEWAY_TARGETPOOL_H
 #define LYCHEE_GATEWAY_TARGETPOOL_H
 
+#include "gateway/HedgePolicy.h"
 #include "gateway/TargetConnection.h"
 
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -46,6 +48,12 @@
   /// each would cost a request its progress timeout to find out.
   void closeOlderThan(base::TimePoint LifeSince);
 
+  /// \see HedgePolicy
+  void noteAnswer(base::Duration Took);
+  std::optional<base::Duration> hedgeDelay(base::Duration IdleFor,
+                                           base::Duration IdleLimit) const;
+  void spendHedge();
+
   void setLimit(std::uint32_t Limit);
   std::uint32_t openCount() const noexcept { return Open_->load(); }
   std::size_t idleCount() const;
@@ -58,6 +66,7 @@
       std::make_shared<std::atomic<std::uint32_t>>(0);
   mutable std::mutex Lock_;
   std::uint32_t Limit_;
+  HedgePolicy Hedging_;
   /// Oldest first.
   std::vector<std::unique_ptr<TargetConnection>> Idle_;
 };
--- a/libs/gateway/TargetSend.cpp
+++ b/libs/gateway/TargetSend.cpp
@@ -43,8 +43,20 @@
   const base::Duration Limit =
       Idempotent ? Settings.ReuseIdleLimit_ : Settings.ProvenLifeLimit_;
   Connection_ = Pool_->takeIdle(Home_.index(), Now - Limit);
-  if (Connection_)
-    co_return std::nullopt;
+  if (!Connection_)
+    co_return co_await connect();
+  if (Idempotent)
+    HedgeDelay_ = Pool_->hedgeDelay(Now - Connection_->lastLife(),
+                                    Settings.HedgeIdleLimit_);
+  co_return std::nullopt;
+}
+
+Task<TargetSend::Failure> TargetSend::reopen() {
+  Pool_->spendHedge();
+  Silent_ = false;
+  HedgeDelay_.reset();
+  RequestWhole_ = false;
+  Connection_.reset();
   co_return co_await connect();
 }
 
@@ -101,13 +113,18 @@
 }
 
 Task<TargetSend::Failure> TargetSend::readAnswer(bool WithoutBody) {
-  Caller_.watch().expireAt(Deadline_);
+  bound(HedgeDelay_.value_or(Deadline_ - base::SystemClock::monotonicNow()));
   ReadEnd End = ReadEnd::Ok;
   const bool Came = co_await skipInterim(End, WithoutBody);
   if (!Came) {
-    AnswerSeen_ = AnswerSeen_ || End != ReadEnd::Closed;
+    const base::TimePoint Now = base::SystemClock::monotonicNow();
+    Silent_ = HedgeDelay_ && !AnswerSeen_ && Now < Deadline_ &&
+              Caller_.watch().cause() == Watch::Cause::Expired;
+    AnswerSeen_ = AnswerSeen_ || (End != ReadEnd::Closed && !Silent_);
     co_return failed();
   }
+  Pool_->noteAnswer(LastRead_ - FirstWrite_);
+  Caller_.watch().expireAt(Deadline_);
   // Without a length a cut cannot be told from the end, so it is not passed on
   // as whole.
   if (Reader_->endsWithConnection())
--- a/libs/gateway/TargetSend.h
+++ b/libs/gateway/TargetSend.h
@@ -36,6 +36,9 @@
   /// is not goes only on one that is new or has just shown life.
   Task<Failure> open(bool Idempotent);
 
+  /// Moves the deadline: while an upload goes on, its progress bounds it.
+  void setDeadline(base::TimePoint Deadline) noexcept { Deadline_ = Deadline; }
+
   /// Writes a piece of the request. \param Last  the request ends with it.
   Task<Failure> write(std::string_view Head, std::string_view Body, bool Last);
 
@@ -46,6 +49,13 @@
   /// Reads on in an answer that is not whole yet; 0 bytes at its end.
   Task<Failure> readOn(std::span<char> Out, std::size_t &Got);
 
+  /// \returns whether the connection stayed silent for so long that the
+  /// request, if it is held, is to be sent once more on a new one.
+  bool isSilent() const noexcept { return Silent_; }
+
+  /// Leaves the silent connection and opens a new one.
+  Task<Failure> reopen();
+
   const AnswerReader &answer() const { return *Reader_; }
   const std::string &heldBody() const noexcept { return Held_; }
   bool isWhole() const { return Reader_->isWhole(); }
@@ -69,7 +79,7 @@
   Worker &Home_;
   CallerConnection &Caller_;
   const std::shared_ptr<TargetPool> Pool_;
-  const base::TimePoint Deadline_;
+  base::TimePoint Deadline_;
   std::unique_ptr<TargetConnection> Connection_;
   std::unique_ptr<AnswerReader> Reader_;
   std::string Held_;
@@ -77,6 +87,10 @@
   std::uint64_t Received_ = 0;
   bool RequestWhole_ = false;
   bool AnswerSeen_ = false;
+  bool Silent_ = false;
+  /// How long to wait for the first byte before isSilent; nothing: no bound
+  /// but the deadline.
+  std::optional<base::Duration> HedgeDelay_;
   base::TimePoint FirstWrite_;
   base::TimePoint LastRead_;
 };
--- /dev/null
+++ b/tests/gateway/HedgeTest.cpp
@@ -0,0 +1,79 @@
+#include "gateway/Fixture.h"
+#include "gateway/HedgePolicy.h"
+
+#include <algorithm>
+
+#include "CppUTest/TestHarness.h"
+
+namespace tests = lychee::tests;
+using lychee::gateway::HedgePolicy;
+using lychee::steering::SendEnd;
+using tests::Fixture;
+using tests::RawAnswer;
+using tests::RawClient;
+using namespace std::chrono_literals;
+
+TEST_GROUP(Hedge){};
+
+TEST(Hedge, onlyConnectionsThatLayIdleAreHedged) {
+  const HedgePolicy Policy;
+  CHECK_FALSE(Policy.delayFor(999ms, 1s).has_value());
+  CHECK(Policy.delayFor(1s, 1s) == HedgePolicy::LeastDelay);
+}
+
+TEST(Hedge, aSlowTargetIsGivenFourTimesItsUsualTime) {
+  HedgePolicy Policy;
+  for (int Index = 0; Index < 100; ++Index)
+    Policy.answered(300ms);
+  CHECK(Policy.delayFor(1s, 1s) == 1200ms);
+}
+
+// A target grows slow for all. Hedges would double its load and make it
+// slower; they stop at one in twenty answers.
+TEST(Hedge, hedgesAreABoundedShareOfAnswers) {
+  HedgePolicy Policy;
+  int Hedges = 0;
+  for (int Index = 0; Index < 1000; ++Index) {
+    if (Policy.delayFor(1s, 1s)) {
+      Policy.spend();
+      ++Hedges;
+    }
+    Policy.answered(20ms);
+  }
+  CHECK(Hedges <= 5 + 1000 / 20);
+  CHECK(Hedges >= 1000 / 20);
+}
+
+// The pooled connection goes silent while new ones work. An idempotent request
+// on it is sent once more on a new connection and answered; the caller sees
+// nothing of it, and no other request meets the silent connection.
+TEST(Hedge, aSilentConnectionCostsAnIdempotentRequestNothingButTime) {
+  Fixture Under;
+  Under.Settings_.HedgeIdleLimit_ = {};
+  Under.Settings_.Threads_ = 1;
+  Under.start();
+  RawClient Caller(Under.address());
+  LONGS_EQUAL(200, Caller.request("GET", "/s/warm").Status_);
+  Under.target().setFaults(tests::faultsOf("silent=1"));
+  for (int Index = 0; Index < 3; ++Index)
+    LONGS_EQUAL(200, Caller.request("GET", "/s/x").Status_);
+  const auto Ends = Under.Steering_->ends();
+  LONGS_EQUAL(4, std::count(Ends.begin(), Ends.end(), SendEnd::Answered));
+  LONGS_EQUAL(2, Under.target().connectionsMade());
+}
+
+// The second send is refused by the target as not run. The first may have run
+// all the same, and the refusal must not say "not run".
+TEST(Hedge, aShedSecondSendDoesNotProveThatTheFirstDidNotRun) {
+  Fixture Under;
+  Under.Settings_.HedgeIdleLimit_ = {};
+  Under.Settings_.Threads_ = 1;
+  Under.Steering_->MaximumSends_ = 1;
+  Under.start();
+  RawClient Caller(Under.address());
+  LONGS_EQUAL(200, Caller.request("GET", "/s/warm").Status_);
+  Under.target().setFaults(tests::faultsOf("silent=1&shed=1"));
+  const RawAnswer Answer = Caller.request("GET", "/s/x");
+  LONGS_EQUAL(502, Answer.Status_);
+  STRCMP_EQUAL("maybe", Answer.header("lychee-ran").c_str());
+}
--- a/tests/gateway/StreamingTest.cpp
+++ b/tests/gateway/StreamingTest.cpp
@@ -1,5 +1,7 @@
 #include "gateway/Fixture.h"
 
+#include <thread>
+
 #include "CppUTest/TestHarness.h"
 
 namespace tests = lychee::tests;
@@ -80,6 +82,19 @@
   CHECK(holds(Caller.readAnswer().Body_, "\"bodyBytes\":200000,"));
 }
 
+// An upload takes longer than its service's deadline, and goes on all the
+// time. It is the line that is slow; cutting it would lose the upload.
+TEST(Streaming, aLongUploadOutlivesTheServicesDeadline) {
+  Fixture_.Router_.Deadline_ = std::chrono::milliseconds(100);
+  RawClient Caller(Fixture_.address());
+  Caller.send(
+      tests::requestText("POST", "/s/up", "Content-Length: 300000\r\n") +
+      pattern(150000));
+  std::this_thread::sleep_for(std::chrono::milliseconds(150));
+  Caller.send(pattern(150000));
+  LONGS_EQUAL(200, Caller.readAnswer().Status_);
+}
+
 // A download is cut at the target after its first bytes went to the caller.
 // It cannot be sent again unseen, so the caller's connection ends before the
 // length that was told: the caller sees that it has only a part.
