--- a/libs/fleet/PeerClient.cpp
+++ b/libs/fleet/PeerClient.cpp
@@ -34,9 +34,9 @@
 
 PeerClient::PeerClient(asio::any_io_executor Executor, base::HostId Self,
                        const PeerAuthenticator &Authenticator,
-                       std::uint64_t Seed)
+                       std::uint64_t Seed, transport::TrafficCounter *Traffic)
     : Executor_(std::move(Executor)), Self_(std::move(Self)),
-      Authenticator_(Authenticator), Random_(Seed) {}
+      Authenticator_(Authenticator), Traffic_(Traffic), Random_(Seed) {}
 
 asio::awaitable<std::optional<std::string>>
 PeerClient::call(std::string Peer, std::string Method, std::string Parameters,
@@ -113,12 +113,13 @@
   std::shared_ptr<HttpClient> &Client = Clients_[Peer];
   if (Client)
     return Client;
-  const auto Options = parsePeer(Peer);
+  auto Options = parsePeer(Peer);
   if (!Options) {
     Clients_.erase(Peer);
     Last = {"", Peer, "not IP:PORT"};
     return nullptr;
   }
+  Options->Traffic_ = Traffic_;
   Client = std::make_shared<HttpClient>(Executor_, *Options);
   return Client;
 }
--- a/libs/fleet/PeerClient.h
+++ b/libs/fleet/PeerClient.h
@@ -28,8 +28,10 @@
 class PeerClient {
 public:
   /// \param Seed  seeds the nonces; from the machine in programs.
+  /// \param Traffic  counts the calls' bytes; may be null.
   PeerClient(boost::asio::any_io_executor Executor, base::HostId Self,
-             const PeerAuthenticator &Authenticator, std::uint64_t Seed);
+             const PeerAuthenticator &Authenticator, std::uint64_t Seed,
+             transport::TrafficCounter *Traffic = nullptr);
   PeerClient(const PeerClient &) = delete;
   PeerClient &operator=(const PeerClient &) = delete;
 
@@ -64,6 +66,7 @@
   const boost::asio::any_io_executor Executor_;
   const base::HostId Self_;
   const PeerAuthenticator &Authenticator_;
+  transport::TrafficCounter *const Traffic_;
   std::mutex Lock_;
   base::Random Random_;
   std::map<std::string, std::shared_ptr<transport::HttpClient>> Clients_;
--- a/libs/store/HttpStore.cpp
+++ b/libs/store/HttpStore.cpp
@@ -63,7 +63,8 @@
 HttpStore::HttpStore(const asio::any_io_executor &Executor,
                      const HttpStoreOptions &Options)
     : Options_(Options), Client_(Executor, {.Address_ = Options.Address_,
-                                            .Port_ = Options.Port_}) {}
+                                            .Port_ = Options.Port_,
+                                            .Traffic_ = Options.Traffic_}) {}
 
 asio::awaitable<std::optional<Object>> HttpStore::get(std::string_view Path,
                                                       base::Error &Last) {
--- a/libs/store/HttpStore.h
+++ b/libs/store/HttpStore.h
@@ -18,6 +18,7 @@
   std::string Host_;
   /// Bound on each call; a watch may take its wait longer.
   base::Duration Timeout_ = std::chrono::seconds(2);
+  transport::TrafficCounter *Traffic_ = nullptr;
 };
 
 /// The adapter that knows the platform's protocol, as docs/PLATFORM-STORE.md
--- a/libs/transport/HttpClient.cpp
+++ b/libs/transport/HttpClient.cpp
@@ -72,6 +72,8 @@
     *Sent = true;
     auto [WriteFailure, Written] =
         co_await http::async_write(Stream_, Message, AsTuple);
+    if (Options.Traffic_)
+      Options.Traffic_->sent(Written);
     if (WriteFailure) {
       *Reason = "write: " + WriteFailure.message();
       co_return std::nullopt;
@@ -80,6 +82,8 @@
     Parser.body_limit(Options.BodyLimitBytes_);
     auto [ReadFailure, Read] =
         co_await http::async_read(Stream_, Buffer_, Parser, AsTuple);
+    if (Options.Traffic_)
+      Options.Traffic_->received(Read);
     if (ReadFailure) {
       *Reason = "read: " + ReadFailure.message();
       co_return std::nullopt;
--- a/libs/transport/HttpClient.h
+++ b/libs/transport/HttpClient.h
@@ -4,6 +4,7 @@
 #include "base/Error.h"
 #include "base/Time.h"
 #include "transport/HttpMessage.h"
+#include "transport/TrafficCounter.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -28,6 +29,8 @@
   /// longer it was idle, the likelier something between the two ends has lost
   /// track of it, and a call on it would cost its whole deadline.
   base::Duration IdleLimit_ = std::chrono::seconds(10);
+  /// Counts what goes over the connections; may be null.
+  TrafficCounter *Traffic_ = nullptr;
 };
 
 /// Calls one HTTP server, with a few kept connections. Each call has one
--- a/libs/transport/HttpServer.cpp
+++ b/libs/transport/HttpServer.cpp
@@ -122,6 +122,8 @@
     Parser.header_limit(static_cast<std::uint32_t>(Options_.HeaderLimitBytes_));
     auto [Failure, Read] =
         co_await http::async_read(Served, Buffer, Parser, AsTuple);
+    if (Options_.Traffic_)
+      Options_.Traffic_->received(Read);
     HttpAnswer Answer;
     bool KeepAlive = false;
     if (Failure) {
@@ -141,6 +143,8 @@
     auto Message = toBeast(Answer, KeepAlive);
     auto [WriteFailure, Written] =
         co_await http::async_write(Served, Message, AsTuple);
+    if (Options_.Traffic_)
+      Options_.Traffic_->sent(Written);
     co_return KeepAlive && !WriteFailure;
   }
 
--- a/libs/transport/HttpServer.h
+++ b/libs/transport/HttpServer.h
@@ -4,6 +4,7 @@
 #include "base/Error.h"
 #include "base/Time.h"
 #include "transport/HttpMessage.h"
+#include "transport/TrafficCounter.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -27,6 +28,8 @@
   std::size_t ConnectionLimit_ = 1024;
   /// A request must be whole this long after the one before it ended.
   base::Duration ReadTimeout_ = std::chrono::seconds(60);
+  /// Counts what goes over the connections; may be null.
+  TrafficCounter *Traffic_ = nullptr;
 };
 
 /// Answers whole HTTP requests of the system's own processes and of operators.
