--- a/libs/budget/BudgetBook.h
+++ b/libs/budget/BudgetBook.h
@@ -102,7 +102,7 @@
 
     RateShare Share_;
     DemandEstimator Demand_;
-    /// Follows within a fifth of a second: what this host could spare. A host
+    /// Follows within a third of a second: what this host could spare. A host
     /// whose callers have just left would else sit on their rate for seconds,
     /// and one that gave too much asks for it back.
     DemandEstimator Recent_{RecentMemory};
@@ -119,7 +119,7 @@
   SpendOutcome spendFrom(std::string_view Budget, bool IsDemand,
                          base::TimePoint Now);
   Shard &shardOf(std::string_view Budget) noexcept;
-  static constexpr base::Duration RecentMemory = std::chrono::milliseconds(200);
+  static constexpr base::Duration RecentMemory = std::chrono::milliseconds(350);
 
   ShareState stateOf(Entry &Of, double PerSecond,
                      base::TimePoint Now) const noexcept;
