--- a/apps/lycheed/Daemon.cpp
+++ b/apps/lycheed/Daemon.cpp
@@ -35,6 +35,9 @@
 /// Three partitions' writes and as many reads back.
 constexpr double ClaimCallsPerSecond = 80;
 
+constexpr std::string_view MetricsPath = "/metrics";
+constexpr unsigned StatusNotFound = 404;
+
 constexpr int ExitStartFailed = 1;
 constexpr int ExitRequestsCut = 3;
 constexpr int ExitRemoved = 4;
@@ -43,7 +46,7 @@
 
 Daemon::Daemon(const settings::DaemonSettings &Settings)
     : Settings_(Settings), Incarnation_(drawIncarnation()), Signals_(Control_),
-      Decisions_([](const std::string &Line) {
+      Gauges_(Metrics_), Decisions_([](const std::string &Line) {
         reporting::logLine(LogLevel::Info, std::string_view(Line));
       }),
       Holder_(Settings.Region_),
@@ -192,12 +195,8 @@
                                                Handlers_, Authenticator_);
   MetricsServer_ = std::make_unique<transport::HttpServer>(
       Control_.get_executor(), optionsFor(Settings_.Metrics_),
-      [this](transport::HttpRequest) -> asio::awaitable<transport::HttpAnswer> {
-        transport::HttpAnswer Answer;
-        Answer.Headers_.push_back(
-            {"Content-Type", "text/plain; version=0.0.4"});
-        Answer.Body_ = Metrics_.text();
-        co_return Answer;
+      [this](transport::HttpRequest Asked) {
+        return answerMetrics(std::move(Asked));
       });
   if (!Peers_->listen(Last) || !MetricsServer_->listen(Last))
     return false;
@@ -210,6 +209,40 @@
   return true;
 }
 
+asio::awaitable<transport::HttpAnswer>
+Daemon::answerMetrics(transport::HttpRequest Asked) {
+  transport::HttpAnswer Answer;
+  if (Asked.Method_ != "GET" || Asked.Target_ != MetricsPath) {
+    Answer.Status_ = StatusNotFound;
+    co_return Answer;
+  }
+  Gauges_.set(readControl());
+  Answer.Headers_.push_back({"Content-Type", "text/plain; version=0.0.4"});
+  Answer.Body_ = Metrics_.text();
+  co_return Answer;
+}
+
+ControlReadings Daemon::readControl() const {
+  const base::TimePoint Now = SystemClock::monotonicNow();
+  ControlReadings Read;
+  Read.PeerCalls_ = PeerClient_.calls();
+  Read.PeerFailures_ = PeerClient_.failures();
+  Read.PeerBytesOut_ = PeerClient_.bytesOut();
+  Read.PeerBytesIn_ = PeerClient_.bytesIn();
+  Read.Listener_ = Peers_->counts();
+  Read.Store_ = Store_.counts();
+  Read.ClaimWrites_ = ClaimService_.writes();
+  const std::shared_ptr<const settings::Intent> Current = intent();
+  Read.SettingsVersion_ = Current ? Current->Version_ : 0;
+  Read.SettingsAge_ = Fleet_.settingsAge(Now);
+  Read.LeaseStands_ = Now < Fleet_.guard().until();
+  Read.Epoch_ = Exchange_.epoch();
+  Read.EpochSettled_ = Exchange_.settled();
+  Read.InFlight_ = Gateway_.inFlight();
+  Read.Connections_ = Gateway_.connections();
+  return Read;
+}
+
 asio::awaitable<void> Daemon::tellWallTime() {
   asio::steady_timer Timer(co_await asio::this_coro::executor);
   while (true) {
--- a/apps/lycheed/Daemon.h
+++ b/apps/lycheed/Daemon.h
@@ -6,6 +6,7 @@
 #include "fleet/PeerServer.h"
 #include "gateway/Gateway.h"
 #include "lycheed/ClaimDesk.h"
+#include "lycheed/ControlGauges.h"
 #include "lycheed/DecisionReporter.h"
 #include "lycheed/FleetDirectory.h"
 #include "lycheed/IntentRouter.h"
@@ -51,6 +52,9 @@
   void bindOperators();
   void awaitSignal();
   boost::asio::awaitable<void> tellWallTime();
+  boost::asio::awaitable<transport::HttpAnswer>
+  answerMetrics(transport::HttpRequest Asked);
+  ControlReadings readControl() const;
   fleet::FleetNodeOptions fleetOptions() const;
   fleet::FleetListeners fleetListeners();
   exchange::ExchangeParts exchangeParts();
@@ -65,6 +69,7 @@
   std::vector<std::thread> ControlThreads_;
 
   reporting::Metrics Metrics_;
+  ControlGauges Gauges_;
   reporting::DecisionLog Decisions_;
   SettingsHolder Holder_;
 
--- a/bench/shares/Main.cpp
+++ b/bench/shares/Main.cpp
@@ -1,6 +1,7 @@
 #include "shares/SharesPlay.h"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdio>
 #include <gflags/gflags.h>
 
@@ -24,7 +25,7 @@
     return 0;
   std::sort(Values.begin(), Values.end());
   const auto Place = static_cast<std::size_t>(
-      Part * static_cast<double>(Values.size() - 1) + 0.5);
+      std::lround(Part * static_cast<double>(Values.size() - 1)));
   return Values[Place];
 }
 
