--- a/libs/steering/SlotBook.cpp
+++ b/libs/steering/SlotBook.cpp
@@ -26,10 +26,15 @@
 
 void SlotBook::divide(const base::TargetId &Target, Entry &Divided) const {
   const bool IsOwner = std::ranges::find(Owners_, Self_) != Owners_.end();
-  std::vector<base::HostId> Others = Owners_;
-  std::erase(Others, Self_);
+  std::vector<placement::HostWeight> Others;
+  for (const base::HostId &Owner : Owners_)
+    if (Owner != Self_)
+      Others.push_back({Owner, 1});
+  // Equal weights: all hosts must come to the same division, and demand moves
+  // slots afterwards.
   Divided.NewHome_ =
-      IsOwner ? placement::homeSlots(Target, Divided.Slots_, Self_, Others) : 0;
+      IsOwner ? placement::homeSlots(Target, Divided.Slots_, {Self_, 1}, Others)
+              : 0;
 }
 
 bool SlotBook::isMember(const base::HostId &Host) const noexcept {
