Gateway: trailers, late claims, full targets, the connection limit

Found in review, each with a test but the third: - Beast puts the trailers of a chunked body among the headers, so a held body's trailers reached the target as headers, a second Host too. The forwarded headers are now taken before the body is read. - A claim granted after the request's deadline was never given back, so the caller's next try of that key was refused for good (seen failing first). - A target whose connections from here are all at work was reported as a failed connect, which counts against its health; now as shed. - A caller over the connection limit was closed without a word; now 503.

--- a/libs/gateway/ClaimGate.h
+++ b/libs/gateway/ClaimGate.h
@@ -50,7 +50,9 @@
 };
 
 /// Makes a non-idempotent request with an Idempotency-Key run at most once
-/// over all hosts. Called from several threads. \see retrying
+/// over all hosts. Called from several threads. Once the gateway is destroyed
+/// no answer may be given any more: end the gate's own threads before.
+/// \see retrying
 class ClaimGate {
 public:
   ClaimGate() = default;
--- a/libs/gateway/Forwarding.cpp
+++ b/libs/gateway/Forwarding.cpp
@@ -2,6 +2,7 @@
 
 #include "base/Hash.h"
 #include "base/SystemClock.h"
+#include "gateway/AcquireClaim.h"
 #include "gateway/HeaderPolicy.h"
 #include "gateway/Worker.h"
 
@@ -62,6 +63,7 @@
 
 Task<Ending> Forwarding::run() {
   Home_.watchdog().watchFinely(Caller_.watch());
+  Fields_ = requestFieldsFor(Reader_.message(), Read_.PresentedKey_);
   const ReadEnd BodyHeld = co_await holdBody();
   if (BodyHeld != ReadEnd::Ok)
     co_return co_await Answer_.refuseBody(BodyHeld, steering::Ran::No);
@@ -174,28 +176,14 @@
 Task<std::optional<steering::Decision>> Forwarding::claim() {
   if (!NeedsClaim_ || Claimed_)
     co_return std::nullopt;
-  // The answer may come from any thread and after we have stopped waiting.
-  struct Pending {
-    explicit Pending(const Executor &Home) : Done_(Home) {}
-    Waiter Done_;
-    ClaimAnswer Answer_;
-  };
-  const auto Asked = std::make_shared<Pending>(Home_.executor());
-  Caller_.watch().expireAt(base::SystemClock::monotonicNow() + ClaimTimeout);
-  Caller_.interruptAlso([Asked] { Asked->Done_.wake(); });
-  Home_.shared().Others_.Claims_.acquire(
-      Claim_, base::SystemClock::monotonicNow(), [Asked](ClaimAnswer Answered) {
-        boost::asio::post(Asked->Done_.executor(), [Asked, Answered] {
-          Asked->Answer_ = Answered;
-          Asked->Done_.decide({});
-        });
-      });
-  co_await Asked->Done_.wait();
-  Caller_.interruptAlso({});
+  const base::TimePoint Limit =
+      base::SystemClock::monotonicNow() + ClaimTimeout;
+  const ClaimAnswer Answered = co_await acquireClaim(
+      Home_, Caller_, Claim_, std::min(Limit, Request_.Deadline_));
   steering::Decision Refused;
-  Refused.RetryAfter_ = Asked->Answer_.RetryAfter_;
+  Refused.RetryAfter_ = Answered.RetryAfter_;
   Refused.SettingsVersion_ = Decision_.SettingsVersion_;
-  switch (Asked->Answer_.Kind_) {
+  switch (Answered.Kind_) {
   case ClaimAnswer::Kind::Granted:
     Claimed_ = true;
     co_return std::nullopt;
@@ -263,7 +251,7 @@
   else
     Added.Body_.Chunked_ = Reader_.isChunked();
   const bool Streams = !Reader_.isWhole();
-  const std::string Head = requestHeadFor(Reader_.message(), Read_, Added);
+  const std::string Head = requestHeadFor(Read_, Fields_, Added);
   const bool HeldIsChunk = Added.Body_.Chunked_;
   const std::string_view First =
       HeldIsChunk ? std::string_view() : std::string_view(Held_);
--- a/libs/gateway/Forwarding.h
+++ b/libs/gateway/Forwarding.h
@@ -56,6 +56,8 @@
   steering::Request Request_;
   base::Duration ServiceDeadline_{};
   steering::Decision Decision_;
+  /// The caller's headers as they go to a target.
+  std::string Fields_;
   /// The body, or its beginning where it is longer than may be held.
   std::string Held_;
   ClaimRequest Claim_;
--- a/libs/gateway/HeaderPolicy.cpp
+++ b/libs/gateway/HeaderPolicy.cpp
@@ -97,8 +97,17 @@
 
 } // namespace
 
-std::string requestHeadFor(const RequestReader::Message &Head,
-                           const CallerRequest &Read,
+std::string requestFieldsFor(const RequestReader::Message &Head,
+                             std::string_view PresentedKey) {
+  std::string Text;
+  Text.reserve(UsualHeadBytes);
+  if (Head.count(http::field::host) == 0)
+    appendField(Text, "Host", "");
+  appendFields(Text, Head, PresentedKey);
+  return Text;
+}
+
+std::string requestHeadFor(const CallerRequest &Read, std::string_view Fields,
                            const ForwardedRequest &Added) {
   std::string Text;
   Text.reserve(UsualHeadBytes);
@@ -106,9 +115,7 @@
   Text += ' ';
   Text += Read.RequestTarget_;
   Text += " HTTP/1.1\r\n";
-  if (Head.count(http::field::host) == 0)
-    appendField(Text, "Host", "");
-  appendFields(Text, Head, Read.PresentedKey_);
+  Text += Fields;
   appendField(Text, "Lychee-Request-Id", Added.RequestId_);
   appendField(Text, "Lychee-Customer", Added.Customer_);
   appendField(Text, "Lychee-Deadline-Ms",
--- a/libs/gateway/HeaderPolicy.h
+++ b/libs/gateway/HeaderPolicy.h
@@ -33,12 +33,16 @@
   bool KeepAlive_ = true;
 };
 
-/// \returns the head that goes to the target: the caller's headers without
+/// \returns the lines of the caller's headers that go to the target: without
 /// those of the connection (also those that Connection names), without the
 /// key in whatever header it stands, and without names that only the gateway
-/// may set.
-std::string requestHeadFor(const RequestReader::Message &Head,
-                           const CallerRequest &Read,
+/// may set. To be taken before the body is read: the parser puts the trailers
+/// of a chunked body among the headers, where a second Host would come from.
+std::string requestFieldsFor(const RequestReader::Message &Head,
+                             std::string_view PresentedKey);
+
+/// \returns the head that goes to the target.
+std::string requestHeadFor(const CallerRequest &Read, std::string_view Fields,
                            const ForwardedRequest &Added);
 
 /// \returns the head that goes to the caller.
--- a/libs/gateway/Listener.cpp
+++ b/libs/gateway/Listener.cpp
@@ -1,5 +1,7 @@
 #include "gateway/Listener.h"
 
+#include "gateway/ProblemDocument.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
@@ -63,11 +65,27 @@
   Worker &Chosen = *Workers_[Next_];
   Next_ = (Next_ + 1) % Workers_.size();
   if (Chosen.shared().Connections_ >=
-      Chosen.shared().Settings_.ConnectionLimit_)
+      Chosen.shared().Settings_.ConnectionLimit_) {
+    refuse(Accepted);
     return;
+  }
   Chosen.serve(std::move(Accepted));
 }
 
+void Listener::refuse(Socket &Accepted) {
+  ProblemDocument Problem;
+  Problem.Status_ = 503;
+  Problem.Reason_ = "too-many-connections";
+  Problem.Detail_ = "This host has as many connections as it may.";
+  Problem.RetryAfter_ = std::chrono::seconds(1);
+  Problem.RequestId_ = Workers_.front()->makeRequestId().name();
+  const std::string Text = Problem.render(false, false);
+  // A new socket's buffer takes it whole, so this does not wait.
+  ErrorCode Ignored;
+  Accepted.non_blocking(true, Ignored);
+  Accepted.write_some(boost::asio::buffer(Text), Ignored);
+}
+
 void Listener::drainBacklog() {
   // Callers in the kernel's queue are connected as far as they can see.
   ErrorCode Error;
--- a/libs/gateway/Listener.h
+++ b/libs/gateway/Listener.h
@@ -31,6 +31,8 @@
 private:
   Task<void> acceptCallers();
   void hand(Socket Accepted);
+  /// Tells a caller over the connection limit so.
+  void refuse(Socket &Accepted);
   void drainBacklog();
 
   std::span<const std::unique_ptr<Worker>> Workers_;
--- a/libs/gateway/TargetSend.cpp
+++ b/libs/gateway/TargetSend.cpp
@@ -63,8 +63,12 @@
 Task<TargetSend::Failure> TargetSend::connect() {
   const auto Where = parseTargetAddress(Pool_->address());
   Connection_ = Pool_->make(Home_.executor(), Home_.index());
-  if (!Where || !Connection_)
+  if (!Where)
     co_return steering::SendEnd::ConnectFailed;
+  // Its connections are all at work: it is full, as if it had said so itself.
+  // Told as a failed connect it would count against the target's health.
+  if (!Connection_)
+    co_return steering::SendEnd::Shed;
   bound(Home_.shared().Settings_.ConnectTimeout_);
   const auto [Error] =
       co_await Connection_->socket().async_connect(*Where, Await);
--- a/tests/gateway/EdgeTest.cpp
+++ b/tests/gateway/EdgeTest.cpp
@@ -101,6 +101,30 @@
   LONGS_EQUAL(0, Fixture_.runs());
 }
 
+// A chunked body may end with trailers, which the parser puts among the
+// headers. A second Host or a forged customer must not reach the target so.
+TEST(Edge, trailersDoNotBecomeHeaders) {
+  RawClient Caller(Fixture_.address());
+  Caller.send(joined({Start, "Transfer-Encoding: chunked\r\n\r\n"
+                             "3\r\nabc\r\n0\r\nHost: evil\r\nX-Late: evil\r\n"
+                             "Lychee-Customer: evil\r\n\r\n"}));
+  const RawAnswer Answer = Caller.readAnswer();
+  LONGS_EQUAL(200, Answer.Status_);
+  CHECK(Answer.Body_.find("evil") == std::string::npos);
+}
+
+TEST(Edge, overTheConnectionLimitCallersAreTold) {
+  Fixture Small;
+  Small.Settings_.ConnectionLimit_ = 1;
+  Small.start();
+  RawClient First(Small.address());
+  LONGS_EQUAL(200, First.request("GET", "/s/x").Status_);
+  RawClient Second(Small.address());
+  const RawAnswer Answer = Second.readAnswer();
+  LONGS_EQUAL(503, Answer.Status_);
+  STRCMP_EQUAL("no", Answer.header("lychee-ran").c_str());
+}
+
 TEST(Edge, overLimitHeadsAndBodiesAreRefused) {
   expectRefused(Fixture_, Start + "X: " + std::string(3000, 'a') + "\r\n\r\n",
                 431);
--- a/tests/gateway/Fakes.h
+++ b/tests/gateway/Fakes.h
@@ -76,6 +76,16 @@
 class FakeClaims : public gateway::ClaimGate {
 public:
   std::atomic<bool> StoreDown_ = false;
+  /// Answers are kept back until release().
+  std::atomic<bool> KeepBack_ = false;
+
+  void release() {
+    const std::lock_guard Guard(Lock_);
+    for (const auto &Each : KeptBack_)
+      Each();
+    KeptBack_.clear();
+    KeepBack_ = false;
+  }
 
   void acquire(const gateway::ClaimRequest &Asked, base::TimePoint,
                Answered Done) override {
@@ -89,7 +99,12 @@
       if (Made.Kind_ == gateway::ClaimAnswer::Kind::Granted)
         Claims_[Asked.IdempotencyKey_] = gateway::ClaimEnd::Unknown;
     }
-    Done(Made);
+    if (!KeepBack_) {
+      Done(Made);
+      return;
+    }
+    const std::lock_guard Guard(Lock_);
+    KeptBack_.emplace_back([Done, Made] { Done(Made); });
   }
 
   void settle(const gateway::ClaimRequest &Granted, gateway::ClaimEnd End, int,
@@ -104,6 +119,7 @@
 private:
   std::mutex Lock_;
   std::map<std::string, gateway::ClaimEnd> Claims_;
+  std::vector<std::function<void()>> KeptBack_;
 };
 
 /// Keeps the outcome of each request.
--- a/tests/gateway/WaitingTest.cpp
+++ b/tests/gateway/WaitingTest.cpp
@@ -79,6 +79,25 @@
   LONGS_EQUAL(1, Fixture_.target().counts().runsOfKey("e1"));
 }
 
+// The store grants the claim after the request's deadline. The caller has been
+// told "not run" by then, and it was not; the late claim is given back, or the
+// caller's next try of the same key would be refused for good.
+TEST(Waiting, aClaimGrantedTooLateIsGivenBack) {
+  Fixture_.Claims_.KeepBack_ = true;
+  RawClient Caller(Fixture_.address());
+  const std::string Header = "Idempotency-Key: e1\r\n";
+  const RawAnswer Late = Caller.request(
+      "POST", "/s/x", Header + "Lychee-Deadline-Ms: 40\r\n", "abc");
+  LONGS_EQUAL(503, Late.Status_);
+  STRCMP_EQUAL("no", Late.header("lychee-ran").c_str());
+  LONGS_EQUAL(0, Fixture_.runs());
+  Fixture_.Claims_.release();
+  CHECK(tests::waitFor([&] {
+    return Caller.request("POST", "/s/x", Header, "abc").Status_ == 200;
+  }));
+  LONGS_EQUAL(1, Fixture_.target().counts().runsOfKey("e1"));
+}
+
 // The claim cannot be recorded: nothing runs, the refusal says so, and the
 // room at the target is given back.
 TEST(Waiting, withoutAClaimNothingRuns) {
