--- a/libs/scenario/FleetStrategy.cpp
+++ b/libs/scenario/FleetStrategy.cpp
@@ -3,13 +3,19 @@
 namespace lychee::scenario {
 
 void FleetStrategy::start(PeerNetwork Peers, std::uint64_t Seed,
-                          base::TimePoint) {
+                          base::TimePoint Now) {
   Peers_ = std::move(Peers);
   Seed_ = Seed;
+  Now_ = Now;
+  LeasesEnd_ = Now;
   Hosts_.resize(Peers_.Hosts_);
+  Rates_.resize(Peers_.Hosts_);
+  Offers_.resize(Peers_.Hosts_);
+  for (auto &Heard : Offers_)
+    Heard.resize(Peers_.Hosts_);
   for (std::size_t Host = 0; Host < Hosts_.size(); ++Host)
     begin(Host);
-  setPeers();
+  changeMembers(Now);
 }
 
 void FleetStrategy::begin(std::size_t Host) {
@@ -17,7 +23,11 @@
   Settings.Host_ = Peers_.Name_(Host);
   Settings.Region_ = Peers_.Region_(Host);
   Settings.Seed_ = Seed_ * 1000 + Host;
+  Rates_[Host] = std::make_unique<budget::BudgetBook>(Settings.Host_);
+  Settings.Rates_ = Rates_[Host].get();
   Hosts_[Host] = std::make_unique<steering::FleetSteering>(Settings);
+  // The played hosts' time of day is their monotonic time.
+  Hosts_[Host]->setWallTime(base::WallPoint(Now_.time_since_epoch()), Now_);
 }
 
 steering::Steering &FleetStrategy::steering(std::size_t Host) {
@@ -28,8 +38,6 @@
                                 std::shared_ptr<const settings::Intent> Intent,
                                 base::TimePoint Now) {
   Hosts_[Host]->applyIntent(Intent, Now);
-  Hosts_[Host]->setDefaultRateShare(1.0 / static_cast<double>(Hosts_.size()),
-                                    Now);
 }
 
 void FleetStrategy::report(std::size_t Host, const LoadReport &Heard,
@@ -39,43 +47,162 @@
 }
 
 void FleetStrategy::tick(base::TimePoint Now) {
-  if (Now - LastRound_ < RoundInterval)
-    return;
-  LastRound_ = Now;
-  for (std::size_t From = 0; From < Hosts_.size(); ++From)
-    if (Peers_.Alive_(From))
+  Now_ = Now;
+  settle(Now);
+  const bool Round = Now - LastRound_ >= RoundInterval;
+  if (Round)
+    LastRound_ = Now;
+  for (std::size_t From = 0; From < Hosts_.size(); ++From) {
+    if (!Peers_.Alive_(From))
+      continue;
+    if (Round)
       tellPeers(From, Now);
+    if (!Rules_.Exchange_)
+      continue;
+    askForSlots(From, Now);
+    exchangeRates(From, Now);
+  }
 }
 
 void FleetStrategy::tellPeers(std::size_t From, base::TimePoint Now) {
-  const auto Loads = std::make_shared<const std::vector<steering::PeerLoad>>(
-      Hosts_[From]->ownLoads());
+  const auto Round =
+      std::make_shared<const steering::HostRound>(Hosts_[From]->round(Now));
   const auto Suspects =
       std::make_shared<const std::vector<retrying::CrashEvidence>>(
           Hosts_[From]->suspects().evidence(Now));
+  const auto Offers = std::make_shared<const std::vector<budget::SpareOffer>>(
+      Rates_[From]->offers(Now));
   for (std::size_t To = 0; To < Hosts_.size(); ++To)
     if (To != From)
-      Peers_.Send_(From, To, [this, From, To, Now, Loads, Suspects] {
-        Hosts_[To]->heardPeer(Peers_.Name_(From), *Loads, Now);
+      Peers_.Send_(From, To, [this, From, To, Now, Round, Suspects, Offers] {
+        auto &Heard = Offers_[To][From];
+        Heard.clear();
+        for (const budget::SpareOffer &Each : *Offers)
+          Heard[Each.Budget_] = Each;
+        Hosts_[To]->heardRound(*Round, Now);
         Hosts_[To]->suspects().merge(*Suspects, Now);
       });
 }
 
-void FleetStrategy::setPeers() {
+std::optional<std::size_t>
+FleetStrategy::placeOf(const base::HostId &Host) const {
+  for (std::size_t Place = 0; Place < Hosts_.size(); ++Place)
+    if (Peers_.Alive_(Place) && Peers_.Name_(Place) == Host)
+      return Place;
+  return std::nullopt;
+}
+
+void FleetStrategy::askForSlots(std::size_t From, base::TimePoint Now) {
+  for (const steering::SlotAsk &Ask : Hosts_[From]->slotAsks(Now)) {
+    const auto Donor = placeOf(Ask.Donor_);
+    if (!Donor)
+      continue;
+    Peers_.Send_(From, *Donor, [this, From, Place = *Donor, Ask, Now] {
+      giveSlots(Place, From, Ask, Now);
+    });
+  }
+}
+
+void FleetStrategy::giveSlots(std::size_t Donor, std::size_t Asker,
+                              const steering::SlotAsk &Ask,
+                              base::TimePoint Now) {
+  const auto Gift = Hosts_[Donor]->giveSlots(Ask, Now);
+  if (!Gift)
+    return;
+  Peers_.Send_(Donor, Asker, [this, Asker, Given = *Gift, Now] {
+    std::vector<steering::Wakeup> Woken;
+    Hosts_[Asker]->acceptSlots(Given, Now, Woken);
+    Peers_.Wake_(Asker, Woken);
+  });
+}
+
+void FleetStrategy::exchangeRates(std::size_t From, base::TimePoint Now) {
+  for (const budget::Ask &Ask : Rates_[From]->asksDue(Now)) {
+    std::optional<std::size_t> Donor;
+    budget::SpareOffer Best;
+    for (std::size_t Peer = 0; Peer < Hosts_.size(); ++Peer) {
+      const auto Found = Offers_[From][Peer].find(Ask.Budget_);
+      if (!Peers_.Alive_(Peer) || Found == Offers_[From][Peer].end())
+        continue;
+      const budget::SpareOffer &Offer = Found->second;
+      // One that can spare both is worth more than one with more of either.
+      const bool Better = !Donor || std::pair(Offer.Rate_, Offer.Tokens_) >
+                                        std::pair(Best.Rate_, Best.Tokens_);
+      if (!Better)
+        continue;
+      Donor = Peer;
+      Best = Offer;
+    }
+    if (!Donor)
+      continue;
+    Offers_[From][*Donor].erase(Ask.Budget_);
+    Peers_.Send_(From, *Donor, [this, From, Place = *Donor, Ask, Now] {
+      giveRate(Place, From, Ask, Now);
+    });
+  }
+}
+
+void FleetStrategy::giveRate(std::size_t Donor, std::size_t Asker,
+                             const budget::Ask &Ask, base::TimePoint Now) {
+  const auto Given = Rates_[Donor]->give(Ask, Now);
+  if (Given)
+    Peers_.Send_(Donor, Asker, [this, Asker, Transfer = *Given, Now] {
+      Rates_[Asker]->accept(Transfer, Now);
+    });
+}
+
+void FleetStrategy::changeMembers(base::TimePoint Now) {
+  std::vector<steering::Member> Members;
+  for (std::size_t Host = 0; Host < Hosts_.size(); ++Host)
+    if (Peers_.Alive_(Host))
+      Members.push_back({Peers_.Name_(Host), Peers_.Region_(Host)});
+  ++Epoch_;
+  Settled_ = false;
+  RatesSettled_ = false;
   for (std::size_t Host = 0; Host < Hosts_.size(); ++Host) {
+    if (!Peers_.Alive_(Host))
+      continue;
     std::vector<base::HostId> Others;
-    for (std::size_t Other = 0; Other < Hosts_.size(); ++Other)
-      if (Other != Host && Peers_.Alive_(Other))
-        Others.push_back(Peers_.Name_(Other));
+    for (const steering::Member &Each : Members)
+      if (Each.Host_ != Peers_.Name_(Host))
+        Others.push_back(Each.Host_);
     Hosts_[Host]->setPeers(Others);
+    if (Rules_.Slots_)
+      Hosts_[Host]->enterEpoch(Epoch_, Members);
+    Rates_[Host]->enterEpoch(
+        {Epoch_, static_cast<std::uint32_t>(Members.size()), Now + LongLease},
+        Now);
+  }
+}
+
+void FleetStrategy::settle(base::TimePoint Now) {
+  if (Now < LeasesEnd_)
+    return;
+  if (!RatesSettled_) {
+    RatesSettled_ = true;
+    for (std::size_t Host = 0; Host < Hosts_.size(); ++Host)
+      if (Peers_.Alive_(Host))
+        Rates_[Host]->settle(Epoch_, Now);
   }
+  if (Settled_ || !Rules_.Slots_)
+    return;
+  for (std::size_t Host = 0; Host < Hosts_.size(); ++Host)
+    if (Peers_.Alive_(Host) && !Hosts_[Host]->fitsEpoch())
+      return;
+  Settled_ = true;
+  for (std::size_t Host = 0; Host < Hosts_.size(); ++Host)
+    if (Peers_.Alive_(Host))
+      Hosts_[Host]->settleEpoch(Epoch_);
 }
 
-void FleetStrategy::hostGone(std::size_t, base::TimePoint) { setPeers(); }
+void FleetStrategy::hostGone(std::size_t, base::TimePoint Now) {
+  LeasesEnd_ = Now + LeaseTime;
+  changeMembers(Now);
+}
 
-void FleetStrategy::hostBack(std::size_t Host, base::TimePoint) {
+void FleetStrategy::hostBack(std::size_t Host, base::TimePoint Now) {
   begin(Host);
-  setPeers();
+  changeMembers(Now);
 }
 
 } // namespace lychee::scenario
--- a/libs/steering/FleetSteering.cpp
+++ b/libs/steering/FleetSteering.cpp
@@ -31,12 +31,23 @@
       const auto Index = static_cast<std::uint16_t>(Services_.size());
       Services_.push_back(std::make_shared<ServiceSteering>(
           Id, Index,
-          HostContext{Settings_.Host_, Settings_.Limits_, &Suspects_},
+          HostContext{Settings_.Host_, Settings_.Region_, Settings_.Limits_,
+                      &Suspects_},
           Settings_.Seed_ + Index));
+      Services_.back()->setWallOffset(WallOffset_);
       Services_.back()->setPeers(Peers_);
+      Services_.back()->enterEpoch(Epoch_, Members_);
+      if (Settled_)
+        Services_.back()->settle(Epoch_);
     }
   }
   Rates_.applyIntent(*Intent, Now);
+  if (Settings_.Rates_)
+    for (const auto &[Id, Customer] : Intent->Customers_)
+      Settings_.Rates_->setTotal(rateBudget(Id),
+                                 budget::RateTotal::fromRequests(
+                                     Customer.RatePerSecond_, Customer.Burst_),
+                                 Now);
   for (const ServicePointer &Service : services())
     Service->applyIntent(*Intent, Now);
 }
@@ -59,18 +70,78 @@
     Service->setPeers(Peers);
 }
 
-std::vector<PeerLoad> FleetSteering::ownLoads() const {
-  std::vector<PeerLoad> Loads;
+HostRound FleetSteering::round(base::TimePoint Now) const {
+  HostRound Round;
+  Round.Host_ = Settings_.Host_;
   for (const ServicePointer &Service : services())
-    Service->addOwnLoads(Loads);
-  return Loads;
+    Service->addRound(Round, Now);
+  return Round;
 }
 
-void FleetSteering::heardPeer(const base::HostId &Peer,
-                              std::span<const PeerLoad> Loads,
-                              base::TimePoint Now) {
+void FleetSteering::heardRound(const HostRound &Round, base::TimePoint Now) {
   for (const ServicePointer &Service : services())
-    Service->heardPeer(Peer, Loads, Now);
+    Service->heardRound(Round, Now);
+}
+
+void FleetSteering::enterEpoch(std::uint64_t Epoch,
+                               std::span<const Member> Members) {
+  {
+    const std::scoped_lock Guard(Lock_);
+    if (Epoch <= Epoch_)
+      return;
+    Epoch_ = Epoch;
+    Settled_ = false;
+    Members_.assign(Members.begin(), Members.end());
+  }
+  for (const ServicePointer &Service : services())
+    Service->enterEpoch(Epoch, Members);
+}
+
+bool FleetSteering::fitsEpoch() const {
+  return std::ranges::all_of(
+      services(), [](const ServicePointer &Each) { return Each->fits(); });
+}
+
+void FleetSteering::settleEpoch(std::uint64_t Epoch) {
+  {
+    const std::scoped_lock Guard(Lock_);
+    if (Epoch != Epoch_)
+      return;
+    Settled_ = true;
+  }
+  for (const ServicePointer &Service : services())
+    Service->settle(Epoch);
+}
+
+std::vector<SlotAsk> FleetSteering::slotAsks(base::TimePoint Now) {
+  std::vector<SlotAsk> Asks;
+  for (const ServicePointer &Service : services())
+    Service->addAsks(Asks, Now);
+  return Asks;
+}
+
+std::optional<SlotGift> FleetSteering::giveSlots(const SlotAsk &Asked,
+                                                 base::TimePoint Now) {
+  const ServicePointer Service = find(Asked.Service_);
+  if (!Service)
+    return std::nullopt;
+  SlotGift Gift;
+  Gift.Counts_ = Service->giveSlots(Asked, Now);
+  if (Gift.Counts_.empty())
+    return std::nullopt;
+  Gift.Donor_ = Settings_.Host_;
+  Gift.Receiver_ = Asked.Asker_;
+  Gift.Service_ = Asked.Service_;
+  Gift.Region_ = Asked.Region_;
+  return Gift;
+}
+
+void FleetSteering::acceptSlots(const SlotGift &Gift, base::TimePoint Now,
+                                std::vector<Wakeup> &Woken) {
+  if (Gift.Receiver_ != Settings_.Host_)
+    return;
+  if (const ServicePointer Service = find(Gift.Service_))
+    Service->acceptSlots(Gift, Now, Woken);
 }
 
 void FleetSteering::reported(const base::ServiceId &Service,
@@ -88,10 +159,32 @@
     Refused.Reason_ = nameOf(Refused.Refusal_);
     return Refused;
   }
-  admission::RateCheck Rate;
-  if (const auto ComeBackAfter = Rates_.take(Arrived.Customer_, Now))
-    Rate = {false, *ComeBackAfter};
-  return Service->arrive(Arrived, Rate, Now);
+  return Service->arrive(Arrived, checkRate(Arrived.Customer_, Now), Now);
+}
+
+admission::RateCheck FleetSteering::checkRate(const base::CustomerId &Customer,
+                                              base::TimePoint Now) {
+  if (!Settings_.Rates_) {
+    const auto ComeBackAfter = Rates_.take(Customer, Now);
+    return {!ComeBackAfter, ComeBackAfter.value_or(base::Duration())};
+  }
+  /// A customer that is told to come back later than this is told this.
+  constexpr base::Duration LongestRetryAfter = std::chrono::seconds(60);
+  const budget::SpendOutcome Spent =
+      Settings_.Rates_->spend(rateBudget(Customer), Now);
+  return {Spent.Result_ == budget::SpendResult::Granted,
+          std::min(Spent.RefillsIn_, LongestRetryAfter)};
+}
+
+void FleetSteering::setWallTime(base::WallPoint Wall, base::TimePoint Now) {
+  const base::Duration Offset =
+      Wall.time_since_epoch() - Now.time_since_epoch();
+  {
+    const std::scoped_lock Guard(Lock_);
+    WallOffset_ = Offset;
+  }
+  for (const ServicePointer &Service : services())
+    Service->setWallOffset(Offset);
 }
 
 Decision FleetSteering::finish(std::uint64_t Ticket, const SendReport &Report,
--- a/libs/steering/RegionPool.h
+++ b/libs/steering/RegionPool.h
@@ -5,7 +5,8 @@
 #include "placement/TargetPool.h"
 #include "retrying/RetryBudget.h"
 #include "settings/Intent.h"
-#include "steering/PeerLoad.h"
+#include "steering/SlotBook.h"
+#include "steering/SlotMessages.h"
 
 #include <unordered_map>
 
@@ -38,6 +39,36 @@
   std::optional<admission::CustomerIndex>
   customer(const base::CustomerId &Customer) const;
 
+  // Slots, and what hosts tell each other of them; \see SlotBook.
+
+  void enterEpoch(std::uint64_t Epoch, std::span<const Member> Members);
+  void settle(std::uint64_t Epoch);
+  bool divides() const noexcept { return Slots_.divides(); }
+
+  /// \returns true where no more is in use than this host holds.
+  bool fits() const;
+
+  /// \returns free slots that this host could give.
+  std::uint32_t spare(base::TimePoint Now) const;
+  void heardSpare(const base::HostId &Host, const SpareSlots &Told,
+                  base::TimePoint Now);
+  /// \returns free slots that the other hosts told of, and when they did.
+  std::uint32_t peersSpare() const noexcept;
+  base::TimePoint spareHeardAt() const noexcept { return SpareHeardAt_; }
+
+  /// Ends what was kept for peers that did not ask again; every 10 ms or so.
+  void upkeep(base::TimePoint Now);
+
+  /// Someone waits elsewhere and would be steered here.
+  void want(std::uint32_t Slots) noexcept { Wanted_ = Slots; }
+
+  /// Adds what to ask of peers now.
+  void addAsks(std::vector<SlotAsk> &Asks, base::TimePoint Now);
+
+  /// Gives what can be given of what a peer asks.
+  std::vector<SlotCount> give(const SlotAsk &Asked, base::TimePoint Now);
+  bool accept(const base::HostId &Donor, std::span<const SlotCount> Told);
+
   const std::string &address(placement::TargetIndex Target) const {
     return Addresses_.at(Targets_.nameOf(Target));
   }
@@ -48,9 +79,37 @@
   }
 
 private:
+  /// What is known of a member.
+  struct Peer {
+    base::RegionId Region_;
+    std::uint32_t Spare_ = 0;
+    std::uint32_t Used_ = 0;
+    base::TimePoint AskedAt_;
+  };
+
+  void refreshShares();
+  void addRecalls(std::vector<SlotAsk> &Asks, base::TimePoint Now);
+  std::uint32_t mayGive(const SlotAsk &Asked, base::TimePoint Now) const;
+  std::vector<SlotCount> giveKept(const SlotAsk &Asked, base::TimePoint Now);
+  bool goesFirst(const SlotAsk &Asked) const noexcept;
+  bool isBetterDonor(const Peer &Each, const Peer *Best) const noexcept;
+  bool mayAsk(const Peer &Each, base::TimePoint Now) const noexcept;
+  Peer *bestDonor(base::TimePoint Now, base::HostId &Donor);
+
+  const base::HostId Self_;
   const base::RegionId Region_;
   placement::TargetPool Targets_;
   admission::AdmissionControl Line_;
+  SlotBook Slots_;
+  std::map<base::HostId, Peer> Peers_;
+  std::uint32_t Wanted_ = 0;
+  /// This host stands in the region.
+  bool IsNear_ = false;
+  base::TimePoint RecalledAt_;
+  base::TimePoint SpareHeardAt_;
+  /// Targets of which one slot is kept free for a peer, and until when: it asks
+  /// again within this time, or needs it no longer.
+  std::map<base::TargetId, base::TimePoint> Kept_;
   std::unordered_map<base::CustomerId, admission::CustomerIndex> Customers_;
   std::unordered_map<base::TargetId, std::string> Addresses_;
   std::unordered_map<placement::TargetIndex, retrying::RetryBudget> Retries_;
--- a/libs/steering/ServiceSteering.cpp
+++ b/libs/steering/ServiceSteering.cpp
@@ -100,46 +100,13 @@
     if (!Pool) {
       Pool = std::make_unique<RegionPool>(Id, Context_.Host_, Limits);
       Pool->targets().setPeers(Peers_);
+      Pool->enterEpoch(Epoch_, Members_);
+      if (Settled_)
+        Pool->settle(Epoch_);
     }
     Pool->applyIntent(Intent, Here, Now);
   }
-}
-
-void ServiceSteering::setPeers(std::span<const base::HostId> Peers) {
-  const std::scoped_lock Guard(Lock_);
-  Peers_.assign(Peers.begin(), Peers.end());
-  for (const auto &[Id, Pool] : Pools_)
-    Pool->targets().setPeers(Peers);
-}
-
-void ServiceSteering::heardPeer(const base::HostId &Peer,
-                                std::span<const PeerLoad> Loads,
-                                base::TimePoint Now) {
-  const std::scoped_lock Guard(Lock_);
-  for (const auto &[Id, Pool] : Pools_) {
-    std::vector<placement::InFlight> Counts;
-    for (const PeerLoad &Load : Loads)
-      if (Load.Service_ == Service_)
-        if (const auto Target = Pool->targets().indexOf(Load.Target_))
-          Counts.push_back({*Target, Load.InFlight_});
-    Pool->targets().heard(Peer, Counts, Now);
-  }
-}
-
-void ServiceSteering::addOwnLoads(std::vector<PeerLoad> &Loads) const {
-  const std::scoped_lock Guard(Lock_);
-  for (const auto &[Id, Pool] : Pools_)
-    for (const placement::InFlight &Own : Pool->targets().ownInFlight())
-      Loads.push_back(
-          {Service_, Pool->targets().nameOf(Own.Target_), Own.Count_});
-}
-
-void ServiceSteering::reported(const base::TargetId &Target, std::uint32_t Load,
-                               base::TimePoint MeasuredAt) {
-  const std::scoped_lock Guard(Lock_);
-  for (const auto &[Id, Pool] : Pools_)
-    if (const auto Index = Pool->targets().indexOf(Target))
-      Pool->targets().reported(*Index, Load, MeasuredAt);
+  setPlans(Intent, Now);
 }
 
 Decision ServiceSteering::arrive(const Request &Arrived,
@@ -170,6 +137,8 @@
                                 const admission::RateCheck &Rate,
                                 base::TimePoint Now) {
   RegionPool *Home = homeOf(Wanted, Now);
+  if (Home && Rate.Allowed_)
+    Home = shiftedHome(Wanted, *Home, Now);
   const auto Customer =
       Home ? Home->customer(Wanted.Request_.Customer_) : std::nullopt;
   if (!Customer)
@@ -184,11 +153,14 @@
   Found Near{Home, {}};
   if (Rate.Allowed_)
     Near.Choice_ = choose(*Home, Wanted, Now);
+  if (!payForResend(Wanted, Near, Now))
+    return refuse(Refusal::TargetFailed, ranOf(Wanted.MayHaveRun_),
+                  "retry-budget");
   Arrival.Room_ = Near.Choice_.Target_.has_value();
   const admission::AdmissionVerdict Verdict = Home->line().arrive(Arrival, Now);
   Wanted.Charged_ = Verdict.ExpectedWork_;
   if (Verdict.Action_ == AdmissionAction::Go)
-    return send(Ticket, Wanted, Near, "nearest");
+    return send(Ticket, Wanted, Near, Wanted.Shifted_ ? "shift" : "nearest");
   const bool Waits = Verdict.Action_ == AdmissionAction::Wait;
   const bool Hopeless = Verdict.Cause_ == admission::Cause::OverRate ||
                         Verdict.Cause_ == admission::Cause::DeadlineTooShort;
@@ -201,15 +173,7 @@
   if (Other) {
     if (Waits)
       Home->line().cancel(Verdict.Place_);
-    Arrival.Room_ = true;
-    Wanted.Customer_ = Other->Pool_->customer(Wanted.Request_.Customer_)
-                           .value_or(Wanted.Customer_);
-    Arrival.Customer_ = Wanted.Customer_;
-    const auto There = Other->Pool_->line().arrive(Arrival, Now);
-    Wanted.Charged_ = There.ExpectedWork_;
-    if (There.Action_ == AdmissionAction::Go)
-      return send(Ticket, Wanted, *Other, Why);
-    return refuse(Wanted, There);
+    return enterElsewhere(Ticket, Wanted, *Other, Now, Why);
   }
   if (!Waits)
     return refuse(Wanted, Verdict);
@@ -218,6 +182,38 @@
   return hold(Ticket, Wanted);
 }
 
+Decision ServiceSteering::enterElsewhere(std::uint64_t Ticket, Pending &Wanted,
+                                         const Found &Where,
+                                         base::TimePoint Now,
+                                         std::string_view Why) {
+  Wanted.Shifted_ = false;
+  Wanted.Customer_ = Where.Pool_->customer(Wanted.Request_.Customer_)
+                         .value_or(Wanted.Customer_);
+  admission::Arrival Arrival;
+  Arrival.Ticket_ = Ticket;
+  Arrival.Customer_ = Wanted.Customer_;
+  Arrival.Caller_ = Wanted.Request_.CallerHash_;
+  Arrival.Deadline_ = Wanted.Request_.Deadline_;
+  Arrival.Room_ = true;
+  const auto Verdict = Where.Pool_->line().arrive(Arrival, Now);
+  Wanted.Charged_ = Verdict.ExpectedWork_;
+  if (Verdict.Action_ == AdmissionAction::Go)
+    return send(Ticket, Wanted, Where, Why);
+  return refuse(Wanted, Verdict);
+}
+
+bool ServiceSteering::payForResend(const Pending &Wanted, const Found &Near,
+                                   base::TimePoint Now) {
+  if (Wanted.Sends_ == 0)
+    return true;
+  // The target's budget keeps one that comes back from taking all second
+  // sends; one that waits in line finds its target later.
+  if (!Near.Choice_.Target_)
+    return Retries_.spend(Now);
+  return retrying::RetryBudget::spendBoth(
+      Retries_, Near.Pool_->retries(*Near.Choice_.Target_), Now);
+}
+
 Decision ServiceSteering::send(std::uint64_t Ticket, Pending &Wanted,
                                const Found &Where, std::string_view Why) {
   assert(Where.Choice_.Target_.has_value() &&
@@ -300,9 +296,14 @@
   Pool.targets().finished(Target, Seen, Report.Took_, Now);
   Pool.line().finished(Ended.Customer_, Ended.Request_.CallerHash_,
                        Ended.Charged_, Report.Took_,
-                       Seen == placement::Outcome::Good);
+                       Seen == placement::Outcome::Good, Now);
   const std::uint64_t Fingerprint = Ended.Request_.Fingerprint_;
   if (Report.End_ == SendEnd::Answered) {
+    shifting::ColdCost &Cold = ColdCosts_[Pool.region()];
+    if (Ended.Shifted_)
+      Cold.movedTook(Report.Took_, Now);
+    else
+      Cold.ownTook(Report.Took_);
     Retries_.succeeded();
     Pool.retries(Target).succeeded();
     Context_.Suspects_->answered(Fingerprint);
@@ -331,11 +332,6 @@
     return refuse(Refusal::TargetFailed, MayHaveRun);
   if (Context_.Suspects_->suspectUntil(Failed.Request_.Fingerprint_, Now) > Now)
     return refuse(Refusal::CrashSuspect, MayHaveRun);
-  // Both budgets: the host's bounds the sum, the target's keeps one that fails
-  // from using up all of it.
-  if (!retrying::RetryBudget::spendBoth(
-          Retries_, Failed.Pool_->retries(Failed.SentTo_), Now))
-    return refuse(Refusal::TargetFailed, MayHaveRun, "retry-budget");
   return enter(Ticket, Failed, {}, Now);
 }
 
@@ -353,14 +349,17 @@
   const bool Upkeep = Now - LastUpkeep_ >= UpkeepInterval;
   if (Upkeep)
     LastUpkeep_ = Now;
+  stepShifts(Now);
   for (const auto &[Id, Pool] : Pools_) {
     if (Upkeep)
       Pool->targets().tick(Now);
+    Pool->upkeep(Now);
     std::vector<admission::GivenUp> Left;
     Pool->line().expire(Now, Left);
     giveUp(Left, Woken);
   }
   letWaitingGo(Now, Woken);
+  spillWaiting(Now, Woken);
 }
 
 void ServiceSteering::letWaitingGo(base::TimePoint Now,
@@ -379,13 +378,14 @@
       if (First.Sends_ > 0 && First.SentTo_ == Where.Choice_.Target_) {
         Where.Choice_ = choose(*Pool, First, Now);
         if (!Where.Choice_.Target_) {
-          First.Place_ = Pool->line().putBack(*Next, Now);
+          First.Place_ = Pool->line().putBack(*Next);
           break;
         }
       }
       First.Charged_ = Next->Work_;
       Woken.push_back(
-          {Next->Ticket_, send(Next->Ticket_, First, Where, "waited")});
+          {Next->Ticket_, send(Next->Ticket_, First, Where,
+                               First.Shifted_ ? "shift" : "waited")});
     }
     giveUp(Left, Woken);
   }
