--- a/libs/budget/BudgetBook.h
+++ b/libs/budget/BudgetBook.h
@@ -68,6 +68,10 @@
   /// \param Now  read after any wait, right before this call.
   SpendOutcome spend(std::string_view Budget, base::TimePoint Now);
 
+  /// The same for a request that was short before and waits for tokens on
+  /// their way: it is not counted as demand once more.
+  SpendOutcome spendAgain(std::string_view Budget, base::TimePoint Now);
+
   // Exchange with peers.
 
   /// \returns an ask for the budget, where one helps and none was made within
@@ -98,6 +102,10 @@
 
     RateShare Share_;
     DemandEstimator Demand_;
+    /// Follows within a third of a second: what this host could spare. A host
+    /// whose callers have just left would else sit on their rate for seconds,
+    /// and one that gave too much asks for it back.
+    DemandEstimator Recent_{RecentMemory};
     base::TimePoint LastAsk_;
   };
 
@@ -108,8 +116,15 @@
 
   static constexpr std::size_t ShardCount = 16;
 
+  SpendOutcome spendFrom(std::string_view Budget, bool IsDemand,
+                         base::TimePoint Now);
   Shard &shardOf(std::string_view Budget) noexcept;
-  ShareState stateOf(Entry &Of, base::TimePoint Now) const noexcept;
+  static constexpr base::Duration RecentMemory = std::chrono::milliseconds(350);
+
+  ShareState stateOf(Entry &Of, double PerSecond,
+                     base::TimePoint Now) const noexcept;
+  ShareState needOf(Entry &Of, base::TimePoint Now) const noexcept;
+  ShareState spareOf(Entry &Of, base::TimePoint Now) const noexcept;
   std::optional<Ask> makeAsk(std::string_view Budget, Entry &Of,
                              base::TimePoint Now);
   void joinEpoch(Entry &Of, const EpochGrant &Grant, bool Settled,
--- a/libs/placement/TargetPool.cpp
+++ b/libs/placement/TargetPool.cpp
@@ -74,10 +74,8 @@
     return {Target, static_cast<double>(Each.Own_) / Usable, Room};
   }
   const double Load = load(Target, Now);
-  // Others' part is an estimate: a slot that is rather free than taken counts
-  // as free.
-  static constexpr double Rounding = 0.5;
-  const bool Free = Each.Own_ < Usable && Load + Rounding < Usable;
+  // Others' part is an estimate.
+  const bool Free = Each.Own_ < Usable && Load + 1 + Limits_.Spare_ <= Usable;
   return {Target, Load / Usable, Free};
 }
 
@@ -100,11 +98,15 @@
   const std::uint32_t Start = base::drawBelow(Random, Count);
   for (std::uint32_t Step = 0; Step < Count; ++Step) {
     const TargetIndex Target = Homes_[(Start + Step) % Count];
-    if (Entries_[Target].Own_ >= Entries_[Target].Home_)
+    const Entry &Each = Entries_[Target];
+    if (Each.Own_ >=
+        std::min(Each.Home_, Each.Health_.usableSlots(Each.Slots_, Now)))
       continue;
     if (!mayUse(Target, Excluded, Now, Choice))
       continue;
-    if (!weigh(Target, Now).Free_)
+    // What peers said of it is too old to keep a host from its own slots: that
+    // left whole hosts waiting beside free targets. Its own shed is not.
+    if (Now < Each.FullUntil_)
       continue;
     take(Choice, Target, "home");
     return true;
@@ -170,9 +172,19 @@
   Choice.Reason_ = "all-lost";
   if (Now - LastProbe_ < ProbePace)
     return Choice;
-  LastProbe_ = Now;
   const auto Count = static_cast<std::uint32_t>(Active_.size());
-  take(Choice, Active_[base::drawBelow(Random, Count)], "probe");
+  const std::uint32_t Start = base::drawBelow(Random, Count);
+  for (std::uint32_t Step = 0; Step < Count; ++Step) {
+    const TargetIndex Target = Active_[(Start + Step) % Count];
+    const Entry &Each = Entries_[Target];
+    // A probe needs a slot like any request: when the pool comes back, all
+    // hosts' probes and the work that others begin meet there.
+    if (Each.Own_ >= Each.Share_.value_or(Each.Slots_))
+      continue;
+    LastProbe_ = Now;
+    take(Choice, Target, "probe");
+    return Choice;
+  }
   return Choice;
 }
 
