--- a/libs/fleet/ClaimNode.h
+++ b/libs/fleet/ClaimNode.h
@@ -26,7 +26,7 @@
 /// A host that takes a partition over reads it first, and the object's version
 /// refuses whoever owned it before, paused or not: two owners for a while cost
 /// refusals, never a second run. Destroy after the context's threads ended.
-/// \see retrying::ClaimTable, docs/design/claims.md
+/// \see retrying::ClaimTable, docs/design/claims-between-hosts.md
 class ClaimNode {
 public:
   /// Partitions of all keys: with 8,000 claims kept an hour each, 64 hold 142
