Claims stand in libs/claims: the second making of them goes

ClaimNode, ClaimPartition and ClaimCodec of libs/fleet were written while libs/claims was merged; the daemon uses libs/claims.

--- a/tests/fleet/TestFleet.h
+++ b/tests/fleet/TestFleet.h
@@ -3,7 +3,6 @@
 
 #include "base/Hash.h"
 #include "base/SystemClock.h"
-#include "fleet/ClaimNode.h"
 #include "fleet/FleetNode.h"
 #include "fleet/PeerServer.h"
 #include "settings/SettingsRoot.h"
@@ -47,18 +46,14 @@
     Options.Zone_ = base::ZoneId(Zone);
     Options.Self_.Host_ = base::HostId(Name);
     Options.Self_.Peers_ = Peer_;
-    const auto Incarnation = static_cast<std::uint64_t>(
+    Options.Self_.Incarnation_ = static_cast<std::uint64_t>(
         base::SystemClock::wallNow().time_since_epoch().count());
-    Options.Self_.Incarnation_ = Incarnation;
     Options.Seeds_ = std::move(Seeds);
     Options.Terms_ = shortTerms();
     Options.Seed_ = base::stableHash(Name);
     Node_ = std::make_unique<fleet::FleetNode>(Io.context(), Store_, Client_,
                                                Handlers_, std::move(Options),
                                                fleet::FleetListeners{});
-    Claims_ = std::make_unique<fleet::ClaimNode>(
-        Io.context(), Store_, Client_, Handlers_, Node_->guard(),
-        base::HostId(Name), Incarnation, [this] { return Node_->directory(); });
     Node_->start();
   }
 
@@ -88,7 +83,6 @@
   fleet::RpcDispatcher Handlers_;
   fleet::PeerServer Server_;
   std::unique_ptr<fleet::FleetNode> Node_;
-  std::unique_ptr<fleet::ClaimNode> Claims_;
   std::string Peer_;
   bool Alive_ = true;
 };
