--- a/libs/operations/History.cpp
+++ b/libs/operations/History.cpp
@@ -21,6 +21,12 @@
 /// Five reads a second: a quarter of a host's default budget of calls.
 constexpr base::Duration ReadPause = std::chrono::milliseconds(200);
 
+boost::asio::awaitable<void> pauseBetweenReads() {
+  boost::asio::steady_timer Timer(co_await boost::asio::this_coro::executor);
+  Timer.expires_after(ReadPause);
+  co_await Timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+}
+
 /// \returns \p Number with zeros before it, so that paths sort by number.
 std::string padded(std::int64_t Number, std::size_t Width) {
   std::string Digits = std::to_string(Number);
@@ -131,8 +137,7 @@
 boost::asio::awaitable<bool>
 History::readDay(std::string_view Day, std::size_t Limit, const Entries &Known,
                  std::vector<HistoryEntry> &Into, base::Error &Last) {
-  const std::string Below = std::string(Prefix) + std::string(Day) + "/";
-  auto Listed = co_await Store_.list(Below, Last);
+  auto Listed = co_await listDay(Day, Last);
   if (!Listed)
     co_return false;
   std::vector<store::Object> &Objects = *Listed;
@@ -156,12 +161,35 @@
   co_return true;
 }
 
+boost::asio::awaitable<std::optional<std::vector<store::Object>>>
+History::listDay(std::string_view Day, base::Error &Last) {
+  const std::string Below = std::string(Prefix) + std::string(Day) + "/";
+  const base::TimePoint Deadline =
+      base::SystemClock::monotonicNow() + Patience_;
+  auto Listed = co_await Store_.list(Below, Last);
+  while (!Listed && base::SystemClock::monotonicNow() < Deadline) {
+    co_await pauseBetweenReads();
+    Listed = co_await Store_.list(Below, Last);
+  }
+  co_return Listed;
+}
+
+boost::asio::awaitable<std::optional<store::Object>>
+History::readObject(const std::string &Path, base::Error &Last) {
+  const base::TimePoint Deadline =
+      base::SystemClock::monotonicNow() + Patience_;
+  co_await pauseBetweenReads();
+  auto Read = co_await Store_.get(Path, Last);
+  while (!Read && base::SystemClock::monotonicNow() < Deadline) {
+    co_await pauseBetweenReads();
+    Read = co_await Store_.get(Path, Last);
+  }
+  co_return Read;
+}
+
 boost::asio::awaitable<std::optional<HistoryEntry>>
 History::readEntry(const std::string &Path, base::Error &Last) {
-  boost::asio::steady_timer Timer(co_await boost::asio::this_coro::executor);
-  Timer.expires_after(ReadPause);
-  co_await Timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
-  const auto Read = co_await Store_.get(Path, Last);
+  const auto Read = co_await readObject(Path, Last);
   if (!Read)
     co_return std::nullopt;
   auto Entry = decodeEntry(Read->Value_);
--- a/libs/operations/History.h
+++ b/libs/operations/History.h
@@ -51,9 +51,9 @@
   /// within the 15 s that lychee waits for an answer.
   static constexpr std::size_t LargestLimit = 60;
   /// Days looked through for enough entries, each one list call.
-  static constexpr int DaysBack = 14;
+  static constexpr int DaysBack = 7;
 
-  /// \param Patience  how long append() tries to reach the store.
+  /// \param Patience  how long each call to the store is tried.
   History(store::Store &Kept, base::Duration Patience) noexcept
       : Store_(Kept), Patience_(Patience) {}
   History(const History &) = delete;
@@ -79,6 +79,10 @@
                                        const Entries &Known,
                                        std::vector<HistoryEntry> &Into,
                                        base::Error &Last);
+  boost::asio::awaitable<std::optional<std::vector<store::Object>>>
+  listDay(std::string_view Day, base::Error &Last);
+  boost::asio::awaitable<std::optional<store::Object>>
+  readObject(const std::string &Path, base::Error &Last);
   boost::asio::awaitable<std::optional<HistoryEntry>>
   readEntry(const std::string &Path, base::Error &Last);
 
--- a/tests/operations/FakeStore.h
+++ b/tests/operations/FakeStore.h
@@ -72,6 +72,11 @@
       Last = {"store.list", "store", "down"};
       co_return std::nullopt;
     }
+    if (FailingLists_ > 0) {
+      --FailingLists_;
+      Last = {"store.list", "store", "over the budget of calls"};
+      co_return std::nullopt;
+    }
     std::vector<store::Object> Listed;
     for (const auto &[Name, Object] : Objects_)
       if (Name.starts_with(Prefix))
@@ -104,6 +109,8 @@
   std::string LoseRequestTo_;
   int LostRequests_ = 0;
   int Puts_ = 0;
+  /// Lists that fail before the next that does not.
+  int FailingLists_ = 0;
   /// Reads that are answered; nothing for all.
   std::optional<int> GetsLeft_;
 };
--- a/tests/operations/OperatorApiTest.cpp
+++ b/tests/operations/OperatorApiTest.cpp
@@ -437,6 +437,7 @@
                                         {}};
   CHECK_TRUE(resultOf(Kept.append(Joined, Last)));
   CHECK_TRUE(resultOf(Kept.append(Joined, Last)));
+  Store_.FailingLists_ = 1;
   const auto Told =
       require(resultOf(Api_.history(10, Now, PortalToken, Last_)));
   LONGS_EQUAL(2, Told.size());
