operations: the lost-answer test also asks the history

Mutations tried on a scratch build (trials): conflict check off, 2 tests fail; path check of edits off, 1 fails; withdrawn keys accepted, 1 fails; read-back of the change id off, none failed, as the next attempt finds the id in the root. With this assertion that one fails too.

--- a/tests/operations/OperatorApiTest.cpp
+++ b/tests/operations/OperatorApiTest.cpp
@@ -156,6 +156,9 @@
              Api_.apply(portalRequest("ana", "12s"), PortalToken, Now, Last_)),
          2);
   LONGS_EQUAL(2, Store_.Objects_.at("settings/root").Version_);
+  const auto Told =
+      require(resultOf(Api_.history(10, Now, PortalToken, Last_)));
+  STRCMP_EQUAL("2", Told.at(0).Id_.c_str());
 }
 
 // The write itself is lost, not its answer. Reading back finds the root as it
