--- a/libs/settings/IniDocument.cpp
+++ b/libs/settings/IniDocument.cpp
@@ -111,7 +111,7 @@
     std::string_view Line = Rest_.substr(0, End);
     Rest_.remove_prefix(End == std::string_view::npos ? Rest_.size() : End + 1);
     if (!accept(Line) || Line.size() + 2 > static_cast<std::size_t>(Capacity))
-      Line = {};
+      Line = ""; // Not {}: memcpy must not see a null pointer.
     std::memcpy(Buffer, Line.data(), Line.size());
     Buffer[Line.size()] = '\n';
     Buffer[Line.size() + 1] = '\0';
