--- a/libs/claims/ClaimService.cpp
+++ b/libs/claims/ClaimService.cpp
@@ -256,7 +256,9 @@
                                                    std::string Text) {
   for (int Try = 0; Try < FinishTries && !Stopped_; ++Try) {
     base::Error Ignored;
-    if (co_await Peers_.call(Address, FinishMethod, Text, CallTimeout, Ignored))
+    const auto Heard = co_await Peers_.call(Address, FinishMethod, Text,
+                                            CallTimeout, Ignored);
+    if (Heard)
       co_return;
   }
 }
@@ -318,8 +320,9 @@
                                                  std::string Verdict) {
   for (int Try = 0; Try < FinishTries && !Stopped_; ++Try) {
     base::Error Ignored;
-    if (co_await Peers_.call(Address, VerdictMethod, Verdict, CallTimeout,
-                             Ignored))
+    const auto Heard = co_await Peers_.call(Address, VerdictMethod, Verdict,
+                                            CallTimeout, Ignored);
+    if (Heard)
       co_return;
   }
 }
--- a/libs/gateway/Exchange.cpp
+++ b/libs/gateway/Exchange.cpp
@@ -61,19 +61,37 @@
   co_return co_await Answer_.sendJson(503, "{\"ready\":false}\n");
 }
 
+/// A refusal before steering was asked is a decision too: told to nobody, an
+/// operator could not explain why a caller's key stopped working.
+Task<Ending> Exchange::refuseEarly(const Identity &Caller,
+                                   steering::Refusal Reason) {
+  steering::Request Refused;
+  Refused.Id_ = Id_;
+  Refused.Customer_ = Caller.Customer_;
+  Refused.Key_ = Caller.Key_;
+  Refused.Method_ = Read_.Method_;
+  Refused.Path_ = Read_.Path_;
+  steering::Decision Made;
+  Made.Refusal_ = Reason;
+  Made.RetryAfter_ = Caller.RetryAfter_;
+  Made.SettingsVersion_ = Caller.SettingsVersion_;
+  Home_.shared().Others_.Listener_.decided(Refused, Made,
+                                           base::SystemClock::monotonicNow());
+  co_return co_await Answer_.refuseFor(Reason, steering::Ran::No,
+                                       Caller.RetryAfter_);
+}
+
 Task<Ending> Exchange::forward() {
   GatewayState &Shared = Home_.shared();
   const Identity Caller = Shared.Others_.Authenticator_.check(
       Read_.PresentedKey_, base::SystemClock::monotonicNow());
   if (Caller.Refusal_ != steering::Refusal::None)
-    co_return co_await Answer_.refuseFor(Caller.Refusal_, steering::Ran::No,
-                                         Caller.RetryAfter_);
+    co_return co_await refuseEarly(Caller, Caller.Refusal_);
   auto Found = Shared.Others_.Router_.route({Read_.ServiceName_,
                                              Read_.HostName_, Read_.Path_,
                                              Read_.Method_, Caller_.address()});
   if (!Found)
-    co_return co_await Answer_.refuseFor(steering::Refusal::UnknownService,
-                                         steering::Ran::No);
+    co_return co_await refuseEarly(Caller, steering::Refusal::UnknownService);
   Forwarding Forwarded(Home_, Caller_, Reader_, Read_, Answer_, Id_, Caller,
                        std::move(*Found));
   co_return co_await Forwarded.run();
--- a/libs/gateway/Exchange.h
+++ b/libs/gateway/Exchange.h
@@ -1,6 +1,7 @@
 #ifndef LYCHEE_GATEWAY_EXCHANGE_H
 #define LYCHEE_GATEWAY_EXCHANGE_H
 
+#include "gateway/Authenticator.h"
 #include "gateway/CallerAnswer.h"
 #include "gateway/CallerConnection.h"
 #include "gateway/CallerRequest.h"
@@ -26,6 +27,7 @@
 private:
   Task<Ending> answerLookup();
   Task<Ending> answerReady();
+  Task<Ending> refuseEarly(const Identity &Caller, steering::Refusal Reason);
   Task<Ending> forward();
 
   Worker &Home_;
--- a/tests/path/WholePathTest.cpp
+++ b/tests/path/WholePathTest.cpp
@@ -60,6 +60,9 @@
     STRCMP_EQUAL("no", Answer.header("Lychee-Ran").c_str());
     STRCMP_EQUAL("application/problem+json",
                  Answer.header("Content-Type").c_str());
+    const Finished Why =
+        Fleet_.lychee({"explain", Answer.header("Lychee-Request-Id")});
+    STRCMP_CONTAINS("reason=unknown-key ran=no", Why.Output_.c_str());
   }
 }
 
