--- a/libs/steering/ServiceSteering.cpp
+++ b/libs/steering/ServiceSteering.cpp
@@ -12,6 +12,10 @@
 constexpr unsigned IndexBits = 16;
 /// How often medians and ejections are brought up to date.
 constexpr base::Duration UpkeepInterval = std::chrono::milliseconds(100);
+/// Under saturation a wait may last this many ordinary requests: what
+/// AdmissionControl's own bound is for work of 20 ms. A bound below the work's
+/// own length refuses at ordinary load what waits for one slot to end.
+constexpr int ShortWaitInWorks = 10;
 
 using AdmissionAction = admission::AdmissionVerdict::Action;
 
@@ -90,6 +94,8 @@
     admission::AdmissionControl::Limits Limits = Context_.Limits_.Line_;
     if (Known != Intent.Services_.end()) {
       Limits.ExpectedWork_ = Known->second.ExpectedWork_;
+      Limits.ShortWait_ = std::max(
+          Limits.ShortWait_, ShortWaitInWorks * Known->second.ExpectedWork_);
       std::ranges::copy_if(
           Known->second.Targets_, std::back_inserter(Here),
           [&Zones = Region.Zones_](const settings::Target &Target) {
