--- a/libs/steering/SlotBook.cpp
+++ b/libs/steering/SlotBook.cpp
@@ -12,13 +12,13 @@
   for (const placement::TargetSpec &Spec : Targets) {
     Entry &Kept = Entries_[Spec.Id_];
     const auto Known = Old.find(Spec.Id_);
-    const bool IsNew = Known == Old.end();
-    if (!IsNew)
+    if (Known != Old.end())
       Kept = std::move(Known->second);
     Kept.Slots_ = Spec.Leaving_ ? 0 : Spec.Slots_;
     divide(Spec.Id_, Kept);
-    // Every host divides a new target in the same way: nobody used it before.
-    if (IsNew || Settled_)
+    // In an epoch that has not settled, a target that is new to this host may
+    // be in use by others: a host that has just started knows none.
+    if (Settled_)
       Kept.OldHome_ = Kept.NewHome_;
     Kept.OldHome_ = std::min(Kept.OldHome_, Kept.Slots_);
   }
@@ -26,10 +26,15 @@
 
 void SlotBook::divide(const base::TargetId &Target, Entry &Divided) const {
   const bool IsOwner = std::ranges::find(Owners_, Self_) != Owners_.end();
-  std::vector<base::HostId> Others = Owners_;
-  std::erase(Others, Self_);
-  Divided.NewHome_ =
-      IsOwner ? placement::homeSlots(Target, Divided.Slots_, Self_, Others) : 0;
+  // Equal weights: every host must come to the same division from the epoch
+  // alone, and what hosts bring differs from what each has heard of the others.
+  std::vector<placement::HostWeight> Others;
+  for (const base::HostId &Each : Owners_)
+    if (Each != Self_)
+      Others.push_back({.Host_ = Each});
+  Divided.NewHome_ = IsOwner ? placement::homeSlots(Target, Divided.Slots_,
+                                                    {.Host_ = Self_}, Others)
+                             : 0;
 }
 
 bool SlotBook::isMember(const base::HostId &Host) const noexcept {
@@ -48,14 +53,19 @@
   for (auto &[Target, Each] : Entries_) {
     Each.OldHome_ = std::min(Each.OldHome_, Each.NewHome_);
     divide(Target, Each);
-    // What a lost host gave belongs to its slots, which are divided anew: it
-    // is given up at once. What it was given comes back when it has settled.
+    // What a lost host gave beyond what it got belongs to its slots, which are
+    // divided anew: it is given up at once. What it got beyond what it gave may
+    // be in use there, and comes back when the epoch has settled.
+    std::uint32_t GivenToLost = 0;
     std::erase_if(Each.Pairs_, [&](const auto &Kept) {
       if (isMember(Kept.first))
         return false;
-      Each.GivenToLost_ += Kept.second.Given_;
+      const Pair &Counts = Kept.second;
+      if (Counts.Given_ > Counts.Received_)
+        GivenToLost += Counts.Given_ - Counts.Received_;
       return true;
     });
+    Each.GivenToLost_ += GivenToLost;
   }
 }
 
@@ -83,6 +93,16 @@
   return std::min<std::int64_t>(Held, Each.Slots_);
 }
 
+std::int64_t SlotBook::heldOnceSettled(const base::TargetId &Target) const {
+  const auto Known = Entries_.find(Target);
+  if (Known == Entries_.end())
+    return 0;
+  std::int64_t Held = Known->second.NewHome_;
+  for (const auto &[Host, Counts] : Known->second.Pairs_)
+    Held += static_cast<std::int64_t>(Counts.Received_) - Counts.Given_;
+  return Held;
+}
+
 SlotCount SlotBook::give(const base::HostId &Receiver,
                          const base::TargetId &Target, std::uint32_t Slots) {
   Pair &Counts = Entries_[Target].Pairs_[Receiver];
