--- a/libs/fleet/ZoneKeeper.cpp
+++ b/libs/fleet/ZoneKeeper.cpp
@@ -205,6 +205,16 @@
   return isMember() && !isRelay() && takeoverWait() == Terms_.SuspectAfter_;
 }
 
+bool ZoneKeeper::acknowledges(const ZoneRecord &Next) const {
+  for (const Member &Each : Next.Members_) {
+    const Member *Listed = Record_.find(Each.Host_);
+    if (Listed && Listed->KnownGeneration_ < Record_.Generation_ &&
+        Each.KnownGeneration_ >= Record_.Generation_)
+      return true;
+  }
+  return false;
+}
+
 std::optional<RecordPlan> ZoneKeeper::plan(base::TimePoint Now) const {
   if (!isMember())
     return planAsStranger(Now);
@@ -219,6 +229,8 @@
   RecordPlan Plan{renewed(Now), Version_, "renew"};
   if (Plan.Next_.Generation_ != Record_.Generation_)
     Plan.Reason_ = "change";
+  else if (acknowledges(Plan.Next_))
+    Plan.Reason_ = "acknowledge";
   else if (Quiet < Terms_.RenewEvery_)
     return std::nullopt;
   return Plan;
--- a/libs/fleet/ZoneKeeper.h
+++ b/libs/fleet/ZoneKeeper.h
@@ -88,6 +88,9 @@
   ZoneRecord renewed(base::TimePoint Now) const;
   std::vector<Member> admitted(base::TimePoint Now) const;
   bool heardSince(const Member &Listed) const;
+  /// A member that dies before the record says that it knows of a newcomer can
+  /// be removed only by older members: such news is written at once.
+  bool acknowledges(const ZoneRecord &Next) const;
   bool mustGo(const Member &Listed, base::TimePoint Now) const;
   bool silenceIsProof(const Member &Listed, base::TimePoint Now) const;
   std::optional<RecordPlan> planAsStranger(base::TimePoint Now) const;
--- a/tests/fleet/ZoneKeeperTest.cpp
+++ b/tests/fleet/ZoneKeeperTest.cpp
@@ -88,6 +88,24 @@
   UNSIGNED_LONGS_EQUAL(1, Relay.record().Members_.size());
 }
 
+// A host is killed right after its neighbour came. The neighbour may remove it
+// only if the record says that the dead one knew of it, so a member's word that
+// it knows is written at once, not with the next renewal.
+TEST(ZoneKeeper, wordThatAMemberKnowsANewcomerIsWrittenAtOnce) {
+  fleet::ZoneKeeper Relay = keeper("h1");
+  write(Relay);
+  fleet::Member Fresh = member("h2");
+  Fresh.KnownGeneration_ = 0;
+  Relay.hear(Fresh, Now_);
+  write(Relay);
+  STRCMP_EQUAL("none", std::string(write(Relay)).c_str());
+  Fresh.KnownGeneration_ = Relay.record().Generation_;
+  ++Fresh.Sequence_;
+  Relay.hear(Fresh, Now_);
+  STRCMP_EQUAL("acknowledge", std::string(write(Relay)).c_str());
+  STRCMP_EQUAL("none", std::string(write(Relay)).c_str());
+}
+
 TEST(ZoneKeeper, hostThatSaysGoodbyeIsRemovedAtOnce) {
   fleet::ZoneKeeper Relay = relayOfTwo();
   Relay.leave(base::HostId("h2"));
