A host spreads a change that it wrote itself

Cause: the spread waited for a relay's watch, so a store that goes down right after the write kept a withdrawal from all hosts. SettingsStore tells of each root it wrote; FleetNode hands it on.

--- a/apps/lycheed/Daemon.cpp
+++ b/apps/lycheed/Daemon.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/use_future.hpp>
 #include <csignal>
+#include <map>
 #include <utility>
 
 namespace lychee::daemon {
@@ -82,6 +83,10 @@
                 Incarnation_, exchangeParts()) {
   Directory_.setHosts({selfEntry(Settings)});
   bindOperators();
+  Operators_.onCommit([this](std::uint64_t StoreVersion, std::string RootText,
+                             std::map<std::string, std::string> Chunks) {
+    Fleet_.wroteSettings(StoreVersion, std::move(RootText), std::move(Chunks));
+  });
 }
 
 Daemon::~Daemon() { stopControl(); }
--- a/libs/operations/OperatorApi.h
+++ b/libs/operations/OperatorApi.h
@@ -106,6 +106,11 @@
   OperatorApi(const OperatorApi &) = delete;
   OperatorApi &operator=(const OperatorApi &) = delete;
 
+  /// \copydoc SettingsStore::onCommit
+  void onCommit(SettingsStore::CommitListener Told) {
+    Settings_.onCommit(std::move(Told));
+  }
+
   /// \name Changes
   /// Each returns nothing, and \p Last, where it was not made.
   /// @{
--- a/libs/operations/SettingsStore.cpp
+++ b/libs/operations/SettingsStore.cpp
@@ -164,11 +164,29 @@
   }
   const PutResult Put = co_await Writer.write(
       rootChange(Root, ChangeId, Seen.StoreVersion_), Deadline, Last);
-  if (Put.Status_ == PutStatus::Written)
+  if (Put.Status_ == PutStatus::Written) {
     keepOnly(Root, Tree);
+    tellCommit(Put.Version_, Seen.Root_, Root, Tree);
+  }
   co_return toCommitStatus(Put.Status_);
 }
 
+void SettingsStore::tellCommit(std::uint64_t StoreVersion,
+                               const SettingsRoot &Seen,
+                               const SettingsRoot &Written,
+                               const settings::SettingsTree &Tree) const {
+  // After a lost answer the version that the store gave may not be known.
+  if (!Told_ || StoreVersion == 0)
+    return;
+  std::map<std::string, std::string> Chunks;
+  for (const auto &[Path, Hash] : Written.Documents_) {
+    const auto Known = Seen.Documents_.find(Path);
+    if (Known == Seen.Documents_.end() || Known->second != Hash)
+      Chunks[Hash] = Tree.Documents_.at(Path);
+  }
+  Told_(StoreVersion, settings::encodeRoot(Written), std::move(Chunks));
+}
+
 std::optional<std::string>
 SettingsStore::cached(const std::string &Hash) const {
   const std::lock_guard Guard(Lock_);
--- a/libs/operations/SettingsStore.h
+++ b/libs/operations/SettingsStore.h
@@ -7,6 +7,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -56,6 +57,17 @@
 
   /// Writes \p Tree as the change \p Made, if the root still stands as in
   /// \p Seen. Versions and hashes are filled in here.
+  /// Hears of each root that this host wrote, with the texts of the chunks that
+  /// are new in it, by hash. \see onCommit
+  using CommitListener =
+      std::function<void(std::uint64_t StoreVersion, std::string RootText,
+                         std::map<std::string, std::string> Chunks)>;
+
+  /// Sets the one listener; before the first commit. A host that has written a
+  /// change can spread it from its memory: were it to wait for a watch, a store
+  /// that goes down right after the write would keep the change from all hosts.
+  void onCommit(CommitListener Told) { Told_ = std::move(Told); }
+
   boost::asio::awaitable<CommitStatus>
   commit(const StoredSettings &Seen, const settings::SettingsTree &Tree,
          settings::SettingsChange Made, base::Error &Last);
@@ -69,7 +81,13 @@
   void keepOnly(const settings::SettingsRoot &Root,
                 const settings::SettingsTree &Tree);
 
+  void tellCommit(std::uint64_t StoreVersion,
+                  const settings::SettingsRoot &Seen,
+                  const settings::SettingsRoot &Written,
+                  const settings::SettingsTree &Tree) const;
+
   store::Store &Store_;
+  CommitListener Told_;
   const base::Duration Patience_;
   mutable std::mutex Lock_;
   /// Texts of the tree last read or written, by hash.
--- a/tests/process/DaemonFaultTest.cpp
+++ b/tests/process/DaemonFaultTest.cpp
@@ -121,6 +121,25 @@
   LONGS_EQUAL(0, Callers.cut());
 }
 
+// An operator withdraws a key, and the store goes down as soon as it has taken
+// the write: no relay's watch tells of it any more. The host that wrote the
+// change tells the others itself, and the key stops at all of them while the
+// store stays down.
+TEST(DaemonFault, aKeyWithdrawnRightBeforeAStoreOutageStopsEverywhere) {
+  // Watches wait in silence from now on; lists and reads end with the outage.
+  setStoreFaults("{\"silent_watch\":true}");
+  const Finished Withdrawn = Fleet_.lychee({"key", "withdraw", "parish-1"});
+  LONGS_EQUAL_TEXT(0, Withdrawn.ExitCode_, Withdrawn.Output_.c_str());
+  setStoreFaults("{\"down\":true}");
+  for (std::size_t Host = 0; Host < HostCount; ++Host) {
+    CHECK(TestFleet::waitFor([&] {
+      return call(Fleet_.callers(Host), Fleet_.request()).Status_ == 401;
+    }));
+    const CallerAnswer Answer = call(Fleet_.callers(Host), Fleet_.request());
+    STRCMP_CONTAINS("key-withdrawn", Answer.Body_.c_str());
+  }
+}
+
 // Two operators read the same settings and change the same document, each
 // through another host. The first is accepted. The second is told that a change
 // came first, and whose, and nothing of it is in force.
