--- a/bench/capacity/Main.cpp
+++ b/bench/capacity/Main.cpp
@@ -129,6 +129,7 @@
     base::Random Random(Run);
     constexpr int Spends = 300'000;
     std::vector<std::string> Names;
+    Names.reserve(1000);
     for (int Draw = 0; Draw < 1000; ++Draw)
       Names.push_back("rate/customer-" +
                       std::to_string(base::drawBelow(
--- a/libs/exchange/ExchangeNode.cpp
+++ b/libs/exchange/ExchangeNode.cpp
@@ -60,8 +60,8 @@
 ExchangeNode::ExchangeNode(const asio::any_io_executor &Executor,
                            fleet::PeerClient &Peers,
                            fleet::RpcDispatcher &Handlers,
-                           base::HostId SelfName, std::uint64_t Incarnation,
-                           ExchangeParts Parts)
+                           const base::HostId &SelfName,
+                           std::uint64_t Incarnation, ExchangeParts Parts)
     : Executor_(Executor), Peers_(Peers),
       Self_(processId(SelfName, Incarnation)), Parts_(std::move(Parts)),
       Random_(base::stableHash(Self_.name())) {
--- a/libs/exchange/ExchangeNode.h
+++ b/libs/exchange/ExchangeNode.h
@@ -47,7 +47,7 @@
   /// Binds the exchange's methods to \p Handlers.
   ExchangeNode(const boost::asio::any_io_executor &Executor,
                fleet::PeerClient &Peers, fleet::RpcDispatcher &Handlers,
-               base::HostId SelfName, std::uint64_t Incarnation,
+               const base::HostId &SelfName, std::uint64_t Incarnation,
                ExchangeParts Parts);
   ExchangeNode(const ExchangeNode &) = delete;
   ExchangeNode &operator=(const ExchangeNode &) = delete;
--- a/libs/exchange/HostReport.cpp
+++ b/libs/exchange/HostReport.cpp
@@ -14,10 +14,10 @@
   if (Amount <= 0)
     return 0;
   const auto Value = static_cast<std::uint64_t>(Amount);
-  const int Width = std::bit_width(Value);
-  constexpr int KeptBits = 3;
+  const auto Width = static_cast<std::uint64_t>(std::bit_width(Value));
+  constexpr std::uint64_t KeptBits = 3;
   return Width <= KeptBits ? Value
-                           : (Value >> (Width - KeptBits)) + 100UL * Width;
+                           : (Value >> (Width - KeptBits)) + 100 * Width;
 }
 
 } // namespace
--- a/libs/exchange/OfferBook.cpp
+++ b/libs/exchange/OfferBook.cpp
@@ -70,7 +70,7 @@
                                      });
   if (Best == ByPeer.end())
     return std::nullopt;
-  const base::HostId Donor = Best->first;
+  base::HostId Donor = Best->first;
   ByPeer.erase(Best);
   return Donor;
 }
--- a/libs/gateway/Forwarding.cpp
+++ b/libs/gateway/Forwarding.cpp
@@ -130,8 +130,9 @@
       finish({.End_ = SendEnd::Cancelled});
       Decision_ = *Refused;
       noteDecision(base::SystemClock::monotonicNow());
-      co_return co_await Answer_.refuse(
-          problemFor(Decision_, Request_.Id_.name()));
+      ProblemDocument Problem = problemFor(Decision_, Request_.Id_.name());
+      Problem.OutcomeStatus_ = RecordedStatus_;
+      co_return co_await Answer_.refuse(std::move(Problem));
     }
     bool Again = false;
     const Ending End = co_await send(Again);
@@ -189,6 +190,7 @@
     co_return std::nullopt;
   case ClaimAnswer::Kind::AlreadyRun:
     Refused.Refusal_ = steering::Refusal::AlreadyRun;
+    RecordedStatus_ = Answered.Status_;
     Refused.Ran_ = steering::Ran::Maybe;
     break;
   case ClaimAnswer::Kind::HeldElsewhere:
--- a/libs/gateway/Forwarding.h
+++ b/libs/gateway/Forwarding.h
@@ -63,6 +63,8 @@
   ClaimRequest Claim_;
   bool NeedsClaim_ = false;
   bool Claimed_ = false;
+  /// How a request with the same idempotency key was answered; 0: not known.
+  int RecordedStatus_ = 0;
   /// Bytes of the body went to a target that are not held any more, so that
   /// it cannot be sent a second time.
   bool Streamed_ = false;
--- a/libs/gateway/ProblemDocument.cpp
+++ b/libs/gateway/ProblemDocument.cpp
@@ -121,7 +121,10 @@
                      ",\"detail\":" + Quoted(Detail_) +
                      ",\"reason\":" + Quoted(Reason_) + ",\"ran\":\"" +
                      std::string(ranText(Ran_)) +
-                     "\",\"requestId\":" + Quoted(RequestId_) + "}\n";
+                     "\",\"requestId\":" + Quoted(RequestId_);
+  if (OutcomeStatus_ != 0)
+    Body += ",\"outcome\":{\"status\":" + std::to_string(OutcomeStatus_) + "}";
+  Body += "}\n";
   std::string Text = "HTTP/1.1 " + std::to_string(Status_) + " " + Phrase +
                      "\r\nContent-Type: application/problem+json\r\n"
                      "Cache-Control: no-store\r\nLychee-Ran: ";
--- a/libs/gateway/ProblemDocument.h
+++ b/libs/gateway/ProblemDocument.h
@@ -21,6 +21,9 @@
   /// When coming back helps; zero where waiting does not help.
   base::Duration RetryAfter_{};
   std::string RequestId_;
+  /// How the work that the caller asks for again was answered when it ran; 0
+  /// where that is not known.
+  int OutcomeStatus_ = 0;
 
   /// \returns the whole answer, head and body.
   std::string render(bool KeepAlive, bool WithoutBody) const;
--- a/test.sh
+++ b/test.sh
@@ -6,4 +6,5 @@
 tools/build build
 tools/format --check
 tools/lint build
+tools/capacity --check
 tools/run-tests build
--- a/tests/exchange/ExchangeCodecTest.cpp
+++ b/tests/exchange/ExchangeCodecTest.cpp
@@ -6,7 +6,6 @@
 
 namespace base = lychee::base;
 namespace budget = lychee::budget;
-namespace steering = lychee::steering;
 using lychee::exchange::ExchangeCodec;
 using lychee::exchange::HostReport;
 
--- a/tests/path/WholePathTest.cpp
+++ b/tests/path/WholePathTest.cpp
@@ -115,4 +115,5 @@
   const CallerAnswer Second = call(Fleet_.callers(0), Booking);
   LONGS_EQUAL(409, Second.Status_);
   STRCMP_EQUAL("maybe", Second.header("Lychee-Ran").c_str());
+  STRCMP_CONTAINS(R"("outcome":{"status":200})", Second.Body_.c_str());
 }
