--- a/tests/claims/ClaimPartitionTest.cpp
+++ b/tests/claims/ClaimPartitionTest.cpp
@@ -41,12 +41,12 @@
           Told_[Verdict.Key_].push_back(Verdict);
         });
     Made->own(1);
-    run();
+    settle();
     return Made;
   }
 
   /// Until nothing is left to load, write or read back.
-  void run() {
+  void settle() {
     Context_.restart();
     Context_.run();
   }
@@ -55,7 +55,7 @@
     const ClaimVerdict Verdict = Owner.claim(key(Number), Fingerprint, Asker);
     if (Verdict.Answer_ != ClaimAnswer::Pending)
       return Verdict.Answer_;
-    run();
+    settle();
     LONGS_EQUAL(1, Told_[key(Number)].size());
     return Told_[key(Number)].front().Answer_;
   }
@@ -85,7 +85,7 @@
   const auto Owner = makeOwner(1);
   for (int Number = 0; Number < 200; ++Number)
     Owner->claim(key(Number), Fingerprint, Asker);
-  run();
+  settle();
   LONGS_EQUAL(200, Told_.size());
   CHECK(Owner->writes() <= 2);
 }
@@ -142,7 +142,7 @@
   const auto Owner = makeOwner(1);
   CHECK(ClaimAnswer::Granted == ask(*Owner, 1));
   Owner->finish(key(1), Told_[key(1)].front().Grant_, retrying::Ran::No, 0);
-  run();
+  settle();
   Told_.clear();
   CHECK(ClaimAnswer::Granted == ask(*Owner, 1));
 }
@@ -154,11 +154,11 @@
   CHECK(ClaimAnswer::Granted == ask(*Owner, 1));
   const std::uint64_t Old = Told_[key(1)].front().Grant_;
   Owner->finish(key(1), Old, retrying::Ran::No, 0);
-  run();
+  settle();
   Told_.clear();
   CHECK(ClaimAnswer::Granted == ask(*Owner, 1));
   Owner->finish(key(1), Old, retrying::Ran::No, 0);
-  run();
+  settle();
   CHECK(ClaimAnswer::MayHaveRun == ask(*Owner, 1));
 }
 
--- a/tests/process/DaemonFaultTest.cpp
+++ b/tests/process/DaemonFaultTest.cpp
@@ -8,7 +8,6 @@
 
 using lychee::tests::call;
 using lychee::tests::CallerAnswer;
-using lychee::tests::CallerConnection;
 using lychee::tests::CallerLoad;
 using lychee::tests::CallerRequest;
 using lychee::tests::Finished;
--- a/tests/settings/ClientTableTest.cpp
+++ b/tests/settings/ClientTableTest.cpp
@@ -101,6 +101,7 @@
 // one.
 TEST(ClientTable, aChangeSharesThePagesThatItLeavesAlone) {
   std::vector<ClientBlock> Blocks;
+  Blocks.reserve(2560);
   for (std::uint32_t Index = 0; Index < 2560; ++Index)
     Blocks.push_back(block(0x0a000000U + (Index << 8), 24,
                            static_cast<std::uint16_t>(Index % 7)));
--- a/tests/steering/SlotBookTest.cpp
+++ b/tests/steering/SlotBookTest.cpp
@@ -29,6 +29,7 @@
 
   void setup() override {
     std::vector<lychee::placement::TargetSpec> Specs;
+    Specs.reserve(Targets);
     for (std::size_t Number = 0; Number < Targets; ++Number)
       Specs.push_back({target(Number), SlotsOfTarget, false});
     for (std::size_t Number = 0; Number < Hosts; ++Number) {
--- a/tests/support/CallerLoad.cpp
+++ b/tests/support/CallerLoad.cpp
@@ -91,6 +91,7 @@
 CallerLoad::CallerLoad(const TestFleet &Fleet, std::size_t HostCount,
                        std::size_t CallerCount) {
   std::vector<std::string> Bootstrap;
+  Bootstrap.reserve(HostCount);
   for (std::size_t Host = 0; Host < HostCount; ++Host)
     Bootstrap.push_back(Fleet.callers(Host));
   for (std::size_t Index = 0; Index < CallerCount; ++Index)
