--- /dev/null
+++ b/apps/lycheed/LiveDaemon.cpp
@@ -0,0 +1,369 @@
+#include "lycheed/LiveDaemon.h"
+
+#include "base/SystemClock.h"
+#include "lycheed/DaemonParts.h"
+#include "lycheed/SettingsFile.h"
+#include "platform/EntryPoints.h"
+#include "platform/Names.h"
+#include "reporting/Log.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/use_future.hpp>
+#include <csignal>
+
+namespace lychee::daemon {
+
+namespace asio = boost::asio;
+using base::KeyValueLine;
+using base::SystemClock;
+using reporting::LogLevel;
+
+namespace {
+
+/// A confirmed intent is trusted for the promised bound less this: a request
+/// that passed the check reaches its target within a few tens of milliseconds,
+/// and clocks of hosts run apart by less than a thousandth.
+constexpr base::Duration KeyMargin = std::chrono::milliseconds(300);
+/// Shares are divided and missing targets dropped at this pace.
+constexpr std::chrono::milliseconds TimePace(200);
+/// A change of the settings file without a signal is seen within this.
+constexpr int FileCheckPaces = 10;
+/// A stop must be over this long before the process is ended by force.
+constexpr base::Duration StopMargin = std::chrono::milliseconds(700);
+/// Callers that keep an answer of the directory three times as long as they
+/// should go on coming for this long.
+constexpr int LookupKeepFactor = 3;
+constexpr base::Duration LeavingExtra = std::chrono::milliseconds(200);
+/// A target that does not take a connection within a round trip between
+/// regions (40 ms) and some tens of milliseconds is down.
+constexpr base::Duration ConnectTimeout = std::chrono::milliseconds(250);
+/// Below the 10 s after which targets close idle connections.
+constexpr base::Duration ReuseIdleLimit = std::chrono::seconds(5);
+/// Uploads up to this size can be sent again when a target refuses them.
+constexpr std::uint32_t HeldBodyBytes = 1U << 20;
+/// What explain remembers; memory is paid for at its peak.
+constexpr std::size_t ExplainBytes = 512UL << 10;
+constexpr base::Duration WithdrawTimeout = std::chrono::milliseconds(400);
+constexpr std::string_view MetricsPath = "/metrics";
+constexpr unsigned StatusNotFound = 404;
+constexpr int ExitStartFailed = 1;
+constexpr int ExitRequestsCut = 3;
+
+gateway::GatewaySettings
+liveGatewaySettings(const settings::DaemonSettings &Settings,
+                    const live::DeploymentBounds &Bounds) {
+  gateway::GatewaySettings Made = gateway::gatewaySettingsOf(Settings);
+  Made.Names_ = platform::vocabulary();
+  Made.Threads_ = 1;
+  Made.HeldBodyBytes_ = HeldBodyBytes;
+  Made.ConnectTimeout_ = ConnectTimeout;
+  Made.ReuseIdleLimit_ = ReuseIdleLimit;
+  Made.PollInterval_ = base::Duration::zero();
+  Made.LookupTimeToLive_ =
+      LiveEntry::TimeToLive * LookupKeepFactor + LeavingExtra;
+  Made.StopDeadline_ = Bounds.StopGrace_ - StopMargin;
+  return Made;
+}
+
+members::HostCard cardOf(const settings::DaemonSettings &Settings) {
+  return {Settings.Host_,           Settings.Region_,
+          Settings.Zone_,           Settings.Live_->Heartbeats_.Address_,
+          Settings.Callers_.text(), drawIncarnation()};
+}
+
+dispatch::DispatchSettings
+dispatchSettings(const settings::DaemonSettings &Settings,
+                 const live::DeploymentBounds &Bounds) {
+  return {Settings.Region_, Settings.Zone_, Bounds, drawSeed()};
+}
+
+void spawnLogged(asio::io_context &Where, asio::awaitable<void> What,
+                 const char *Event) {
+  asio::co_spawn(Where, std::move(What),
+                 [Event](const std::exception_ptr &Thrown) {
+                   reporting::logThrown(Event, Thrown);
+                 });
+}
+
+} // namespace
+
+class LiveDaemon::NoClaims final : public gateway::ClaimGate {
+public:
+  void acquire(const gateway::ClaimRequest & /*Asked*/, base::TimePoint /*Now*/,
+               Answered Done) override {
+    Done({});
+  }
+  void settle(const gateway::ClaimRequest & /*Granted*/,
+              gateway::ClaimEnd /*End*/, int /*Status*/,
+              base::TimePoint /*Now*/) override {}
+};
+
+class LiveDaemon::NoPolls final : public gateway::TargetObserver {
+public:
+  void observed(const gateway::TargetObservation & /*Seen*/,
+                base::TimePoint /*Now*/) override {}
+};
+
+LiveDaemon::LiveDaemon(const settings::DaemonSettings &Settings,
+                       const live::DeploymentBounds &Bounds, std::string Path)
+    : Settings_(Settings), Path_(std::move(Path)), Signals_(Control_),
+      Decisions_(
+          [](const std::string &Line) {
+            reporting::logLine(LogLevel::Info, std::string_view(Line));
+          },
+          ExplainBytes),
+      Reporter_(Decisions_, Metrics_),
+      Objects_(Control_.get_executor(), Settings.Store_,
+               Settings.StoreTimeout_),
+      Intents_(Bounds.KeyWithdrawal_ - KeyMargin), Hosts_(cardOf(Settings)),
+      Steering_(
+          dispatchSettings(Settings, Bounds),
+          [this](std::uint64_t Matter) {
+            return Hosts_.isPickedFor(Matter, SystemClock::monotonicNow());
+          },
+          SystemClock::monotonicNow()),
+      Entry_({Hosts_, Intents_, [this] { return Feed_.knowsAll(); },
+              [this] {
+                asio::post(Control_, [this] {
+                  Heartbeats_.sayNow(SystemClock::monotonicNow());
+                });
+              }}),
+      Claims_(std::make_unique<NoClaims>()),
+      Polls_(std::make_unique<NoPolls>()),
+      Gateway_(
+          liveGatewaySettings(Settings, Bounds),
+          {Steering_, Intents_, Intents_, Entry_, *Claims_, Reporter_, *Polls_},
+          drawSeed()),
+      Feed_({Objects_, Intents_, Steering_, Gateway_, Hosts_,
+             Settings_.Live_->Zones_},
+            drawSeed()),
+      Heartbeats_(Control_.get_executor(), Hosts_, Settings.Live_->Heartbeats_,
+                  {[this](base::TimePoint Now) { return sayHeartbeat(Now); },
+                   [this](const members::Heartbeat &Said, base::TimePoint Now) {
+                     hearHeartbeat(Said, Now);
+                   }}) {
+  Hosts_.addSeeds(Settings_.Live_->SeedAddresses_);
+}
+
+LiveDaemon::~LiveDaemon() { stopControl(); }
+
+// Heartbeats.
+
+members::Heartbeat LiveDaemon::sayHeartbeat(base::TimePoint Now) const {
+  members::Heartbeat Said;
+  const members::OwnState Own = Entry_.ownState(Now);
+  Said.Ready_ = Own.Ready_;
+  Said.Leaving_ = Own.Leaving_;
+  Said.Demands_ = Steering_.demands(Now);
+  Said.Evidence_ = Steering_.evidence(Now);
+  for (const members::HostView &Each : Hosts_.others(Now))
+    if (Each.Alive_)
+      Said.Hears_.push_back(Each.Card_.Address_);
+  return Said;
+}
+
+void LiveDaemon::hearHeartbeat(const members::Heartbeat &Said,
+                               base::TimePoint Now) {
+  Steering_.mergeEvidence(Said.Evidence_, Now);
+  reporting::logLine(LogLevel::Info,
+                     KeyValueLine()
+                         .add("event", "host-heard")
+                         .add("host", Said.From_.Host_.name())
+                         .add("start", Said.From_.Start_)
+                         .add("ready", Said.Ready_ ? 1 : 0)
+                         .add("leaving", Said.Leaving_ ? 1 : 0));
+}
+
+// Listeners of the host itself.
+
+asio::awaitable<transport::HttpAnswer>
+LiveDaemon::answerDirectory(transport::HttpRequest Asked) {
+  const auto Query = platform::decodeResolve(Asked);
+  if (!Query) {
+    transport::HttpAnswer Answer;
+    Answer.Status_ = StatusNotFound;
+    co_return Answer;
+  }
+  co_return platform::encodeResolve(
+      Entry_.resolve(Query->Name_, base::RegionId(Query->Region_),
+                     base::ZoneId(Query->Zone_), SystemClock::monotonicNow()),
+      LiveEntry::TimeToLive);
+}
+
+asio::awaitable<transport::HttpAnswer>
+LiveDaemon::answerReadiness(transport::HttpRequest Asked) {
+  co_return platform::encodeReady(Asked, Entry_.isReady());
+}
+
+asio::awaitable<transport::HttpAnswer>
+LiveDaemon::answerMetrics(transport::HttpRequest Asked) {
+  transport::HttpAnswer Answer;
+  if (Asked.Method_ != "GET" || Asked.Target_ != MetricsPath) {
+    Answer.Status_ = StatusNotFound;
+    co_return Answer;
+  }
+  Answer.Headers_.push_back({"Content-Type", "text/plain; version=0.0.4"});
+  Answer.Body_ = Metrics_.text();
+  co_return Answer;
+}
+
+// Start and stop.
+
+bool LiveDaemon::startAll(base::Error &Last) {
+  const auto Serve = [this](const settings::Endpoint &Where,
+                            transport::HttpServer::Handler Answers) {
+    Servers_.push_back(std::make_unique<transport::HttpServer>(
+        Control_.get_executor(), optionsFor(Where), std::move(Answers)));
+  };
+  Serve(Settings_.Live_->Directory_, [this](transport::HttpRequest Asked) {
+    return answerDirectory(std::move(Asked));
+  });
+  Serve(Settings_.Live_->Readiness_, [this](transport::HttpRequest Asked) {
+    return answerReadiness(std::move(Asked));
+  });
+  Serve(Settings_.Metrics_, [this](transport::HttpRequest Asked) {
+    return answerMetrics(std::move(Asked));
+  });
+  for (const auto &Each : Servers_)
+    if (!Each->listen(Last))
+      return false;
+  if (!Heartbeats_.open(Last) || !Gateway_.start(Last))
+    return false;
+  Feed_.start(Control_.get_executor());
+  spawnLogged(Control_, Heartbeats_.sendAll(), "heartbeats-failed");
+  spawnLogged(Control_, Heartbeats_.receiveAll(), "heartbeats-failed");
+  spawnLogged(Control_, keepTime(), "time-failed");
+  spawnLogged(Control_, registerHost(), "register-failed");
+  return true;
+}
+
+asio::awaitable<void> LiveDaemon::keepTime() {
+  asio::steady_timer Timer(co_await asio::this_coro::executor);
+  int Paces = 0;
+  while (true) {
+    const base::TimePoint Now = SystemClock::monotonicNow();
+    Feed_.expire(Now);
+    Steering_.setFleet(
+        {Hosts_.others(Now), Hosts_.shareHolders(Now), Hosts_.isCutOff(Now)},
+        Now);
+    if (++Paces % FileCheckPaces == 0 && settingsFileChanged())
+      reloadSettings();
+    Timer.expires_after(TimePace);
+    co_await Timer.async_wait(asio::use_awaitable);
+  }
+}
+
+asio::awaitable<void> LiveDaemon::registerHost() {
+  asio::steady_timer Timer(co_await asio::this_coro::executor);
+  store::Backoff Pause;
+  base::Random Random(drawSeed());
+  while (true) {
+    Json::Value Content;
+    Content["address"] = Hosts_.self().Address_;
+    Content["start"] = Json::UInt64(Hosts_.self().Start_);
+    base::Error Last;
+    const bool Written = co_await Objects_.write(
+        platform::HostKind, Settings_.Host_.name(), Content, Last);
+    if (Written)
+      co_return;
+    reporting::logLine(LogLevel::Warning, KeyValueLine()
+                                              .add("event", "register-failed")
+                                              .add("step", Last.Step_)
+                                              .add("reason", Last.Reason_));
+    Timer.expires_after(
+        std::chrono::duration_cast<asio::steady_timer::duration>(
+            Pause.next(Random)));
+    co_await Timer.async_wait(asio::use_awaitable);
+  }
+}
+
+asio::awaitable<void> LiveDaemon::withdrawHost() {
+  base::Error Last;
+  const bool Removed = co_await Objects_.remove(platform::HostKind,
+                                                Settings_.Host_.name(), Last);
+  if (!Removed)
+    reporting::logLine(LogLevel::Warning, KeyValueLine()
+                                              .add("event", "withdraw-failed")
+                                              .add("reason", Last.Reason_));
+}
+
+void LiveDaemon::awaitSignal() {
+  Signals_.async_wait(
+      [this](const boost::system::error_code &Failure, int Number) {
+        if (Failure)
+          return;
+        if (Number == SIGHUP)
+          reloadSettings();
+        else
+          Gateway_.requestStop();
+        awaitSignal();
+      });
+}
+
+bool LiveDaemon::settingsFileChanged() {
+  std::error_code Failure;
+  const auto Written = std::filesystem::last_write_time(Path_, Failure);
+  return !Failure && Written != SettingsRead_;
+}
+
+/// Seeds and the log's level take effect at once; everything else at the next
+/// start. A file with errors changes nothing.
+void LiveDaemon::reloadSettings() {
+  std::error_code Ignored;
+  SettingsRead_ = std::filesystem::last_write_time(Path_, Ignored);
+  settings::Problems Found;
+  const auto Fresh = readSettingsFile(Path_, Found);
+  for (const settings::Problem &Each : Found)
+    reporting::logLine(LogLevel::Error, KeyValueLine()
+                                            .add("event", "settings-refused")
+                                            .add("problem", Each.describe()));
+  if (!Fresh || !Fresh->Live_)
+    return;
+  Hosts_.addSeeds(Fresh->Live_->SeedAddresses_);
+  reporting::configureLog(Fresh->LogLevel_);
+  reporting::logLine(LogLevel::Info,
+                     KeyValueLine().add("event", "settings-reloaded"));
+}
+
+int LiveDaemon::run() {
+  base::Error Last;
+  std::error_code Ignored;
+  SettingsRead_ = std::filesystem::last_write_time(Path_, Ignored);
+  // A peer or a reader of the log that has gone is an error at the write.
+  std::signal(SIGPIPE, SIG_IGN);
+  for (const int Number : {SIGTERM, SIGINT, SIGHUP})
+    Signals_.add(Number);
+  awaitSignal();
+  if (!startAll(Last)) {
+    reporting::logLine(LogLevel::Error, KeyValueLine()
+                                            .add("event", "start-failed")
+                                            .add("step", Last.Step_)
+                                            .add("peer", Last.Peer_)
+                                            .add("reason", Last.Reason_));
+    return ExitStartFailed;
+  }
+  ControlThread_ = std::thread([this] { Control_.run(); });
+  reporting::logLine(LogLevel::Info,
+                     KeyValueLine()
+                         .add("event", "serving")
+                         .add("host", Settings_.Host_.name())
+                         .add("start", Hosts_.self().Start_)
+                         .add("callers", Settings_.Callers_.text()));
+  const gateway::StopSummary Summary = Gateway_.waitUntilStopped();
+  tellStop(Summary);
+  asio::co_spawn(Control_, withdrawHost(), asio::use_future)
+      .wait_for(WithdrawTimeout);
+  stopControl();
+  return Summary.CutRequests_.empty() ? 0 : ExitRequestsCut;
+}
+
+void LiveDaemon::stopControl() {
+  Control_.stop();
+  if (ControlThread_.joinable())
+    ControlThread_.join();
+}
+
+} // namespace lychee::daemon
--- /dev/null
+++ b/apps/lycheed/LiveDaemon.h
@@ -0,0 +1,87 @@
+#ifndef LYCHEE_APPS_LYCHEED_LIVEDAEMON_H
+#define LYCHEE_APPS_LYCHEED_LIVEDAEMON_H
+
+#include "dispatch/DispatchSteering.h"
+#include "gateway/Gateway.h"
+#include "live/IntentBook.h"
+#include "lycheed/DecisionReporter.h"
+#include "lycheed/LiveEntry.h"
+#include "lycheed/LiveFeed.h"
+#include "members/HeartbeatExchange.h"
+#include "platform/ObjectClient.h"
+#include "reporting/DecisionLog.h"
+#include "reporting/Metrics.h"
+#include "settings/DaemonSettings.h"
+#include "transport/HttpServer.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <filesystem>
+#include <memory>
+#include <thread>
+
+namespace lychee::daemon {
+
+/// One host where intent and targets are live: makes the parts, joins them and
+/// takes them down in order. \see Daemon, the host of the operators' own tree
+class LiveDaemon {
+public:
+  /// \param Path  where \p Settings were read from, for reading them again.
+  LiveDaemon(const settings::DaemonSettings &Settings,
+             const live::DeploymentBounds &Bounds, std::string Path);
+  LiveDaemon(const LiveDaemon &) = delete;
+  LiveDaemon &operator=(const LiveDaemon &) = delete;
+  ~LiveDaemon();
+
+  /// Serves until a signal ends it. \returns the process's exit code.
+  int run();
+
+private:
+  /// Claims of idempotency keys need hosts that hold parts of them; no such
+  /// thing is kept here, so that work is refused as not run.
+  class NoClaims;
+  /// Targets are not polled; what they do is seen by requests.
+  class NoPolls;
+
+  bool startAll(base::Error &Last);
+  void stopControl();
+  void awaitSignal();
+  void reloadSettings();
+  bool settingsFileChanged();
+  boost::asio::awaitable<void> keepTime();
+  boost::asio::awaitable<void> registerHost();
+  boost::asio::awaitable<void> withdrawHost();
+  members::Heartbeat sayHeartbeat(base::TimePoint Now) const;
+  void hearHeartbeat(const members::Heartbeat &Said, base::TimePoint Now);
+  boost::asio::awaitable<transport::HttpAnswer>
+  answerDirectory(transport::HttpRequest Asked);
+  boost::asio::awaitable<transport::HttpAnswer>
+  answerReadiness(transport::HttpRequest Asked);
+  boost::asio::awaitable<transport::HttpAnswer>
+  answerMetrics(transport::HttpRequest Asked);
+
+  settings::DaemonSettings Settings_;
+  const std::string Path_;
+  std::filesystem::file_time_type SettingsRead_;
+  boost::asio::io_context Control_{1};
+  boost::asio::signal_set Signals_;
+  reporting::Metrics Metrics_;
+  reporting::DecisionLog Decisions_;
+  DecisionReporter Reporter_;
+  platform::ObjectClient Objects_;
+  live::IntentBook Intents_;
+  members::HostBook Hosts_;
+  mutable dispatch::DispatchSteering Steering_;
+  LiveEntry Entry_;
+  std::unique_ptr<gateway::ClaimGate> Claims_;
+  std::unique_ptr<gateway::TargetObserver> Polls_;
+  gateway::Gateway Gateway_;
+  LiveFeed Feed_;
+  members::HeartbeatExchange Heartbeats_;
+  std::vector<std::unique_ptr<transport::HttpServer>> Servers_;
+  std::thread ControlThread_;
+};
+
+} // namespace lychee::daemon
+
+#endif
--- /dev/null
+++ b/apps/lycheed/LiveEntry.cpp
@@ -0,0 +1,61 @@
+#include "lycheed/LiveEntry.h"
+
+namespace lychee::daemon {
+
+bool LiveEntry::isReady() const { return Others_.KnowsAll_() && !Leaving_; }
+
+members::OwnState LiveEntry::ownState(base::TimePoint Now) const {
+  members::OwnState Own;
+  const bool Trusted = Others_.Intents_.isTrusted(Now);
+  Own.Ready_ = isReady() && Trusted;
+  Own.Leaving_ = Leaving_;
+  Own.CutOff_ = !Trusted && Others_.Hosts_.isCutOff(Now);
+  return Own;
+}
+
+std::vector<base::RegionId>
+LiveEntry::homesOf(const std::string &HostName) const {
+  std::vector<base::RegionId> Homes;
+  if (const auto Current = Others_.Intents_.current())
+    for (const live::RouteRule &Rule : Current->Routes_)
+      if (Rule.Host_ == HostName)
+        Homes.insert(Homes.end(), Rule.Homes_.begin(), Rule.Homes_.end());
+  return Homes;
+}
+
+std::vector<std::string> LiveEntry::resolve(const std::string &HostName,
+                                            const base::RegionId &Region,
+                                            const base::ZoneId &Zone,
+                                            base::TimePoint Now) const {
+  return members::chooseEntries({Region, Zone, homesOf(HostName)},
+                                Others_.Hosts_.self(), ownState(Now),
+                                Others_.Hosts_.others(Now));
+}
+
+std::optional<gateway::HostAnswer>
+LiveEntry::lookUp(const base::ServiceId &Service,
+                  std::uint32_t /*CallerAddress*/, base::TimePoint Now) {
+  const auto Current = Others_.Intents_.current();
+  if (!Current || !Current->Services_.contains(Service))
+    return std::nullopt;
+  gateway::HostAnswer Answer;
+  Answer.TimeToLive_ = TimeToLive;
+  Answer.SettingsVersion_ = Current->Version_;
+  const members::HostCard &Self = Others_.Hosts_.self();
+  const members::OwnState Own = ownState(Now);
+  if (Own.Ready_ && !Own.Leaving_)
+    Answer.Hosts_.push_back(
+        {Self.Host_, Self.Region_, Self.Zone_, Self.Callers_});
+  for (const members::HostView &Each : Others_.Hosts_.others(Now))
+    if (Each.Alive_ && Each.Ready_ && !Each.Leaving_)
+      Answer.Hosts_.push_back({Each.Card_.Host_, Each.Card_.Region_,
+                               Each.Card_.Zone_, Each.Card_.Callers_});
+  return Answer;
+}
+
+void LiveEntry::announceLeaving(base::TimePoint /*Now*/) {
+  Leaving_ = true;
+  Others_.Leave_();
+}
+
+} // namespace lychee::daemon
--- /dev/null
+++ b/apps/lycheed/LiveFeed.cpp
@@ -0,0 +1,208 @@
+#include "lycheed/LiveFeed.h"
+
+#include "base/SystemClock.h"
+#include "platform/IntentDecoder.h"
+#include "platform/Names.h"
+#include "platform/TargetDecoder.h"
+#include "reporting/Log.h"
+
+#include <boost/asio/co_spawn.hpp>
+
+namespace lychee::daemon {
+
+using base::KeyValueLine;
+using base::SystemClock;
+using reporting::LogLevel;
+
+namespace {
+
+/// Each watch that ends is a call that is paid for, so they last; a connection
+/// that falls silent is noticed by probes of its own. The intent is asked for
+/// more often: its keys must be known to be fresh within 5 s, and a call that
+/// is lost must leave time for another.
+constexpr base::Duration LongWatch = std::chrono::seconds(20);
+constexpr base::Duration IntentWatch = std::chrono::milliseconds(2500);
+
+} // namespace
+
+LiveFeed::LiveFeed(const LiveFeedParts &Parts, std::uint64_t Seed)
+    : Parts_(Parts), Intents_(Parts.Intents_), Random_(Seed) {
+  live::FollowerListeners Intent;
+  Intent.Listed_ = [this](const live::ObjectBatch &All) { takeIntent(All); };
+  Intent.Changed_ = Intent.Listed_;
+  Intent.Confirmed_ = [this](base::TimePoint Moment) {
+    Intents_.confirm(Moment);
+  };
+  live::FollowerListeners Targets;
+  Targets.Listed_ = [this](const auto &All) { takeTargets(All, true); };
+  Targets.Changed_ = [this](const auto &Some) { takeTargets(Some, false); };
+  live::FollowerListeners Zones;
+  Zones.Listed_ = [this](const auto &All) { takeEvacuations(All, true); };
+  Zones.Changed_ = [this](const auto &Some) { takeEvacuations(Some, false); };
+  live::FollowerListeners Hosts;
+  Hosts.Listed_ = [this](const auto &All) { takeHosts(All, true); };
+  Hosts.Changed_ = [this](const auto &Some) { takeHosts(Some, false); };
+  Followers_.push_back(follow(platform::IntentKind, IntentWatch, Intent));
+  Followers_.push_back(follow(platform::TargetKind, LongWatch, Targets));
+  Followers_.push_back(follow(platform::EvacuationKind, LongWatch, Zones));
+  Followers_.push_back(follow(platform::HostKind, LongWatch, Hosts));
+}
+
+std::unique_ptr<live::ObjectFollower>
+LiveFeed::follow(std::string_view Kind, base::Duration Wait,
+                 live::FollowerListeners Heard) {
+  Heard.Trouble_ = [this, Kind](const base::Error &Why) {
+    noteTrouble(Kind, Why);
+  };
+  return std::make_unique<live::ObjectFollower>(
+      Parts_.Source_, std::string(Kind), Wait, std::move(Heard), Random_());
+}
+
+void LiveFeed::start(const boost::asio::any_io_executor &Executor) {
+  for (const auto &Each : Followers_)
+    boost::asio::co_spawn(Executor, Each->run(),
+                          [](const std::exception_ptr &Thrown) {
+                            reporting::logThrown("follow-failed", Thrown);
+                          });
+}
+
+void LiveFeed::noteTrouble(std::string_view Kind, const base::Error &Why) {
+  Targets_.noteTrouble(SystemClock::monotonicNow());
+  reporting::logLine(LogLevel::Warning, KeyValueLine()
+                                            .add("event", "store-trouble")
+                                            .add("kind", Kind)
+                                            .add("step", Why.Step_)
+                                            .add("reason", Why.Reason_));
+}
+
+void LiveFeed::takeIntent(const live::ObjectBatch &Heard) {
+  for (const live::StoredObject &Each : Heard.Objects_) {
+    if (Each.Name_ != platform::IntentName || Each.Deleted_)
+      continue;
+    base::Error Why;
+    const auto Read = platform::decodeIntent(Each.Content_, Why);
+    if (!Read) {
+      reporting::logLine(LogLevel::Error, KeyValueLine()
+                                              .add("event", "intent-refused")
+                                              .add("revision", Each.Revision_)
+                                              .add("where", Why.Peer_)
+                                              .add("reason", Why.Reason_));
+      continue;
+    }
+    const auto Fresh = std::make_shared<const live::Intent>(*Read);
+    const bool Newer = Intents_.offer(Fresh);
+    reporting::logLine(
+        LogLevel::Info,
+        KeyValueLine()
+            .add("event", Newer ? "intent-in-force" : "intent-old")
+            .add("version", Fresh->Version_)
+            .add("revision", Each.Revision_));
+    if (!Newer)
+      continue;
+    Parts_.Steering_.setIntent(Fresh, SystemClock::monotonicNow());
+    const live::CallerBounds &Bounds = Fresh->Callers_;
+    // Callers reuse connections up to the time that operators state, so this
+    // side keeps them a little longer.
+    constexpr base::Duration Longer = std::chrono::seconds(2);
+    Parts_.Gateway_.setCallerLimits({Bounds.HeaderBytes_, Bounds.BodyBytes_,
+                                     Bounds.HeaderTimeout_,
+                                     Bounds.IdleTimeout_ + Longer});
+    pushTargets(SystemClock::monotonicNow());
+  }
+}
+
+void LiveFeed::takeTargets(const live::ObjectBatch &Heard, bool Whole) {
+  const base::TimePoint Now = SystemClock::monotonicNow();
+  std::vector<live::TargetRecord> Sound;
+  for (const live::StoredObject &Each : Heard.Objects_) {
+    if (Each.Deleted_) {
+      Targets_.remove(base::TargetId(Each.Name_), Now);
+      continue;
+    }
+    base::Error Why;
+    const auto Read = platform::decodeTarget(Each.Name_, Each.Content_, Why);
+    if (!Read) {
+      reporting::logLine(LogLevel::Warning,
+                         KeyValueLine()
+                             .add("event", "target-entry-refused")
+                             .add("target", Each.Name_)
+                             .add("reason", Why.Reason_));
+      Targets_.remove(base::TargetId(Each.Name_), Now);
+      continue;
+    }
+    Sound.push_back(*Read);
+  }
+  if (Whole)
+    Targets_.replaceAll(Sound, Now);
+  else
+    for (const live::TargetRecord &Each : Sound)
+      Targets_.put(Each, Now);
+  HasTargets_ = true;
+  expire(Now);
+}
+
+void LiveFeed::takeEvacuations(const live::ObjectBatch &Heard, bool Whole) {
+  if (Whole)
+    Evacuated_.clear();
+  for (const live::StoredObject &Each : Heard.Objects_) {
+    if (Each.Deleted_)
+      Evacuated_.erase(base::ZoneId(Each.Name_));
+    else
+      Evacuated_.emplace(Each.Name_);
+    reporting::logLine(
+        LogLevel::Info,
+        KeyValueLine()
+            .add("event", Each.Deleted_ ? "zone-taken-back" : "zone-evacuated")
+            .add("zone", Each.Name_)
+            .add("revision", Each.Revision_));
+  }
+  HasEvacuations_ = true;
+  Parts_.Steering_.setEvacuated(Evacuated_, SystemClock::monotonicNow());
+}
+
+void LiveFeed::takeHosts(const live::ObjectBatch &Heard, bool Whole) {
+  if (Whole)
+    HostAddresses_.clear();
+  for (const live::StoredObject &Each : Heard.Objects_) {
+    if (Each.Deleted_ || !Each.Content_.isObject() ||
+        !Each.Content_["address"].isString())
+      HostAddresses_.erase(Each.Name_);
+    else
+      HostAddresses_[Each.Name_] = Each.Content_["address"].asString();
+  }
+  std::vector<std::string> Addresses;
+  for (const auto &[Name, Address] : HostAddresses_)
+    Addresses.push_back(Address);
+  Parts_.Hosts_.setListed(Addresses);
+}
+
+void LiveFeed::expire(base::TimePoint Now) {
+  Targets_.expire(Now);
+  if (Targets_.takeChanged())
+    pushTargets(Now);
+}
+
+void LiveFeed::pushTargets(base::TimePoint Now) {
+  const std::vector<live::KnownTarget> All = Targets_.targets();
+  Parts_.Steering_.setTargets(All, Parts_.Zones_, Now);
+  const std::shared_ptr<const live::Intent> Current = Intents_.current();
+  const std::size_t Hosts = Parts_.Hosts_.shareHolders(Now);
+  std::vector<gateway::TargetEntry> Entries;
+  for (const live::KnownTarget &Each : All) {
+    gateway::TargetEntry Entry;
+    Entry.Target_ = Each.Record_.Id_;
+    Entry.Service_ = Each.Record_.Service_;
+    Entry.Address_ = Each.Record_.Address_;
+    Entry.ConnectionLimit_ = gateway::TargetPools::UnknownTargetLimit;
+    if (Current)
+      if (const auto Rule = Current->Services_.find(Entry.Service_);
+          Rule != Current->Services_.end())
+        Entry.ConnectionLimit_ = std::max<std::uint32_t>(
+            Entry.ConnectionLimit_, Rule->second.ConnectionLimit_ /
+                                        static_cast<std::uint32_t>(Hosts + 1));
+    Entries.push_back(std::move(Entry));
+  }
+  Parts_.Gateway_.setTargets(Entries);
+}
+
+} // namespace lychee::daemon
--- /dev/null
+++ b/apps/lycheed/LiveFeed.h
@@ -0,0 +1,72 @@
+#ifndef LYCHEE_APPS_LYCHEED_LIVEFEED_H
+#define LYCHEE_APPS_LYCHEED_LIVEFEED_H
+
+#include "dispatch/DispatchSteering.h"
+#include "gateway/Gateway.h"
+#include "live/IntentBook.h"
+#include "live/ObjectFollower.h"
+#include "live/TargetBook.h"
+#include "members/HostBook.h"
+
+#include <atomic>
+#include <memory>
+#include <set>
+#include <vector>
+
+namespace lychee::daemon {
+
+/// Whom a feed tells what it learned. All outlive it.
+struct LiveFeedParts {
+  live::ObjectSource &Source_;
+  live::IntentBook &Intents_;
+  dispatch::DispatchSteering &Steering_;
+  gateway::Gateway &Gateway_;
+  members::HostBook &Hosts_;
+  const std::map<base::ZoneId, base::RegionId> &Zones_;
+};
+
+/// Keeps the host's knowledge of intent, targets, zones to keep clear and
+/// listed hosts up with the store, and hands each change on. Of the control
+/// loop's thread. \see live::ObjectFollower
+class LiveFeed {
+public:
+  /// \param Seed  of the pauses after trouble.
+  LiveFeed(const LiveFeedParts &Parts, std::uint64_t Seed);
+  LiveFeed(const LiveFeed &) = delete;
+  LiveFeed &operator=(const LiveFeed &) = delete;
+
+  void start(const boost::asio::any_io_executor &Executor);
+
+  /// Drops what has been missing for too long. To be called every 200 ms.
+  void expire(base::TimePoint Now);
+
+  /// \returns whether everything that a request needs has been heard once.
+  bool knowsAll() const noexcept {
+    return HasTargets_ && HasEvacuations_ && Intents_.current() != nullptr;
+  }
+
+private:
+  std::unique_ptr<live::ObjectFollower> follow(std::string_view Kind,
+                                               base::Duration Wait,
+                                               live::FollowerListeners Heard);
+  void noteTrouble(std::string_view Kind, const base::Error &Why);
+  void takeIntent(const live::ObjectBatch &Heard);
+  void takeTargets(const live::ObjectBatch &Heard, bool Whole);
+  void takeEvacuations(const live::ObjectBatch &Heard, bool Whole);
+  void takeHosts(const live::ObjectBatch &Heard, bool Whole);
+  void pushTargets(base::TimePoint Now);
+
+  const LiveFeedParts Parts_;
+  live::IntentBook &Intents_;
+  live::TargetBook Targets_;
+  std::set<base::ZoneId> Evacuated_;
+  std::map<std::string, std::string> HostAddresses_;
+  std::atomic<bool> HasTargets_ = false;
+  std::atomic<bool> HasEvacuations_ = false;
+  base::Random Random_;
+  std::vector<std::unique_ptr<live::ObjectFollower>> Followers_;
+};
+
+} // namespace lychee::daemon
+
+#endif
--- a/apps/lycheed/Main.cpp
+++ b/apps/lycheed/Main.cpp
@@ -1,12 +1,12 @@
 #include "lycheed/Daemon.h"
+#include "lycheed/LiveDaemon.h"
+#include "lycheed/SettingsFile.h"
+#include "platform/BoundsDecoder.h"
 #include "reporting/Log.h"
-#include "settings/DaemonSettings.h"
 
-#include <fstream>
 #include <gflags/gflags.h>
 #include <iostream>
 #include <optional>
-#include <sstream>
 
 DEFINE_string(settings, "", "INI file of this daemon; see docs/SETTINGS.md");
 DEFINE_bool(check, false, "check the settings file and exit");
@@ -15,27 +15,18 @@
 
 constexpr int ExitBadSettings = 2;
 
-std::optional<std::string> readFile(const std::string &Path) {
-  std::ifstream File(Path, std::ios::binary);
-  if (!File)
-    return std::nullopt;
-  std::ostringstream Text;
-  Text << File.rdbuf();
-  return Text.str();
-}
-
-std::optional<lychee::settings::DaemonSettings>
-readSettings(const std::string &Path) {
-  const std::optional<std::string> Text = readFile(Path);
-  if (!Text) {
-    std::cerr << Path << ": cannot be read\n";
-    return std::nullopt;
-  }
-  lychee::settings::Problems Found;
-  auto Settings = lychee::settings::parseDaemonSettings(*Text, Path, Found);
-  for (const lychee::settings::Problem &Each : Found)
-    std::cerr << Each.describe() << '\n';
-  return Settings;
+/// \returns the figures that the deployment promises; nothing, with a line on
+/// standard error, where one cannot be read.
+std::optional<lychee::live::DeploymentBounds>
+readBounds(const lychee::settings::LiveSettings &Live) {
+  std::string Line;
+  for (const std::string &Each : Live.Bounds_)
+    Line += (Line.empty() ? "" : ",") + Each;
+  lychee::base::Error Last;
+  auto Bounds = lychee::platform::decodeBounds(Line, Last);
+  if (!Bounds)
+    std::cerr << FLAGS_settings << ": [live] bound: " << Last.Reason_ << '\n';
+  return Bounds;
 }
 
 } // namespace
@@ -45,11 +36,19 @@
                           "  lycheed --settings FILE.ini [--check]");
   gflags::SetVersionString("0.1.0");
   gflags::ParseCommandLineFlags(&ArgumentCount, &Arguments, true);
-  const auto Settings = readSettings(FLAGS_settings);
+  lychee::settings::Problems Found;
+  const auto Settings = lychee::daemon::readSettingsFile(FLAGS_settings, Found);
+  for (const lychee::settings::Problem &Each : Found)
+    std::cerr << Each.describe() << '\n';
   if (!Settings)
     return ExitBadSettings;
+  std::optional<lychee::live::DeploymentBounds> Bounds;
+  if (Settings->Live_ && !(Bounds = readBounds(*Settings->Live_)))
+    return ExitBadSettings;
   if (FLAGS_check)
     return 0;
   lychee::reporting::configureLog(Settings->LogLevel_);
+  if (Bounds)
+    return lychee::daemon::LiveDaemon(*Settings, *Bounds, FLAGS_settings).run();
   return lychee::daemon::Daemon(*Settings).run();
 }
--- a/cmake/Lychee.cmake
+++ b/cmake/Lychee.cmake
@@ -2,22 +2,23 @@
 
 add_library(lychee_options INTERFACE)
 target_compile_options(lychee_options INTERFACE -Wall -Wextra -Wpedantic -Wshadow -Werror -fno-omit-frame-pointer
+  # GCC 12 misreads two things: the operator delete of coroutine frames, and at -O3 std::string's operator+.
+  $<$<CXX_COMPILER_ID:GNU>:-Wno-mismatched-new-delete> $<$<CXX_COMPILER_ID:GNU>:-Wno-restrict>
   # Assertions state a caller's duty and stay on in every build.
   -UNDEBUG)
 target_compile_definitions(lychee_options INTERFACE BOOST_ASIO_NO_DEPRECATED ELPP_THREAD_SAFE ELPP_NO_DEFAULT_LOG_FILE
   BOOST_DISABLE_ASSERTS)
 if(LYCHEE_SANITIZE)
-  # Instrumented code misleads two warnings of GCC 12: about operator delete of coroutine frames, and
-  # about the storage of an empty boost::optional.
+  # Instrumented code misleads a warning of GCC 12 about the storage of an empty boost::optional.
   target_compile_options(lychee_options INTERFACE -fsanitize=${LYCHEE_SANITIZE} -fno-sanitize-recover=all
-    -Wno-mismatched-new-delete -Wno-maybe-uninitialized)
+    -Wno-maybe-uninitialized)
   if(LYCHEE_SANITIZE STREQUAL "thread")
     # Asio's fences, which the thread sanitizer does not model; its data races are still found.
     target_compile_options(lychee_options INTERFACE -Wno-tsan)
   endif()
   target_link_options(lychee_options INTERFACE -fsanitize=${LYCHEE_SANITIZE})
 endif()
-target_include_directories(lychee_options INTERFACE ${CMAKE_SOURCE_DIR}/libs)
+target_include_directories(lychee_options INTERFACE ${CMAKE_SOURCE_DIR}/libs ${CMAKE_SOURCE_DIR})
 target_include_directories(lychee_options SYSTEM INTERFACE ${JSONCPP_INCLUDE})
 
 # lychee_library(NAME DEPENDS lib... LINK library...): every .cpp of the folder, as lychee_NAME.
--- /dev/null
+++ b/libs/dispatch/DispatchSteering.cpp
@@ -0,0 +1,392 @@
+#include "dispatch/DispatchSteering.h"
+
+#include "base/Hash.h"
+
+#include <algorithm>
+
+namespace lychee::dispatch {
+
+using steering::Decision;
+using steering::Refusal;
+using steering::SendEnd;
+using steering::SendReport;
+
+namespace {
+
+/// Before anything was answered: a guess that is soon replaced.
+constexpr base::Duration FirstGuess = std::chrono::milliseconds(150);
+/// Weight of one answer in the usual work of a rule, and in the slowness of a
+/// target: the last twenty and the last five count.
+constexpr double WorkWeight = 0.05;
+constexpr double SlownessWeight = 0.2;
+/// Bounds of a target's slowness, so that one strange answer neither shuts a
+/// target out nor draws everything to it.
+constexpr double LeastSlowness = 0.5;
+constexpr double MostSlowness = 10;
+/// A place in the order from which on a target is likely to be cold for the
+/// object: its time says little about the target.
+constexpr std::size_t FirstColdPlace = TargetChooser::WarmPlaces;
+
+/// Silence for so many times the expected time is no chance; the work of one
+/// request spreads by a sixth around its mean.
+constexpr double PatienceFactor = 2.5;
+constexpr base::Duration LeastPatience = std::chrono::milliseconds(150);
+
+/// Sends that reach no target cost nothing, but each takes time.
+constexpr std::uint32_t MostMisses = 3;
+/// Callers that come back sooner would find the same queue.
+constexpr base::Duration LeastRetryAfter = std::chrono::milliseconds(100);
+/// A target that takes no connection this soon after it lost a request was
+/// down, and the request may be why.
+constexpr base::Duration DownAfterLoss = std::chrono::seconds(2);
+constexpr std::size_t MostLosses = 256;
+
+constexpr int FirstServerFailure = 500;
+
+} // namespace
+
+DispatchSteering::DispatchSteering(const DispatchSettings &Settings,
+                                   std::function<bool(std::uint64_t)> PickedFor,
+                                   base::TimePoint Now)
+    : Settings_(Settings), PickedFor_(std::move(PickedFor)),
+      Chooser_(Settings.Region_, Settings.Zone_), Random_(Settings.Seed_),
+      Rates_(Now) {}
+
+// What is in force.
+
+DispatchSteering::ServiceState &
+DispatchSteering::serviceAt(const base::ServiceId &Service) {
+  const auto Found = Services_.find(Service);
+  if (Found != Services_.end())
+    return Found->second;
+  const live::DeploymentBounds &Bounds = Settings_.Bounds_;
+  return Services_
+      .emplace(
+          Service,
+          ServiceState{{}, SendBudget(Bounds.RetryRatio_, Bounds.RetrySlack_)})
+      .first->second;
+}
+
+void DispatchSteering::setIntent(std::shared_ptr<const live::Intent> Fresh,
+                                 base::TimePoint Now) {
+  const std::lock_guard Guard(Lock_);
+  Intent_ = std::move(Fresh);
+  Rates_.setCustomers(Intent_->Customers_, Now);
+  for (const auto &[Id, Rule] : Intent_->Services_) {
+    ServiceState &Service = serviceAt(Id);
+    Service.ColdRate_ = Rule.ColdRatePerSecond_;
+    Service.ColdTime_ = Rule.ColdTime_;
+  }
+}
+
+void DispatchSteering::setTargets(
+    std::span<const live::KnownTarget> All,
+    const std::map<base::ZoneId, base::RegionId> &Regions,
+    base::TimePoint /*Now*/) {
+  const std::lock_guard Guard(Lock_);
+  std::map<base::ServiceId, std::vector<TargetState>> Next;
+  for (const live::KnownTarget &Each : All) {
+    const live::TargetRecord &Record = Each.Record_;
+    TargetState Made;
+    TargetState *Old = find(serviceAt(Record.Service_), Record.Id_);
+    const bool SameStart = Old != nullptr &&
+                           Old->Record_.Started_ == Record.Started_ &&
+                           Old->Record_.Address_ == Record.Address_;
+    if (SameStart)
+      Made = *Old;
+    Made.Record_ = Record;
+    Made.ColdUntil_ = std::max(Made.ColdUntil_, Each.ColdUntil_);
+    Made.Hash_ = base::stableHash(Record.Id_.name());
+    if (const auto Region = Regions.find(Record.Zone_); Region != Regions.end())
+      Made.Region_ = Region->second;
+    Made.Evacuated_ = Evacuated_.contains(Record.Zone_);
+    Next[Record.Service_].push_back(std::move(Made));
+  }
+  for (auto &[Id, Service] : Services_)
+    Service.Targets_ = std::move(Next[Id]);
+}
+
+void DispatchSteering::setEvacuated(const std::set<base::ZoneId> &Zones,
+                                    base::TimePoint Now) {
+  const std::lock_guard Guard(Lock_);
+  Evacuated_ = Zones;
+  for (auto &[Id, Service] : Services_)
+    for (TargetState &Each : Service.Targets_) {
+      const bool Before = Each.Evacuated_;
+      Each.Evacuated_ = Zones.contains(Each.Record_.Zone_);
+      // Targets without work go cold, and their entries may not say so yet.
+      if (Before && !Each.Evacuated_)
+        Each.ColdUntil_ = std::max(Each.ColdUntil_, Now + Service.ColdTime_);
+    }
+}
+
+void DispatchSteering::setFleet(const FleetDemand &Fleet, base::TimePoint Now) {
+  const std::lock_guard Guard(Lock_);
+  Hosts_ = Fleet.Holders_;
+  Rates_.divide(Fleet, Now);
+}
+
+std::vector<members::CustomerDemand>
+DispatchSteering::demands(base::TimePoint Now) {
+  const std::lock_guard Guard(Lock_);
+  return Rates_.demands(Now);
+}
+
+// One request.
+
+TargetState *DispatchSteering::find(ServiceState &Service,
+                                    const base::TargetId &Target) {
+  const auto Found =
+      std::find_if(Service.Targets_.begin(), Service.Targets_.end(),
+                   [&Target](const TargetState &Each) {
+                     return Each.Record_.Id_ == Target;
+                   });
+  return Found == Service.Targets_.end() ? nullptr : &*Found;
+}
+
+DispatchSteering::RuleWork &DispatchSteering::workOf(const Flight &Request) {
+  RuleWork &Work = Works_[Request.Rule_];
+  if (Work.Usual_ == base::Duration::zero())
+    Work.Usual_ = FirstGuess;
+  return Work;
+}
+
+Decision DispatchSteering::refuse(Refusal Why, base::Duration RetryAfter,
+                                  bool MayHaveRun) const {
+  Decision Made;
+  Made.Action_ = Decision::Action::Refuse;
+  Made.Refusal_ = Why;
+  Made.Ran_ = MayHaveRun ? steering::Ran::Maybe : steering::Ran::No;
+  Made.RetryAfter_ = RetryAfter;
+  Made.SettingsVersion_ = Intent_ ? Intent_->Version_ : 0;
+  return Made;
+}
+
+Decision DispatchSteering::arrive(const steering::Request &Arrived,
+                                  base::TimePoint Now) {
+  const std::lock_guard Guard(Lock_);
+  ServiceState &Service = serviceAt(Arrived.Service_);
+  if (!Arrived.Customer_.empty())
+    if (const auto Wait = Rates_.take(Arrived.Customer_, Now))
+      return refuse(Refusal::OverRate, std::max(*Wait, LeastRetryAfter), false);
+  Service.Budget_.requested(Hosts_);
+  const base::TimePoint Suspect =
+      Suspects_.suspectUntil(Arrived.Fingerprint_, Now);
+  if (Suspect > Now)
+    return refuse(Refusal::CrashSuspect, Suspect - Now, false);
+  const std::uint64_t Ticket = ++LastTicket_;
+  Flight &Request = Flights_[Ticket];
+  Request.Service_ = Arrived.Service_;
+  Request.Rule_ = Arrived.Rule_;
+  Request.Object_ =
+      Arrived.ObjectHash_ != 0 ? Arrived.ObjectHash_ : Random_() | 1U;
+  Request.Fingerprint_ = Arrived.Fingerprint_;
+  Request.BodyBytes_ = Arrived.BodyBytes_;
+  Request.Homes_ = Arrived.Homes_;
+  Request.Deadline_ = Arrived.Deadline_;
+  Request.Idempotent_ = Arrived.Idempotent_;
+  Request.MaximumSends_ = std::max(1U, Arrived.MaximumSends_);
+  return send(Ticket, Request, Now);
+}
+
+Decision DispatchSteering::send(std::uint64_t Ticket, Flight &Request,
+                                base::TimePoint Now) {
+  ServiceState &Service = serviceAt(Request.Service_);
+  ChoiceQuery Asked;
+  Asked.Object_ = Request.Object_;
+  Asked.BodyBytes_ = Request.BodyBytes_;
+  Asked.Homes_ = Request.Homes_ ? &*Request.Homes_ : nullptr;
+  Asked.Tried_ = Request.Tried_;
+  Asked.UsualWork_ = workOf(Request).Usual_;
+  const auto MaySound = [&](TargetState &Each) {
+    return PickedFor_(Each.Hash_) && Each.Cold_.take(Service.ColdRate_, Now);
+  };
+  const auto Chosen = Chooser_.choose(Asked, Service.Targets_, MaySound, Now);
+  if (!Chosen)
+    return endFailed(Ticket, false, LeastRetryAfter);
+  // What cannot be answered in time is not begun: it would take room from what
+  // can, and its caller learns nothing by waiting.
+  if (Now + Chosen->Expected_ >= Request.Deadline_)
+    return endFailed(Ticket, false,
+                     std::max(Chosen->Waiting_, LeastRetryAfter));
+  TargetState &Target = *Chosen->Target_;
+  Target.Load_.sent();
+  ++Request.Sends_;
+  Request.Tried_.push_back(Target.Record_.Id_);
+  Decision Made;
+  Made.Action_ = Decision::Action::Send;
+  Made.Ticket_ = Ticket;
+  Made.Target_ = Target.Record_.Id_;
+  Made.Address_ = Target.Record_.Address_;
+  Made.ExpectedTarget_ = Target.Record_.Id_.name();
+  Made.Region_ = Target.Region_;
+  Made.Reason_ = Chosen->Reason_;
+  Made.SettingsVersion_ = Intent_ ? Intent_->Version_ : 0;
+  const bool MayTryElsewhere = Request.Idempotent_ &&
+                               Request.Sends_ < Request.MaximumSends_ &&
+                               Service.Targets_.size() > 1;
+  if (MayTryElsewhere && !Request.Reserved_)
+    Request.Reserved_ = Service.Budget_.spend();
+  if (MayTryElsewhere && Request.Reserved_)
+    Made.PatienceUntil_ =
+        Now + std::max(LeastPatience,
+                       base::fromSeconds(base::toSeconds(Chosen->Expected_) *
+                                         PatienceFactor));
+  return Made;
+}
+
+/// Ends a request that no target answered. What may have run is never refused
+/// by an answer that promises the opposite.
+Decision DispatchSteering::endFailed(std::uint64_t Ticket, bool ByTarget,
+                                     base::Duration RetryAfter) {
+  const auto Found = Flights_.find(Ticket);
+  const bool MayHaveRun = Found->second.MayHaveRun_;
+  if (Found->second.Reserved_)
+    serviceAt(Found->second.Service_).Budget_.refund();
+  Flights_.erase(Found);
+  if (MayHaveRun || ByTarget)
+    return refuse(MayHaveRun ? Refusal::TargetFailed : Refusal::NoHealthyTarget,
+                  MayHaveRun ? base::Duration::zero() : RetryAfter, MayHaveRun);
+  return refuse(Refusal::NoHeadroom, RetryAfter, false);
+}
+
+void DispatchSteering::learnTime(const Flight &Request, TargetState &Target,
+                                 base::Duration Took) {
+  RuleWork &Work = workOf(Request);
+  const double Usual = base::toSeconds(Work.Usual_);
+  const double Seen = base::toSeconds(Took);
+  const double Ratio = std::clamp(Seen / Usual, LeastSlowness, MostSlowness);
+  Target.Slowness_ += SlownessWeight * (Ratio - Target.Slowness_);
+  // One slow answer among many must not raise what counts as usual.
+  const double Bounded = std::clamp(Seen, Usual / 3, Usual * 3);
+  Work.Usual_ = base::fromSeconds(Usual + WorkWeight * (Bounded - Usual));
+}
+
+void DispatchSteering::learn(const Flight &Request, TargetState *Target,
+                             const SendReport &Report, base::TimePoint Now) {
+  if (Target == nullptr)
+    return;
+  Target->Load_.ended();
+  if (Report.Load_)
+    Target->Load_.reported(*Report.Load_, Now);
+  switch (Report.End_) {
+  case SendEnd::Answered:
+    if (Report.Status_ >= FirstServerFailure)
+      Target->Trust_.failed(Now);
+    else
+      Target->Trust_.answered(Now);
+    if (Report.Status_ < FirstServerFailure)
+      learnTime(Request, *Target, Report.Took_);
+    Suspects_.answered(Request.Fingerprint_);
+    break;
+  case SendEnd::Shed:
+    Target->AddressTaken_ = Target->AddressTaken_ || Report.WrongTarget_;
+    // One that refuses with slots free is ill, not full.
+    if (Report.Load_ && Report.Load_->Running_ < Report.Load_->Slots_)
+      Target->Trust_.refused();
+    else
+      Target->Load_.refused(Target->Record_.Slots_, Now);
+    break;
+  case SendEnd::ConnectFailed:
+    Target->Trust_.unreachable(Now);
+    noteDown(Target->Record_.Id_, Now);
+    break;
+  case SendEnd::ClosedUnwritten:
+  case SendEnd::CancelledUnwritten:
+  case SendEnd::Cancelled:
+    break;
+  case SendEnd::LostPartlyWritten:
+  case SendEnd::LostUnanswered:
+    Target->Trust_.failed(Now);
+    if (!Report.Silent_)
+      noteLoss(Request, Target->Record_.Id_, Now);
+    break;
+  case SendEnd::AnswerCut:
+  case SendEnd::AnswerUnusable:
+    Target->Trust_.failed(Now);
+    break;
+  }
+}
+
+void DispatchSteering::noteLoss(const Flight &Request,
+                                const base::TargetId &Target,
+                                base::TimePoint Now) {
+  if (Losses_.size() >= MostLosses)
+    Losses_.erase(Losses_.begin());
+  Losses_.push_back({Request.Fingerprint_, Target, Now});
+}
+
+/// A lost answer alone does not speak against its request: answers get lost.
+/// Only where the target is found down right after did something end it.
+void DispatchSteering::noteDown(const base::TargetId &Target,
+                                base::TimePoint Now) {
+  for (const Loss &Each : Losses_)
+    if (Each.Target_ == Target && Now - Each.At_ < DownAfterLoss)
+      Suspects_.lost(Each.Fingerprint_, Target, Now);
+  std::erase_if(Losses_, [&](const Loss &Each) {
+    return Each.Target_ == Target || Now - Each.At_ >= DownAfterLoss;
+  });
+}
+
+bool DispatchSteering::mayResend(const Flight &Request,
+                                 const SendReport &Report) {
+  const bool OwnFailure =
+      Report.End_ == SendEnd::Answered && Report.Status_ >= FirstServerFailure;
+  if (OwnFailure)
+    return Request.Idempotent_ && Request.Sends_ < Request.MaximumSends_;
+  const retrying::SendVerdict Verdict = retrying::judgeSend(
+      {Report.End_, Request.Idempotent_, Report.AnswerStarted_});
+  return Verdict.mayResend() && Request.Sends_ < Request.MaximumSends_;
+}
+
+Decision DispatchSteering::finish(std::uint64_t Ticket,
+                                  const SendReport &Report, base::TimePoint Now,
+                                  std::vector<steering::Wakeup> & /*Woken*/) {
+  const std::lock_guard Guard(Lock_);
+  const auto Found = Flights_.find(Ticket);
+  if (Found == Flights_.end())
+    return {};
+  Flight &Request = Found->second;
+  ServiceState &Service = serviceAt(Request.Service_);
+  TargetState *Target =
+      Request.Tried_.empty() ? nullptr : find(Service, Request.Tried_.back());
+  learn(Request, Target, Report, Now);
+  const bool Reached = Report.End_ != SendEnd::ConnectFailed &&
+                       Report.End_ != SendEnd::ClosedUnwritten;
+  if (!Reached) {
+    --Request.Sends_;
+    ++Request.Misses_;
+  }
+  // The target closed a kept connection just then; a new one will do.
+  if (Report.End_ == SendEnd::ClosedUnwritten && !Request.Tried_.empty())
+    Request.Tried_.pop_back();
+  const retrying::Ran Ran =
+      retrying::judgeSend(
+          {Report.End_, Request.Idempotent_, Report.AnswerStarted_})
+          .Ran_;
+  Request.MayHaveRun_ = Request.MayHaveRun_ || Ran != retrying::Ran::No;
+  bool Again = mayResend(Request, Report) && Request.Misses_ <= MostMisses;
+  // A first send that reached nobody is no second arrival anywhere.
+  if (Again && Reached && !Request.Reserved_)
+    Again = Service.Budget_.spend();
+  else if (Again && Reached)
+    Request.Reserved_ = false;
+  if (Again)
+    return send(Ticket, Request, Now);
+  const bool Over = Report.End_ == SendEnd::Answered ||
+                    Report.End_ == SendEnd::Cancelled ||
+                    Report.End_ == SendEnd::CancelledUnwritten;
+  Decision Made =
+      endFailed(Ticket, Report.End_ != SendEnd::Shed, LeastRetryAfter);
+  return Over ? Decision() : Made;
+}
+
+void DispatchSteering::cancel(std::uint64_t Ticket, base::TimePoint /*Now*/) {
+  const std::lock_guard Guard(Lock_);
+  Flights_.erase(Ticket);
+}
+
+void DispatchSteering::tick(base::TimePoint /*Now*/,
+                            std::vector<steering::Wakeup> & /*Woken*/) {}
+
+} // namespace lychee::dispatch
--- /dev/null
+++ b/libs/dispatch/DispatchSteering.h
@@ -0,0 +1,155 @@
+#ifndef LYCHEE_DISPATCH_DISPATCHSTEERING_H
+#define LYCHEE_DISPATCH_DISPATCHSTEERING_H
+
+#include "base/Random.h"
+#include "dispatch/RateDivision.h"
+#include "dispatch/SendBudget.h"
+#include "dispatch/TargetChooser.h"
+#include "live/Intent.h"
+#include "live/TargetBook.h"
+#include "retrying/CrashSuspects.h"
+#include "steering/Steering.h"
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <unordered_map>
+
+namespace lychee::dispatch {
+
+/// What a dispatch is made from.
+struct DispatchSettings {
+  base::RegionId Region_;
+  base::ZoneId Zone_;
+  live::DeploymentBounds Bounds_;
+  std::uint64_t Seed_ = 0;
+};
+
+/// A request's way through the decisions where targets register themselves:
+/// customer's rate, crash suspects, target, and after a failed send whether it
+/// is sent again. Nothing waits here: targets queue a few requests, and what no
+/// target can do in time is refused at once.
+///
+/// Thread-safe: one lock, held for microseconds.
+/// \see steering::FleetSteering, which steers by the operators' own tree
+class DispatchSteering final : public steering::Steering {
+public:
+  /// \param PickedFor  whether this host is the one for a matter, of all that
+  /// are alive. \see members::HostBook::isPickedFor
+  DispatchSteering(const DispatchSettings &Settings,
+                   std::function<bool(std::uint64_t)> PickedFor,
+                   base::TimePoint Now);
+
+  // What is in force.
+  void setIntent(std::shared_ptr<const live::Intent> Fresh,
+                 base::TimePoint Now);
+  /// \param Regions  the region of each zone.
+  void setTargets(std::span<const live::KnownTarget> All,
+                  const std::map<base::ZoneId, base::RegionId> &Regions,
+                  base::TimePoint Now);
+  /// Zones whose targets get nothing.
+  void setEvacuated(const std::set<base::ZoneId> &Zones, base::TimePoint Now);
+  /// Divides what all hosts share anew. To be called every 250 ms.
+  void setFleet(const FleetDemand &Fleet, base::TimePoint Now);
+
+  // What is told to other hosts.
+  std::vector<members::CustomerDemand> demands(base::TimePoint Now);
+  std::vector<retrying::CrashEvidence> evidence(base::TimePoint Now) const {
+    return Suspects_.evidence(Now);
+  }
+  void mergeEvidence(std::span<const retrying::CrashEvidence> Told,
+                     base::TimePoint Now) {
+    Suspects_.merge(Told, Now);
+  }
+
+  // steering::Steering
+  steering::Decision arrive(const steering::Request &Arrived,
+                            base::TimePoint Now) override;
+  steering::Decision finish(std::uint64_t Ticket,
+                            const steering::SendReport &Report,
+                            base::TimePoint Now,
+                            std::vector<steering::Wakeup> &Woken) override;
+  void cancel(std::uint64_t Ticket, base::TimePoint Now) override;
+  void tick(base::TimePoint Now, std::vector<steering::Wakeup> &Woken) override;
+
+private:
+  /// A request from its arrival to its end.
+  struct Flight {
+    base::ServiceId Service_;
+    std::string Rule_;
+    std::uint64_t Object_ = 0;
+    std::uint64_t Fingerprint_ = 0;
+    std::uint64_t BodyBytes_ = 0;
+    std::optional<std::vector<base::RegionId>> Homes_;
+    base::TimePoint Deadline_;
+    bool Idempotent_ = false;
+    std::uint32_t MaximumSends_ = 1;
+    std::uint32_t Sends_ = 0;
+    /// Sends that did not reach a target; bounded, though they cost nothing.
+    std::uint32_t Misses_ = 0;
+    std::vector<base::TargetId> Tried_;
+    /// A token of the send budget was spent ahead, for a send after patience.
+    bool Reserved_ = false;
+    bool MayHaveRun_ = false;
+    std::size_t Place_ = 0;
+  };
+
+  /// What is learned of a rule's requests.
+  struct RuleWork {
+    base::Duration Usual_{};
+  };
+
+  struct ServiceState {
+    std::vector<TargetState> Targets_;
+    SendBudget Budget_;
+    double ColdRate_ = 0;
+    base::Duration ColdTime_{};
+  };
+
+  /// A target that was lost with requests in flight, until it is known whether
+  /// it is down.
+  struct Loss {
+    std::uint64_t Fingerprint_ = 0;
+    base::TargetId Target_;
+    base::TimePoint At_;
+  };
+
+  ServiceState &serviceAt(const base::ServiceId &Service);
+  TargetState *find(ServiceState &Service, const base::TargetId &Target);
+  RuleWork &workOf(const Flight &Request);
+  steering::Decision send(std::uint64_t Ticket, Flight &Request,
+                          base::TimePoint Now);
+  steering::Decision refuse(steering::Refusal Why, base::Duration RetryAfter,
+                            bool MayHaveRun) const;
+  steering::Decision endFailed(std::uint64_t Ticket, bool ByTarget,
+                               base::Duration RetryAfter);
+  void learn(const Flight &Request, TargetState *Target,
+             const steering::SendReport &Report, base::TimePoint Now);
+  void learnTime(const Flight &Request, TargetState &Target,
+                 base::Duration Took);
+  bool mayResend(const Flight &Request, const steering::SendReport &Report);
+  void noteLoss(const Flight &Request, const base::TargetId &Target,
+                base::TimePoint Now);
+  void noteDown(const base::TargetId &Target, base::TimePoint Now);
+
+  const DispatchSettings Settings_;
+  const std::function<bool(std::uint64_t)> PickedFor_;
+  const TargetChooser Chooser_;
+  mutable std::mutex Lock_;
+  base::Random Random_;
+  std::shared_ptr<const live::Intent> Intent_;
+  std::map<base::ServiceId, ServiceState> Services_;
+  std::set<base::ZoneId> Evacuated_;
+  std::map<std::string, RuleWork> Works_;
+  std::unordered_map<std::uint64_t, Flight> Flights_;
+  std::uint64_t LastTicket_ = 0;
+  RateDivision Rates_;
+  std::size_t Hosts_ = 1;
+  retrying::CrashSuspects Suspects_;
+  std::vector<Loss> Losses_;
+};
+
+} // namespace lychee::dispatch
+
+#endif
--- /dev/null
+++ b/libs/dispatch/RateDivision.cpp
@@ -0,0 +1,96 @@
+#include "dispatch/RateDivision.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace lychee::dispatch {
+
+void RateDivision::setCustomers(std::span<const live::CustomerRule> Customers,
+                                base::TimePoint Now) {
+  std::map<base::CustomerId, Share> Next;
+  for (const live::CustomerRule &Each : Customers) {
+    Share Made;
+    Made.Part_ = 1.0 / AssumedHosts;
+    Made.Filled_ = Now;
+    Made.Counted_ = Now;
+    if (const auto Old = Shares_.find(Each.Id_); Old != Shares_.end())
+      Made = Old->second;
+    fill(Made, Now);
+    Made.Rate_ = Each.RatePerSecond_;
+    Made.Burst_ = Each.Burst_;
+    Next.emplace(Each.Id_, Made);
+  }
+  Shares_ = std::move(Next);
+}
+
+void RateDivision::fill(Share &Of, base::TimePoint Now) noexcept {
+  const double Passed = base::toSeconds(Now - Of.Filled_);
+  Of.Filled_ = Now;
+  const double Most = std::max(1.0, Of.Burst_ * Of.Part_ * UsedPart);
+  Of.Tokens_ =
+      std::min(Of.Tokens_ + Passed * Of.Rate_ * Of.Part_ * UsedPart, Most);
+}
+
+void RateDivision::fade(Share &Of, base::TimePoint Now) noexcept {
+  const double Passed = base::toSeconds(Now - Of.Counted_);
+  Of.Counted_ = Now;
+  Of.Demand_ *= std::exp(-Passed / base::toSeconds(DemandTime));
+}
+
+void RateDivision::divide(const FleetDemand &Fleet, base::TimePoint Now) {
+  if (Fleet.CutOff_)
+    return;
+  const double MostAtStart =
+      1.0 / static_cast<double>(std::max(AssumedHosts, Fleet.Holders_));
+  for (auto &[Customer, Each] : Shares_) {
+    fill(Each, Now);
+    fade(Each, Now);
+    const double Floor = Each.Rate_ * FloorPart;
+    const double Own = Each.Demand_ / base::toSeconds(DemandTime) + Floor;
+    double Sum = Own;
+    for (const members::HostView &Other : Fleet.Others_) {
+      if (!Other.HoldsShare_)
+        continue;
+      Sum += Floor;
+      for (const members::CustomerDemand &Told : Other.Demands_)
+        if (Told.Customer_ == Customer)
+          Sum += Told.RequestsPerSecond_;
+    }
+    Each.Part_ = Sum > 0 ? Own / Sum : 0;
+    if (Now - Start_ < StartTime)
+      Each.Part_ = std::min(Each.Part_, MostAtStart);
+  }
+}
+
+std::optional<base::Duration>
+RateDivision::take(const base::CustomerId &Customer, base::TimePoint Now) {
+  const auto Found = Shares_.find(Customer);
+  if (Found == Shares_.end())
+    return std::nullopt;
+  Share &Of = Found->second;
+  fade(Of, Now);
+  Of.Demand_ += 1;
+  if (Of.Rate_ <= 0)
+    return std::nullopt;
+  fill(Of, Now);
+  if (Of.Tokens_ >= 1) {
+    Of.Tokens_ -= 1;
+    return std::nullopt;
+  }
+  const double Rate = std::max(0.1, Of.Rate_ * Of.Part_ * UsedPart);
+  return base::fromSeconds((1 - Of.Tokens_) / Rate);
+}
+
+std::vector<members::CustomerDemand>
+RateDivision::demands(base::TimePoint Now) {
+  std::vector<members::CustomerDemand> All;
+  for (auto &[Customer, Each] : Shares_) {
+    fade(Each, Now);
+    const double PerSecond = Each.Demand_ / base::toSeconds(DemandTime);
+    if (PerSecond >= 0.05)
+      All.push_back({Customer, PerSecond});
+  }
+  return All;
+}
+
+} // namespace lychee::dispatch
--- /dev/null
+++ b/libs/dispatch/TargetChooser.h
@@ -0,0 +1,90 @@
+#ifndef LYCHEE_DISPATCH_TARGETCHOOSER_H
+#define LYCHEE_DISPATCH_TARGETCHOOSER_H
+
+#include "dispatch/TargetState.h"
+
+#include <functional>
+#include <optional>
+#include <span>
+#include <string_view>
+#include <vector>
+
+namespace lychee::dispatch {
+
+/// One request, as far as the choice of its target needs it.
+struct ChoiceQuery {
+  std::uint64_t Object_ = 0;
+  std::uint64_t BodyBytes_ = 0;
+  /// Regions in which it may be served; null: in any.
+  const std::vector<base::RegionId> *Homes_ = nullptr;
+  /// Targets that it was sent to before.
+  std::span<const base::TargetId> Tried_;
+  /// Usual time of the rule's requests at a target that is warm.
+  base::Duration UsualWork_{};
+};
+
+/// A target and the time within which it should answer.
+struct Choice {
+  TargetState *Target_ = nullptr;
+  base::Duration Expected_{};
+  /// Part of Expected_ spent waiting for a slot.
+  base::Duration Waiting_{};
+  std::string_view Reason_;
+};
+
+/// Chooses the target that should answer soonest, among the first few of the
+/// object's own order in each region.
+///
+/// Load pattern: few slots a target, more demand in a region than it has slots,
+/// and targets that are three times faster with an object they handled lately.
+/// Taking the least loaded of all targets makes every target cold; holding on
+/// to the object's first target makes a queue there. So the time a request
+/// would take is reckoned for each candidate: its queue, its slowness, the way
+/// to its region, and what a lower place in the object's order costs, since the
+/// object is likely to be cold there.
+class TargetChooser {
+public:
+  /// Places in an object's order, in each region, that count as warm for it.
+  /// With 60 objects, 14 targets a region and room for 25 objects on each, an
+  /// object can be warm on 5; three leave room for objects that move.
+  static constexpr std::size_t WarmPlaces = 3;
+  /// There and back between regions, 20 ms each way (deployments' own figure).
+  static constexpr base::Duration RegionTrip = std::chrono::milliseconds(40);
+  /// What crossing zones and regions costs beside time, as time: bytes are
+  /// paid for, and links are shared.
+  static constexpr base::Duration ZonePrice = std::chrono::milliseconds(4);
+  static constexpr base::Duration RegionPrice = std::chrono::milliseconds(10);
+  static constexpr base::Duration RegionPricePerKilobyte =
+      std::chrono::milliseconds(1);
+
+  TargetChooser(base::RegionId Region, base::ZoneId Zone)
+      : Region_(std::move(Region)), Zone_(std::move(Zone)) {}
+
+  /// \param MaySound  whether this host is the one that sends to a target that
+  /// is cold or may have restarted; asked only for such targets.
+  /// \returns nothing where no target may take the request.
+  std::optional<Choice>
+  choose(const ChoiceQuery &Asked, std::span<TargetState> Targets,
+         const std::function<bool(TargetState &)> &MaySound,
+         base::TimePoint Now) const;
+
+private:
+  struct Candidate {
+    TargetState *Target_ = nullptr;
+    double Place_ = 0;
+    std::size_t Rank_ = 0;
+  };
+
+  std::vector<Candidate> rank(const ChoiceQuery &Asked,
+                              std::span<TargetState> Targets,
+                              base::TimePoint Now) const;
+  Choice reckon(const ChoiceQuery &Asked, const Candidate &Each,
+                base::TimePoint Now) const;
+
+  const base::RegionId Region_;
+  const base::ZoneId Zone_;
+};
+
+} // namespace lychee::dispatch
+
+#endif
--- /dev/null
+++ b/libs/dispatch/TargetTrust.h
@@ -0,0 +1,60 @@
+#ifndef LYCHEE_DISPATCH_TARGETTRUST_H
+#define LYCHEE_DISPATCH_TARGETTRUST_H
+
+#include "base/Time.h"
+
+#include <cstdint>
+
+namespace lychee::dispatch {
+
+/// Whether a target may be sent to, by what this host saw of it.
+///
+/// Load pattern: a target ends without a word. Its entry stays for seconds, and
+/// every request sent to it fails; when it is back it is cold, and the requests
+/// that waited for it would crash it again. So a target that does not take
+/// connections is out for a while, and then sounded by one host alone until
+/// its entry tells of a new start or it has answered for a while.
+///
+/// A target that fails only some requests stays in, and costs more the more it
+/// fails: with all of them failing alike, nobody is left out.
+class TargetTrust {
+public:
+  /// First time out after a failed connect, doubled up to the longest.
+  static constexpr base::Duration FirstOut = std::chrono::milliseconds(700);
+  static constexpr base::Duration LongestOut = std::chrono::seconds(3);
+  /// Failures in a row that are no chance: where one request in twenty loses
+  /// its answer, three in a row are one in 8,000.
+  static constexpr std::uint32_t FailuresInRow = 3;
+  /// A restarted target is cold for about this long.
+  static constexpr base::Duration Probation = std::chrono::seconds(3);
+
+  void answered(base::TimePoint Now) noexcept;
+  /// It did not take the connection, or ended it before a byte was written.
+  void unreachable(base::TimePoint Now) noexcept;
+  /// Its answer was lost, cut, unusable, or a failure of its own.
+  void failed(base::TimePoint Now) noexcept;
+  /// It refused although it should have room.
+  void refused() noexcept;
+
+  bool isOut(base::TimePoint Now) const noexcept { return Now < OutUntil_; }
+  /// It may have restarted: one host alone sounds it.
+  bool isOnProbation(base::TimePoint Now) const noexcept {
+    return Suspect_ || Now < ProbationUntil_;
+  }
+  /// \returns the part of its requests that failed lately, 0 to 1.
+  double failureShare() const noexcept { return FailureShare_; }
+
+private:
+  void takeOut(base::TimePoint Now) noexcept;
+
+  base::TimePoint OutUntil_;
+  base::TimePoint ProbationUntil_;
+  base::Duration NextOut_ = FirstOut;
+  std::uint32_t InRow_ = 0;
+  bool Suspect_ = false;
+  double FailureShare_ = 0;
+};
+
+} // namespace lychee::dispatch
+
+#endif
--- a/libs/gateway/Authenticator.h
+++ b/libs/gateway/Authenticator.h
@@ -19,6 +19,10 @@
   std::uint64_t SettingsVersion_ = 0;
   /// When coming back helps; zero where waiting does not help.
   base::Duration RetryAfter_{};
+  /// The customer's own rank; goes before the route's.
+  std::optional<std::uint32_t> Priority_;
+  /// Regions in which the customer's requests may be served; empty: in any.
+  std::vector<base::RegionId> Homes_;
 };
 
 /// Tells whose key it is. Asked on every request, also on a connection that
@@ -33,6 +37,15 @@
 
   /// \param Presented  the text after "Bearer ", from outside and unchecked.
   virtual Identity check(std::string_view Presented, base::TimePoint Now) = 0;
+
+  /// Asked once more right before a send, since a request may have waited, or
+  /// the process may have been paused, since the first check.
+  /// \returns whether the key that \p Found was found by still holds.
+  virtual bool stillHolds(const Identity &Found, base::TimePoint Now) {
+    (void)Found;
+    (void)Now;
+    return true;
+  }
 };
 
 } // namespace lychee::gateway
--- a/libs/gateway/CallerAnswer.cpp
+++ b/libs/gateway/CallerAnswer.cpp
@@ -42,6 +42,10 @@
                            const base::RequestId &Id)
     : Home_(Home), Caller_(Caller), Reader_(Reader), Read_(Read), Id_(Id) {}
 
+const Vocabulary &CallerAnswer::names() const {
+  return Home_.shared().Settings_.Names_;
+}
+
 void CallerAnswer::bound() {
   Watch &Bound = Caller_.watch();
   if (Bound.cause() == Watch::Cause::Expired)
@@ -96,7 +100,8 @@
   Status_ = Problem.Status_;
   Outcome_ = Problem.Reason_;
   const bool KeepAlive = keepsAlive();
-  co_return co_await writeText(Problem.render(KeepAlive, isHead()), KeepAlive);
+  co_return co_await writeText(Problem.render(names(), KeepAlive, isHead()),
+                               KeepAlive);
 }
 
 Task<Ending> CallerAnswer::refuseFor(steering::Refusal Reason,
@@ -139,7 +144,7 @@
   const bool KeepAlive = keepsAlive();
   std::string Text = "HTTP/1.1 " + std::to_string(Status) + " ";
   Text += phraseOf(Status);
-  Text += "\r\nContent-Type: application/json\r\nLychee-Request-Id: ";
+  Text += "\r\nContent-Type: application/json\r\n" + names().RequestId_ + ": ";
   Text += Id_.name();
   if (!KeepAlive)
     Text += "\r\nConnection: close";
@@ -156,7 +161,7 @@
   const bool KeepAlive = keepsAlive();
   const bool WithoutBody = isHead() || hasNoBody(Head.result_int());
   const std::string Text = answerHeadFor(
-      Head, {Id_.name(), framingOf(Send, WithoutBody), KeepAlive});
+      Head, {Id_.name(), framingOf(Send, WithoutBody), KeepAlive}, names());
   bound();
   const std::array Pieces{bufferOf(Text), bufferOf(Send.heldBody())};
   const bool Written = co_await Caller_.write(Pieces);
@@ -171,7 +176,8 @@
   Outcome_ = "answer-cut";
   const bool KeepAlive = keepsAlive();
   const Framing Body = framingOf(Send, false);
-  const std::string Text = answerHeadFor(Head, {Id_.name(), Body, KeepAlive});
+  const std::string Text =
+      answerHeadFor(Head, {Id_.name(), Body, KeepAlive}, names());
   End = steering::SendEnd::Cancelled;
   bound();
   const std::array First{bufferOf(Text)};
--- a/libs/gateway/CallerAnswer.h
+++ b/libs/gateway/CallerAnswer.h
@@ -62,6 +62,7 @@
   Task<Ending> writeText(const std::string &Text, bool KeepAlive);
   void bound();
   bool keepsAlive() const;
+  const Vocabulary &names() const;
   bool isHead() const noexcept { return Read_.Method_ == "HEAD"; }
 
   Worker &Home_;
--- a/libs/gateway/CallerRequest.cpp
+++ b/libs/gateway/CallerRequest.cpp
@@ -94,39 +94,71 @@
   return std::nullopt;
 }
 
+/// \returns the value of a cookie; empty where it does not stand.
+std::string_view cookieOf(const RequestReader::Message &Head,
+                          std::string_view Name) {
+  std::string_view Rest = viewOf(Head[http::field::cookie]);
+  while (!Rest.empty()) {
+    const std::size_t End = Rest.find(';');
+    std::string_view Pair = Rest.substr(0, End);
+    Pair.remove_prefix(std::min(Pair.find_first_not_of(' '), Pair.size()));
+    if (Pair.size() > Name.size() && Pair.starts_with(Name) &&
+        Pair[Name.size()] == '=')
+      return Pair.substr(Name.size() + 1);
+    if (End == std::string_view::npos)
+      break;
+    Rest.remove_prefix(End + 1);
+  }
+  return {};
+}
+
+std::optional<RequestFault> readDeadline(const RequestReader::Message &Head,
+                                         const Vocabulary &Names,
+                                         CallerRequest &Read) {
+  const std::string_view Limit = viewOf(Head[Names.Deadline_]);
+  if (Head.count(Names.Deadline_) == 0)
+    return std::nullopt;
+  std::int64_t Milliseconds = 0;
+  const auto [End, Error] =
+      std::from_chars(Limit.data(), Limit.data() + Limit.size(), Milliseconds);
+  if (Error != std::errc() || End != Limit.data() + Limit.size() ||
+      Milliseconds < 1 || Milliseconds > MaximumDeadlineMs)
+    return faultOf(Names.Deadline_ + " is not a number of 1 to 86400000");
+  Read.Deadline_ = std::chrono::milliseconds(Milliseconds);
+  return std::nullopt;
+}
+
 std::optional<RequestFault> readOptions(const RequestReader::Message &Head,
+                                        const Vocabulary &Names,
                                         CallerRequest &Read) {
   Read.ServiceName_ = viewOf(Head["Lychee-Service"]);
   Read.IdempotencyKey_ = viewOf(Head["Idempotency-Key"]);
   if (Head.count("Idempotency-Key") > 1 || Head.count("Lychee-Service") > 1 ||
-      Head.count("Lychee-Deadline-Ms") > 1)
+      Head.count(Names.Deadline_) > 1 || Head.count(Names.RequestId_) > 1)
     return faultOf("a header that may stand once stands twice");
   if (Read.IdempotencyKey_.size() > MaximumIdempotencyKeyBytes)
     return faultOf("Idempotency-Key is longer than 128 bytes");
   Read.ExpectsContinue_ = iequals(Head[http::field::expect], "100-continue");
   Read.KeepAlive_ = Head.keep_alive();
-  const std::string_view Limit = viewOf(Head["Lychee-Deadline-Ms"]);
-  if (Head.count("Lychee-Deadline-Ms") == 0)
-    return std::nullopt;
-  std::int64_t Milliseconds = 0;
-  const auto [End, Error] =
-      std::from_chars(Limit.data(), Limit.data() + Limit.size(), Milliseconds);
-  if (Error != std::errc() || End != Limit.data() + Limit.size() ||
-      Milliseconds < 1 || Milliseconds > MaximumDeadlineMs)
-    return faultOf("Lychee-Deadline-Ms is not a number of 1 to 86400000");
-  Read.Deadline_ = std::chrono::milliseconds(Milliseconds);
-  return std::nullopt;
+  if (Names.CallerNamesRequest_)
+    Read.RequestId_ = viewOf(Head[Names.RequestId_]);
+  if (!Names.ObjectCookie_.empty())
+    Read.ObjectKey_ = cookieOf(Head, Names.ObjectCookie_);
+  return readDeadline(Head, Names, Read);
 }
 
 } // namespace
 
 std::optional<RequestFault>
-parseCallerRequest(const RequestReader::Message &Head, CallerRequest &Read) {
+parseCallerRequest(const RequestReader::Message &Head, const Vocabulary &Names,
+                   CallerRequest &Read) {
   if (Head.version() != 10 && Head.version() != 11)
     return faultOf("only HTTP/1.1 and HTTP/1.0 are served");
-  for (const auto Step : {readHost, readTarget, readKey, readOptions})
+  for (const auto Step : {readHost, readTarget, readKey})
     if (auto Fault = Step(Head, Read))
       return Fault;
+  if (auto Fault = readOptions(Head, Names, Read))
+    return Fault;
   return checkFraming(Head);
 }
 
--- a/libs/gateway/CallerRequest.h
+++ b/libs/gateway/CallerRequest.h
@@ -3,6 +3,7 @@
 
 #include "base/Time.h"
 #include "gateway/MessageReader.h"
+#include "gateway/Vocabulary.h"
 
 #include <optional>
 #include <string>
@@ -25,6 +26,10 @@
   /// Text after "Bearer "; empty where none came. Never logged or forwarded.
   std::string_view PresentedKey_;
   std::string_view IdempotencyKey_;
+  /// The caller's own name for the request; empty where it gives none.
+  std::string_view RequestId_;
+  /// Names the object that the request is about; empty where it tells none.
+  std::string_view ObjectKey_;
   /// Time the caller gives; nothing where it names none.
   std::optional<base::Duration> Deadline_;
   bool ExpectsContinue_ = false;
@@ -41,7 +46,8 @@
 /// may reach a target: two lengths, a length next to a transfer coding, an
 /// unknown coding, no or two Host headers, a key in the request line.
 std::optional<RequestFault>
-parseCallerRequest(const RequestReader::Message &Head, CallerRequest &Read);
+parseCallerRequest(const RequestReader::Message &Head, const Vocabulary &Names,
+                   CallerRequest &Read);
 
 } // namespace lychee::gateway
 
--- a/libs/gateway/CallerSession.cpp
+++ b/libs/gateway/CallerSession.cpp
@@ -60,11 +60,10 @@
 
 Task<bool> CallerSession::waitForRequest() {
   const base::TimePoint Now = base::SystemClock::monotonicNow();
-  const GatewaySettings &Settings = Home_.shared().Settings_;
   Watch &Bound = Caller_.watch();
   Bound.rearm();
   Bound.watchHangUp(-1);
-  Bound.expireAt(Now + Settings.IdleTimeout_);
+  Bound.expireAt(Now + Home_.shared().idleTimeout());
   Home_.watchdog().watchCoarsely(Bound);
   if (Caller_.buffer().size() > 0)
     co_return true;
@@ -80,12 +79,11 @@
 }
 
 Task<bool> CallerSession::serveOne() {
-  const GatewaySettings &Settings = Home_.shared().Settings_;
   Caller_.watch().rearm();
   Caller_.watch().expireAt(base::SystemClock::monotonicNow() +
-                           Settings.HeaderTimeout_);
+                           Home_.shared().headerTimeout());
   RequestReader Reader(Caller_.socket(), Caller_.buffer(), Caller_.watch(),
-                       {Settings.HeaderLimitBytes_, Settings.BodyLimitBytes_});
+                       Home_.shared().callerLimits());
   const ReadEnd End = co_await Reader.readHead();
   if (End != ReadEnd::Ok) {
     co_await refuseUnread(End);
@@ -106,7 +104,8 @@
     co_return;
   ProblemDocument Problem = unreadProblem(End, TimedOut);
   Problem.RequestId_ = Home_.makeRequestId().name();
-  const std::string Text = Problem.render(false, false);
+  const std::string Text =
+      Problem.render(Home_.shared().Settings_.Names_, false, false);
   Caller_.watch().rearm();
   Caller_.watch().expireAt(base::SystemClock::monotonicNow() + LingerTime);
   const std::array Pieces{boost::asio::const_buffer(Text.data(), Text.size())};
--- a/libs/gateway/Exchange.cpp
+++ b/libs/gateway/Exchange.cpp
@@ -21,7 +21,13 @@
 }
 
 Task<Ending> Exchange::run() {
-  if (const auto Fault = parseCallerRequest(Reader_.message(), Read_)) {
+  const auto Fault = parseCallerRequest(Reader_.message(),
+                                        Home_.shared().Settings_.Names_, Read_);
+  if (!Read_.RequestId_.empty()) {
+    Id_ = base::RequestId(Read_.RequestId_);
+    Caller_.noteRequest(Id_.name());
+  }
+  if (Fault) {
     ProblemDocument Problem;
     Problem.Status_ = 400;
     Problem.Reason_ = "malformed-request";
@@ -83,13 +89,17 @@
 
 Task<Ending> Exchange::forward() {
   GatewayState &Shared = Home_.shared();
-  const Identity Caller = Shared.Others_.Authenticator_.check(
-      Read_.PresentedKey_, base::SystemClock::monotonicNow());
-  if (Caller.Refusal_ != steering::Refusal::None)
-    co_return co_await refuseEarly(Caller, Caller.Refusal_);
   auto Found = Shared.Others_.Router_.route({Read_.ServiceName_,
                                              Read_.HostName_, Read_.Path_,
                                              Read_.Method_, Caller_.address()});
+  Identity Caller;
+  if (Found && Found->Public_)
+    Caller.Refusal_ = steering::Refusal::None;
+  else
+    Caller = Shared.Others_.Authenticator_.check(
+        Read_.PresentedKey_, base::SystemClock::monotonicNow());
+  if (Caller.Refusal_ != steering::Refusal::None)
+    co_return co_await refuseEarly(Caller, Caller.Refusal_);
   if (!Found)
     co_return co_await refuseEarly(Caller, steering::Refusal::UnknownService);
   Forwarding Forwarded(Home_, Caller_, Reader_, Read_, Answer_, Id_, Caller,
--- a/libs/gateway/Exchange.h
+++ b/libs/gateway/Exchange.h
@@ -33,7 +33,7 @@
   Worker &Home_;
   CallerConnection &Caller_;
   RequestReader &Reader_;
-  const base::RequestId Id_;
+  base::RequestId Id_;
   CallerRequest Read_;
   CallerAnswer Answer_;
 };
--- a/libs/gateway/Forwarding.cpp
+++ b/libs/gateway/Forwarding.cpp
@@ -24,6 +24,26 @@
 /// Time for the claim's store; beyond it the claim counts as not recorded.
 constexpr base::Duration ClaimTimeout = std::chrono::seconds(5);
 
+/// From this status on the target says that it failed.
+constexpr int FirstServerFailure = 500;
+
+/// \returns the regions that both allow; nothing where neither names any.
+std::optional<std::vector<base::RegionId>>
+commonHomes(const std::vector<base::RegionId> &Left,
+            const std::vector<base::RegionId> &Right) {
+  if (Left.empty() && Right.empty())
+    return std::nullopt;
+  if (Left.empty() || Right.empty())
+    return Left.empty() ? Right : Left;
+  std::vector<base::RegionId> Both;
+  std::copy_if(Left.begin(), Left.end(), std::back_inserter(Both),
+               [&Right](const base::RegionId &Each) {
+                 return std::find(Right.begin(), Right.end(), Each) !=
+                        Right.end();
+               });
+  return Both;
+}
+
 bool provesNotRun(SendEnd End) noexcept {
   return End == SendEnd::ConnectFailed || End == SendEnd::ClosedUnwritten ||
          End == SendEnd::Shed;
@@ -36,7 +56,7 @@
                        CallerAnswer &Answer, const base::RequestId &Id,
                        const Identity &Identity, Route Found)
     : Home_(Home), Caller_(Caller), Reader_(Reader), Read_(Read),
-      Answer_(Answer) {
+      Answer_(Answer), Identity_(Identity) {
   const base::TimePoint Now = base::SystemClock::monotonicNow();
   Request_.Id_ = Id;
   Request_.Service_ = std::move(Found.Service_);
@@ -48,7 +68,19 @@
       base::stableHash(Identity.Key_.name(), Caller.address());
   Request_.Preference_ = std::move(Found.Preference_);
   ServiceDeadline_ = Found.Deadline_;
-  Request_.Deadline_ = Now + Read.Deadline_.value_or(ServiceDeadline_);
+  base::Duration Allowed = Read.Deadline_.value_or(ServiceDeadline_);
+  if (Found.Timeout_)
+    Allowed = std::min(Allowed, *Found.Timeout_);
+  Request_.Deadline_ = Now + Allowed;
+  Request_.Rule_ = std::move(Found.Name_);
+  Request_.Objective_ = Found.Objective_;
+  Request_.MaximumSends_ = Found.MaximumSends_;
+  Request_.Priority_ = Identity.Priority_.value_or(Found.Priority_);
+  if (Found.ByObject_ && !Read.ObjectKey_.empty())
+    Request_.ObjectHash_ =
+        base::stableHash(Read.ObjectKey_, base::stableHash(Request_.Rule_)) |
+        1U;
+  Request_.Homes_ = commonHomes(Found.Homes_, Identity.Homes_);
   Request_.BodyBytes_ = Reader.bodyLength().value_or(0);
   Request_.Idempotent_ = Found.Idempotent_;
 }
@@ -63,7 +95,8 @@
 
 Task<Ending> Forwarding::run() {
   Home_.watchdog().watchFinely(Caller_.watch());
-  Fields_ = requestFieldsFor(Reader_.message(), Read_.PresentedKey_);
+  Fields_ = requestFieldsFor(Reader_.message(), Read_.PresentedKey_,
+                             Home_.shared().Settings_.Names_);
   const ReadEnd BodyHeld = co_await holdBody();
   if (BodyHeld != ReadEnd::Ok)
     co_return co_await Answer_.refuseBody(BodyHeld, steering::Ran::No);
@@ -125,7 +158,9 @@
       co_return co_await Answer_.refuse(
           problemFor(Decision_, Request_.Id_.name()));
     }
-    const auto Refused = co_await claim();
+    auto Refused = co_await claim();
+    if (!Refused)
+      Refused = recheckKey();
     if (Refused) {
       finish({.End_ = SendEnd::Cancelled});
       Decision_ = *Refused;
@@ -206,7 +241,8 @@
 
 Task<Ending> Forwarding::send(bool &Again) {
   TargetSend Send(Home_, Caller_, Home_.shared().Pools_.at(Decision_.Address_),
-                  Request_.Deadline_);
+                  Request_.Deadline_, Request_.Id_);
+  Send.bePatientUntil(Decision_.PatienceUntil_);
   if (Reader_.isWhole())
     Caller_.watch().watchHangUp(Caller_.socket().native_handle());
   TargetSend::Failure Failed = co_await Send.open(Request_.Idempotent_);
@@ -216,13 +252,13 @@
     Failed = co_await Send.readAnswer(Read_.Method_ == "HEAD");
   if (Failed && Send.isSilent() && !Streamed_)
     Failed = co_await hedge(Send);
-  else if (!Failed && saysNotRun(Send.answer().message()))
+  else if (!Failed && Send.saysNotRun())
     Failed = SendEnd::Shed;
   if (Send.hasWritten() && Failed != SendEnd::Shed)
     Ran_ = steering::Ran::Maybe;
   if (Failed)
     co_return co_await handleFailure(Send, *Failed, Again);
-  co_return co_await answer(Send);
+  co_return co_await answer(Send, Again);
 }
 
 Task<TargetSend::Failure> Forwarding::hedge(TargetSend &Send) {
@@ -232,7 +268,7 @@
     Failed = co_await writeRequest(Send);
   if (!Failed)
     Failed = co_await Send.readAnswer(Read_.Method_ == "HEAD");
-  if (!Failed && saysNotRun(Send.answer().message()))
+  if (!Failed && Send.saysNotRun())
     Failed = SendEnd::Shed;
   // However the second send ended, the first one may have run.
   if (Failed && provesNotRun(*Failed))
@@ -244,6 +280,7 @@
   ForwardedRequest Added;
   Added.RequestId_ = Request_.Id_.name();
   Added.Customer_ = Request_.Customer_.name();
+  Added.ExpectedTarget_ = Decision_.ExpectedTarget_;
   Added.TimeLeft_ = Request_.Deadline_ - base::SystemClock::monotonicNow();
   const auto Length = Reader_.bodyLength();
   if (Reader_.isWhole() && (Length || !Held_.empty() || Reader_.isChunked()))
@@ -253,7 +290,8 @@
   else
     Added.Body_.Chunked_ = Reader_.isChunked();
   const bool Streams = !Reader_.isWhole();
-  const std::string Head = requestHeadFor(Read_, Fields_, Added);
+  const std::string Head =
+      requestHeadFor(Read_, Fields_, Added, Home_.shared().Settings_.Names_);
   const bool HeldIsChunk = Added.Body_.Chunked_;
   const std::string_view First =
       HeldIsChunk ? std::string_view() : std::string_view(Held_);
@@ -305,11 +343,30 @@
   co_return std::nullopt;
 }
 
-Task<Ending> Forwarding::answer(TargetSend &Send) {
+std::optional<steering::Decision> Forwarding::recheckKey() {
+  if (Identity_.Key_.empty() ||
+      Home_.shared().Others_.Authenticator_.stillHolds(
+          Identity_, base::SystemClock::monotonicNow()))
+    return std::nullopt;
+  steering::Decision Refused;
+  Refused.Refusal_ = steering::Refusal::KeysStale;
+  Refused.Ran_ = Ran_;
+  Refused.SettingsVersion_ = Decision_.SettingsVersion_;
+  return Refused;
+}
+
+Task<Ending> Forwarding::answer(TargetSend &Send, bool &Again) {
   if (Send.isWhole()) {
     // Reported before the caller is written to: the target's room is free now,
     // however slowly the caller reads.
     finish(Send.report(SendEnd::Answered));
+    if (Decision_.Action_ == steering::Decision::Action::Send &&
+        Send.report(SendEnd::Answered).Status_ >= FirstServerFailure) {
+      Send.release();
+      noteDecision(base::SystemClock::monotonicNow());
+      Again = true;
+      co_return Ending::KeepAlive;
+    }
     settle(ClaimEnd::Answered, Send.report(SendEnd::Answered).Status_);
     Send.release();
     co_return co_await Answer_.sendHeld(Send);
--- a/libs/gateway/Forwarding.h
+++ b/libs/gateway/Forwarding.h
@@ -39,7 +39,9 @@
   Task<TargetSend::Failure> hedge(TargetSend &Send);
   Task<TargetSend::Failure> writeRequest(TargetSend &Send);
   Task<TargetSend::Failure> streamBody(TargetSend &Send);
-  Task<Ending> answer(TargetSend &Send);
+  Task<Ending> answer(TargetSend &Send, bool &Again);
+  /// \returns the refusal where the key does not hold any more.
+  std::optional<steering::Decision> recheckKey();
   Task<Ending> handleFailure(TargetSend &Send, steering::SendEnd End,
                              bool &Again);
   Task<Ending> endCancelled(const TargetSend &Send);
@@ -53,6 +55,7 @@
   RequestReader &Reader_;
   const CallerRequest &Read_;
   CallerAnswer &Answer_;
+  const Identity Identity_;
   steering::Request Request_;
   base::Duration ServiceDeadline_{};
   steering::Decision Decision_;
--- a/libs/gateway/Gateway.h
+++ b/libs/gateway/Gateway.h
@@ -39,6 +39,11 @@
   /// Makes these the targets that may be connected to. From any thread.
   void setTargets(std::span<const TargetEntry> Targets);
 
+  /// Operators changed what callers may do; holds from the next request on.
+  void setCallerLimits(const CallerLimits &Limits) {
+    State_.setCallerLimits(Limits);
+  }
+
   /// Hands over decisions on waiting requests that were made elsewhere, such
   /// as for slots that a peer gave. From any thread.
   void deliver(std::vector<steering::Wakeup> &Woken, base::TimePoint Now) {
--- a/libs/gateway/GatewaySettings.h
+++ b/libs/gateway/GatewaySettings.h
@@ -3,6 +3,7 @@
 
 #include "base/Id.h"
 #include "base/Time.h"
+#include "gateway/Vocabulary.h"
 #include "settings/DaemonSettings.h"
 
 #include <cstdint>
@@ -11,6 +12,7 @@
 
 /// Limits and times of one gateway.
 struct GatewaySettings {
+  Vocabulary Names_;
   base::HostId Host_;
   settings::Endpoint Callers_;
   std::uint32_t Threads_ = 2;
--- a/libs/gateway/GatewayState.h
+++ b/libs/gateway/GatewayState.h
@@ -6,8 +6,11 @@
 #include "gateway/TargetPools.h"
 #include "gateway/WaitingRoom.h"
 
+#include "gateway/MessageReader.h"
+
 #include <atomic>
 #include <cstdint>
+#include <mutex>
 
 namespace lychee::gateway {
 
@@ -22,10 +25,20 @@
   Stopped,
 };
 
+/// What a caller may send, and how long it may take or stay idle.
+struct CallerLimits {
+  std::size_t HeaderBytes_ = 0;
+  std::uint64_t BodyBytes_ = 0;
+  base::Duration HeaderTimeout_{};
+  base::Duration IdleTimeout_{};
+};
+
 /// What all workers of a gateway share.
 struct GatewayState {
   GatewayState(const GatewaySettings &Settings, const Collaborators &Others)
-      : Settings_(Settings), Others_(Others) {}
+      : Settings_(Settings), Others_(Others),
+        CallerLimits_{Settings.HeaderLimitBytes_, Settings.BodyLimitBytes_,
+                      Settings.HeaderTimeout_, Settings.IdleTimeout_} {}
 
   const GatewaySettings Settings_;
   const Collaborators Others_;
@@ -37,6 +50,27 @@
   std::atomic<std::uint32_t> InFlight_ = 0;
 
   bool isServing() const noexcept { return Phase_ == Phase::Serving; }
+
+  /// Operators changed what a caller may send and how long it may take.
+  void setCallerLimits(const CallerLimits &Limits) {
+    const std::lock_guard Guard(LimitsLock_);
+    CallerLimits_ = Limits;
+  }
+  base::Duration idleTimeout() const { return limits().IdleTimeout_; }
+  base::Duration headerTimeout() const { return limits().HeaderTimeout_; }
+  MessageLimits callerLimits() const {
+    const CallerLimits Now = limits();
+    return {Now.HeaderBytes_, Now.BodyBytes_};
+  }
+
+private:
+  CallerLimits limits() const {
+    const std::lock_guard Guard(LimitsLock_);
+    return CallerLimits_;
+  }
+
+  mutable std::mutex LimitsLock_;
+  CallerLimits CallerLimits_;
 };
 
 } // namespace lychee::gateway
--- a/libs/gateway/HeaderPolicy.cpp
+++ b/libs/gateway/HeaderPolicy.cpp
@@ -32,19 +32,23 @@
                                       http::field::proxy_authorization,
                                       http::field::proxy_authenticate};
 
-/// Names that only the gateway sets, so that neither side can pose as it.
-constexpr std::string_view OwnPrefix = "lychee-";
-
-bool isOwn(std::string_view Name) {
-  return Name.size() >= OwnPrefix.size() &&
-         iequals(Name.substr(0, OwnPrefix.size()), OwnPrefix);
+/// \returns whether only the gateway sets the header, so that neither side can
+/// pose as it.
+bool isReserved(std::string_view Name, const Vocabulary &Names) {
+  const std::string_view Prefix = Names.ReservedPrefix_;
+  if (!Prefix.empty())
+    return Name.size() >= Prefix.size() &&
+           iequals(Name.substr(0, Prefix.size()), Prefix);
+  return iequals(Name, Names.RequestId_) || iequals(Name, Names.Deadline_) ||
+         iequals(Name, Names.Customer_) || iequals(Name, Names.ExpectedTarget_);
 }
 
 /// Which headers of a message stay behind.
 template <typename Message> class Filter {
 public:
-  Filter(const Message &Head, std::string_view Secret)
-      : Secret_(Secret), Connection_(Head[http::field::connection]),
+  Filter(const Message &Head, std::string_view Secret, const Vocabulary &Names)
+      : Names_(Names), Secret_(Secret),
+        Connection_(Head[http::field::connection]),
         HasOthers_(!Connection_.empty() && !iequals(Connection_, "close") &&
                    !iequals(Connection_, "keep-alive")) {}
 
@@ -53,7 +57,7 @@
                   Field.name()) != ConnectionFields.end())
       return false;
     const std::string_view Name = viewOf(Field.name_string());
-    if (isOwn(Name))
+    if (isReserved(Name, Names_))
       return false;
     // The key copied to a second header would reach the target by that.
     if (!Secret_.empty() &&
@@ -63,6 +67,7 @@
   }
 
 private:
+  const Vocabulary &Names_;
   std::string_view Secret_;
   boost::beast::string_view Connection_;
   bool HasOthers_;
@@ -78,8 +83,8 @@
 
 template <typename Message>
 void appendFields(std::string &Text, const Message &Head,
-                  std::string_view Secret) {
-  const Filter<Message> Filtered(Head, Secret);
+                  std::string_view Secret, const Vocabulary &Names) {
+  const Filter<Message> Filtered(Head, Secret, Names);
   for (const auto &Field : Head)
     if (Filtered.passes(Field))
       appendField(Text, viewOf(Field.name_string()), viewOf(Field.value()));
@@ -98,17 +103,19 @@
 } // namespace
 
 std::string requestFieldsFor(const RequestReader::Message &Head,
-                             std::string_view PresentedKey) {
+                             std::string_view PresentedKey,
+                             const Vocabulary &Names) {
   std::string Text;
   Text.reserve(UsualHeadBytes);
   if (Head.count(http::field::host) == 0)
     appendField(Text, "Host", "");
-  appendFields(Text, Head, PresentedKey);
+  appendFields(Text, Head, PresentedKey, Names);
   return Text;
 }
 
 std::string requestHeadFor(const CallerRequest &Read, std::string_view Fields,
-                           const ForwardedRequest &Added) {
+                           const ForwardedRequest &Added,
+                           const Vocabulary &Names) {
   std::string Text;
   Text.reserve(UsualHeadBytes);
   Text += Read.Method_;
@@ -116,9 +123,12 @@
   Text += Read.RequestTarget_;
   Text += " HTTP/1.1\r\n";
   Text += Fields;
-  appendField(Text, "Lychee-Request-Id", Added.RequestId_);
-  appendField(Text, "Lychee-Customer", Added.Customer_);
-  appendField(Text, "Lychee-Deadline-Ms",
+  appendField(Text, Names.RequestId_, Added.RequestId_);
+  if (!Added.Customer_.empty())
+    appendField(Text, Names.Customer_, Added.Customer_);
+  if (!Names.ExpectedTarget_.empty() && !Added.ExpectedTarget_.empty())
+    appendField(Text, Names.ExpectedTarget_, Added.ExpectedTarget_);
+  appendField(Text, Names.Deadline_,
               std::to_string(base::toMilliseconds(Added.TimeLeft_)));
   appendFraming(Text, Added.Body_);
   Text += "\r\n";
@@ -126,7 +136,8 @@
 }
 
 std::string answerHeadFor(const AnswerReader::Message &Head,
-                          const ForwardedAnswer &Added) {
+                          const ForwardedAnswer &Added,
+                          const Vocabulary &Names) {
   std::string Text;
   Text.reserve(UsualHeadBytes);
   Text += "HTTP/1.1 ";
@@ -134,8 +145,8 @@
   Text += ' ';
   Text += viewOf(Head.reason());
   Text += "\r\n";
-  appendFields(Text, Head, {});
-  appendField(Text, "Lychee-Request-Id", Added.RequestId_);
+  appendFields(Text, Head, {}, Names);
+  appendField(Text, Names.RequestId_, Added.RequestId_);
   if (!Added.KeepAlive_)
     appendField(Text, "Connection", "close");
   appendFraming(Text, Added.Body_);
@@ -150,9 +161,34 @@
   return std::string(Digits.data(), Written.ptr) + "\r\n";
 }
 
-bool saysNotRun(const AnswerReader::Message &Head) {
-  return Head.result() == http::status::service_unavailable &&
-         iequals(Head["Lychee-Ran"], "no");
+bool saysNotRun(const AnswerReader::Message &Head, const Vocabulary &Names) {
+  if (!Names.ExpectedTarget_.empty() &&
+      Head.result() == http::status::misdirected_request)
+    return true;
+  if (Head.result_int() < 400 || Head.count(Names.NotRun_) == 0)
+    return false;
+  return Names.NotRunValue_.empty()
+             ? true
+             : Head.result() == http::status::service_unavailable &&
+                   iequals(Head[Names.NotRun_], Names.NotRunValue_);
+}
+
+std::optional<steering::TargetLoad> loadOf(const AnswerReader::Message &Head,
+                                           const Vocabulary &Names) {
+  if (Names.TargetLoad_.empty())
+    return std::nullopt;
+  std::string_view Text = viewOf(Head[Names.TargetLoad_]);
+  steering::TargetLoad Read;
+  for (std::uint32_t *Each : {&Read.Running_, &Read.Waiting_, &Read.Slots_}) {
+    const auto [End, Error] =
+        std::from_chars(Text.data(), Text.data() + Text.size(), *Each);
+    if (Error != std::errc())
+      return std::nullopt;
+    Text.remove_prefix(static_cast<std::size_t>(End - Text.data()));
+    if (!Text.empty())
+      Text.remove_prefix(1);
+  }
+  return Read;
 }
 
 } // namespace lychee::gateway
--- a/libs/gateway/HeaderPolicy.h
+++ b/libs/gateway/HeaderPolicy.h
@@ -2,6 +2,7 @@
 #define LYCHEE_GATEWAY_HEADERPOLICY_H
 
 #include "gateway/CallerRequest.h"
+#include "gateway/Vocabulary.h"
 #include "steering/Steering.h"
 
 #include <cstdint>
@@ -21,7 +22,10 @@
 /// What is added to a request on its way to a target.
 struct ForwardedRequest {
   std::string_view RequestId_;
+  /// Empty where the request is nobody's: then no customer is told.
   std::string_view Customer_;
+  /// The start of the target that is meant; empty: whichever answers.
+  std::string_view ExpectedTarget_;
   base::Duration TimeLeft_{};
   Framing Body_;
 };
@@ -39,22 +43,29 @@
 /// may set. To be taken before the body is read: the parser puts the trailers
 /// of a chunked body among the headers, where a second Host would come from.
 std::string requestFieldsFor(const RequestReader::Message &Head,
-                             std::string_view PresentedKey);
+                             std::string_view PresentedKey,
+                             const Vocabulary &Names);
 
 /// \returns the head that goes to the target.
 std::string requestHeadFor(const CallerRequest &Read, std::string_view Fields,
-                           const ForwardedRequest &Added);
+                           const ForwardedRequest &Added,
+                           const Vocabulary &Names);
 
 /// \returns the head that goes to the caller.
 std::string answerHeadFor(const AnswerReader::Message &Head,
-                          const ForwardedAnswer &Added);
+                          const ForwardedAnswer &Added,
+                          const Vocabulary &Names);
 
 /// \returns the line that begins a chunk of \p Bytes, which is not 0.
 std::string chunkSizeLine(std::size_t Bytes);
 
 /// \returns whether the target's answer says that it did not run the request:
-/// 503 with "Lychee-Ran: no".
-bool saysNotRun(const AnswerReader::Message &Head);
+/// by the header that is for it, or by 421 where another target was expected.
+bool saysNotRun(const AnswerReader::Message &Head, const Vocabulary &Names);
+
+/// \returns what the answer tells of the target's load, where it tells it.
+std::optional<steering::TargetLoad> loadOf(const AnswerReader::Message &Head,
+                                           const Vocabulary &Names);
 
 } // namespace lychee::gateway
 
--- a/libs/gateway/Listener.cpp
+++ b/libs/gateway/Listener.cpp
@@ -79,7 +79,8 @@
   Problem.Detail_ = "This host has as many connections as it may.";
   Problem.RetryAfter_ = std::chrono::seconds(1);
   Problem.RequestId_ = Workers_.front()->makeRequestId().name();
-  const std::string Text = Problem.render(false, false);
+  const std::string Text =
+      Problem.render(Workers_.front()->shared().Settings_.Names_, false, false);
   // A new socket's buffer takes it whole, so this does not wait.
   ErrorCode Ignored;
   Accepted.non_blocking(true, Ignored);
--- a/libs/gateway/MessageReader.cpp
+++ b/libs/gateway/MessageReader.cpp
@@ -69,6 +69,7 @@
                                : ReadBytes;
   const auto [Error, Count] =
       co_await Peer_.async_read_some(Buffer_.prepare(Room), Await);
+  SawEnd_ = Error == boost::asio::error::eof && !Bound_.fired();
   if (Error || Bound_.fired())
     co_return ReadEnd::Cut;
   Buffer_.commit(Count);
@@ -127,6 +128,7 @@
   if (Used != Length || !Parser_.is_header_done())
     co_return ReadEnd::Malformed;
   Parser_.eager(true);
+  EndsWithConnection_ = Parser_.need_eof();
   co_return ReadEnd::Ok;
 }
 
@@ -162,10 +164,20 @@
       co_return End;
     const ReadEnd More = co_await readMore();
     if (More != ReadEnd::Ok)
-      co_return ReadEnd::Cut;
+      co_return takeEnd();
   }
 }
 
+/// A body without a length is whole where the peer ended its side in order; a
+/// reset or a time-out in it is a cut (RFC 9112 6.3).
+template <bool IsRequest> ReadEnd MessageReader<IsRequest>::takeEnd() {
+  if (!EndsWithConnection_ || !SawEnd_)
+    return ReadEnd::Cut;
+  ErrorCode Error;
+  Parser_.put_eof(Error);
+  return Error ? ReadEnd::Cut : ReadEnd::Ok;
+}
+
 template class MessageReader<true>;
 template class MessageReader<false>;
 
--- a/libs/gateway/MessageReader.h
+++ b/libs/gateway/MessageReader.h
@@ -59,13 +59,14 @@
   bool isWhole() const { return Parser_.is_done(); }
   bool isChunked() const { return Parser_.chunked(); }
   /// The body ends with the connection, so a cut cannot be told from the end.
-  bool endsWithConnection() const { return Parser_.need_eof(); }
+  bool endsWithConnection() const { return EndsWithConnection_; }
   std::optional<std::uint64_t> bodyLength() const;
 
 private:
   Task<ReadEnd> readMore();
   Task<ReadEnd> findHead(std::size_t &Length);
   ReadEnd takeBody(std::span<char> Out, std::size_t &Got);
+  ReadEnd takeEnd();
   void skipEmptyLines();
 
   Socket &Peer_;
@@ -73,6 +74,9 @@
   const Watch &Bound_;
   const MessageLimits Limits_;
   Parser Parser_;
+  bool EndsWithConnection_ = false;
+  /// The peer ended its side in order, not by a reset.
+  bool SawEnd_ = false;
 };
 
 using RequestReader = MessageReader<true>;
--- a/libs/gateway/ProblemDocument.cpp
+++ b/libs/gateway/ProblemDocument.cpp
@@ -1,6 +1,8 @@
 #include "gateway/ProblemDocument.h"
 
+#include <array>
 #include <boost/beast/http/status.hpp>
+#include <charconv>
 #include <json/writer.h>
 
 namespace lychee::gateway {
@@ -20,6 +22,21 @@
   return std::chrono::ceil<std::chrono::seconds>(Span).count();
 }
 
+std::string retryAfterText(base::Duration Span, const Vocabulary &Names) {
+  if (!Names.FractionalRetryAfter_)
+    return std::to_string(wholeSeconds(Span));
+  std::array<char, 32> Text{};
+  const auto Written =
+      std::to_chars(Text.data(), Text.data() + Text.size(),
+                    base::toSeconds(Span), std::chars_format::fixed, 3);
+  return {Text.data(), Written.ptr};
+}
+
+/// Statuses that callers take as proof that the request has not run.
+bool promisesNotRun(int Status) noexcept {
+  return Status == 408 || Status == 421 || Status == 429 || Status == 503;
+}
+
 std::string_view detailOf(Refusal Reason) noexcept {
   switch (Reason) {
   case Refusal::UnknownKey:
@@ -107,10 +124,15 @@
   Made.Ran_ = Refused.Ran_;
   Made.RetryAfter_ = Refused.RetryAfter_;
   Made.RequestId_ = RequestId;
+  // What may have run is never answered by a status that promises the
+  // opposite: the caller would send it again, and it would run twice.
+  if (Made.Ran_ == steering::Ran::Maybe && promisesNotRun(Made.Status_))
+    Made.Status_ = 502;
   return Made;
 }
 
-std::string ProblemDocument::render(bool KeepAlive, bool WithoutBody) const {
+std::string ProblemDocument::render(const Vocabulary &Names, bool KeepAlive,
+                                    bool WithoutBody) const {
   const auto Quoted = [](const std::string &Text) {
     return Json::valueToQuotedString(Text.c_str());
   };
@@ -129,10 +151,9 @@
                      "\r\nContent-Type: application/problem+json\r\n"
                      "Cache-Control: no-store\r\nLychee-Ran: ";
   Text += ranText(Ran_);
-  Text += "\r\nLychee-Request-Id: " + RequestId_ + "\r\n";
+  Text += "\r\n" + Names.RequestId_ + ": " + RequestId_ + "\r\n";
   if (RetryAfter_ > base::Duration::zero())
-    Text +=
-        "Retry-After: " + std::to_string(wholeSeconds(RetryAfter_)) + "\r\n";
+    Text += "Retry-After: " + retryAfterText(RetryAfter_, Names) + "\r\n";
   if (Status_ == 401)
     Text += "WWW-Authenticate: Bearer\r\n";
   if (!KeepAlive)
--- a/libs/gateway/ProblemDocument.h
+++ b/libs/gateway/ProblemDocument.h
@@ -2,6 +2,7 @@
 #define LYCHEE_GATEWAY_PROBLEMDOCUMENT_H
 
 #include "base/Time.h"
+#include "gateway/Vocabulary.h"
 #include "steering/Steering.h"
 
 #include <string>
@@ -26,7 +27,8 @@
   int OutcomeStatus_ = 0;
 
   /// \returns the whole answer, head and body.
-  std::string render(bool KeepAlive, bool WithoutBody) const;
+  std::string render(const Vocabulary &Names, bool KeepAlive,
+                     bool WithoutBody) const;
 };
 
 /// \returns the problem that tells a caller of \p Refused.
--- a/libs/gateway/RequestRouter.h
+++ b/libs/gateway/RequestRouter.h
@@ -33,6 +33,22 @@
   /// Regions for this caller, nearest first.
   std::vector<base::RegionId> Preference_;
   std::uint64_t SettingsVersion_ = 0;
+  /// What operators call the rule that took the request; empty: it has none.
+  std::string Name_;
+  /// Anyone may ask; no key is checked.
+  bool Public_ = false;
+  /// Longest time that a caller is kept waiting, whatever it asks for.
+  std::optional<base::Duration> Timeout_;
+  /// Time within which an answer is worth most; zero: none is stated.
+  base::Duration Objective_{};
+  /// Targets that one request may be sent to; 0: as the steering sees fit.
+  std::uint32_t MaximumSends_ = 0;
+  /// 0 is the most urgent.
+  std::uint32_t Priority_ = 0;
+  /// Requests about one object go best to targets that lately handled it.
+  bool ByObject_ = false;
+  /// Regions in which it may be served; empty: in any.
+  std::vector<base::RegionId> Homes_;
 };
 
 /// Finds the service that a request asks for. Called from several threads.
--- a/libs/gateway/TargetSend.cpp
+++ b/libs/gateway/TargetSend.cpp
@@ -1,11 +1,13 @@
 #include "gateway/TargetSend.h"
 
 #include "base/SystemClock.h"
+#include "gateway/HeaderPolicy.h"
 #include "gateway/TargetAddress.h"
 #include "gateway/Worker.h"
 
 #include <algorithm>
 #include <array>
+#include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/write.hpp>
 
 namespace lychee::gateway {
@@ -14,6 +16,12 @@
 
 /// Interim answers (100 to 199) before the real one; more is a fault.
 constexpr int MaximumInterimAnswers = 8;
+/// Late answers to earlier requests before ours; more is a fault.
+constexpr int MaximumForeignAnswers = 4;
+/// A body longer than this is written in pieces, and the target may answer in
+/// between. Shorter ones go into the connection's buffers whole.
+constexpr std::size_t WatchedBodyBytes = 16UL * 1024;
+constexpr std::size_t BodyPieceBytes = 16UL * 1024;
 /// A target's answer may be as long as it likes: it streams.
 constexpr std::uint64_t AnswerLimitBytes = 1ULL << 50;
 
@@ -21,9 +29,9 @@
 
 TargetSend::TargetSend(Worker &Home, CallerConnection &Caller,
                        std::shared_ptr<TargetPool> Pool,
-                       base::TimePoint Deadline)
-    : Home_(Home), Caller_(Caller), Pool_(std::move(Pool)),
-      Deadline_(Deadline) {
+                       base::TimePoint Deadline, const base::RequestId &Id)
+    : Home_(Home), Caller_(Caller), Pool_(std::move(Pool)), Deadline_(Deadline),
+      Id_(Id) {
   Caller_.interruptAlso([this] {
     if (Connection_)
       Connection_->close();
@@ -87,17 +95,58 @@
   bound(Home_.shared().Settings_.ProgressTimeout_);
   if (Written_ == 0)
     FirstWrite_ = base::SystemClock::monotonicNow();
-  const std::array Pieces{boost::asio::const_buffer(Head.data(), Head.size()),
-                          boost::asio::const_buffer(Body.data(), Body.size())};
+  const std::string_view First =
+      Body.size() > WatchedBodyBytes ? std::string_view() : Body;
+  const std::array Pieces{
+      boost::asio::const_buffer(Head.data(), Head.size()),
+      boost::asio::const_buffer(First.data(), First.size())};
   const auto [Error, Count] =
       co_await boost::asio::async_write(Connection_->socket(), Pieces, Await);
   Written_ += Count;
   if (Error || Caller_.watch().fired())
     co_return failed();
+  if (First.size() != Body.size()) {
+    const bool Whole = co_await writeWhileSilent(Body);
+    if (AnsweredEarly_)
+      co_return std::nullopt;
+    if (!Whole)
+      co_return failed();
+  }
   RequestWhole_ = Last;
   co_return std::nullopt;
 }
 
+/// A target may refuse a long request before it has read it, and stop reading:
+/// a write that waits for room would then wait until the deadline, and the
+/// answer that lies ready would be lost. So room to write and an answer are
+/// waited for together.
+Task<bool> TargetSend::writeWhileSilent(std::string_view Body) {
+  using namespace boost::asio::experimental::awaitable_operators;
+  Socket &Peer = Connection_->socket();
+  Peer.non_blocking(true);
+  while (!Body.empty()) {
+    ErrorCode Error;
+    const std::size_t Count = Peer.write_some(
+        boost::asio::buffer(Body.data(), std::min(Body.size(), BodyPieceBytes)),
+        Error);
+    Written_ += Count;
+    Body.remove_prefix(Count);
+    if (!Error)
+      continue;
+    if (Error != boost::asio::error::would_block)
+      co_return false;
+    const auto Ready = co_await (Peer.async_wait(Socket::wait_write, Await) ||
+                                 Peer.async_wait(Socket::wait_read, Await));
+    if (Caller_.watch().fired())
+      co_return false;
+    AnsweredEarly_ = Ready.index() == 1;
+    if (AnsweredEarly_)
+      co_return false;
+    bound(Home_.shared().Settings_.ProgressTimeout_);
+  }
+  co_return true;
+}
+
 Task<bool> TargetSend::skipInterim(ReadEnd &End, bool WithoutBody) {
   for (int Interim = 0; Interim <= MaximumInterimAnswers; ++Interim) {
     Reader_ = std::make_unique<AnswerReader>(
@@ -116,23 +165,60 @@
   co_return false;
 }
 
+bool TargetSend::isForeign() const {
+  const Vocabulary &Names = Home_.shared().Settings_.Names_;
+  if (!Names.CallerNamesRequest_)
+    return false;
+  const auto Named = Reader_->message().find(Names.RequestId_);
+  return Named != Reader_->message().end() && Named->value() != Id_.name();
+}
+
+/// Failure: a target sends an answer twice, or late, on a kept connection.
+/// Symptom without this: the next caller gets the answer to another's request.
+/// The repeated name tells whose answer it is, so what is not ours is read to
+/// its end and dropped, and ours is waited for.
+Task<bool> TargetSend::skipForeign(ReadEnd &End, bool WithoutBody) {
+  std::array<char, 4096> Unwanted{};
+  for (int Foreign = 0; Foreign <= MaximumForeignAnswers; ++Foreign) {
+    const bool Came = co_await skipInterim(End, WithoutBody);
+    if (!Came || !isForeign())
+      co_return Came;
+    if (Reader_->endsWithConnection())
+      break;
+    while (!Reader_->isWhole()) {
+      std::size_t Got = 0;
+      End = co_await Reader_->readBody(Unwanted, Got);
+      if (End != ReadEnd::Ok)
+        co_return false;
+    }
+  }
+  Unusable_ = true;
+  co_return false;
+}
+
+bool TargetSend::saysNotRun() const {
+  return gateway::saysNotRun(Reader_->message(),
+                             Home_.shared().Settings_.Names_);
+}
+
 Task<TargetSend::Failure> TargetSend::readAnswer(bool WithoutBody) {
-  bound(HedgeDelay_.value_or(Deadline_ - base::SystemClock::monotonicNow()));
+  const base::TimePoint Begin = base::SystemClock::monotonicNow();
+  bound(HedgeDelay_.value_or(std::min(Deadline_, Patience_) - Begin));
   ReadEnd End = ReadEnd::Ok;
-  const bool Came = co_await skipInterim(End, WithoutBody);
+  const bool Came = co_await skipForeign(End, WithoutBody);
+  if (!Came && Unusable_)
+    co_return steering::SendEnd::AnswerUnusable;
   if (!Came) {
     const base::TimePoint Now = base::SystemClock::monotonicNow();
-    Silent_ = HedgeDelay_ && !AnswerSeen_ && Now < Deadline_ &&
-              Caller_.watch().cause() == Watch::Cause::Expired;
+    const bool Expired = !AnswerSeen_ && Now < Deadline_ &&
+                         Caller_.watch().cause() == Watch::Cause::Expired;
+    Silent_ = HedgeDelay_ && Expired;
+    LostPatience_ = !HedgeDelay_ && Expired;
     AnswerSeen_ = AnswerSeen_ || (End != ReadEnd::Closed && !Silent_);
     co_return failed();
   }
   Pool_->noteAnswer(LastRead_ - FirstWrite_);
   Caller_.watch().expireAt(Deadline_);
-  // Without a length a cut cannot be told from the end, so it is not passed on
-  // as whole.
-  if (Reader_->endsWithConnection())
-    co_return steering::SendEnd::AnswerCut;
   const std::size_t HeldLimit = Home_.shared().Settings_.HeldAnswerBytes_;
   const auto Length = Reader_->bodyLength();
   if (Length && *Length > HeldLimit)
@@ -191,8 +277,9 @@
 void TargetSend::release() {
   if (!Connection_)
     return;
-  const bool Clean = RequestWhole_ && Reader_ && Reader_->isWhole() &&
-                     Connection_->buffer().size() == 0 &&
+  const bool Clean = RequestWhole_ && !AnsweredEarly_ && Reader_ &&
+                     Reader_->isWhole() && Connection_->buffer().size() == 0 &&
+                     !Reader_->endsWithConnection() &&
                      Reader_->message().keep_alive();
   if (Clean)
     Pool_->giveBack(std::move(Connection_));
@@ -207,6 +294,14 @@
   if (Written_ > 0)
     Made.Took_ = std::max(LastRead_, FirstWrite_) - FirstWrite_;
   Made.AnswerBytes_ = Received_;
+  Made.Silent_ = LostPatience_;
+  if (Reader_ && AnswerSeen_) {
+    const Vocabulary &Names = Home_.shared().Settings_.Names_;
+    Made.Load_ = loadOf(Reader_->message(), Names);
+    Made.WrongTarget_ = !Names.ExpectedTarget_.empty() &&
+                        Reader_->message().result() ==
+                            boost::beast::http::status::misdirected_request;
+  }
   return Made;
 }
 
--- a/libs/gateway/TargetSend.h
+++ b/libs/gateway/TargetSend.h
@@ -27,11 +27,15 @@
 
   /// \param Deadline  the request's; passing it ends the send as cancelled.
   TargetSend(Worker &Home, CallerConnection &Caller,
-             std::shared_ptr<TargetPool> Pool, base::TimePoint Deadline);
+             std::shared_ptr<TargetPool> Pool, base::TimePoint Deadline,
+             const base::RequestId &Id);
   TargetSend(const TargetSend &) = delete;
   TargetSend &operator=(const TargetSend &) = delete;
   ~TargetSend();
 
+  /// From then on silence counts as a lost answer, where no byte has come.
+  void bePatientUntil(base::TimePoint Moment) noexcept { Patience_ = Moment; }
+
   /// Takes an idle connection or opens one. \param Idempotent  a request that
   /// is not goes only on one that is new or has just shown life.
   Task<Failure> open(bool Idempotent);
@@ -56,6 +60,9 @@
   /// Leaves the silent connection and opens a new one.
   Task<Failure> reopen();
 
+  /// \returns whether the target answered that it did not run the request.
+  bool saysNotRun() const;
+
   const AnswerReader &answer() const { return *Reader_; }
   const std::string &heldBody() const noexcept { return Held_; }
   bool isWhole() const { return Reader_->isWhole(); }
@@ -72,6 +79,9 @@
 private:
   Task<Failure> connect();
   Task<bool> skipInterim(ReadEnd &End, bool WithoutBody);
+  Task<bool> skipForeign(ReadEnd &End, bool WithoutBody);
+  bool isForeign() const;
+  Task<bool> writeWhileSilent(std::string_view Body);
   Failure failed();
   void bound(base::Duration Progress);
   void sawLife();
@@ -80,14 +90,21 @@
   CallerConnection &Caller_;
   const std::shared_ptr<TargetPool> Pool_;
   base::TimePoint Deadline_;
+  const base::RequestId &Id_;
+  base::TimePoint Patience_ = base::TimePoint::max();
   std::unique_ptr<TargetConnection> Connection_;
   std::unique_ptr<AnswerReader> Reader_;
   std::string Held_;
   std::uint64_t Written_ = 0;
   std::uint64_t Received_ = 0;
   bool RequestWhole_ = false;
+  /// The target answered before it had the whole request.
+  bool AnsweredEarly_ = false;
+  bool Unusable_ = false;
   bool AnswerSeen_ = false;
   bool Silent_ = false;
+  /// No byte came until the time that the steering was patient for.
+  bool LostPatience_ = false;
   /// How long to wait for the first byte before isSilent; nothing: no bound
   /// but the deadline.
   std::optional<base::Duration> HedgeDelay_;
--- /dev/null
+++ b/libs/live/ObjectFollower.h
@@ -0,0 +1,70 @@
+#ifndef LYCHEE_LIVE_OBJECTFOLLOWER_H
+#define LYCHEE_LIVE_OBJECTFOLLOWER_H
+
+#include "base/Random.h"
+#include "live/ObjectSource.h"
+#include "store/Backoff.h"
+
+#include <functional>
+#include <string>
+
+namespace lychee::live {
+
+/// Whom a follower tells. All are called on the executor that it runs on.
+struct FollowerListeners {
+  /// All objects of the kind, after a list.
+  std::function<void(const ObjectBatch &)> Listed_;
+  /// What changed, in order.
+  std::function<void(const ObjectBatch &)> Changed_;
+  /// Whatever was told before is the newest as of the moment. Empty: nobody
+  /// needs to know.
+  std::function<void(base::TimePoint Moment)> Confirmed_;
+  /// A call brought nothing.
+  std::function<void(const base::Error &)> Trouble_;
+};
+
+/// Keeps up with one kind of object: lists once, then watches, and lists again
+/// only where the store has forgotten what changed. After trouble it goes on
+/// from the revision that it has, so that a store that returns is not met by a
+/// list from every host at once.
+/// \see store::Backoff for the pace after trouble
+class ObjectFollower {
+public:
+  /// Watches may hear nothing for a second before the store cuts them, so a
+  /// watch that ends empty speaks for the time before that second.
+  static constexpr base::Duration DeafWatch = std::chrono::seconds(1);
+  /// After a change was heard: an answer may have been under way for as long
+  /// as its call was, so it proves no more than the moment of asking. A short
+  /// watch brings a new proof before the old one is too old.
+  static constexpr base::Duration ShortWatch = std::chrono::milliseconds(50);
+
+  /// \param Source  outlives this.
+  /// \param Wait  length of one watch.
+  ObjectFollower(ObjectSource &Source, std::string Kind, base::Duration Wait,
+                 FollowerListeners Listeners, std::uint64_t Seed);
+  ObjectFollower(const ObjectFollower &) = delete;
+  ObjectFollower &operator=(const ObjectFollower &) = delete;
+
+  /// Runs until the executor ends.
+  boost::asio::awaitable<void> run();
+
+private:
+  boost::asio::awaitable<bool> listOnce();
+  boost::asio::awaitable<void> watchOnce();
+  boost::asio::awaitable<void> pause();
+
+  ObjectSource &Source_;
+  const std::string Kind_;
+  const base::Duration Wait_;
+  const FollowerListeners Listeners_;
+  base::Random Random_;
+  store::Backoff Backoff_;
+  std::uint64_t At_ = 0;
+  bool Listed_ = false;
+  /// The last confirmation speaks for a moment that lies far back.
+  bool ConfirmSoon_ = false;
+};
+
+} // namespace lychee::live
+
+#endif
--- /dev/null
+++ b/libs/live/TargetBook.cpp
@@ -0,0 +1,68 @@
+#include "live/TargetBook.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lychee::live {
+
+void TargetBook::put(const TargetRecord &Fresh, base::TimePoint Now) {
+  Entry &Stored = Entries_[Fresh.Id_];
+  const bool Same = Stored.Known_.Record_ == Fresh && !Stored.GoneAt_;
+  if (Same)
+    return;
+  Stored.GoneAt_.reset();
+  Stored.Known_.Record_ = Fresh;
+  Stored.Known_.ColdUntil_ = Now + Fresh.ColdLeft_;
+  Changed_ = true;
+}
+
+void TargetBook::miss(Entry &Missing, base::TimePoint Now) {
+  if (Missing.GoneAt_)
+    return;
+  const bool MayComeBack = Trouble_ && Now - *Trouble_ < AfterTrouble &&
+                           !Missing.Known_.Record_.Leaving_;
+  Missing.GoneAt_ = MayComeBack ? Now + MissingGrace : Now;
+}
+
+void TargetBook::remove(const base::TargetId &Gone, base::TimePoint Now) {
+  const auto Found = Entries_.find(Gone);
+  if (Found == Entries_.end())
+    return;
+  miss(Found->second, Now);
+  expire(Now);
+}
+
+void TargetBook::replaceAll(std::span<const TargetRecord> All,
+                            base::TimePoint Now) {
+  for (auto &[Id, Stored] : Entries_) {
+    const bool Listed = std::any_of(
+        All.begin(), All.end(),
+        [&Id = Id](const TargetRecord &Each) { return Each.Id_ == Id; });
+    if (!Listed)
+      miss(Stored, Now);
+  }
+  for (const TargetRecord &Each : All)
+    put(Each, Now);
+  expire(Now);
+}
+
+void TargetBook::expire(base::TimePoint Now) {
+  const auto Gone = std::erase_if(Entries_, [Now](const auto &Each) {
+    return Each.second.GoneAt_ && *Each.second.GoneAt_ <= Now;
+  });
+  Changed_ = Changed_ || Gone > 0;
+}
+
+bool TargetBook::takeChanged() noexcept {
+  return std::exchange(Changed_, false);
+}
+
+std::vector<KnownTarget> TargetBook::targets() const {
+  std::vector<KnownTarget> All;
+  All.reserve(Entries_.size());
+  for (const auto &[Id, Stored] : Entries_)
+    All.push_back(Stored.Known_);
+  return All;
+}
+
+} // namespace lychee::live
--- /dev/null
+++ b/libs/members/Heartbeat.h
@@ -0,0 +1,63 @@
+#ifndef LYCHEE_MEMBERS_HEARTBEAT_H
+#define LYCHEE_MEMBERS_HEARTBEAT_H
+
+#include "base/Error.h"
+#include "base/Id.h"
+#include "retrying/CrashSuspects.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace lychee::members {
+
+/// How much a customer asks of a host.
+struct CustomerDemand {
+  base::CustomerId Customer_;
+  /// Requests a second over the last seconds, refused ones included.
+  double RequestsPerSecond_ = 0;
+};
+
+/// Who a host is, and where callers and other hosts reach it.
+struct HostCard {
+  base::HostId Host_;
+  base::RegionId Region_;
+  base::ZoneId Zone_;
+  /// IP of the host; all hosts use one port for heartbeats.
+  std::string Address_;
+  /// IP:PORT for callers.
+  std::string Callers_;
+  /// Rises with each start of the host.
+  std::uint64_t Start_ = 0;
+
+  bool operator==(const HostCard &) const = default;
+};
+
+/// What one host tells the others a few times a second. A datagram each: one
+/// that is lost is made up for by the next.
+struct Heartbeat {
+  HostCard From_;
+  /// Rises with each heartbeat of a start.
+  std::uint64_t Sequence_ = 0;
+  /// It knows its intent and targets, and its keys are fresh.
+  bool Ready_ = false;
+  /// It was told to stop: callers must not be sent to it any more.
+  bool Leaving_ = false;
+  std::vector<CustomerDemand> Demands_;
+  std::vector<retrying::CrashEvidence> Evidence_;
+  /// Addresses of hosts that it hears, so that hosts find each other while the
+  /// store is away.
+  std::vector<std::string> Hears_;
+};
+
+std::string encodeHeartbeat(const Heartbeat &Said);
+
+/// \returns nothing, and \p Last filled, where \p Text is no heartbeat.
+std::optional<Heartbeat> decodeHeartbeat(std::string_view Text,
+                                         base::Error &Last);
+
+} // namespace lychee::members
+
+#endif
--- /dev/null
+++ b/libs/members/HeartbeatExchange.cpp
@@ -0,0 +1,91 @@
+#include "members/HeartbeatExchange.h"
+
+#include "base/SystemClock.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace lychee::members {
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+using base::SystemClock;
+
+namespace {
+
+constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
+/// A receive that fails at once again and again must not take the processor.
+constexpr std::chrono::milliseconds FailurePause(50);
+
+} // namespace
+
+HeartbeatExchange::HeartbeatExchange(asio::any_io_executor Executor,
+                                     HostBook &Book, settings::Endpoint Listen,
+                                     Parts Others)
+    : Book_(Book), Listen_(std::move(Listen)), Others_(std::move(Others)),
+      Socket_(Executor), Timer_(Executor) {}
+
+bool HeartbeatExchange::open(base::Error &Last) {
+  boost::system::error_code Failure;
+  const auto Address = asio::ip::make_address(Listen_.Address_, Failure);
+  if (!Failure)
+    Socket_.open(udp::v4(), Failure);
+  if (!Failure)
+    Socket_.bind(udp::endpoint(Address, Listen_.Port_), Failure);
+  if (!Failure)
+    Socket_.non_blocking(true, Failure);
+  if (!Failure)
+    return true;
+  Last = {"heartbeat.listen", Listen_.text(), Failure.message()};
+  return false;
+}
+
+void HeartbeatExchange::sayNow(base::TimePoint Now) {
+  Heartbeat Said = Others_.Say_(Now);
+  Said.From_ = Book_.self();
+  Said.Sequence_ = ++Sequence_;
+  const std::string Text = encodeHeartbeat(Said);
+  if (Text.size() > MostBytes)
+    return;
+  for (const std::string &Each : Book_.recipients(Now)) {
+    boost::system::error_code Ignored;
+    const auto Address = asio::ip::make_address(Each, Ignored);
+    // A datagram that does not go out is one that was lost; the next follows.
+    if (!Ignored)
+      Socket_.send_to(asio::buffer(Text), udp::endpoint(Address, Listen_.Port_),
+                      0, Ignored);
+  }
+}
+
+asio::awaitable<void> HeartbeatExchange::sendAll() {
+  while (true) {
+    sayNow(SystemClock::monotonicNow());
+    Timer_.expires_after(Pace);
+    co_await Timer_.async_wait(AsTuple);
+  }
+}
+
+asio::awaitable<void> HeartbeatExchange::receiveAll() {
+  asio::steady_timer Pause(Socket_.get_executor());
+  while (true) {
+    udp::endpoint Sender;
+    const auto [Failure, Count] = co_await Socket_.async_receive_from(
+        asio::buffer(Received_), Sender, AsTuple);
+    if (Failure) {
+      Pause.expires_after(FailurePause);
+      co_await Pause.async_wait(AsTuple);
+      continue;
+    }
+    base::Error Unreadable;
+    const std::optional<Heartbeat> Said =
+        decodeHeartbeat({Received_.data(), Count}, Unreadable);
+    if (!Said)
+      continue;
+    const base::TimePoint Now = SystemClock::monotonicNow();
+    const bool News = Book_.heard(*Said, Now);
+    if (News || !Said->Evidence_.empty())
+      Others_.Hear_(*Said, Now);
+  }
+}
+
+} // namespace lychee::members
--- /dev/null
+++ b/libs/members/HeartbeatExchange.h
@@ -0,0 +1,60 @@
+#ifndef LYCHEE_MEMBERS_HEARTBEATEXCHANGE_H
+#define LYCHEE_MEMBERS_HEARTBEATEXCHANGE_H
+
+#include "members/HostBook.h"
+#include "settings/DaemonSettings.h"
+
+#include <array>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+
+namespace lychee::members {
+
+/// Sends this host's heartbeat to all others at a steady pace, and at once
+/// where something must not wait; takes theirs. \see HostBook
+class HeartbeatExchange {
+public:
+  /// Look-ups must drop a dead host within seconds; \see HostBook::AliveFor.
+  static constexpr std::chrono::milliseconds Pace{500};
+  /// A larger datagram would be cut into packets, of which each may be lost.
+  static constexpr std::size_t MostBytes = 8UL * 1024;
+
+  struct Parts {
+    /// \returns what to say now, but for sender and sequence.
+    std::function<Heartbeat(base::TimePoint)> Say_;
+    /// Hears each heartbeat that is news to the book or brings evidence.
+    std::function<void(const Heartbeat &, base::TimePoint)> Hear_;
+  };
+
+  /// \param Book  outlives this. \param Listen  where heartbeats come in; all
+  /// hosts use its port.
+  HeartbeatExchange(boost::asio::any_io_executor Executor, HostBook &Book,
+                    settings::Endpoint Listen, Parts Others);
+  HeartbeatExchange(const HeartbeatExchange &) = delete;
+  HeartbeatExchange &operator=(const HeartbeatExchange &) = delete;
+
+  /// \returns false, and \p Last filled, where the address cannot be had.
+  bool open(base::Error &Last);
+
+  /// Both run until the executor ends.
+  boost::asio::awaitable<void> sendAll();
+  boost::asio::awaitable<void> receiveAll();
+
+  /// Sends a heartbeat now, besides the steady ones.
+  void sayNow(base::TimePoint Now);
+
+private:
+  HostBook &Book_;
+  const settings::Endpoint Listen_;
+  const Parts Others_;
+  boost::asio::ip::udp::socket Socket_;
+  boost::asio::steady_timer Timer_;
+  std::array<char, MostBytes> Received_{};
+  std::uint64_t Sequence_ = 0;
+};
+
+} // namespace lychee::members
+
+#endif
--- a/libs/settings/DaemonSettings.cpp
+++ b/libs/settings/DaemonSettings.cpp
@@ -67,36 +67,77 @@
   Into.LogLevel_ = Levels[Section.choice("level", Levels, Info)];
 }
 
+void readLive(SectionReader &Section, DaemonSettings &Into) {
+  LiveSettings Read;
+  std::vector<Endpoint> Seeds;
+  Section.listener("directory", Read.Directory_);
+  Section.listener("readiness", Read.Readiness_);
+  Section.listener("heartbeats", Read.Heartbeats_);
+  Section.peers("seeds", Seeds);
+  for (const Endpoint &Each : Seeds)
+    Read.SeedAddresses_.push_back(Each.Address_);
+  for (const IniEntry *Each : Section.findAll("bound"))
+    Read.Bounds_.push_back(Each->Value_);
+  Into.Live_ = std::move(Read);
+}
+
+void readZone(const IniSection &Section, std::string_view File,
+              DaemonSettings &Into, Problems &Found) {
+  SectionReader Reader(Section, File, Found);
+  base::RegionId Region;
+  Reader.name("region", Region);
+  Reader.finish();
+  if (Into.Live_)
+    Into.Live_->Zones_.emplace(base::ZoneId(Section.Name_), Region);
+  else
+    Reader.rejectSection("the section without [live]", "beside [live] only");
+}
+
 struct SectionRule {
   std::string_view Kind_;
   void (*Read_)(SectionReader &, DaemonSettings &);
+  /// Whether the section's keys are asked for where it does not stand.
+  bool (*Applies_)(const IniDocument &) = nullptr;
 };
 
-constexpr std::array<SectionRule, 8> Rules{{{"host", readHost},
+bool isKind(const IniSection &Section, std::string_view Kind) {
+  return Section.Kind_ == Kind && Section.Name_.empty();
+}
+
+bool isZone(const IniSection &Section) {
+  return Section.Kind_ == "zone" && !Section.Name_.empty();
+}
+
+bool hasLive(const IniDocument &Document) {
+  return std::any_of(
+      Document.Sections_.begin(), Document.Sections_.end(),
+      [](const IniSection &Each) { return isKind(Each, "live"); });
+}
+
+bool hasNoLive(const IniDocument &Document) { return !hasLive(Document); }
+
+constexpr std::array<SectionRule, 9> Rules{{{"host", readHost},
                                             {"callers", readCallers},
-                                            {"peers", readPeers},
+                                            {"peers", readPeers, hasNoLive},
                                             {"metrics", readMetrics},
                                             {"store", readStore},
                                             {"stop", readStop},
                                             {"operators", readOperators},
-                                            {"log", readLog}}};
-
-bool isKind(const IniSection &Section, std::string_view Kind) {
-  return Section.Kind_ == Kind && Section.Name_.empty();
-}
+                                            {"log", readLog},
+                                            {"live", readLive, hasLive}}};
 
 void reportUnknownSections(const IniDocument &Document, std::string_view File,
                            Problems &Found) {
   for (const IniSection &Section : Document.Sections_) {
     const bool Known =
         std::any_of(Rules.begin(), Rules.end(), [&](const SectionRule &Rule) {
-          return isKind(Section, Rule.Kind_);
+          return isKind(Section, Rule.Kind_) || isZone(Section);
         });
     if (!Known)
       SectionReader(Section, File, Found)
           .rejectSection("an unknown section",
                          "[host], [callers], [peers], [metrics], [store], "
-                         "[stop], [operators], [log]");
+                         "[stop], [operators], [log], [live], [zone NAME]");
   }
 }
 
@@ -130,7 +171,11 @@
   const IniDocument Document = readIni(Text, File, Found);
   DaemonSettings Settings;
   for (const SectionRule &Rule : Rules)
-    readSection(Rule, Document, File, Settings, Found);
+    if (Rule.Applies_ == nullptr || Rule.Applies_(Document))
+      readSection(Rule, Document, File, Settings, Found);
+  for (const IniSection &Section : Document.Sections_)
+    if (isZone(Section))
+      readZone(Section, File, Settings, Found);
   reportUnknownSections(Document, File, Found);
   if (Found.size() != Before)
     return std::nullopt;
--- a/libs/settings/DaemonSettings.h
+++ b/libs/settings/DaemonSettings.h
@@ -6,6 +6,7 @@
 #include "settings/Problem.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -22,6 +23,24 @@
   bool operator==(const Endpoint &) const = default;
 };
 
+/// What a daemon reads where intent and targets are live: told by the objects
+/// of a store that others write, and not by the operators' own tree.
+/// \see live::IntentBook
+struct LiveSettings {
+  /// Callers ask here which hosts to use.
+  Endpoint Directory_;
+  /// Whoever runs the hosts asks here whether this one is ready.
+  Endpoint Readiness_;
+  /// Heartbeats between hosts, as datagrams; all hosts use one port.
+  Endpoint Heartbeats_;
+  /// Hosts to send heartbeats to before any others are known.
+  std::vector<std::string> SeedAddresses_;
+  /// The region of each availability zone.
+  std::map<base::ZoneId, base::RegionId> Zones_;
+  /// Figures that the deployment promises, one "name=value" each.
+  std::vector<std::string> Bounds_;
+};
+
 /// What one daemon reads from its own INI file: where it stands and whom it
 /// talks to. What it steers by is the operators' Intent, from the store.
 /// \see Intent
@@ -69,6 +88,9 @@
 
   // [log]
   std::string LogLevel_ = "info";
+
+  // [live] and [zone NAME]; where [live] stands, [peers] does not.
+  std::optional<LiveSettings> Live_;
 };
 
 /// Parses a daemon's INI text; an unknown key is a problem.
--- a/libs/steering/Steering.h
+++ b/libs/steering/Steering.h
@@ -6,12 +6,20 @@
 #include "retrying/SendVerdict.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
 namespace lychee::steering {
 
+/// What a target says of its own load.
+struct TargetLoad {
+  std::uint32_t Running_ = 0;
+  std::uint32_t Waiting_ = 0;
+  std::uint32_t Slots_ = 0;
+};
+
 /// What is known of a caller's request when it arrives, its key checked.
 struct Request {
   base::RequestId Id_;
@@ -29,6 +37,19 @@
   base::TimePoint Deadline_;
   std::uint64_t BodyBytes_ = 0;
   bool Idempotent_ = false;
+  /// What operators call the rule that took it; empty: it has none.
+  std::string Rule_;
+  /// Time within which an answer is worth most, counted from arrival; zero:
+  /// none is stated.
+  base::Duration Objective_{};
+  /// Targets that it may be sent to; 0: as the steering sees fit.
+  std::uint32_t MaximumSends_ = 0;
+  /// 0 is the most urgent.
+  std::uint32_t Priority_ = 0;
+  /// Hash of the object it is about; 0: of none in particular.
+  std::uint64_t ObjectHash_ = 0;
+  /// Regions in which it may be served, where it is not free to go anywhere.
+  std::optional<std::vector<base::RegionId>> Homes_;
 };
 
 /// Whether a refused or failed request may have run at a target.
@@ -81,6 +102,10 @@
 
   base::TargetId Target_;
   std::string Address_;
+  /// The start of the target that is meant; empty: whichever answers there.
+  std::string ExpectedTarget_;
+  /// From when on silence of the target counts as a lost answer.
+  base::TimePoint PatienceUntil_ = base::TimePoint::max();
   base::RegionId Region_;
   /// One word for the log: why this target or region.
   std::string_view Reason_;
@@ -116,6 +141,9 @@
   /// True where the send ended because nothing came for too long, and not
   /// because the connection ended: silence is no sign of a crash.
   bool Silent_ = false;
+  /// Another target answered at the address.
+  bool WrongTarget_ = false;
+  std::optional<TargetLoad> Load_ = std::nullopt;
 };
 
 /// One request's way through the decisions, in the order in which they are
@@ -135,8 +163,10 @@
   /// Decides on a new request.
   virtual Decision arrive(const Request &Arrived, base::TimePoint Now) = 0;
 
-  /// Reports the end of a send. Unless the request is answered, the decision
-  /// says whether to send it again (Send), or what to tell the caller
+  /// Reports the end of a send. Where the target answered with a failure of its
+  /// own, the decision may be to send again (Send); any other decision after an
+  /// answer lets that answer go to the caller. Unless it is answered, the
+  /// decision says whether to send it again (Send), or what to tell the caller
   /// (Refuse). \p Woken gains the requests that the freed room lets go.
   virtual Decision finish(std::uint64_t Ticket, const SendReport &Report,
                           base::TimePoint Now, std::vector<Wakeup> &Woken) = 0;
--- a/libs/transport/HttpClient.cpp
+++ b/libs/transport/HttpClient.cpp
@@ -2,6 +2,7 @@
 
 #include "base/SystemClock.h"
 
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -10,6 +11,8 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 namespace lychee::transport {
 
@@ -114,10 +117,28 @@
     }
     beast::error_code Ignored;
     Stream_.socket().set_option(asio::ip::tcp::no_delay(true), Ignored);
+    if (Options.DeadPeerLimit_.count() > 0)
+      probePeer(Options.DeadPeerLimit_);
     Connected_ = true;
     co_return true;
   }
 
+  /// Something between the two ends may lose track of the connection without a
+  /// word; probes of the protocol itself notice it and cost no call.
+  void probePeer(std::chrono::seconds Limit) {
+    const int Handle = Stream_.socket().native_handle();
+    const int On = 1;
+    const int Pause = 1;
+    const int Tries = std::max(1, static_cast<int>(Limit.count()) - Pause);
+    const auto Milliseconds = static_cast<unsigned>(Limit.count() * 1000);
+    setsockopt(Handle, SOL_SOCKET, SO_KEEPALIVE, &On, sizeof On);
+    setsockopt(Handle, IPPROTO_TCP, TCP_KEEPIDLE, &Pause, sizeof Pause);
+    setsockopt(Handle, IPPROTO_TCP, TCP_KEEPINTVL, &Pause, sizeof Pause);
+    setsockopt(Handle, IPPROTO_TCP, TCP_KEEPCNT, &Tries, sizeof Tries);
+    setsockopt(Handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &Milliseconds,
+               sizeof Milliseconds);
+  }
+
   beast::tcp_stream Stream_;
   beast::flat_buffer Buffer_;
   base::TimePoint LastUse_;
--- a/libs/transport/HttpClient.h
+++ b/libs/transport/HttpClient.h
@@ -31,6 +31,10 @@
   base::Duration IdleLimit_ = std::chrono::seconds(10);
   /// Counts what goes over the connections; may be null.
   TrafficCounter *Traffic_ = nullptr;
+  /// A connection whose peer is silent on the wire for about this long fails,
+  /// also while a long answer is waited for; zero: only the call's own timeout
+  /// ends it. Whole seconds.
+  std::chrono::seconds DeadPeerLimit_{0};
 };
 
 /// Calls one HTTP server, with a few kept connections. Each call has one
