--- a/apps/lycheed/LiveFeed.cpp
+++ b/apps/lycheed/LiveFeed.cpp
@@ -22,6 +22,8 @@
 /// is lost must leave time for another.
 constexpr base::Duration LongWatch = std::chrono::seconds(20);
 constexpr base::Duration IntentWatch = std::chrono::milliseconds(2500);
+/// A call begun so shortly before another failed is no older than the trouble.
+constexpr base::Duration FreshCall = std::chrono::seconds(1);
 
 } // namespace
 
@@ -67,7 +69,11 @@
 }
 
 void LiveFeed::noteTrouble(std::string_view Kind, const base::Error &Why) {
-  Targets_.noteTrouble(SystemClock::monotonicNow());
+  const base::TimePoint Now = SystemClock::monotonicNow();
+  Targets_.noteTrouble(Now);
+  // A store that goes silent answers none of the calls it has, and a long one
+  // would wait for its end. What one call noticed counts for all.
+  Parts_.Source_.abandonBegunBefore(Now - FreshCall);
   reporting::logLine(LogLevel::Warning, KeyValueLine()
                                             .add("event", "store-trouble")
                                             .add("kind", Kind)
--- a/libs/live/IntentBook.cpp
+++ b/libs/live/IntentBook.cpp
@@ -1,5 +1,7 @@
 #include "live/IntentBook.h"
 
+#include "base/Hash.h"
+
 #include <algorithm>
 
 namespace lychee::live {
@@ -8,6 +10,8 @@
 
 /// A host that cannot tell whether a key holds may know better this soon.
 constexpr base::Duration StaleKeyRetry = std::chrono::milliseconds(300);
+/// Of a key's hash, enough to tell a deployment's keys apart.
+constexpr std::size_t ShownDigits = 16;
 
 } // namespace
 
@@ -23,8 +27,12 @@
                               From->Routes_[Right].PathPrefix_.size();
                      });
   for (std::size_t Index = 0; Index < From->Customers_.size(); ++Index)
-    for (const std::string &Key : From->Customers_[Index].Keys_)
-      Made.ByKey_.emplace(Key, Index);
+    for (const std::string &Key : From->Customers_[Index].Keys_) {
+      const base::KeyId Id(
+          base::sha256Hex(Key).substr(0, ShownDigits));
+      Made.ByKey_.emplace(Key, KeyHolder{Index, Id});
+      Made.ById_.emplace(Id.name(), Index);
+    }
   Made.Intent_ = std::move(From);
   return Made;
 }
@@ -120,10 +128,11 @@
   const auto Holder = Current_.ByKey_.find(std::string(Presented));
   if (Presented.empty() || Holder == Current_.ByKey_.end())
     return Found;
-  const CustomerRule &Customer = Current_.Intent_->Customers_[Holder->second];
+  const CustomerRule &Customer =
+      Current_.Intent_->Customers_[Holder->second.Customer_];
   Found.Refusal_ = steering::Refusal::None;
   Found.Customer_ = Customer.Id_;
-  Found.Key_ = base::KeyId(Presented);
+  Found.Key_ = Holder->second.Id_;
   Found.Priority_ = Customer.Priority_;
   Found.Homes_ = Customer.Homes_;
   return Found;
@@ -134,8 +143,8 @@
   if (!isTrusted(Now))
     return false;
   const std::lock_guard Guard(Lock_);
-  const auto Holder = Current_.ByKey_.find(Found.Key_.name());
-  return Holder != Current_.ByKey_.end() &&
+  const auto Holder = Current_.ById_.find(Found.Key_.name());
+  return Holder != Current_.ById_.end() &&
          Current_.Intent_->Customers_[Holder->second].Id_ == Found.Customer_;
 }
 
--- a/libs/live/IntentBook.h
+++ b/libs/live/IntentBook.h
@@ -63,11 +63,20 @@
     std::vector<std::int64_t> Credit_;
   };
 
+  struct KeyHolder {
+    std::size_t Customer_ = 0;
+    /// Stands for the key in logs and later checks: the beginning of its hash,
+    /// from which nobody gets the key.
+    base::KeyId Id_;
+  };
+
   struct Snapshot {
     std::shared_ptr<const Intent> Intent_;
     /// Rules of each host, longest prefix first; indices into the intent.
     std::unordered_map<std::string, std::vector<std::size_t>> ByHost_;
-    std::unordered_map<std::string, std::size_t> ByKey_;
+    std::unordered_map<std::string, KeyHolder> ByKey_;
+    /// Customers by the id of a key.
+    std::unordered_map<std::string, std::size_t> ById_;
   };
 
   const base::ServiceId &divide(const RouteRule &Rule);
--- a/libs/live/ObjectFollower.cpp
+++ b/libs/live/ObjectFollower.cpp
@@ -65,6 +65,7 @@
     co_return;
   }
   if (!Heard) {
+    Listed_ = false;
     Listeners_.Trouble_(Last);
     co_await pause();
     co_return;
--- a/libs/live/ObjectFollower.h
+++ b/libs/live/ObjectFollower.h
@@ -23,10 +23,13 @@
   std::function<void(const base::Error &)> Trouble_;
 };
 
-/// Keeps up with one kind of object: lists once, then watches, and lists again
-/// only where the store has forgotten what changed. After trouble it goes on
-/// from the revision that it has, so that a store that returns is not met by a
-/// list from every host at once.
+/// Keeps up with one kind of object: lists, then watches, and after any trouble
+/// lists again.
+///
+/// Failure: a store that loses its history goes deaf first: its watches stay
+/// open and hear nothing of what changes, also one begun right after the cut.
+/// Symptom: a zone to be kept clear is sent to until a long watch ends, 20 s
+/// later. A list shows what is, whatever a watch missed.
 /// \see store::Backoff for the pace after trouble
 class ObjectFollower {
 public:
--- a/libs/live/ObjectSource.h
+++ b/libs/live/ObjectSource.h
@@ -58,6 +58,9 @@
   watch(std::string_view Kind, std::uint64_t Since, base::Duration Wait,
         SourceFault &Fault, base::Error &Last) = 0;
 
+  /// Ends all calls begun before \p Moment; each tells trouble.
+  virtual void abandonBegunBefore(base::TimePoint Moment) = 0;
+
   /// Writes the object whatever stood there, or makes it.
   /// \returns whether the store acknowledged it.
   virtual boost::asio::awaitable<bool> write(std::string_view Kind,
--- a/libs/transport/HttpClient.cpp
+++ b/libs/transport/HttpClient.cpp
@@ -3,6 +3,7 @@
 #include "base/SystemClock.h"
 
 #include <algorithm>
+#include <boost/asio/post.hpp>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -99,6 +100,12 @@
 
   bool reusable() const noexcept { return Reusable_; }
 
+  void begin(base::TimePoint Now) noexcept { Begun_ = Now; }
+  base::TimePoint begun() const noexcept { return Begun_; }
+
+  /// Ends what runs on it. Of its strand.
+  void abandon() { Stream_.cancel(); }
+
 private:
   asio::awaitable<bool> connect(const HttpClientOptions &Options,
                                 std::string *Reason) {
@@ -142,6 +149,7 @@
   beast::tcp_stream Stream_;
   beast::flat_buffer Buffer_;
   base::TimePoint LastUse_;
+  base::TimePoint Begun_ = base::TimePoint::max();
   bool Connected_ = false;
   bool Reusable_ = false;
 };
@@ -161,6 +169,7 @@
   std::shared_ptr<Connection> Used = takeIdle();
   if (!Used)
     Used = std::make_shared<Connection>(Executor_);
+  noteBusy(Used);
   auto Message = toBeast(Request, Peer_);
   std::optional<HttpAnswer> Answer = co_await asio::co_spawn(
       Used->strand(),
@@ -170,11 +179,31 @@
     Last = {std::string(Step), Peer_, Reason};
     co_return std::nullopt;
   }
+  Used->begin(base::TimePoint::max());
   if (Used->reusable())
     keepIdle(std::move(Used));
   co_return Answer;
 }
 
+void HttpClient::noteBusy(const std::shared_ptr<Connection> &Used) {
+  Used->begin(base::SystemClock::monotonicNow());
+  const std::lock_guard Guard(Lock_);
+  std::erase_if(Busy_, [&Used](const std::weak_ptr<Connection> &Each) {
+    const auto Open = Each.lock();
+    return !Open || Open == Used;
+  });
+  Busy_.push_back(Used);
+}
+
+void HttpClient::abandonBegunBefore(base::TimePoint Moment) {
+  const std::lock_guard Guard(Lock_);
+  for (const std::weak_ptr<Connection> &Each : Busy_) {
+    const auto Open = Each.lock();
+    if (Open && Open->begun() < Moment)
+      asio::post(Open->strand(), [Open] { Open->abandon(); });
+  }
+}
+
 std::shared_ptr<HttpClient::Connection> HttpClient::takeIdle() {
   const base::TimePoint Now = base::SystemClock::monotonicNow();
   const std::lock_guard Guard(Lock_);
--- a/libs/transport/HttpClient.h
+++ b/libs/transport/HttpClient.h
@@ -56,6 +56,10 @@
   exchange(HttpRequest Request, base::Duration Timeout, std::string_view Step,
            bool &Sent, base::Error &Last);
 
+  /// Ends all calls begun before \p Moment, as if their connections had been
+  /// cut.
+  void abandonBegunBefore(base::TimePoint Moment);
+
   /// IP:PORT of the server.
   const std::string &peer() const noexcept { return Peer_; }
 
@@ -64,12 +68,15 @@
 
   std::shared_ptr<Connection> takeIdle();
   void keepIdle(std::shared_ptr<Connection> Kept);
+  void noteBusy(const std::shared_ptr<Connection> &Used);
 
   const boost::asio::any_io_executor Executor_;
   const HttpClientOptions Options_;
   const std::string Peer_;
   std::mutex Lock_;
   std::vector<std::shared_ptr<Connection>> Idle_;
+  /// Those that carry a call now, some of which may have ended.
+  std::vector<std::weak_ptr<Connection>> Busy_;
 };
 
 } // namespace lychee::transport
