--- a/apps/lycheed/DecisionReporter.cpp
+++ b/apps/lycheed/DecisionReporter.cpp
@@ -37,6 +37,10 @@
                                const steering::Decision &Made,
                                base::TimePoint /*Now*/) {
   reporting::DecisionRecord Record = recordOf(Request);
+  if (Made.Inputs_)
+    Record.Inputs_ = reporting::DecisionRecord::Inputs{
+        Made.Inputs_->Place_, base::toMilliseconds(Made.Inputs_->Expected_),
+        Made.Inputs_->Load_, base::toMilliseconds(Made.Inputs_->LoadAge_)};
   Record.Region_ = Made.Region_;
   Record.Target_ = Made.Target_;
   Record.Reason_ = Made.Reason_;
@@ -70,13 +74,11 @@
                                  const steering::SendReport &Report,
                                  base::TimePoint /*Now*/) {
   TargetSeconds_.observe(base::toSeconds(Report.Took_));
-  if (Report.End_ == steering::SendEnd::Answered) {
-    Answers_.add();
-    return;
-  }
-  Failures_.add();
+  const bool Answered = Report.End_ == steering::SendEnd::Answered;
+  (Answered ? Answers_ : Failures_).add();
   reporting::DecisionRecord Record = recordOf(Request);
-  Record.Event_ = "send-failed";
+  Record.Event_ = Answered ? "answered" : "send-failed";
+  Record.TookMs_ = base::toMilliseconds(Report.Took_);
   Record.Region_ = Sent.Region_;
   Record.Target_ = Sent.Target_;
   Record.Reason_ = retrying::nameOf(Report.End_);
--- a/libs/dispatch/DispatchSteering.cpp
+++ b/libs/dispatch/DispatchSteering.cpp
@@ -210,10 +210,13 @@
     return endFailed(Ticket, false,
                      std::max(Chosen->Waiting_, LeastRetryAfter));
   TargetState &Target = *Chosen->Target_;
+  Decision Made;
+  Made.Inputs_ = steering::ChoiceInputs{
+      static_cast<std::uint32_t>(Chosen->Rank_), Chosen->Expected_,
+      Target.Load_.at(Now), Now - Target.Load_.lastReport()};
   Target.Load_.sent();
   ++Request.Sends_;
   Request.Tried_.push_back(Target.Record_.Id_);
-  Decision Made;
   Made.Action_ = Decision::Action::Send;
   Made.Ticket_ = Ticket;
   Made.Target_ = Target.Record_.Id_;
--- a/libs/dispatch/LoadEstimate.h
+++ b/libs/dispatch/LoadEstimate.h
@@ -36,6 +36,9 @@
   /// \returns the requests at the target now.
   double at(base::TimePoint Now) const noexcept;
 
+  /// When the target last told its load, or refused.
+  base::TimePoint lastReport() const noexcept { return Reported_; }
+
   std::uint32_t own() const noexcept { return Own_; }
 
 private:
--- a/libs/dispatch/TargetChooser.cpp
+++ b/libs/dispatch/TargetChooser.cpp
@@ -12,7 +12,7 @@
 /// What a place in the object's order adds, in parts of the usual work: a
 /// target that is cold for the object takes 3.3 times as long, and pushes
 /// another object out. The last entry holds for all later places.
-constexpr std::array<double, 4> PlaceCost = {0, 0.15, 0.4, 2.3};
+constexpr std::array<double, 4> PlaceCost = {0, 0.8, 1.6, 2.3};
 
 /// A target that fails a tenth of its requests costs as much as one that is
 /// slower by FailureCost tenths: a failed request costs a second send.
@@ -87,6 +87,7 @@
   else if (Target.Record_.Zone_ != Zone_)
     Total += base::toSeconds(ZonePrice);
   return {Each.Target_, base::fromSeconds(Total), base::fromSeconds(Waiting),
+          Each.Rank_,
           Each.Rank_ < WarmPlaces ? "object-order" : "spill"};
 }
 
--- a/libs/dispatch/TargetChooser.h
+++ b/libs/dispatch/TargetChooser.h
@@ -29,6 +29,8 @@
   base::Duration Expected_{};
   /// Part of Expected_ spent waiting for a slot.
   base::Duration Waiting_{};
+  /// Place in the object's order, within its region.
+  std::size_t Rank_ = 0;
   std::string_view Reason_;
 };
 
--- a/libs/reporting/DecisionLog.cpp
+++ b/libs/reporting/DecisionLog.cpp
@@ -46,6 +46,16 @@
   addUnlessEmpty(Line, "target", Taken.Target_.name());
   addUnlessEmpty(Line, "reason", Taken.Reason_);
   addUnlessEmpty(Line, "passed_over", describe(Taken.PassedOver_));
+  if (Taken.Inputs_) {
+    constexpr double Tenths = 10;
+    Line.add("place", Taken.Inputs_->Place_)
+        .add("expected_ms", Taken.Inputs_->ExpectedMs_)
+        .add("load_tenths",
+             static_cast<std::int64_t>(Taken.Inputs_->Load_ * Tenths))
+        .add("load_age_ms", Taken.Inputs_->LoadAgeMs_);
+  }
+  if (Taken.TookMs_ >= 0)
+    Line.add("took_ms", Taken.TookMs_);
   if (Taken.Status_ != 0)
     Line.add("status", Taken.Status_);
   addUnlessEmpty(Line, "ran", Taken.Ran_);
--- a/libs/reporting/DecisionLog.h
+++ b/libs/reporting/DecisionLog.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <functional>
 #include <mutex>
 #include <span>
@@ -38,6 +39,18 @@
   std::string_view Reason_;
   std::span<const PassedOverCandidate> PassedOver_;
   std::uint64_t SettingsVersion_ = 0;
+  /// What the target was chosen by, where that is told: its place in the
+  /// object's order, the time it should take, the requests believed to be there,
+  /// and how old that belief is.
+  struct Inputs {
+    std::uint32_t Place_ = 0;
+    std::int64_t ExpectedMs_ = 0;
+    double Load_ = 0;
+    std::int64_t LoadAgeMs_ = 0;
+  };
+  std::optional<Inputs> Inputs_;
+  /// How long a send or request took; negative where it is not told.
+  std::int64_t TookMs_ = -1;
   /// The answer's status, where the decision ends the request; else 0.
   int Status_ = 0;
   /// "no" or "maybe" where the request is refused; else empty.
--- a/libs/steering/Steering.h
+++ b/libs/steering/Steering.h
@@ -85,6 +85,18 @@
   std::string_view Reason_;
 };
 
+/// What a target was chosen by, for the log.
+struct ChoiceInputs {
+  /// Its place in the object's own order of targets; 0 is the first.
+  std::uint32_t Place_ = 0;
+  /// Time within which it should answer.
+  base::Duration Expected_{};
+  /// Requests believed to be at the target.
+  double Load_ = 0;
+  /// Age of the target's own last word on that.
+  base::Duration LoadAge_{};
+};
+
 /// What is to be done with a request now.
 struct Decision {
   enum class Action {
@@ -110,6 +122,7 @@
   /// One word for the log: why this target or region.
   std::string_view Reason_;
   std::vector<PassedOver> PassedOver_;
+  std::optional<ChoiceInputs> Inputs_;
 
   base::TimePoint WaitUntil_;
 
