--- a/apps/lycheed/DecisionReporter.cpp
+++ b/apps/lycheed/DecisionReporter.cpp
@@ -14,6 +14,7 @@
   Record.Customer_ = Request.Customer_;
   Record.Key_ = Request.Key_;
   Record.Service_ = Request.Service_;
+  Record.Rule_ = Request.Rule_;
   return Record;
 }
 
@@ -53,6 +54,7 @@
   switch (Made.Action_) {
   case steering::Decision::Action::Send:
     Record.Event_ = "send";
+    Record.Object_ = Request.ObjectHash_;
     Sends_.add();
     break;
   case steering::Decision::Action::Wait:
--- a/apps/lycheed/LiveDaemon.cpp
+++ b/apps/lycheed/LiveDaemon.cpp
@@ -158,6 +158,7 @@
   Said.Ready_ = Own.Ready_;
   Said.Leaving_ = Own.Leaving_;
   Said.Demands_ = Steering_.demands(Now);
+  Said.Loads_ = Steering_.loads(Now);
   Said.Evidence_ = Steering_.evidence(Now);
   for (const members::HostView &Each : Hosts_.others(Now))
     if (Each.Alive_)
--- a/libs/dispatch/DispatchSteering.cpp
+++ b/libs/dispatch/DispatchSteering.cpp
@@ -63,7 +63,12 @@
   return Services_
       .emplace(
           Service,
-          ServiceState{{}, SendBudget(Bounds.RetryRatio_, Bounds.RetrySlack_)})
+          ServiceState{{},
+                            SendBudget(Bounds.RetryRatio_, Bounds.RetrySlack_),
+                            RegionSplit(Settings_.Region_),
+                            {},
+                            0,
+                            {}})
       .first->second;
 }
 
@@ -124,6 +129,34 @@
   const std::lock_guard Guard(Lock_);
   Hosts_ = Fleet.Holders_;
   Rates_.divide(Fleet, Now);
+  divideRegions(Fleet, Now);
+}
+
+void DispatchSteering::divideRegions(const FleetDemand &Fleet,
+                                     base::TimePoint Now) {
+  for (auto &[Id, Service] : Services_) {
+    if (Service.Targets_.empty())
+      continue;
+    std::map<base::RegionId, RegionLoad> Loads;
+    for (const TargetState &Each : Service.Targets_)
+      if (!Each.Evacuated_ && !Each.Record_.Leaving_ && !Each.Trust_.isOut(Now))
+        Loads[Each.Region_].Slots_ += Each.Record_.Slots_;
+    Loads[Settings_.Region_].Demand_ += Service.Demand_.perSecond(Now);
+    for (const members::HostView &Other : Fleet.Others_)
+      for (const members::ServiceDemand &Told : Other.Loads_)
+        if (Other.Alive_ && Told.Service_ == Id)
+          Loads[Other.Card_.Region_].Demand_ += Told.Slots_;
+    Service.Split_.update(Loads, Now);
+  }
+}
+
+std::vector<members::ServiceDemand>
+DispatchSteering::loads(base::TimePoint Now) {
+  const std::lock_guard Guard(Lock_);
+  std::vector<members::ServiceDemand> All;
+  for (auto &[Id, Service] : Services_)
+    All.push_back({Id, Service.Demand_.perSecond(Now)});
+  return All;
 }
 
 std::vector<members::CustomerDemand>
@@ -186,6 +219,7 @@
   Request.Deadline_ = Arrived.Deadline_;
   Request.Idempotent_ = Arrived.Idempotent_;
   Request.MaximumSends_ = std::max(1U, Arrived.MaximumSends_);
+  Service.Demand_.add(base::toSeconds(workOf(Request).Usual_), Now);
   return send(Ticket, Request, Now);
 }
 
@@ -197,6 +231,8 @@
   Asked.BodyBytes_ = Request.BodyBytes_;
   Asked.Homes_ = Request.Homes_ ? &*Request.Homes_ : nullptr;
   Asked.Tried_ = Request.Tried_;
+  Asked.Region_ = Service.Split_.regionFor(Request.Object_, Request.BodyBytes_,
+                                           Asked.Homes_);
   Asked.UsualWork_ = workOf(Request).Usual_;
   const auto MaySound = [&](TargetState &Each) {
     return PickedFor_(Each.Hash_) && Each.Cold_.take(Service.ColdRate_, Now);
--- a/libs/dispatch/DispatchSteering.h
+++ b/libs/dispatch/DispatchSteering.h
@@ -2,7 +2,9 @@
 #define LYCHEE_DISPATCH_DISPATCHSTEERING_H
 
 #include "base/Random.h"
+#include "dispatch/DemandMeter.h"
 #include "dispatch/RateDivision.h"
+#include "dispatch/RegionSplit.h"
 #include "dispatch/SendBudget.h"
 #include "dispatch/TargetChooser.h"
 #include "live/Intent.h"
@@ -55,6 +57,7 @@
 
   // What is told to other hosts.
   std::vector<members::CustomerDemand> demands(base::TimePoint Now);
+  std::vector<members::ServiceDemand> loads(base::TimePoint Now);
   std::vector<retrying::CrashEvidence> evidence(base::TimePoint Now) const {
     return Suspects_.evidence(Now);
   }
@@ -103,6 +106,9 @@
   struct ServiceState {
     std::vector<TargetState> Targets_;
     SendBudget Budget_;
+    RegionSplit Split_;
+    /// Slots that this host's callers keep busy.
+    DemandMeter Demand_;
     double ColdRate_ = 0;
     base::Duration ColdTime_{};
   };
@@ -129,6 +135,7 @@
   void learnTime(const Flight &Request, TargetState &Target,
                  base::Duration Took);
   bool mayResend(const Flight &Request, const steering::SendReport &Report);
+  void divideRegions(const FleetDemand &Fleet, base::TimePoint Now);
   void noteLoss(const Flight &Request, const base::TargetId &Target,
                 base::TimePoint Now);
   void noteDown(const base::TargetId &Target, base::TimePoint Now);
--- a/libs/dispatch/RateDivision.cpp
+++ b/libs/dispatch/RateDivision.cpp
@@ -1,7 +1,6 @@
 #include "dispatch/RateDivision.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace lychee::dispatch {
 
@@ -12,7 +11,6 @@
     Share Made;
     Made.Part_ = 1.0 / AssumedHosts;
     Made.Filled_ = Now;
-    Made.Counted_ = Now;
     if (const auto Old = Shares_.find(Each.Id_); Old != Shares_.end())
       Made = Old->second;
     fill(Made, Now);
@@ -31,12 +29,6 @@
       std::min(Of.Tokens_ + Passed * Of.Rate_ * Of.Part_ * UsedPart, Most);
 }
 
-void RateDivision::fade(Share &Of, base::TimePoint Now) noexcept {
-  const double Passed = base::toSeconds(Now - Of.Counted_);
-  Of.Counted_ = Now;
-  Of.Demand_ *= std::exp(-Passed / base::toSeconds(DemandTime));
-}
-
 void RateDivision::divide(const FleetDemand &Fleet, base::TimePoint Now) {
   if (Fleet.CutOff_)
     return;
@@ -44,9 +36,8 @@
       1.0 / static_cast<double>(std::max(AssumedHosts, Fleet.Holders_));
   for (auto &[Customer, Each] : Shares_) {
     fill(Each, Now);
-    fade(Each, Now);
     const double Floor = Each.Rate_ * FloorPart;
-    const double Own = Each.Demand_ / base::toSeconds(DemandTime) + Floor;
+    const double Own = Each.Demand_.perSecond(Now) + Floor;
     double Sum = Own;
     for (const members::HostView &Other : Fleet.Others_) {
       if (!Other.HoldsShare_)
@@ -68,8 +59,7 @@
   if (Found == Shares_.end())
     return std::nullopt;
   Share &Of = Found->second;
-  fade(Of, Now);
-  Of.Demand_ += 1;
+  Of.Demand_.add(1, Now);
   if (Of.Rate_ <= 0)
     return std::nullopt;
   fill(Of, Now);
@@ -85,8 +75,7 @@
 RateDivision::demands(base::TimePoint Now) {
   std::vector<members::CustomerDemand> All;
   for (auto &[Customer, Each] : Shares_) {
-    fade(Each, Now);
-    const double PerSecond = Each.Demand_ / base::toSeconds(DemandTime);
+    const double PerSecond = Each.Demand_.perSecond(Now);
     if (PerSecond >= 0.05)
       All.push_back({Customer, PerSecond});
   }
--- a/libs/dispatch/RateDivision.h
+++ b/libs/dispatch/RateDivision.h
@@ -3,6 +3,7 @@
 
 #include "base/Id.h"
 #include "base/Time.h"
+#include "dispatch/DemandMeter.h"
 #include "live/Intent.h"
 #include "members/HostBook.h"
 
@@ -39,8 +40,6 @@
   /// Each host holds at least this part of the rate, so that a customer's first
   /// request at a host finds room.
   static constexpr double FloorPart = 0.01;
-  /// Time over which demand is averaged.
-  static constexpr base::Duration DemandTime = std::chrono::seconds(2);
   /// A host that has just started has not heard the others yet; it takes no
   /// more than one of so many parts.
   static constexpr std::size_t AssumedHosts = 16;
@@ -71,12 +70,10 @@
     /// customer a second burst.
     double Tokens_ = 0;
     base::TimePoint Filled_;
-    double Demand_ = 0;
-    base::TimePoint Counted_;
+    DemandMeter Demand_;
   };
 
   static void fill(Share &Of, base::TimePoint Now) noexcept;
-  static void fade(Share &Of, base::TimePoint Now) noexcept;
 
   const base::TimePoint Start_;
   std::map<base::CustomerId, Share> Shares_;
--- a/libs/dispatch/TargetChooser.cpp
+++ b/libs/dispatch/TargetChooser.cpp
@@ -11,8 +11,9 @@
 
 /// What a place in the object's order adds, in parts of the usual work: a
 /// target that is cold for the object takes 3.3 times as long, and pushes
-/// another object out. The last entry holds for all later places.
-constexpr std::array<double, 4> PlaceCost = {0, 0.8, 1.6, 2.3};
+/// another object out. The last entry holds for all later places, and for all
+/// places outside the region in which the object should run.
+constexpr std::array<double, 3> PlaceCost = {0, 0.2, 2.3};
 
 /// A target that fails a tenth of its requests costs as much as one that is
 /// slower by FailureCost tenths: a failed request costs a second send.
@@ -76,7 +77,10 @@
   const double Slots = std::max(1U, Target.Record_.Slots_);
   const double Ahead = std::max(0.0, Target.Load_.at(Now) + 1 - Slots);
   const double Waiting = Ahead / Slots * Work * Target.Slowness_;
-  const double Place = PlaceCost[std::min(Each.Rank_, PlaceCost.size() - 1)];
+  const std::size_t Rank = Target.Region_ == Asked.Region_
+                               ? std::min(Each.Rank_, PlaceCost.size() - 1)
+                               : PlaceCost.size() - 1;
+  const double Place = PlaceCost[Rank];
   const double Cold = Now < Target.ColdUntil_ ? ColdCost : 0;
   double Total = Waiting + Work * Target.Slowness_ * (1 + Cold) + Work * Place +
                  Work * FailureCost * Target.Trust_.failureShare();
--- a/libs/dispatch/TargetChooser.h
+++ b/libs/dispatch/TargetChooser.h
@@ -15,6 +15,8 @@
 struct ChoiceQuery {
   std::uint64_t Object_ = 0;
   std::uint64_t BodyBytes_ = 0;
+  /// Where it should run; elsewhere it counts as cold. \see RegionSplit
+  base::RegionId Region_;
   /// Regions in which it may be served; null: in any.
   const std::vector<base::RegionId> *Homes_ = nullptr;
   /// Targets that it was sent to before.
@@ -46,10 +48,10 @@
 /// object is likely to be cold there.
 class TargetChooser {
 public:
-  /// Places in an object's order, in each region, that count as warm for it.
-  /// With 60 objects, 14 targets a region and room for 25 objects on each, an
-  /// object can be warm on 5; three leave room for objects that move.
-  static constexpr std::size_t WarmPlaces = 3;
+  /// Places in an object's order, in its region, that count as warm for it: two,
+  /// so that one that is full has a second. More would push objects out where a
+  /// region has ten objects for each that a target keeps.
+  static constexpr std::size_t WarmPlaces = 2;
   /// There and back between regions, 20 ms each way (deployments' own figure).
   static constexpr base::Duration RegionTrip = std::chrono::milliseconds(40);
   /// What crossing zones and regions costs beside time, as time: bytes are
--- a/libs/members/Heartbeat.cpp
+++ b/libs/members/Heartbeat.cpp
@@ -29,6 +29,24 @@
   return true;
 }
 
+bool readLoads(const Json::Value &Rows, Heartbeat &Into) {
+  for (const Json::Value &Row : Rows) {
+    if (!Row.isArray() || Row.size() != 2 || !Row[0].isString() ||
+        !Row[1].isInt64())
+      return false;
+    Into.Loads_.push_back({base::ServiceId(Row[0].asString()),
+                           double(Row[1].asInt64()) / Hundredths});
+  }
+  return true;
+}
+
+Json::Value hundredthsOf(const std::string &Name, double Amount) {
+  Json::Value Row(Json::arrayValue);
+  Row.append(Name);
+  Row.append(Json::Int64(Amount * Hundredths));
+  return Row;
+}
+
 bool readEvidence(const Json::Value &Rows, Heartbeat &Into) {
   for (const Json::Value &Row : Rows) {
     if (!Row.isArray() || Row.size() != 3 || !Row[0].isUInt64() ||
@@ -77,12 +95,11 @@
   Text["n"] = Json::UInt64(Said.Sequence_);
   Text["ready"] = Said.Ready_;
   Text["leaving"] = Said.Leaving_;
-  for (const CustomerDemand &Each : Said.Demands_) {
-    Json::Value Row(Json::arrayValue);
-    Row.append(Each.Customer_.name());
-    Row.append(Json::Int64(Each.RequestsPerSecond_ * Hundredths));
-    Text["demands"].append(Row);
-  }
+  for (const CustomerDemand &Each : Said.Demands_)
+    Text["demands"].append(
+        hundredthsOf(Each.Customer_.name(), Each.RequestsPerSecond_));
+  for (const ServiceDemand &Each : Said.Loads_)
+    Text["loads"].append(hundredthsOf(Each.Service_.name(), Each.Slots_));
   for (const retrying::CrashEvidence &Each : Said.Evidence_)
     Text["crashes"].append(evidenceOf(Each));
   for (const std::string &Each : Said.Hears_)
@@ -106,7 +123,7 @@
   Last.Reason_ = "a field is missing or of another type";
   if (!readCard(Said, Read.From_) || !Said["n"].isUInt64() ||
       !Said["ready"].isBool() || !Said["leaving"].isBool() ||
-      !readDemands(Said["demands"], Read) ||
+      !readDemands(Said["demands"], Read) || !readLoads(Said["loads"], Read) ||
       !readEvidence(Said["crashes"], Read) || !readHears(Said["hears"], Read))
     return std::nullopt;
   Read.Sequence_ = Said["n"].asUInt64();
--- a/libs/members/Heartbeat.h
+++ b/libs/members/Heartbeat.h
@@ -20,6 +20,12 @@
   double RequestsPerSecond_ = 0;
 };
 
+/// How many slots of a service a host's callers keep busy, wherever they run.
+struct ServiceDemand {
+  base::ServiceId Service_;
+  double Slots_ = 0;
+};
+
 /// Who a host is, and where callers and other hosts reach it.
 struct HostCard {
   base::HostId Host_;
@@ -46,6 +52,7 @@
   /// It was told to stop: callers must not be sent to it any more.
   bool Leaving_ = false;
   std::vector<CustomerDemand> Demands_;
+  std::vector<ServiceDemand> Loads_;
   std::vector<retrying::CrashEvidence> Evidence_;
   /// Addresses of hosts that it hears, so that hosts find each other while the
   /// store is away.
--- a/libs/members/HostBook.h
+++ b/libs/members/HostBook.h
@@ -21,6 +21,7 @@
   /// It may still be spending its part of what all hosts share.
   bool HoldsShare_ = false;
   std::vector<CustomerDemand> Demands_;
+  std::vector<ServiceDemand> Loads_;
 };
 
 /// Knows the other hosts by their heartbeats, at two speeds: look-ups drop a
--- a/libs/reporting/DecisionLog.cpp
+++ b/libs/reporting/DecisionLog.cpp
@@ -14,6 +14,8 @@
 /// A request that passes over hundreds of targets would else write a line that
 /// log shippers cut; the first ones tell the pattern.
 constexpr std::size_t ShownCandidates = 16;
+/// The end of an object's hash tells it apart from others of the hour.
+constexpr std::uint64_t ShownObjects = 1'000'000;
 
 std::string describe(std::span<const PassedOverCandidate> PassedOver) {
   std::string Text;
@@ -42,6 +44,9 @@
   addUnlessEmpty(Line, "customer", Taken.Customer_.name());
   addUnlessEmpty(Line, "key", Taken.Key_.name());
   addUnlessEmpty(Line, "service", Taken.Service_.name());
+  addUnlessEmpty(Line, "rule", Taken.Rule_);
+  if (Taken.Object_ != 0)
+    Line.add("object", Taken.Object_ % ShownObjects);
   addUnlessEmpty(Line, "region", Taken.Region_.name());
   addUnlessEmpty(Line, "target", Taken.Target_.name());
   addUnlessEmpty(Line, "reason", Taken.Reason_);
--- a/libs/reporting/DecisionLog.h
+++ b/libs/reporting/DecisionLog.h
@@ -33,6 +33,10 @@
   base::CustomerId Customer_;
   base::KeyId Key_;
   base::ServiceId Service_;
+  /// What operators call the rule that took the request; empty: it has none.
+  std::string_view Rule_;
+  /// Hash of the object that the request is about; 0: of none.
+  std::uint64_t Object_ = 0;
   base::RegionId Region_;
   base::TargetId Target_;
   /// Why this event, this region and this target.
