--- a/libs/dispatch/DispatchSteering.cpp
+++ b/libs/dispatch/DispatchSteering.cpp
@@ -223,8 +223,8 @@
   return send(Ticket, Request, Now);
 }
 
-Decision DispatchSteering::send(std::uint64_t Ticket, Flight &Request,
-                                base::TimePoint Now) {
+std::optional<Choice> DispatchSteering::choose(const Flight &Request,
+                                               base::TimePoint Now) {
   ServiceState &Service = serviceAt(Request.Service_);
   ChoiceQuery Asked;
   Asked.Object_ = Request.Object_;
@@ -237,7 +237,12 @@
   const auto MaySound = [&](TargetState &Each) {
     return PickedFor_(Each.Hash_) && Each.Cold_.take(Service.ColdRate_, Now);
   };
-  const auto Chosen = Chooser_.choose(Asked, Service.Targets_, MaySound, Now);
+  return Chooser_.choose(Asked, Service.Targets_, MaySound, Now);
+}
+
+Decision DispatchSteering::send(std::uint64_t Ticket, Flight &Request,
+                                base::TimePoint Now) {
+  const auto Chosen = choose(Request, Now);
   if (!Chosen)
     return endFailed(Ticket, false, LeastRetryAfter);
   // What cannot be answered in time is not begun: it would take room from what
@@ -261,12 +266,7 @@
   Made.Region_ = Target.Region_;
   Made.Reason_ = Chosen->Reason_;
   Made.SettingsVersion_ = Intent_ ? Intent_->Version_ : 0;
-  const bool MayTryElsewhere = Request.Idempotent_ &&
-                               Request.Sends_ < Request.MaximumSends_ &&
-                               Service.Targets_.size() > 1;
-  if (MayTryElsewhere && !Request.Reserved_)
-    Request.Reserved_ = Service.Budget_.spend();
-  if (MayTryElsewhere && Request.Reserved_)
+  if (Request.Idempotent_ && Request.Sends_ < Request.MaximumSends_)
     Made.PatienceUntil_ =
         Now + std::max(LeastPatience,
                        base::fromSeconds(base::toSeconds(Chosen->Expected_) *
@@ -274,6 +274,19 @@
   return Made;
 }
 
+bool DispatchSteering::mayAbandon(std::uint64_t Ticket, base::TimePoint Now) {
+  const std::lock_guard Guard(Lock_);
+  const auto Found = Flights_.find(Ticket);
+  if (Found == Flights_.end())
+    return false;
+  Flight &Request = Found->second;
+  const auto Other = choose(Request, Now);
+  if (!Other || Now + Other->Expected_ >= Request.Deadline_)
+    return false;
+  Request.Reserved_ = serviceAt(Request.Service_).Budget_.spend();
+  return Request.Reserved_;
+}
+
 /// Ends a request that no target answered. What may have run is never refused
 /// by an answer that promises the opposite.
 Decision DispatchSteering::endFailed(std::uint64_t Ticket, bool ByTarget,
--- a/libs/dispatch/DispatchSteering.h
+++ b/libs/dispatch/DispatchSteering.h
@@ -73,6 +73,7 @@
                             const steering::SendReport &Report,
                             base::TimePoint Now,
                             std::vector<steering::Wakeup> &Woken) override;
+  bool mayAbandon(std::uint64_t Ticket, base::TimePoint Now) override;
   void cancel(std::uint64_t Ticket, base::TimePoint Now) override;
   void tick(base::TimePoint Now, std::vector<steering::Wakeup> &Woken) override;
 
@@ -92,7 +93,8 @@
     /// Sends that did not reach a target; bounded, though they cost nothing.
     std::uint32_t Misses_ = 0;
     std::vector<base::TargetId> Tried_;
-    /// A token of the send budget was spent ahead, for a send after patience.
+    /// A token of the send budget was spent ahead, for the send that follows
+    /// one that was given up.
     bool Reserved_ = false;
     bool MayHaveRun_ = false;
     std::size_t Place_ = 0;
@@ -124,6 +126,7 @@
   ServiceState &serviceAt(const base::ServiceId &Service);
   TargetState *find(ServiceState &Service, const base::TargetId &Target);
   RuleWork &workOf(const Flight &Request);
+  std::optional<Choice> choose(const Flight &Request, base::TimePoint Now);
   steering::Decision send(std::uint64_t Ticket, Flight &Request,
                           base::TimePoint Now);
   steering::Decision refuse(steering::Refusal Why, base::Duration RetryAfter,
--- a/libs/gateway/Forwarding.cpp
+++ b/libs/gateway/Forwarding.cpp
@@ -243,7 +243,13 @@
 Task<Ending> Forwarding::send(bool &Again) {
   TargetSend Send(Home_, Caller_, Home_.shared().Pools_.at(Decision_.Address_),
                   Request_.Deadline_, Request_.Id_);
-  Send.bePatientUntil(Decision_.PatienceUntil_);
+  Send.bePatientUntil(Decision_.PatienceUntil_, [this] {
+    // A host that stops gives up nothing that a target works on.
+    GatewayState &Shared = Home_.shared();
+    return Shared.isServing() &&
+           Shared.Others_.Steering_.mayAbandon(
+               Decision_.Ticket_, base::SystemClock::monotonicNow());
+  });
   if (Reader_.isWhole())
     Caller_.watch().watchHangUp(Caller_.socket().native_handle());
   TargetSend::Failure Failed = co_await Send.open(Request_.Idempotent_);
--- a/libs/gateway/TargetSend.cpp
+++ b/libs/gateway/TargetSend.cpp
@@ -38,7 +38,10 @@
   });
 }
 
-TargetSend::~TargetSend() { Caller_.interruptAlso({}); }
+TargetSend::~TargetSend() {
+  Caller_.watch().onExpiry({});
+  Caller_.interruptAlso({});
+}
 
 void TargetSend::bound(base::Duration Progress) {
   const base::TimePoint Now = base::SystemClock::monotonicNow();
@@ -201,11 +204,27 @@
                              Home_.shared().Settings_.Names_);
 }
 
+/// A send that is ended while its target works on it loses that work, so it
+/// ends only where another target can still do it in time.
+void TargetSend::watchPatience() {
+  if (HedgeDelay_ || !MayAbandon_ || Patience_ >= Deadline_)
+    return;
+  Caller_.watch().onExpiry([this] {
+    if (AnswerSeen_ || Patience_ >= Deadline_)
+      return Deadline_;
+    const base::TimePoint Asked = Patience_;
+    Patience_ = Deadline_;
+    return MayAbandon_() ? Asked : Deadline_;
+  });
+}
+
 Task<TargetSend::Failure> TargetSend::readAnswer(bool WithoutBody) {
   const base::TimePoint Begin = base::SystemClock::monotonicNow();
   bound(HedgeDelay_.value_or(std::min(Deadline_, Patience_) - Begin));
+  watchPatience();
   ReadEnd End = ReadEnd::Ok;
   const bool Came = co_await skipForeign(End, WithoutBody);
+  Caller_.watch().onExpiry({});
   if (!Came && Unusable_)
     co_return steering::SendEnd::AnswerUnusable;
   if (!Came) {
--- a/libs/gateway/TargetSend.h
+++ b/libs/gateway/TargetSend.h
@@ -6,6 +6,7 @@
 #include "gateway/TargetPool.h"
 #include "steering/Steering.h"
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <span>
@@ -33,8 +34,13 @@
   TargetSend &operator=(const TargetSend &) = delete;
   ~TargetSend();
 
-  /// From then on silence counts as a lost answer, where no byte has come.
-  void bePatientUntil(base::TimePoint Moment) noexcept { Patience_ = Moment; }
+  /// From then on silence may count as a lost answer, where no byte has come.
+  /// \param MayAbandon  asked once when that time is over; false: wait on.
+  void bePatientUntil(base::TimePoint Moment,
+                      std::function<bool()> MayAbandon) {
+    Patience_ = Moment;
+    MayAbandon_ = std::move(MayAbandon);
+  }
 
   /// Takes an idle connection or opens one. \param Idempotent  a request that
   /// is not goes only on one that is new or has just shown life.
@@ -83,6 +89,7 @@
   bool isForeign() const;
   Task<bool> writeWhileSilent(std::string_view Body);
   Failure failed();
+  void watchPatience();
   void bound(base::Duration Progress);
   void sawLife();
 
@@ -92,6 +99,7 @@
   base::TimePoint Deadline_;
   const base::RequestId &Id_;
   base::TimePoint Patience_ = base::TimePoint::max();
+  std::function<bool()> MayAbandon_;
   std::unique_ptr<TargetConnection> Connection_;
   std::unique_ptr<AnswerReader> Reader_;
   std::string Held_;
--- a/libs/gateway/Watch.h
+++ b/libs/gateway/Watch.h
@@ -37,6 +37,21 @@
   void watchHangUp(int Handle) noexcept { HangUpHandle_ = Handle; }
   int hangUpHandle() const noexcept { return HangUpHandle_; }
 
+  /// Asked when the time is over, before it fires: returns a later time to go
+  /// on until then. Empty: it fires.
+  void onExpiry(std::function<base::TimePoint()> Postpone) {
+    Postpone_ = std::move(Postpone);
+  }
+
+  /// \returns whether it is due at \p Now and nobody postponed it.
+  bool isOver(base::TimePoint Now) {
+    if (Expires_ > Now)
+      return false;
+    if (Postpone_)
+      Expires_ = Postpone_();
+    return Expires_ <= Now;
+  }
+
   bool fired() const noexcept { return Cause_ != Cause::None; }
   Cause cause() const noexcept { return Cause_; }
 
@@ -51,6 +66,7 @@
 
 private:
   std::function<void()> OnFire_;
+  std::function<base::TimePoint()> Postpone_;
   base::TimePoint Expires_ = base::TimePoint::max();
   int HangUpHandle_ = -1;
   Cause Cause_ = Cause::None;
--- a/libs/gateway/Watchdog.cpp
+++ b/libs/gateway/Watchdog.cpp
@@ -35,7 +35,7 @@
   // never during the call, since owners are coroutines of this thread.
   Due_.clear();
   for (Watch &Each : Watched)
-    if (Each.expires() <= Now)
+    if (Each.isOver(Now))
       Due_.push_back(&Each);
   for (Watch *Each : Due_)
     Each->fire(Watch::Cause::Expired);
--- a/libs/steering/Steering.h
+++ b/libs/steering/Steering.h
@@ -186,6 +186,15 @@
   virtual Decision finish(std::uint64_t Ticket, const SendReport &Report,
                           base::TimePoint Now, std::vector<Wakeup> &Woken) = 0;
 
+  /// Asked when the patience of a Decision is over and no byte has come.
+  /// \returns whether the send is to be ended; finish() then says where the
+  /// request goes. Otherwise the target is waited for until the deadline.
+  virtual bool mayAbandon(std::uint64_t Ticket, base::TimePoint Now) {
+    (void)Ticket;
+    (void)Now;
+    return true;
+  }
+
   /// Gives up a request that waits: its caller hung up.
   virtual void cancel(std::uint64_t Ticket, base::TimePoint Now) = 0;
 
