--- a/apps/lycheed/LiveFeed.cpp
+++ b/apps/lycheed/LiveFeed.cpp
@@ -20,8 +20,11 @@
 /// that falls silent is noticed by probes of its own. The intent is asked for
 /// more often: its keys must be known to be fresh within 5 s, and a call that
 /// is lost must leave time for another.
-constexpr base::Duration LongWatch = std::chrono::seconds(20);
-constexpr base::Duration IntentWatch = std::chrono::milliseconds(2500);
+constexpr live::FollowerPace LongPace{std::chrono::seconds(20),
+                                      std::chrono::seconds(3)};
+/// After trouble the intent is also what asks often; the others come with it.
+constexpr live::FollowerPace IntentPace{std::chrono::milliseconds(2500),
+                                        std::chrono::milliseconds(500)};
 /// A call begun so shortly before another failed is no older than the trouble.
 constexpr base::Duration FreshCall = std::chrono::seconds(1);
 
@@ -44,20 +47,21 @@
   live::FollowerListeners Hosts;
   Hosts.Listed_ = [this](const auto &All) { takeHosts(All, true); };
   Hosts.Changed_ = [this](const auto &Some) { takeHosts(Some, false); };
-  Followers_.push_back(follow(platform::IntentKind, IntentWatch, Intent));
-  Followers_.push_back(follow(platform::TargetKind, LongWatch, Targets));
-  Followers_.push_back(follow(platform::EvacuationKind, LongWatch, Zones));
-  Followers_.push_back(follow(platform::HostKind, LongWatch, Hosts));
+  Followers_.push_back(follow(platform::IntentKind, IntentPace, Intent));
+  Followers_.push_back(follow(platform::TargetKind, LongPace, Targets));
+  Followers_.push_back(follow(platform::EvacuationKind, LongPace, Zones));
+  Followers_.push_back(follow(platform::HostKind, LongPace, Hosts));
 }
 
 std::unique_ptr<live::ObjectFollower>
-LiveFeed::follow(std::string_view Kind, base::Duration Wait,
+LiveFeed::follow(std::string_view Kind, const live::FollowerPace &Pace,
                  live::FollowerListeners Heard) {
   Heard.Trouble_ = [this, Kind](const base::Error &Why) {
     noteTrouble(Kind, Why);
   };
-  return std::make_unique<live::ObjectFollower>(
-      Parts_.Source_, std::string(Kind), Wait, std::move(Heard), Random_());
+  return std::make_unique<live::ObjectFollower>(Parts_.Source_, Recovered_,
+                                                std::string(Kind), Pace,
+                                                std::move(Heard), Random_());
 }
 
 void LiveFeed::start(const boost::asio::any_io_executor &Executor) {
--- a/apps/lycheed/LiveFeed.h
+++ b/apps/lycheed/LiveFeed.h
@@ -47,7 +47,7 @@
 
 private:
   std::unique_ptr<live::ObjectFollower> follow(std::string_view Kind,
-                                               base::Duration Wait,
+                                               const live::FollowerPace &Pace,
                                                live::FollowerListeners Heard);
   void noteTrouble(std::string_view Kind, const base::Error &Why);
   void takeIntent(const live::ObjectBatch &Heard);
@@ -64,6 +64,7 @@
   std::atomic<bool> HasTargets_ = false;
   std::atomic<bool> HasEvacuations_ = false;
   base::Random Random_;
+  live::RecoverySignal Recovered_;
   std::vector<std::unique_ptr<live::ObjectFollower>> Followers_;
 };
 
--- a/libs/dispatch/DispatchSteering.cpp
+++ b/libs/dispatch/DispatchSteering.cpp
@@ -61,9 +61,8 @@
     return Found->second;
   const live::DeploymentBounds &Bounds = Settings_.Bounds_;
   return Services_
-      .emplace(
-          Service,
-          ServiceState{{},
+      .emplace(Service,
+               ServiceState{{},
                             SendBudget(Bounds.RetryRatio_, Bounds.RetrySlack_),
                             RegionSplit(Settings_.Region_),
                             {},
--- a/libs/dispatch/RateDivision.cpp
+++ b/libs/dispatch/RateDivision.cpp
@@ -24,8 +24,8 @@
 void RateDivision::fill(Share &Of, base::TimePoint Now) noexcept {
   const double Passed = base::toSeconds(Now - Of.Filled_);
   Of.Filled_ = Now;
-  Of.Tokens_ = std::min(Of.Tokens_ + Passed * Of.Rate_ * Of.Part_ * UsedPart,
-                        Of.Most_);
+  Of.Tokens_ =
+      std::min(Of.Tokens_ + Passed * Of.Rate_ * Of.Part_ * UsedPart, Of.Most_);
 }
 
 double RateDivision::allTokens(const Share &Of) const noexcept {
@@ -60,7 +60,8 @@
     // evenly.
     const double Even = 1.0 / static_cast<double>(Fleet.Holders_);
     Each.Most_ =
-        std::max(1.0, allTokens(Each) * (Each.Part_ + std::min(Even, Each.Part_ * 4)) / 2);
+        std::max(1.0, allTokens(Each) *
+                          (Each.Part_ + std::min(Even, Each.Part_ * 4)) / 2);
   }
 }
 
--- a/libs/dispatch/RegionSplit.cpp
+++ b/libs/dispatch/RegionSplit.cpp
@@ -50,8 +50,7 @@
   // all slots to be needed.
   const bool Known = Demand > 0;
   const double Even = Slots / static_cast<double>(Loads.size());
-  const double Kept =
-      Known ? std::max(KeptUtilization, Demand / Slots) : 1.0;
+  const double Kept = Known ? std::max(KeptUtilization, Demand / Slots) : 1.0;
   for (const auto &[Region, Load] : Loads) {
     const double Asked = Known ? Load.Demand_ : Even;
     const double Room = Kept * Load.Slots_ - Asked;
--- a/libs/dispatch/TargetChooser.cpp
+++ b/libs/dispatch/TargetChooser.cpp
@@ -91,8 +91,7 @@
   else if (Target.Record_.Zone_ != Zone_)
     Total += base::toSeconds(ZonePrice);
   return {Each.Target_, base::fromSeconds(Total), base::fromSeconds(Waiting),
-          Each.Rank_,
-          Each.Rank_ < WarmPlaces ? "object-order" : "spill"};
+          Each.Rank_, Each.Rank_ < WarmPlaces ? "object-order" : "spill"};
 }
 
 std::optional<Choice>
--- a/libs/dispatch/TargetChooser.h
+++ b/libs/dispatch/TargetChooser.h
@@ -48,9 +48,9 @@
 /// object is likely to be cold there.
 class TargetChooser {
 public:
-  /// Places in an object's order, in its region, that count as warm for it: two,
-  /// so that one that is full has a second. More would push objects out where a
-  /// region has ten objects for each that a target keeps.
+  /// Places in an object's order, in its region, that count as warm for it:
+  /// two, so that one that is full has a second. More would push objects out
+  /// where a region has ten objects for each that a target keeps.
   static constexpr std::size_t WarmPlaces = 2;
   /// There and back between regions, 20 ms each way (deployments' own figure).
   static constexpr base::Duration RegionTrip = std::chrono::milliseconds(40);
--- a/libs/live/IntentBook.cpp
+++ b/libs/live/IntentBook.cpp
@@ -28,8 +28,7 @@
                      });
   for (std::size_t Index = 0; Index < From->Customers_.size(); ++Index)
     for (const std::string &Key : From->Customers_[Index].Keys_) {
-      const base::KeyId Id(
-          base::sha256Hex(Key).substr(0, ShownDigits));
+      const base::KeyId Id(base::sha256Hex(Key).substr(0, ShownDigits));
       Made.ByKey_.emplace(Key, KeyHolder{Index, Id});
       Made.ById_.emplace(Id.name(), Index);
     }
--- a/libs/live/ObjectFollower.cpp
+++ b/libs/live/ObjectFollower.cpp
@@ -2,20 +2,19 @@
 
 #include "base/SystemClock.h"
 
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/this_coro.hpp>
-#include <boost/asio/use_awaitable.hpp>
+#include <utility>
 
 namespace lychee::live {
 
 namespace asio = boost::asio;
 using base::SystemClock;
 
-ObjectFollower::ObjectFollower(ObjectSource &Source, std::string Kind,
-                               base::Duration Wait, FollowerListeners Listeners,
-                               std::uint64_t Seed)
-    : Source_(Source), Kind_(std::move(Kind)), Wait_(Wait),
-      Listeners_(std::move(Listeners)), Random_(Seed) {}
+ObjectFollower::ObjectFollower(ObjectSource &Source, RecoverySignal &Recovered,
+                               std::string Kind, const FollowerPace &Pace,
+                               FollowerListeners Listeners, std::uint64_t Seed)
+    : Source_(Source), Kind_(std::move(Kind)), Recovered_(Recovered),
+      Pace_(Pace), Listeners_(std::move(Listeners)), Random_(Seed),
+      Backoff_(Pace.LongestPause_) {}
 
 asio::awaitable<void> ObjectFollower::run() {
   while (true) {
@@ -30,10 +29,14 @@
 }
 
 asio::awaitable<void> ObjectFollower::pause() {
-  asio::steady_timer Timer(co_await asio::this_coro::executor);
-  Timer.expires_after(std::chrono::duration_cast<asio::steady_timer::duration>(
-      Backoff_.next(Random_)));
-  co_await Timer.async_wait(asio::use_awaitable);
+  InTrouble_ = true;
+  co_await Recovered_.wait(Backoff_.next(Random_));
+}
+
+void ObjectFollower::succeeded() {
+  Backoff_.reset();
+  if (std::exchange(InTrouble_, false))
+    Recovered_.announce();
 }
 
 asio::awaitable<bool> ObjectFollower::listOnce() {
@@ -44,7 +47,7 @@
     Listeners_.Trouble_(Last);
     co_return false;
   }
-  Backoff_.reset();
+  succeeded();
   At_ = All->At_;
   Listed_ = true;
   Listeners_.Listed_(*All);
@@ -57,7 +60,7 @@
   base::Error Last;
   SourceFault Fault = SourceFault::Trouble;
   const base::TimePoint Asked = SystemClock::monotonicNow();
-  const base::Duration Wait = ConfirmSoon_ ? ShortWatch : Wait_;
+  const base::Duration Wait = ConfirmSoon_ ? ShortWatch : Pace_.Watch_;
   const std::optional<ObjectBatch> Heard =
       co_await Source_.watch(Kind_, At_, Wait, Fault, Last);
   if (!Heard && Fault == SourceFault::HistoryGone) {
@@ -70,7 +73,7 @@
     co_await pause();
     co_return;
   }
-  Backoff_.reset();
+  succeeded();
   At_ = std::max(At_, Heard->At_);
   if (!Heard->Objects_.empty())
     Listeners_.Changed_(*Heard);
@@ -82,8 +85,10 @@
                                  : Asked);
     ConfirmSoon_ = !Lasted;
   }
+  // A store that answers a watch at once, without news, is not to be asked
+  // again at once.
   if (!Lasted && Heard->Objects_.empty())
-    co_await pause();
+    co_await Recovered_.wait(Backoff_.next(Random_));
 }
 
 } // namespace lychee::live
--- a/libs/live/ObjectFollower.h
+++ b/libs/live/ObjectFollower.h
@@ -3,6 +3,7 @@
 
 #include "base/Random.h"
 #include "live/ObjectSource.h"
+#include "live/RecoverySignal.h"
 #include "store/Backoff.h"
 
 #include <functional>
@@ -23,6 +24,14 @@
   std::function<void(const base::Error &)> Trouble_;
 };
 
+/// How often a follower calls.
+struct FollowerPace {
+  /// Length of one watch.
+  base::Duration Watch_{};
+  /// Longest pause between two calls that brought nothing.
+  base::Duration LongestPause_{};
+};
+
 /// Keeps up with one kind of object: lists, then watches, and after any trouble
 /// lists again.
 ///
@@ -41,9 +50,9 @@
   /// watch brings a new proof before the old one is too old.
   static constexpr base::Duration ShortWatch = std::chrono::milliseconds(50);
 
-  /// \param Source  outlives this.
-  /// \param Wait  length of one watch.
-  ObjectFollower(ObjectSource &Source, std::string Kind, base::Duration Wait,
+  /// \param Source,Recovered  outlive this; the latter is shared by all kinds.
+  ObjectFollower(ObjectSource &Source, RecoverySignal &Recovered,
+                 std::string Kind, const FollowerPace &Pace,
                  FollowerListeners Listeners, std::uint64_t Seed);
   ObjectFollower(const ObjectFollower &) = delete;
   ObjectFollower &operator=(const ObjectFollower &) = delete;
@@ -55,15 +64,18 @@
   boost::asio::awaitable<bool> listOnce();
   boost::asio::awaitable<void> watchOnce();
   boost::asio::awaitable<void> pause();
+  void succeeded();
 
   ObjectSource &Source_;
   const std::string Kind_;
-  const base::Duration Wait_;
+  RecoverySignal &Recovered_;
+  const FollowerPace Pace_;
   const FollowerListeners Listeners_;
   base::Random Random_;
   store::Backoff Backoff_;
   std::uint64_t At_ = 0;
   bool Listed_ = false;
+  bool InTrouble_ = false;
   /// The last confirmation speaks for a moment that lies far back.
   bool ConfirmSoon_ = false;
 };
--- a/libs/reporting/DecisionLog.h
+++ b/libs/reporting/DecisionLog.h
@@ -8,9 +8,9 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
-#include <optional>
 #include <functional>
 #include <mutex>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -44,8 +44,8 @@
   std::span<const PassedOverCandidate> PassedOver_;
   std::uint64_t SettingsVersion_ = 0;
   /// What the target was chosen by, where that is told: its place in the
-  /// object's order, the time it should take, the requests believed to be there,
-  /// and how old that belief is.
+  /// object's order, the time it should take, the requests believed to be
+  /// there, and how old that belief is.
   struct Inputs {
     std::uint32_t Place_ = 0;
     std::int64_t ExpectedMs_ = 0;
--- a/libs/store/Backoff.h
+++ b/libs/store/Backoff.h
@@ -16,12 +16,17 @@
   /// Keys withdrawn must reach every host within 5 s of the store's return.
   static constexpr base::Duration Longest = std::chrono::seconds(2);
 
+  Backoff() = default;
+  /// \param Most  bound of a wait, where Longest is not the right one.
+  explicit Backoff(base::Duration Most) noexcept : Most_(Most) {}
+
   base::Duration next(base::Random &Source);
 
   /// To be called after a success.
   void reset() noexcept { Span_ = Shortest; }
 
 private:
+  base::Duration Most_ = Longest;
   base::Duration Span_ = Shortest;
 };
 
--- a/libs/transport/HttpClient.cpp
+++ b/libs/transport/HttpClient.cpp
@@ -3,10 +3,10 @@
 #include "base/SystemClock.h"
 
 #include <algorithm>
-#include <boost/asio/post.hpp>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
