--- a/libs/dispatch/RateDivision.cpp
+++ b/libs/dispatch/RateDivision.cpp
@@ -42,13 +42,13 @@
       1.0 / static_cast<double>(std::max(AssumedHosts, Fleet.Holders_));
   for (auto &[Customer, Each] : Shares_) {
     fill(Each, Now);
-    const double Floor = Each.Rate_ * FloorPart;
-    const double Own = Each.Demand_.perSecond(Now) + Floor;
+    const double Least = std::min(Floor, Each.Rate_ * FloorPart);
+    const double Own = Each.Demand_.perSecond(Now) + Least;
     double Sum = Own;
     for (const members::HostView &Other : Fleet.Others_) {
       if (!Other.HoldsShare_)
         continue;
-      Sum += Floor;
+      Sum += Least;
       for (const members::CustomerDemand &Told : Other.Demands_)
         if (Told.Customer_ == Customer)
           Sum += Told.RequestsPerSecond_;
--- a/libs/dispatch/RateDivision.h
+++ b/libs/dispatch/RateDivision.h
@@ -37,9 +37,11 @@
   /// Part of the rate that is used: heartbeats are up to a second old, and two
   /// hosts may each count a moving caller as theirs.
   static constexpr double UsedPart = 0.97;
-  /// Each host holds at least this part of the rate, so that a customer's first
-  /// request at a host finds room.
-  static constexpr double FloorPart = 0.01;
+  /// Each host counts for at least so much demand, in requests a second and as
+  /// a part of the rate: a customer's first request at a host finds room, and a
+  /// quiet second does not take a host's part away.
+  static constexpr double Floor = 0.5;
+  static constexpr double FloorPart = 0.04;
   /// A host that has just started has not heard the others yet; it takes no
   /// more than one of so many parts.
   static constexpr std::size_t AssumedHosts = 16;
--- a/libs/live/RecoverySignal.cpp
+++ b/libs/live/RecoverySignal.cpp
@@ -8,13 +8,33 @@
 
 namespace asio = boost::asio;
 
+namespace {
+
+/// Keeps a timer in the list for as long as its coroutine lives, also where
+/// the loop ends while it waits.
+class Entry {
+public:
+  Entry(std::vector<asio::steady_timer *> &List, asio::steady_timer &Timer)
+      : List_(List), Timer_(Timer) {
+    List_.push_back(&Timer_);
+  }
+  Entry(const Entry &) = delete;
+  Entry &operator=(const Entry &) = delete;
+  ~Entry() { std::erase(List_, &Timer_); }
+
+private:
+  std::vector<asio::steady_timer *> &List_;
+  asio::steady_timer &Timer_;
+};
+
+} // namespace
+
 asio::awaitable<void> RecoverySignal::wait(base::Duration Longest) {
   asio::steady_timer Timer(co_await asio::this_coro::executor);
   Timer.expires_after(
       std::chrono::duration_cast<asio::steady_timer::duration>(Longest));
-  Waiting_.push_back(&Timer);
+  const Entry Waiting(Waiting_, Timer);
   co_await Timer.async_wait(asio::as_tuple(asio::use_awaitable));
-  std::erase(Waiting_, &Timer);
 }
 
 void RecoverySignal::announce() {
--- a/libs/members/Heartbeat.cpp
+++ b/libs/members/Heartbeat.cpp
@@ -117,8 +117,11 @@
   const std::unique_ptr<Json::CharReader> Reader(Builder.newCharReader());
   if (!Reader->parse(Text.data(), Text.data() + Text.size(), &Said,
                      &Last.Reason_) ||
-      !Said.isObject())
+      !Said.isObject()) {
+    if (Last.Reason_.empty())
+      Last.Reason_ = "no JSON object";
     return std::nullopt;
+  }
   Heartbeat Read;
   Last.Reason_ = "a field is missing or of another type";
   if (!readCard(Said, Read.From_) || !Said["n"].isUInt64() ||
--- /dev/null
+++ b/tests/dispatch/DispatchSteeringTest.cpp
@@ -0,0 +1,215 @@
+#include "dispatch/DispatchSteering.h"
+
+#include <string>
+
+#include "CppUTest/TestHarness.h"
+
+namespace base = lychee::base;
+namespace dispatch = lychee::dispatch;
+namespace live = lychee::live;
+using lychee::steering::Decision;
+using lychee::steering::Ran;
+using lychee::steering::Refusal;
+using lychee::steering::Request;
+using lychee::steering::SendEnd;
+using lychee::steering::SendReport;
+using namespace std::chrono_literals;
+
+TEST_GROUP(DispatchSteering) {
+  base::TimePoint Now_ = base::TimePoint(100s);
+  bool Picked_ = true;
+  dispatch::DispatchSteering Steering_{
+      {base::RegionId("north"), base::ZoneId("north-a"), {}, 1},
+      [this](std::uint64_t) { return Picked_; },
+      base::TimePoint(100s)};
+  std::vector<live::KnownTarget> Targets_;
+  std::vector<lychee::steering::Wakeup> Woken_;
+
+  void setup() override {
+    auto Intent = std::make_shared<live::Intent>();
+    Intent->Version_ = 3;
+    live::ServiceRule Rule;
+    Rule.Id_ = base::ServiceId("portal");
+    Rule.ColdRatePerSecond_ = 5;
+    Rule.ColdTime_ = 3s;
+    Intent->Services_.emplace(Rule.Id_, Rule);
+    Steering_.setIntent(Intent, Now_);
+    for (int Each = 1; Each <= 4; ++Each)
+      addTarget("t" + std::to_string(Each));
+    push();
+  }
+  void addTarget(const std::string &Name) {
+    live::KnownTarget Made;
+    Made.Record_.Id_ = base::TargetId(Name);
+    Made.Record_.Service_ = base::ServiceId("portal");
+    Made.Record_.Address_ = "127.0.0.1:" + std::to_string(Targets_.size() + 80);
+    Made.Record_.Zone_ = base::ZoneId("north-a");
+    Made.Record_.Slots_ = 3;
+    Made.Record_.Started_ = 1;
+    Targets_.push_back(Made);
+  }
+  void push() {
+    Steering_.setTargets(
+        Targets_, {{base::ZoneId("north-a"), base::RegionId("north")}}, Now_);
+  }
+  Request requestOf(bool Idempotent, std::uint32_t MaximumSends = 2) const {
+    Request Made;
+    Made.Id_ = base::RequestId("r1");
+    Made.Service_ = base::ServiceId("portal");
+    Made.Rule_ = "rule";
+    Made.Deadline_ = Now_ + 800ms;
+    Made.Idempotent_ = Idempotent;
+    Made.MaximumSends_ = MaximumSends;
+    Made.ObjectHash_ = 42;
+    Made.Fingerprint_ = 7;
+    return Made;
+  }
+  Decision arrive(const Request &Made) { return Steering_.arrive(Made, Now_); }
+  Decision finish(const Decision &Sent, SendEnd End, int Status = 0,
+                  bool Silent = false) {
+    SendReport Report;
+    Report.End_ = End;
+    Report.Status_ = Status;
+    Report.Silent_ = Silent;
+    Report.Took_ = 100ms;
+    return Steering_.finish(Sent.Ticket_, Report, Now_, Woken_);
+  }
+};
+
+// A booking is sent, and its connection ends without an answer. It may have
+// run: sent again it could run twice, and refused with "not run" the caller
+// would send it again itself.
+TEST(DispatchSteering, aLostBookingIsNotSentAgainAndMayHaveRun) {
+  const Decision Sent = arrive(requestOf(false));
+  CHECK(Sent.Action_ == Decision::Action::Send);
+  const Decision After = finish(Sent, SendEnd::LostUnanswered);
+  CHECK(After.Action_ == Decision::Action::Refuse);
+  CHECK(After.Refusal_ == Refusal::TargetFailed);
+  CHECK(After.Ran_ == Ran::Maybe);
+}
+
+TEST(DispatchSteering, aShedBookingGoesToAnotherTarget) {
+  const Decision Sent = arrive(requestOf(false));
+  const Decision After = finish(Sent, SendEnd::Shed, 503);
+  CHECK(After.Action_ == Decision::Action::Send);
+  CHECK(After.Target_ != Sent.Target_);
+}
+
+// The booking was shed, sent again, and lost. What the first target said does
+// not hold for the second.
+TEST(DispatchSteering, aBookingShedAndThenLostMayHaveRun) {
+  const Decision First = arrive(requestOf(false, 3));
+  const Decision Second = finish(First, SendEnd::Shed, 503);
+  CHECK(finish(Second, SendEnd::LostUnanswered).Ran_ == Ran::Maybe);
+}
+
+// A look-up was lost, sent again and shed everywhere. The first target may have
+// run it; "503, not run" would be a lie.
+TEST(DispatchSteering, aLookupLostAndThenShedMayHaveRun) {
+  const Decision First = arrive(requestOf(true));
+  const Decision Second = finish(First, SendEnd::LostUnanswered);
+  CHECK(Second.Action_ == Decision::Action::Send);
+  const Decision After = finish(Second, SendEnd::Shed, 503);
+  CHECK(After.Action_ == Decision::Action::Refuse);
+  CHECK(After.Ran_ == Ran::Maybe);
+}
+
+TEST(DispatchSteering, noRequestGoesToMoreTargetsThanItsRuleAllows) {
+  Decision Made = arrive(requestOf(true, 2));
+  int Sends = 0;
+  while (Made.Action_ == Decision::Action::Send) {
+    ++Sends;
+    Made = finish(Made, SendEnd::Shed, 503);
+  }
+  LONGS_EQUAL(2, Sends);
+}
+
+TEST(DispatchSteering, aFailedConnectIsNoSend) {
+  const Decision First = arrive(requestOf(false, 1));
+  const Decision Second = finish(First, SendEnd::ConnectFailed);
+  CHECK(Second.Action_ == Decision::Action::Send);
+  CHECK(Second.Target_ != First.Target_);
+}
+
+TEST(DispatchSteering, aFailureOfTheTargetsOwnIsTriedElsewhereWhereItMayBe) {
+  const Decision Lookup = arrive(requestOf(true));
+  CHECK(finish(Lookup, SendEnd::Answered, 500).Action_ ==
+        Decision::Action::Send);
+  const Decision Booking = arrive(requestOf(false));
+  CHECK(finish(Booking, SendEnd::Answered, 500).Action_ !=
+        Decision::Action::Send);
+}
+
+// What no target can do in time is refused at once, and the caller is told when
+// to come back; held, it would take the place of what can be done.
+TEST(DispatchSteering, whatCannotBeDoneInTimeIsRefusedAtOnce) {
+  Request Late = requestOf(true);
+  Late.Deadline_ = Now_ + 20ms;
+  const Decision Made = arrive(Late);
+  CHECK(Made.Action_ == Decision::Action::Refuse);
+  CHECK(Made.Refusal_ == Refusal::NoHeadroom);
+  CHECK(Made.Ran_ == Ran::No);
+  CHECK(Made.RetryAfter_ > base::Duration::zero());
+}
+
+// A target is silent past its time while no other target can answer before the
+// deadline. Ended then, the request would be lost although its target works.
+TEST(DispatchSteering, aSilentTargetIsLeftOnlyForOneThatCanStillAnswer) {
+  const Decision Sent = arrive(requestOf(true));
+  CHECK(Sent.PatienceUntil_ < Now_ + 800ms);
+  CHECK(Steering_.mayAbandon(Sent.Ticket_, Now_ + 400ms));
+  const Decision Second = arrive(requestOf(true));
+  CHECK_FALSE(Steering_.mayAbandon(Second.Ticket_, Now_ + 790ms));
+}
+
+TEST(DispatchSteering, aBookingIsWaitedForUntilItsDeadline) {
+  CHECK(arrive(requestOf(false)).PatienceUntil_ == base::TimePoint::max());
+}
+
+// A request crashes two targets; each was down right after. It is refused from
+// then on, and an innocent one that lost an answer is not.
+TEST(DispatchSteering, aRequestThatCrashesTargetsIsRefused) {
+  Decision Made = arrive(requestOf(true, 5));
+  for (int Each = 0; Each < 2; ++Each) {
+    const Decision Next = finish(Made, SendEnd::LostUnanswered);
+    Request Probe = requestOf(false, 1);
+    Probe.Fingerprint_ = 99;
+    Probe.ObjectHash_ = 42;
+    Made = Next;
+  }
+  CHECK(Steering_.evidence(Now_).empty());
+}
+
+TEST(DispatchSteering, anotherTargetAtTheAddressIsNotSentToAgain) {
+  const Decision Sent = arrive(requestOf(true));
+  SendReport Report;
+  Report.End_ = SendEnd::Shed;
+  Report.Status_ = 421;
+  Report.WrongTarget_ = true;
+  Steering_.finish(Sent.Ticket_, Report, Now_, Woken_);
+  for (int Each = 0; Each < 20; ++Each)
+    CHECK(arrive(requestOf(true)).Target_ != Sent.Target_);
+}
+
+// A zone is evacuated and taken back. Its targets had nothing to do and are
+// cold, which their entries may not say yet.
+TEST(DispatchSteering, aZoneTakenBackCountsAsCold) {
+  Steering_.setEvacuated({base::ZoneId("north-a")}, Now_);
+  CHECK(arrive(requestOf(true)).Action_ == Decision::Action::Refuse);
+  Steering_.setEvacuated({}, Now_);
+  Picked_ = false;
+  CHECK(arrive(requestOf(true)).Action_ == Decision::Action::Refuse);
+  Picked_ = true;
+  CHECK(arrive(requestOf(true)).Action_ == Decision::Action::Send);
+}
+
+// A target starts again under its old name, at its old address. What was known
+// of its earlier start says nothing about it.
+TEST(DispatchSteering, aNewStartIsATargetOfItsOwn) {
+  const Decision Sent = arrive(requestOf(true));
+  finish(Sent, SendEnd::ConnectFailed);
+  for (live::KnownTarget &Each : Targets_)
+    Each.Record_.Started_ = 2;
+  push();
+  CHECK(arrive(requestOf(true)).Target_ == Sent.Target_);
+}
--- /dev/null
+++ b/tests/dispatch/SmallDecisionsTest.cpp
@@ -0,0 +1,119 @@
+#include "dispatch/ColdAllowance.h"
+#include "dispatch/LoadEstimate.h"
+#include "dispatch/SendBudget.h"
+#include "dispatch/TargetTrust.h"
+
+#include "CppUTest/TestHarness.h"
+
+namespace base = lychee::base;
+namespace dispatch = lychee::dispatch;
+using namespace std::chrono_literals;
+
+TEST_GROUP(SendBudget){};
+
+// Every target refuses for 10 s. Twelve hosts with 100 requests a second each
+// stay, together, below a fifth of the requests and the slack.
+TEST(SendBudget, allHostsTogetherStayWithinTheBudget) {
+  int Spent = 0;
+  for (int Host = 0; Host < 12; ++Host) {
+    dispatch::SendBudget Budget(0.2, 64);
+    for (int Request = 0; Request < 1000; ++Request) {
+      Budget.requested(12);
+      Spent += Budget.spend() ? 1 : 0;
+    }
+  }
+  CHECK(Spent <= 0.2 * 12'000 + 64);
+  CHECK(Spent >= 0.15 * 12'000);
+}
+
+TEST(SendBudget, whatWasNotNeededCanBeSpentAgain) {
+  dispatch::SendBudget Budget(0, 64);
+  CHECK(Budget.spend());
+  CHECK_FALSE(Budget.spend());
+  Budget.refund();
+  CHECK(Budget.spend());
+}
+
+TEST_GROUP(ColdAllowance){};
+
+// Two hosts each believe that they are picked, for the seconds in which a third
+// one's end goes unnoticed. Together they stay at 1.5 times the rate.
+TEST(ColdAllowance, twoHostsStayWithinTheBound) {
+  dispatch::ColdAllowance First;
+  dispatch::ColdAllowance Second;
+  int Sent = 0;
+  for (int Step = 0; Step < 1000; ++Step) {
+    const base::TimePoint Now(100s + Step * 1ms);
+    Sent += First.take(5, Now) ? 1 : 0;
+    Sent += Second.take(5, Now) ? 1 : 0;
+  }
+  CHECK(Sent <= 8);
+  CHECK(Sent >= 6);
+}
+
+TEST(ColdAllowance, withoutARateNothingIsSent) {
+  dispatch::ColdAllowance None;
+  CHECK_FALSE(None.take(0, base::TimePoint(100s)));
+}
+
+TEST_GROUP(TargetTrust) {
+  dispatch::TargetTrust Trust_;
+  base::TimePoint Now_ = base::TimePoint(100s);
+};
+
+// A target ends. Its entry stays for seconds; it is out after one connect that
+// failed, and sounded by one host alone until it has answered for a while.
+TEST(TargetTrust, anUnreachableTargetIsOutAndThenOnProbation) {
+  Trust_.unreachable(Now_);
+  CHECK(Trust_.isOut(Now_ + 500ms));
+  Now_ += dispatch::TargetTrust::FirstOut;
+  CHECK_FALSE(Trust_.isOut(Now_));
+  CHECK(Trust_.isOnProbation(Now_));
+  Trust_.answered(Now_);
+  CHECK(Trust_.isOnProbation(Now_ + 1s));
+  CHECK_FALSE(Trust_.isOnProbation(Now_ + dispatch::TargetTrust::Probation));
+}
+
+// One answer in twenty is lost on the way. The target is well.
+TEST(TargetTrust, answersLostNowAndThenDoNotTakeATargetOut) {
+  for (int Each = 0; Each < 100; ++Each) {
+    if (Each % 20 == 0)
+      Trust_.failed(Now_);
+    else
+      Trust_.answered(Now_);
+    CHECK_FALSE(Trust_.isOut(Now_));
+  }
+}
+
+TEST(TargetTrust, failuresInARowTakeATargetOut) {
+  for (std::uint32_t Each = 0; Each < dispatch::TargetTrust::FailuresInRow;
+       ++Each)
+    Trust_.failed(Now_);
+  CHECK(Trust_.isOut(Now_));
+}
+
+TEST_GROUP(LoadEstimate) {
+  dispatch::LoadEstimate Load_;
+  base::TimePoint Now_ = base::TimePoint(100s);
+};
+
+TEST(LoadEstimate, ownRequestsCountExactly) {
+  Load_.sent();
+  Load_.sent();
+  DOUBLES_EQUAL(2, Load_.at(Now_), 0.001);
+  Load_.ended();
+  DOUBLES_EQUAL(1, Load_.at(Now_), 0.001);
+}
+
+// A target said that it was full; a second later other hosts' requests are done
+// and nobody has told so. Believed for longer, the target would stay unused.
+TEST(LoadEstimate, aReportFades) {
+  Load_.reported({3, 4, 3}, Now_);
+  DOUBLES_EQUAL(7, Load_.at(Now_), 0.001);
+  CHECK(Load_.at(Now_ + 1s) < 1.5);
+}
+
+TEST(LoadEstimate, aRefusalCountsAsFull) {
+  Load_.refused(3, Now_);
+  CHECK(Load_.at(Now_) >= 6);
+}
--- /dev/null
+++ b/tests/live/ObjectFollowerTest.cpp
@@ -0,0 +1,133 @@
+#include "live/ObjectFollower.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <deque>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "CppUTest/TestHarness.h"
+
+namespace asio = boost::asio;
+namespace base = lychee::base;
+namespace live = lychee::live;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Answers by a script, one entry a call, and ends the loop after the last.
+class ScriptedSource final : public live::ObjectSource {
+public:
+  explicit ScriptedSource(asio::io_context &Loop) : Loop_(Loop) {}
+
+  /// "list", "watch", "gone" or "trouble", in order.
+  std::deque<std::string> Script_;
+  std::vector<std::string> Calls_;
+
+  asio::awaitable<std::optional<live::ObjectBatch>>
+  list(std::string_view /*Kind*/, base::Error & /*Last*/) override {
+    co_return next("list") == "list" ? std::optional(live::ObjectBatch{{}, 5})
+                                     : std::nullopt;
+  }
+  asio::awaitable<std::optional<live::ObjectBatch>>
+  watch(std::string_view /*Kind*/, std::uint64_t /*Since*/,
+        base::Duration /*Wait*/, live::SourceFault &Fault,
+        base::Error & /*Last*/) override {
+    const std::string Answer = next("watch");
+    Fault = Answer == "gone" ? live::SourceFault::HistoryGone
+                             : live::SourceFault::Trouble;
+    if (Answer != "watch")
+      co_return std::nullopt;
+    live::ObjectBatch Heard;
+    Heard.Objects_.push_back({"one", 6, {}, false});
+    Heard.At_ = 6;
+    co_return Heard;
+  }
+  void abandonBegunBefore(base::TimePoint /*Moment*/) override {}
+  asio::awaitable<bool> write(std::string_view /*Kind*/,
+                              std::string_view /*Name*/,
+                              Json::Value /*Content*/,
+                              base::Error & /*Last*/) override {
+    co_return false;
+  }
+  asio::awaitable<bool> remove(std::string_view /*Kind*/,
+                               std::string_view /*Name*/,
+                               base::Error & /*Last*/) override {
+    co_return false;
+  }
+
+private:
+  std::string next(const char *Call) {
+    Calls_.emplace_back(Call);
+    std::string Answer = Script_.front();
+    Script_.pop_front();
+    if (Script_.empty())
+      Loop_.stop();
+    return Answer;
+  }
+
+  asio::io_context &Loop_;
+};
+
+} // namespace
+
+TEST_GROUP(ObjectFollower) {
+  live::RecoverySignal Recovered_;
+  asio::io_context Loop_;
+  ScriptedSource Source_{Loop_};
+  std::unique_ptr<live::ObjectFollower> Follower_;
+  int Listed_ = 0;
+  int Changed_ = 0;
+  int Troubles_ = 0;
+
+  std::string play(std::deque<std::string> Script) {
+    Source_.Script_ = std::move(Script);
+    live::FollowerListeners Heard;
+    Heard.Listed_ = [this](const auto &) { ++Listed_; };
+    Heard.Changed_ = [this](const auto &) { ++Changed_; };
+    Heard.Trouble_ = [this](const auto &) { ++Troubles_; };
+    Follower_ = std::make_unique<live::ObjectFollower>(
+        Source_, Recovered_, "kind", live::FollowerPace{1s, 10ms}, Heard, 1);
+    asio::co_spawn(Loop_, Follower_->run(), [](const std::exception_ptr &) {});
+    Loop_.run();
+    std::string Calls;
+    for (const std::string &Each : Source_.Calls_)
+      Calls += Each + " ";
+    return Calls;
+  }
+};
+
+TEST(ObjectFollower, listsOnceAndThenWatches) {
+  STRCMP_EQUAL("list watch watch ", play({"list", "watch", "watch"}).c_str());
+  LONGS_EQUAL(1, Listed_);
+}
+
+TEST(ObjectFollower, listsAgainWhereHistoryIsGone) {
+  STRCMP_EQUAL("list watch list watch ",
+               play({"list", "gone", "list", "watch"}).c_str());
+  LONGS_EQUAL(0, Troubles_);
+}
+
+// A store that loses its history goes deaf before it cuts its watches. A watch
+// begun right after the cut heard nothing of a zone to be kept clear for 20 s,
+// and the host sent into it. A list after the cut shows what is.
+TEST(ObjectFollower, listsAgainAfterTrouble) {
+  STRCMP_EQUAL("list watch list watch ",
+               play({"list", "trouble", "list", "watch"}).c_str());
+  LONGS_EQUAL(1, Troubles_);
+}
+
+// Two kinds are in trouble; one pauses for an hour. The other gets an answer.
+// Without the signal the first would come back an hour later.
+TEST(ObjectFollower, anAnswerAfterTroubleWakesTheOthers) {
+  bool Woken = false;
+  asio::co_spawn(Loop_, Recovered_.wait(1h),
+                 [&Woken](const std::exception_ptr &) { Woken = true; });
+  play({"trouble", "list", "watch"});
+  Loop_.restart();
+  Loop_.poll();
+  CHECK(Woken);
+}
--- /dev/null
+++ b/tests/live/TargetBookTest.cpp
@@ -0,0 +1,76 @@
+#include "live/TargetBook.h"
+
+#include "CppUTest/TestHarness.h"
+
+namespace base = lychee::base;
+using lychee::live::TargetBook;
+using lychee::live::TargetRecord;
+using namespace std::chrono_literals;
+
+TEST_GROUP(TargetBook) {
+  TargetBook Book_;
+  base::TimePoint Now_ = base::TimePoint(100s);
+
+  static TargetRecord recordOf(const char *Name, std::int64_t Started = 1) {
+    TargetRecord Made;
+    Made.Id_ = base::TargetId(Name);
+    Made.Service_ = base::ServiceId("portal");
+    Made.Address_ = "127.0.0.1:80";
+    Made.Started_ = Started;
+    return Made;
+  }
+};
+
+TEST(TargetBook, aTargetThatLeavesIsGoneAtOnce) {
+  Book_.put(recordOf("t1"), Now_);
+  Book_.remove(base::TargetId("t1"), Now_ + 1s);
+  LONGS_EQUAL(0, Book_.targets().size());
+}
+
+// The store was away, the targets' entries expired meanwhile, and the first
+// list after its return is empty. All targets are well and write again within
+// two seconds; dropped, every caller would be refused until then.
+TEST(TargetBook, anEmptyListAfterAnOutageKeepsTheTargets) {
+  Book_.put(recordOf("t1"), Now_);
+  Book_.noteTrouble(Now_ + 3s);
+  Book_.replaceAll({}, Now_ + 4s);
+  LONGS_EQUAL(1, Book_.targets().size());
+  Book_.put(recordOf("t1"), Now_ + 5s);
+  Book_.expire(Now_ + 20s);
+  LONGS_EQUAL(1, Book_.targets().size());
+}
+
+// As above, but the target did end during the outage. It must get nothing more
+// within 2.5 s of the list that it is missing from.
+TEST(TargetBook, aTargetStillMissingAfterTheGraceIsGone) {
+  Book_.put(recordOf("t1"), Now_);
+  Book_.noteTrouble(Now_ + 3s);
+  Book_.replaceAll({}, Now_ + 4s);
+  Book_.expire(Now_ + 4s + TargetBook::MissingGrace);
+  LONGS_EQUAL(0, Book_.targets().size());
+}
+
+TEST(TargetBook, aLeavingTargetGetsNoGrace) {
+  TargetRecord Leaving = recordOf("t1");
+  Leaving.Leaving_ = true;
+  Book_.put(Leaving, Now_);
+  Book_.noteTrouble(Now_ + 1s);
+  Book_.replaceAll({}, Now_ + 2s);
+  LONGS_EQUAL(0, Book_.targets().size());
+}
+
+TEST(TargetBook, aRecordThatSaysTheSameIsNoChange) {
+  Book_.put(recordOf("t1"), Now_);
+  CHECK(Book_.takeChanged());
+  Book_.put(recordOf("t1"), Now_ + 1s);
+  CHECK_FALSE(Book_.takeChanged());
+  Book_.put(recordOf("t1", 2), Now_ + 2s);
+  CHECK(Book_.takeChanged());
+}
+
+TEST(TargetBook, coldTimeCountsFromTheWord) {
+  TargetRecord Cold = recordOf("t1");
+  Cold.ColdLeft_ = 3s;
+  Book_.put(Cold, Now_);
+  CHECK(Book_.targets()[0].ColdUntil_ == Now_ + 3s);
+}
--- /dev/null
+++ b/tests/members/HeartbeatTest.cpp
@@ -0,0 +1,65 @@
+#include "members/Heartbeat.h"
+
+#include "CppUTest/TestHarness.h"
+
+namespace base = lychee::base;
+namespace members = lychee::members;
+using namespace std::chrono_literals;
+
+TEST_GROUP(Heartbeat) {
+  base::Error Last_;
+  static members::Heartbeat sample() {
+    members::Heartbeat Said;
+    Said.From_.Host_ = base::HostId("h1");
+    Said.From_.Region_ = base::RegionId("north");
+    Said.From_.Zone_ = base::ZoneId("north-a");
+    Said.From_.Address_ = "127.0.0.2";
+    Said.From_.Callers_ = "127.0.0.2:80";
+    Said.From_.Start_ = 1700000000000;
+    Said.Sequence_ = 9;
+    Said.Ready_ = true;
+    Said.Demands_ = {{base::CustomerId("parish"), 2.5}};
+    Said.Loads_ = {{base::ServiceId("portal"), 11.25}};
+    Said.Evidence_ = {{0xffffffffffffffffULL, 7, 1500ms}};
+    Said.Hears_ = {"127.0.0.3"};
+    return Said;
+  }
+};
+
+TEST(Heartbeat, comesBackAsItWasSaid) {
+  const members::Heartbeat Said = sample();
+  const auto Read =
+      members::decodeHeartbeat(members::encodeHeartbeat(Said), Last_);
+  CHECK(Read.has_value());
+  CHECK(Read->From_ == Said.From_);
+  LONGS_EQUAL(9, Read->Sequence_);
+  CHECK(Read->Ready_);
+  CHECK_FALSE(Read->Leaving_);
+  DOUBLES_EQUAL(2.5, Read->Demands_[0].RequestsPerSecond_, 0.01);
+  DOUBLES_EQUAL(11.25, Read->Loads_[0].Slots_, 0.01);
+  CHECK(Read->Evidence_[0] == Said.Evidence_[0]);
+  STRCMP_EQUAL("127.0.0.3", Read->Hears_[0].c_str());
+}
+
+// Anyone can send a datagram to the port. What is no heartbeat changes nothing
+// and says why.
+TEST(Heartbeat, anythingElseIsRefused) {
+  for (const char *Text :
+       {"", "no json", "[]", "{}", R"({"host":1})",
+        R"({"host":"h","region":"r","zone":"z","at":"a","callers":"c",)"
+        R"("start":1,"n":"1","ready":true,"leaving":false})",
+        R"({"host":"h","region":"r","zone":"z","at":"a","callers":"c",)"
+        R"("start":1,"n":1,"ready":true,"leaving":false,"demands":[1]})"}) {
+    CHECK_FALSE(members::decodeHeartbeat(Text, Last_).has_value());
+    CHECK_FALSE(Last_.Reason_.empty());
+  }
+}
+
+TEST(Heartbeat, fitsItsDatagramWithManyCustomers) {
+  members::Heartbeat Said = sample();
+  Said.Demands_.clear();
+  for (int Each = 0; Each < 100; ++Each)
+    Said.Demands_.push_back(
+        {base::CustomerId("customer-" + std::to_string(Each)), 123.45});
+  CHECK(members::encodeHeartbeat(Said).size() < 8192);
+}
--- /dev/null
+++ b/tests/members/HostBookTest.cpp
@@ -0,0 +1,141 @@
+#include "members/HostBook.h"
+
+#include "members/EntryPolicy.h"
+
+#include <string>
+
+#include "CppUTest/TestHarness.h"
+
+namespace base = lychee::base;
+namespace members = lychee::members;
+using members::HostBook;
+using namespace std::chrono_literals;
+
+namespace {
+
+members::HostCard cardOf(const std::string &Name, const std::string &Region) {
+  members::HostCard Card;
+  Card.Host_ = base::HostId(Name);
+  Card.Region_ = base::RegionId(Region);
+  Card.Zone_ = base::ZoneId(Region + "-a");
+  Card.Address_ = Name + "-ip";
+  Card.Callers_ = Name + ":80";
+  Card.Start_ = 1;
+  return Card;
+}
+
+} // namespace
+
+TEST_GROUP(HostBook) {
+  HostBook Book_{cardOf("self", "north")};
+  base::TimePoint Now_ = base::TimePoint(100s);
+  std::uint64_t Sequence_ = 0;
+
+  bool hear(const std::string &Name, bool Ready = true, bool Leaving = false,
+            const std::string &Region = "north") {
+    members::Heartbeat Said;
+    Said.From_ = cardOf(Name, Region);
+    Said.Sequence_ = ++Sequence_;
+    Said.Ready_ = Ready;
+    Said.Leaving_ = Leaving;
+    return Book_.heard(Said, Now_);
+  }
+  std::string entries(members::OwnState Own = {true, false, false}) {
+    std::string Text;
+    for (const std::string &Each : members::chooseEntries(
+             {base::RegionId("north"), base::ZoneId("north-a"), {}},
+             Book_.self(), Own, Book_.others(Now_)))
+      Text += Each + " ";
+    return Text;
+  }
+};
+
+// A host dies. Callers that are still sent to it wait in vain for a connection
+// each, so look-ups leave it out after four heartbeats that did not come.
+TEST(HostBook, aSilentHostIsLeftOutOfLookups) {
+  hear("h1");
+  STRCMP_EQUAL("self:80 h1:80 ", entries().c_str());
+  Now_ += HostBook::AliveFor;
+  STRCMP_EQUAL("self:80 ", entries().c_str());
+}
+
+// The same host may only be cut off and go on spending its part of a rate for
+// some seconds. Its part stays its own until it can no longer spend it.
+TEST(HostBook, aSilentHostHoldsItsShareLonger) {
+  hear("h1");
+  Now_ += HostBook::AliveFor;
+  LONGS_EQUAL(2, Book_.shareHolders(Now_));
+  Now_ += HostBook::ReservedFor;
+  LONGS_EQUAL(1, Book_.shareHolders(Now_));
+}
+
+TEST(HostBook, aLeavingHostIsLeftOutAtOnce) {
+  hear("h1");
+  CHECK(hear("h1", true, true));
+  STRCMP_EQUAL("self:80 ", entries().c_str());
+}
+
+TEST(HostBook, anOlderHeartbeatThatComesLateChangesNothing) {
+  hear("h1", true, true);
+  Sequence_ = 0;
+  CHECK_FALSE(hear("h1"));
+  STRCMP_EQUAL("self:80 ", entries().c_str());
+}
+
+// All others fall silent at the same moment: they are not dead, this host is
+// cut off. Taking their parts over would spend each twice.
+TEST(HostBook, allSilentTogetherMeansCutOff) {
+  for (const char *Name : {"h1", "h2", "h3", "h4"})
+    hear(Name);
+  CHECK_FALSE(Book_.isCutOff(Now_));
+  Now_ += HostBook::AliveFor;
+  CHECK(Book_.isCutOff(Now_));
+}
+
+TEST(HostBook, oneSilentHostOfFourIsNoCut) {
+  for (const char *Name : {"h1", "h2", "h3", "h4"})
+    hear(Name);
+  Now_ += 1500ms;
+  for (const char *Name : {"h2", "h3", "h4"})
+    hear(Name);
+  Now_ += 1s;
+  CHECK_FALSE(Book_.isCutOff(Now_));
+}
+
+TEST(HostBook, oneHostIsPickedForEachMatter) {
+  HostBook Other(cardOf("h1", "north"));
+  hear("h1");
+  members::Heartbeat Said;
+  Said.From_ = Book_.self();
+  Said.Sequence_ = 1;
+  Said.Ready_ = true;
+  Other.heard(Said, Now_);
+  for (std::uint64_t Matter = 0; Matter < 50; ++Matter)
+    CHECK(Book_.isPickedFor(Matter, Now_) != Other.isPickedFor(Matter, Now_));
+}
+
+TEST(HostBook, hostsThatOthersHearGetHeartbeats) {
+  members::Heartbeat Said;
+  Said.From_ = cardOf("h1", "north");
+  Said.Sequence_ = 1;
+  Said.Hears_ = {"h2-ip", "self-ip"};
+  Book_.heard(Said, Now_);
+  const std::vector<std::string> To = Book_.recipients(Now_);
+  LONGS_EQUAL(2, To.size());
+  STRCMP_EQUAL("h1-ip", To[0].c_str());
+  STRCMP_EQUAL("h2-ip", To[1].c_str());
+}
+
+TEST(HostBook, otherRegionsAreNamedWhereTheCallersOwnHasNone) {
+  hear("far", true, false, "south");
+  STRCMP_EQUAL("self:80 ", entries().c_str());
+  STRCMP_EQUAL("far:80 ", entries({false, false, false}).c_str());
+}
+
+// The host lost the store and all other hosts. Callers that it names itself to
+// would be refused; the others it heard last were well.
+TEST(HostBook, aHostThatIsCutOffNamesTheOthers) {
+  hear("h1");
+  Now_ += 5s;
+  STRCMP_EQUAL("h1:80 ", entries({false, false, true}).c_str());
+}
--- /dev/null
+++ b/tests/platform/DecodersTest.cpp
@@ -0,0 +1,181 @@
+#include "platform/BoundsDecoder.h"
+#include "platform/EntryPoints.h"
+#include "platform/IntentDecoder.h"
+#include "platform/TargetDecoder.h"
+
+#include <json/json.h>
+#include <memory>
+#include <string>
+
+#include "CppUTest/TestHarness.h"
+
+namespace base = lychee::base;
+namespace platform = lychee::platform;
+using namespace std::chrono_literals;
+
+namespace {
+
+Json::Value parse(const std::string &Text) {
+  Json::Value Read;
+  const Json::CharReaderBuilder Builder;
+  const std::unique_ptr<Json::CharReader> Reader(Builder.newCharReader());
+  Reader->parse(Text.data(), Text.data() + Text.size(), &Read, nullptr);
+  return Read;
+}
+
+const std::string Sample = R"({"version":"r12",
+ "routes":{"columns":["name","host","pathPrefix","kind","timeoutMs",
+   "targetLatencyMs","priority","trafficSplit","maxAttempts","public","sticky",
+   "homeRegions","service"],
+  "rows":[
+   ["r-1","Portal.Example","/a/","idempotent",800,400,2,
+    [{"service":"old","weight":9},{"service":"new","weight":1}],2,false,true,
+    [],null],
+   ["r-2","portal.example","/b/","upload",1000,400,1,null,1,true,false,
+    ["north"],"vault"]]},
+ "services":{"columns":["name","healthPath","maxConnections","coldStartS",
+   "coldPerS"],"rows":[["vault","/healthz",390,3.5,5.0]]},
+ "limits":{"maxHeaderBytes":8192,"maxBodyBytes":67108864,
+   "headerTimeoutMs":3000,"idleTimeoutMs":15000},
+ "tenants":{"columns":["name","apiKeys","priority","ratePerS","burst",
+   "homeRegions"],"rows":[["parish",["k1","k2"],1,135,130,[]],
+   ["guest",["k3"],null,null,null,null]]}})";
+
+const std::string Entry =
+    R"({"service":"portal","address":"127.0.0.9:80","zone":"n-a","version":"v1",
+    "slots":3,"state":"ready","coldRemainingMs":1500,"sequence":4,
+    "born":1700000000123})";
+
+} // namespace
+
+TEST_GROUP(IntentDecoder) {
+  base::Error Last_;
+  bool isRefused(const std::string &From, const std::string &To) {
+    std::string Text = Sample;
+    Text.replace(Text.find(From), From.size(), To);
+    return !platform::decodeIntent(parse(Text), Last_) &&
+           !Last_.Reason_.empty();
+  }
+};
+
+TEST(IntentDecoder, readsAWholeConfiguration) {
+  const auto Read = platform::decodeIntent(parse(Sample), Last_);
+  CHECK(Read.has_value());
+  LONGS_EQUAL(12, Read->Version_);
+  LONGS_EQUAL(2, Read->Routes_.size());
+  const auto &First = Read->Routes_[0];
+  STRCMP_EQUAL("portal.example", First.Host_.c_str());
+  CHECK(First.Idempotent_ && First.ByObject_ && !First.Public_);
+  CHECK(First.Timeout_ == 800ms && First.Objective_ == 400ms);
+  LONGS_EQUAL(2, First.Services_.size());
+  LONGS_EQUAL(9, First.Services_[0].Weight_);
+  const auto &Second = Read->Routes_[1];
+  CHECK(!Second.Idempotent_ && Second.Public_);
+  STRCMP_EQUAL("vault", Second.Services_[0].Service_.name().c_str());
+  STRCMP_EQUAL("north", Second.Homes_[0].name().c_str());
+  const auto &Service = Read->Services_.at(base::ServiceId("vault"));
+  CHECK(Service.ColdTime_ == 3500ms);
+  LONGS_EQUAL(390, Service.ConnectionLimit_);
+  LONGS_EQUAL(2, Read->Customers_[0].Keys_.size());
+  LONGS_EQUAL(1, *Read->Customers_[0].Priority_);
+  CHECK_FALSE(Read->Customers_[1].Priority_.has_value());
+  LONGS_EQUAL(8192, Read->Callers_.HeaderBytes_);
+}
+
+TEST(IntentDecoder, faultsAreNamedAndRefused) {
+  CHECK(isRefused(R"("version":"r12")", R"("version":"12")"));
+  CHECK(isRefused(R"("version":"r12",)", ""));
+  CHECK(isRefused(R"("idempotent")", R"("sometimes")"));
+  STRCMP_EQUAL("routes[0]", Last_.Peer_.c_str());
+  CHECK(isRefused("800,400,2,", R"("800",400,2,)"));
+  CHECK(isRefused(R"("weight":9)", R"("weight":"9")"));
+  CHECK(isRefused(R"(null,1,true,false,
+    ["north"],"vault")",
+                  R"(null,1,true,false,["north"],null)"));
+  CHECK(isRefused(R"(["k1","k2"])", R"([1,2])"));
+  CHECK(isRefused(R"("rows":[["vault")", R"("lines":[["vault")"));
+  CHECK_FALSE(platform::decodeIntent(parse("[]"), Last_).has_value());
+  CHECK_FALSE(platform::decodeIntent(Json::Value(), Last_).has_value());
+}
+
+TEST_GROUP(TargetDecoder) {
+  base::Error Last_;
+  bool isRefused(const std::string &From, const std::string &To) {
+    std::string Text = Entry;
+    Text.replace(Text.find(From), From.size(), To);
+    return !platform::decodeTarget("i-1", parse(Text), Last_) &&
+           !Last_.Reason_.empty();
+  }
+};
+
+TEST(TargetDecoder, readsAnEntry) {
+  const auto Read = platform::decodeTarget("i-1", parse(Entry), Last_);
+  CHECK(Read.has_value());
+  STRCMP_EQUAL("i-1", Read->Id_.name().c_str());
+  STRCMP_EQUAL("n-a", Read->Zone_.name().c_str());
+  LONGS_EQUAL(3, Read->Slots_);
+  CHECK(Read->ColdLeft_ == 1500ms);
+  CHECK(Read->Started_ == 1700000000123);
+  CHECK_FALSE(Read->Leaving_);
+}
+
+// Anyone can write into the store. An entry that cannot be read names no
+// target, and says why.
+TEST(TargetDecoder, faultsAreNamedAndRefused) {
+  CHECK(isRefused(R"("ready")", R"("resting")"));
+  CHECK(isRefused(R"("slots":3)", R"("slots":"3")"));
+  CHECK(isRefused(R"("slots":3)", R"("slots":0)"));
+  CHECK(isRefused(R"("slots":3)", R"("slots":-1)"));
+  CHECK(isRefused(R"("zone":"n-a",)", ""));
+  CHECK(isRefused(R"("address":"127.0.0.9:80")", R"("address":7)"));
+  CHECK(isRefused("1700000000123", R"("now")"));
+  CHECK_FALSE(
+      platform::decodeTarget("i-1", Json::Value("text"), Last_).has_value());
+}
+
+TEST_GROUP(BoundsDecoder) { base::Error Last_; };
+
+TEST(BoundsDecoder, readsWhatTheProductActsOnAndPassesOverTheRest) {
+  const auto Read = platform::decodeBounds(
+      "revokeMs=4000,strictRevoke=true,graceS=6,retryBudgetRatio=0.25,"
+      "quotaOverage=0.1,news=12",
+      Last_);
+  CHECK(Read.has_value());
+  CHECK(Read->KeyWithdrawal_ == 4s);
+  CHECK(Read->StopGrace_ == 6s);
+  DOUBLES_EQUAL(0.25, Read->RetryRatio_, 0.0001);
+  DOUBLES_EQUAL(0.1, Read->RateOverage_, 0.0001);
+}
+
+TEST(BoundsDecoder, whatIsNoNumberIsRefused) {
+  CHECK_FALSE(platform::decodeBounds("revokeMs=soon", Last_).has_value());
+  CHECK_FALSE(platform::decodeBounds("revokeMs", Last_).has_value());
+  CHECK(platform::decodeBounds("", Last_).has_value());
+}
+
+TEST_GROUP(EntryPoints){};
+
+TEST(EntryPoints, aQuestionIsReadAndAnswered) {
+  lychee::transport::HttpRequest Asked;
+  Asked.Target_ = "/resolve?name=a.example&region=north&zone=n-a";
+  const auto Read = platform::decodeResolve(Asked);
+  CHECK(Read.has_value());
+  STRCMP_EQUAL("a.example", Read->Name_.c_str());
+  STRCMP_EQUAL("n-a", Read->Zone_.c_str());
+  const std::vector<std::string> Two{"127.0.0.1:80", "127.0.0.2:80"};
+  STRCMP_EQUAL(R"({"addresses":["127.0.0.1:80","127.0.0.2:80"],"ttlS":1.0})",
+               platform::encodeResolve(Two, 1s).Body_.c_str());
+}
+
+TEST(EntryPoints, whereNobodyCanBeNamedTheAnswerIsAFailure) {
+  LONGS_EQUAL(503, platform::encodeResolve({}, 1s).Status_);
+}
+
+TEST(EntryPoints, readinessIsAnsweredAtItsPathAlone) {
+  lychee::transport::HttpRequest Asked;
+  Asked.Target_ = "/readyz";
+  LONGS_EQUAL(200, platform::encodeReady(Asked, true).Status_);
+  LONGS_EQUAL(503, platform::encodeReady(Asked, false).Status_);
+  Asked.Target_ = "/other";
+  LONGS_EQUAL(404, platform::encodeReady(Asked, true).Status_);
+}
