--- a/tests/live/ObjectFollowerTest.cpp
+++ b/tests/live/ObjectFollowerTest.cpp
@@ -2,7 +2,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/this_coro.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <deque>
 #include <memory>
@@ -29,13 +29,19 @@
 
   asio::awaitable<std::optional<live::ObjectBatch>>
   list(std::string_view /*Kind*/, base::Error & /*Last*/) override {
-    co_return next("list") == "list" ? std::optional(live::ObjectBatch{{}, 5})
-                                     : std::nullopt;
+    co_await endWithScript();
+    const std::string Answer = next("list");
+    if (Answer != "list")
+      co_return std::nullopt;
+    live::ObjectBatch All;
+    All.At_ = 5;
+    co_return All;
   }
   asio::awaitable<std::optional<live::ObjectBatch>>
   watch(std::string_view /*Kind*/, std::uint64_t /*Since*/,
         base::Duration /*Wait*/, live::SourceFault &Fault,
         base::Error & /*Last*/) override {
+    co_await endWithScript();
     const std::string Answer = next("watch");
     Fault = Answer == "gone" ? live::SourceFault::HistoryGone
                              : live::SourceFault::Trouble;
@@ -60,12 +66,19 @@
   }
 
 private:
+  /// Ends the loop at the first call after the script, which never returns.
+  asio::awaitable<void> endWithScript() {
+    if (!Script_.empty())
+      co_return;
+    Loop_.stop();
+    asio::steady_timer Never(Loop_, asio::steady_timer::time_point::max());
+    co_await Never.async_wait(asio::use_awaitable);
+  }
+
   std::string next(const char *Call) {
     Calls_.emplace_back(Call);
     std::string Answer = Script_.front();
     Script_.pop_front();
-    if (Script_.empty())
-      Loop_.stop();
     return Answer;
   }
 
