A second target counts as warm where this host knows that it handled the object

Cause: at a fixed low cost of the second place every object went to two targets from the start, each with a cold run of 3.3 times the work; in the first seconds that alone was over the room there is.

--- a/libs/dispatch/DispatchSteering.cpp
+++ b/libs/dispatch/DispatchSteering.cpp
@@ -350,6 +350,8 @@
       Target->Trust_.answered(Now);
     if (Report.Status_ < FirstServerFailure)
       learnTime(Request, *Target, Report.Took_);
+    if (Report.Status_ < FirstServerFailure)
+      Target->Warm_.handled(Request.Object_, Now);
     Suspects_.answered(Request.Fingerprint_);
     break;
   case SendEnd::Shed:
--- a/libs/dispatch/TargetChooser.cpp
+++ b/libs/dispatch/TargetChooser.cpp
@@ -9,11 +9,14 @@
 
 namespace {
 
-/// What a place in the object's order adds, in parts of the usual work: a
+/// What a place in the object's order adds, in parts of the usual work. A
 /// target that is cold for the object takes 3.3 times as long, and pushes
-/// another object out. The last entry holds for all later places, and for all
-/// places outside the region in which the object should run.
-constexpr std::array<double, 3> PlaceCost = {0, 0.2, 2.3};
+/// another object out. The first place is where all hosts send first, so it is
+/// warm or about to be; the second may have been warmed by another host.
+constexpr std::array<double, 2> PlaceCost = {0, 1.0};
+constexpr double ElsewhereCost = 2.3;
+/// The same where this host knows that the target handled the object lately.
+constexpr std::array<double, 2> WarmCost = {0, 0.1};
 
 /// A target that fails a tenth of its requests costs as much as one that is
 /// slower by FailureCost tenths: a failed request costs a second send.
@@ -77,10 +80,12 @@
   const double Slots = std::max(1U, Target.Record_.Slots_);
   const double Ahead = std::max(0.0, Target.Load_.at(Now) + 1 - Slots);
   const double Waiting = Ahead / Slots * Work * Target.Slowness_;
-  const std::size_t Rank = Target.Region_ == Asked.Region_
-                               ? std::min(Each.Rank_, PlaceCost.size() - 1)
-                               : PlaceCost.size() - 1;
-  const double Place = PlaceCost[Rank];
+  const bool InPlace =
+      Target.Region_ == Asked.Region_ && Each.Rank_ < PlaceCost.size();
+  const double Place = Target.Warm_.isWarm(Asked.Object_, Now)
+                           ? WarmCost[std::min<std::size_t>(Each.Rank_, 1)]
+                       : InPlace ? PlaceCost[Each.Rank_]
+                                 : ElsewhereCost;
   const double Cold = Now < Target.ColdUntil_ ? ColdCost : 0;
   double Total = Waiting + Work * Target.Slowness_ * (1 + Cold) + Work * Place +
                  Work * FailureCost * Target.Trust_.failureShare();
--- a/libs/dispatch/TargetState.h
+++ b/libs/dispatch/TargetState.h
@@ -4,6 +4,7 @@
 #include "dispatch/ColdAllowance.h"
 #include "dispatch/LoadEstimate.h"
 #include "dispatch/TargetTrust.h"
+#include "dispatch/WarmMemory.h"
 #include "live/TargetRecord.h"
 
 namespace lychee::dispatch {
@@ -21,6 +22,7 @@
   LoadEstimate Load_;
   TargetTrust Trust_;
   ColdAllowance Cold_;
+  WarmMemory Warm_;
   /// Its time for a request, as a multiple of what is usual for the request's
   /// rule.
   double Slowness_ = 1;
--- a/tests/dispatch/TargetChooserTest.cpp
+++ b/tests/dispatch/TargetChooserTest.cpp
@@ -97,14 +97,31 @@
 }
 
 // A target is full. Holding on to it, the object's requests wait behind others;
-// its second target is warm for it, too.
+// its second target takes over, sooner where it is known to be warm.
 TEST(TargetChooser, aFullTargetsObjectGoesToItsSecond) {
   const auto First = choose(queryFor(42));
-  for (int Each = 0; Each < 4; ++Each)
+  int Until = 0;
+  for (; choose(queryFor(42))->Target_ == First->Target_; ++Until)
     First->Target_->Load_.sent();
   const auto Second = choose(queryFor(42));
-  CHECK(Second->Target_ != First->Target_);
   LONGS_EQUAL(1, Second->Rank_);
+  LONGS_EQUAL(6, Until);
+  Second->Target_->Warm_.handled(42, Now_);
+  for (int Each = 0; Each < 2; ++Each)
+    First->Target_->Load_.ended();
+  CHECK(choose(queryFor(42))->Target_ == Second->Target_);
+}
+
+// Objects change; a target keeps some tens of them.
+TEST(TargetChooser, warmthIsForgottenInTime) {
+  dispatch::WarmMemory Memory;
+  Memory.handled(1, Now_);
+  CHECK(Memory.isWarm(1, Now_ + 10s));
+  CHECK_FALSE(Memory.isWarm(1, Now_ + dispatch::WarmMemory::KeptFor));
+  for (std::uint64_t Object = 2; Object <= 33; ++Object)
+    Memory.handled(Object, Now_ + 1s);
+  CHECK_FALSE(Memory.isWarm(1, Now_ + 1s));
+  CHECK(Memory.isWarm(33, Now_ + 1s));
 }
 
 TEST(TargetChooser, leavingAndEvacuatedTargetsGetNothing) {
