A call that hung over the store's recovery is repeated at once

Test: aCallThatHungOverTheRecoveryIsRepeatedAtOnce. Heartbeats are logged where they are news, not with each evidence.

--- a/apps/lycheed/LiveDaemon.cpp
+++ b/apps/lycheed/LiveDaemon.cpp
@@ -140,11 +140,11 @@
       Feed_({Objects_, Intents_, Steering_, Gateway_, Hosts_,
              Settings_.Live_->Zones_},
             drawSeed()),
-      Heartbeats_(Control_.get_executor(), Hosts_, Settings.Live_->Heartbeats_,
-                  {[this](base::TimePoint Now) { return sayHeartbeat(Now); },
-                   [this](const members::Heartbeat &Said, base::TimePoint Now) {
-                     hearHeartbeat(Said, Now);
-                   }}) {
+      Heartbeats_(
+          Control_.get_executor(), Hosts_, Settings.Live_->Heartbeats_,
+          {[this](base::TimePoint Now) { return sayHeartbeat(Now); },
+           [this](const members::Heartbeat &Said, bool News,
+                  base::TimePoint Now) { hearHeartbeat(Said, News, Now); }}) {
   Hosts_.addSeeds(Settings_.Live_->SeedAddresses_);
 }
 
@@ -166,9 +166,12 @@
   return Said;
 }
 
-void LiveDaemon::hearHeartbeat(const members::Heartbeat &Said,
+void LiveDaemon::hearHeartbeat(const members::Heartbeat &Said, bool News,
                                base::TimePoint Now) {
-  Steering_.mergeEvidence(Said.Evidence_, Now);
+  if (!Said.Evidence_.empty())
+    Steering_.mergeEvidence(Said.Evidence_, Now);
+  if (!News)
+    return;
   reporting::logLine(LogLevel::Info,
                      KeyValueLine()
                          .add("event", "host-heard")
--- a/apps/lycheed/LiveDaemon.h
+++ b/apps/lycheed/LiveDaemon.h
@@ -52,7 +52,8 @@
   boost::asio::awaitable<void> registerHost();
   boost::asio::awaitable<void> withdrawHost();
   members::Heartbeat sayHeartbeat(base::TimePoint Now) const;
-  void hearHeartbeat(const members::Heartbeat &Said, base::TimePoint Now);
+  void hearHeartbeat(const members::Heartbeat &Said, bool News,
+                     base::TimePoint Now);
   boost::asio::awaitable<transport::HttpAnswer>
   answerDirectory(transport::HttpRequest Asked);
   boost::asio::awaitable<transport::HttpAnswer>
--- a/libs/live/ObjectFollower.cpp
+++ b/libs/live/ObjectFollower.cpp
@@ -30,36 +30,36 @@
 
 asio::awaitable<void> ObjectFollower::pause() {
   InTrouble_ = true;
-  co_await Recovered_.wait(Backoff_.next(Random_));
+  co_await Recovered_.wait(Backoff_.next(Random_), Asked_);
 }
 
-void ObjectFollower::succeeded() {
+void ObjectFollower::succeeded(base::TimePoint Now) {
   Backoff_.reset();
   if (std::exchange(InTrouble_, false))
-    Recovered_.announce();
+    Recovered_.announce(Now);
 }
 
 asio::awaitable<bool> ObjectFollower::listOnce() {
   base::Error Last;
-  const base::TimePoint Asked = SystemClock::monotonicNow();
+  Asked_ = SystemClock::monotonicNow();
   const std::optional<ObjectBatch> All = co_await Source_.list(Kind_, Last);
   if (!All) {
     Listeners_.Trouble_(Last);
     co_return false;
   }
-  succeeded();
+  succeeded(SystemClock::monotonicNow());
   At_ = All->At_;
   Listed_ = true;
   Listeners_.Listed_(*All);
   if (Listeners_.Confirmed_)
-    Listeners_.Confirmed_(Asked);
+    Listeners_.Confirmed_(Asked_);
   co_return true;
 }
 
 asio::awaitable<void> ObjectFollower::watchOnce() {
   base::Error Last;
   SourceFault Fault = SourceFault::Trouble;
-  const base::TimePoint Asked = SystemClock::monotonicNow();
+  Asked_ = SystemClock::monotonicNow();
   const base::Duration Wait = ConfirmSoon_ ? ShortWatch : Pace_.Watch_;
   const std::optional<ObjectBatch> Heard =
       co_await Source_.watch(Kind_, At_, Wait, Fault, Last);
@@ -73,22 +73,22 @@
     co_await pause();
     co_return;
   }
-  succeeded();
+  succeeded(SystemClock::monotonicNow());
   At_ = std::max(At_, Heard->At_);
   if (!Heard->Objects_.empty())
     Listeners_.Changed_(*Heard);
   const base::TimePoint Now = SystemClock::monotonicNow();
   // A watch that the store cut short is no proof of the time it did not last.
-  const bool Lasted = Now - Asked >= Wait;
+  const bool Lasted = Now - Asked_ >= Wait;
   if (Listeners_.Confirmed_) {
-    Listeners_.Confirmed_(Lasted ? std::max(Asked, Asked + Wait - DeafWatch)
-                                 : Asked);
+    Listeners_.Confirmed_(Lasted ? std::max(Asked_, Asked_ + Wait - DeafWatch)
+                                 : Asked_);
     ConfirmSoon_ = !Lasted;
   }
   // A store that answers a watch at once, without news, is not to be asked
   // again at once.
   if (!Lasted && Heard->Objects_.empty())
-    co_await Recovered_.wait(Backoff_.next(Random_));
+    co_await Recovered_.wait(Backoff_.next(Random_), Asked_);
 }
 
 } // namespace lychee::live
--- a/libs/live/ObjectFollower.h
+++ b/libs/live/ObjectFollower.h
@@ -64,7 +64,7 @@
   boost::asio::awaitable<bool> listOnce();
   boost::asio::awaitable<void> watchOnce();
   boost::asio::awaitable<void> pause();
-  void succeeded();
+  void succeeded(base::TimePoint Now);
 
   ObjectSource &Source_;
   const std::string Kind_;
@@ -76,6 +76,8 @@
   std::uint64_t At_ = 0;
   bool Listed_ = false;
   bool InTrouble_ = false;
+  /// When the last call began.
+  base::TimePoint Asked_;
   /// The last confirmation speaks for a moment that lies far back.
   bool ConfirmSoon_ = false;
 };
--- a/libs/live/RecoverySignal.cpp
+++ b/libs/live/RecoverySignal.cpp
@@ -29,7 +29,10 @@
 
 } // namespace
 
-asio::awaitable<void> RecoverySignal::wait(base::Duration Longest) {
+asio::awaitable<void> RecoverySignal::wait(base::Duration Longest,
+                                           base::TimePoint Since) {
+  if (Announced_ > Since)
+    co_return;
   asio::steady_timer Timer(co_await asio::this_coro::executor);
   Timer.expires_after(
       std::chrono::duration_cast<asio::steady_timer::duration>(Longest));
@@ -37,7 +40,8 @@
   co_await Timer.async_wait(asio::as_tuple(asio::use_awaitable));
 }
 
-void RecoverySignal::announce() {
+void RecoverySignal::announce(base::TimePoint Now) {
+  Announced_ = Now;
   for (asio::steady_timer *Each : Waiting_)
     Each->cancel();
 }
--- a/libs/live/RecoverySignal.h
+++ b/libs/live/RecoverySignal.h
@@ -25,13 +25,17 @@
   RecoverySignal(const RecoverySignal &) = delete;
   RecoverySignal &operator=(const RecoverySignal &) = delete;
 
-  /// Waits until announce(), for \p Longest at most.
-  boost::asio::awaitable<void> wait(base::Duration Longest);
+  /// Waits until announce(), for \p Longest at most; not at all where that was
+  /// called since \p Since. A call that hung when the trouble began ends after
+  /// the store is back, and must not pause then.
+  boost::asio::awaitable<void> wait(base::Duration Longest,
+                                    base::TimePoint Since);
 
   /// The store answered after trouble.
-  void announce();
+  void announce(base::TimePoint Now);
 
 private:
+  base::TimePoint Announced_;
   std::vector<boost::asio::steady_timer *> Waiting_;
 };
 
--- a/libs/members/HeartbeatExchange.cpp
+++ b/libs/members/HeartbeatExchange.cpp
@@ -82,9 +82,7 @@
     if (!Said)
       continue;
     const base::TimePoint Now = SystemClock::monotonicNow();
-    const bool News = Book_.heard(*Said, Now);
-    if (News || !Said->Evidence_.empty())
-      Others_.Hear_(*Said, Now);
+    Others_.Hear_(*Said, Book_.heard(*Said, Now), Now);
   }
 }
 
--- a/libs/members/HeartbeatExchange.h
+++ b/libs/members/HeartbeatExchange.h
@@ -24,8 +24,9 @@
   struct Parts {
     /// \returns what to say now, but for sender and sequence.
     std::function<Heartbeat(base::TimePoint)> Say_;
-    /// Hears each heartbeat that is news to the book or brings evidence.
-    std::function<void(const Heartbeat &, base::TimePoint)> Hear_;
+    /// Hears each heartbeat. \p News  the host was not heard lately, or
+    /// changed.
+    std::function<void(const Heartbeat &, bool News, base::TimePoint)> Hear_;
   };
 
   /// \param Book  outlives this. \param Listen  where heartbeats come in; all
--- a/tests/live/ObjectFollowerTest.cpp
+++ b/tests/live/ObjectFollowerTest.cpp
@@ -1,5 +1,7 @@
 #include "live/ObjectFollower.h"
 
+#include "base/SystemClock.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -137,10 +139,24 @@
 // Without the signal the first would come back an hour later.
 TEST(ObjectFollower, anAnswerAfterTroubleWakesTheOthers) {
   bool Woken = false;
-  asio::co_spawn(Loop_, Recovered_.wait(1h),
+  asio::co_spawn(Loop_,
+                 Recovered_.wait(1h, lychee::base::SystemClock::monotonicNow()),
                  [&Woken](const std::exception_ptr &) { Woken = true; });
   play({"trouble", "list", "watch"});
   Loop_.restart();
   Loop_.poll();
   CHECK(Woken);
 }
+
+// One kind's call hangs while the store comes back, and another kind is
+// answered. The hung call ends a second later; pausing then for its usual 3 s
+// it came back so late that a target that had left was sent to.
+TEST(ObjectFollower, aCallThatHungOverTheRecoveryIsRepeatedAtOnce) {
+  const base::TimePoint Asked = base::SystemClock::monotonicNow();
+  Recovered_.announce(Asked + 1s);
+  bool Woken = false;
+  asio::co_spawn(Loop_, Recovered_.wait(1h, Asked),
+                 [&Woken](const std::exception_ptr &) { Woken = true; });
+  Loop_.poll();
+  CHECK(Woken);
+}
