--- a/apps/lycheed/LiveDaemon.cpp
+++ b/apps/lycheed/LiveDaemon.cpp
@@ -68,9 +68,10 @@
   return Made;
 }
 
-members::HostCard cardOf(const settings::DaemonSettings &Settings) {
+members::HostCard cardOf(const settings::DaemonSettings &Settings,
+                         const settings::LiveSettings &Live) {
   return {Settings.Host_,           Settings.Region_,
-          Settings.Zone_,           Settings.Live_->Heartbeats_.Address_,
+          Settings.Zone_,           Live.Heartbeats_.Address_,
           Settings.Callers_.text(), drawIncarnation()};
 }
 
@@ -108,8 +109,10 @@
 };
 
 LiveDaemon::LiveDaemon(const settings::DaemonSettings &Settings,
+                       const settings::LiveSettings &Live,
                        const live::DeploymentBounds &Bounds, std::string Path)
-    : Settings_(Settings), Path_(std::move(Path)), Signals_(Control_),
+    : Settings_(Settings), Live_(Live), Path_(std::move(Path)),
+      Signals_(Control_),
       Decisions_(
           [](const std::string &Line) {
             reporting::logLine(LogLevel::Info, std::string_view(Line));
@@ -118,7 +121,8 @@
       Reporter_(Decisions_, Metrics_),
       Objects_(Control_.get_executor(), Settings.Store_,
                Settings.StoreTimeout_),
-      Intents_(Bounds.KeyWithdrawal_ - KeyMargin), Hosts_(cardOf(Settings)),
+      Intents_(Bounds.KeyWithdrawal_ - KeyMargin),
+      Hosts_(cardOf(Settings, Live)),
       Steering_(
           dispatchSettings(Settings, Bounds),
           [this](std::uint64_t Matter) {
@@ -137,15 +141,14 @@
           liveGatewaySettings(Settings, Bounds),
           {Steering_, Intents_, Intents_, Entry_, *Claims_, Reporter_, *Polls_},
           drawSeed()),
-      Feed_({Objects_, Intents_, Steering_, Gateway_, Hosts_,
-             Settings_.Live_->Zones_},
+      Feed_({Objects_, Intents_, Steering_, Gateway_, Hosts_, Live_.Zones_},
             drawSeed()),
       Heartbeats_(
-          Control_.get_executor(), Hosts_, Settings.Live_->Heartbeats_,
+          Control_.get_executor(), Hosts_, Live.Heartbeats_,
           {[this](base::TimePoint Now) { return sayHeartbeat(Now); },
            [this](const members::Heartbeat &Said, bool News,
                   base::TimePoint Now) { hearHeartbeat(Said, News, Now); }}) {
-  Hosts_.addSeeds(Settings_.Live_->SeedAddresses_);
+  Hosts_.addSeeds(Live_.SeedAddresses_);
 }
 
 LiveDaemon::~LiveDaemon() { stopControl(); }
@@ -222,10 +225,10 @@
     Servers_.push_back(std::make_unique<transport::HttpServer>(
         Control_.get_executor(), optionsFor(Where), std::move(Answers)));
   };
-  Serve(Settings_.Live_->Directory_, [this](transport::HttpRequest Asked) {
+  Serve(Live_.Directory_, [this](transport::HttpRequest Asked) {
     return answerDirectory(std::move(Asked));
   });
-  Serve(Settings_.Live_->Readiness_, [this](transport::HttpRequest Asked) {
+  Serve(Live_.Readiness_, [this](transport::HttpRequest Asked) {
     return answerReadiness(std::move(Asked));
   });
   Serve(Settings_.Metrics_, [this](transport::HttpRequest Asked) {
--- a/apps/lycheed/LiveDaemon.h
+++ b/apps/lycheed/LiveDaemon.h
@@ -28,6 +28,7 @@
 public:
   /// \param Path  where \p Settings were read from, for reading them again.
   LiveDaemon(const settings::DaemonSettings &Settings,
+             const settings::LiveSettings &Live,
              const live::DeploymentBounds &Bounds, std::string Path);
   LiveDaemon(const LiveDaemon &) = delete;
   LiveDaemon &operator=(const LiveDaemon &) = delete;
@@ -61,7 +62,8 @@
   boost::asio::awaitable<transport::HttpAnswer>
   answerMetrics(transport::HttpRequest Asked);
 
-  settings::DaemonSettings Settings_;
+  const settings::DaemonSettings Settings_;
+  const settings::LiveSettings Live_;
   const std::string Path_;
   std::filesystem::file_time_type SettingsRead_;
   boost::asio::io_context Control_{1};
--- a/apps/lycheed/LiveFeed.cpp
+++ b/apps/lycheed/LiveFeed.cpp
@@ -181,6 +181,7 @@
       HostAddresses_[Each.Name_] = Each.Content_["address"].asString();
   }
   std::vector<std::string> Addresses;
+  Addresses.reserve(HostAddresses_.size());
   for (const auto &[Name, Address] : HostAddresses_)
     Addresses.push_back(Address);
   Parts_.Hosts_.setListed(Addresses);
--- a/apps/lycheed/Main.cpp
+++ b/apps/lycheed/Main.cpp
@@ -29,6 +29,19 @@
   return Bounds;
 }
 
+/// Checks and runs a host where intent and targets are live.
+int runLive(const lychee::settings::DaemonSettings &Settings,
+            const lychee::settings::LiveSettings &Live) {
+  const auto Bounds = readBounds(Live);
+  if (!Bounds)
+    return ExitBadSettings;
+  if (FLAGS_check)
+    return 0;
+  lychee::reporting::configureLog(Settings.LogLevel_);
+  return lychee::daemon::LiveDaemon(Settings, Live, *Bounds, FLAGS_settings)
+      .run();
+}
+
 } // namespace
 
 int main(int ArgumentCount, char **Arguments) {
@@ -42,13 +55,10 @@
     std::cerr << Each.describe() << '\n';
   if (!Settings)
     return ExitBadSettings;
-  std::optional<lychee::live::DeploymentBounds> Bounds;
-  if (Settings->Live_ && !(Bounds = readBounds(*Settings->Live_)))
-    return ExitBadSettings;
+  if (Settings->Live_)
+    return runLive(*Settings, *Settings->Live_);
   if (FLAGS_check)
     return 0;
   lychee::reporting::configureLog(Settings->LogLevel_);
-  if (Bounds)
-    return lychee::daemon::LiveDaemon(*Settings, *Bounds, FLAGS_settings).run();
   return lychee::daemon::Daemon(*Settings).run();
 }
--- a/libs/gateway/TargetSend.cpp
+++ b/libs/gateway/TargetSend.cpp
@@ -124,7 +124,7 @@
 /// answer that lies ready would be lost. So room to write and an answer are
 /// waited for together.
 Task<bool> TargetSend::writeWhileSilent(std::string_view Body) {
-  using namespace boost::asio::experimental::awaitable_operators;
+  using boost::asio::experimental::awaitable_operators::operator||;
   Socket &Peer = Connection_->socket();
   Peer.non_blocking(true);
   while (!Body.empty()) {
--- a/libs/members/HeartbeatExchange.cpp
+++ b/libs/members/HeartbeatExchange.cpp
@@ -19,7 +19,7 @@
 
 } // namespace
 
-HeartbeatExchange::HeartbeatExchange(asio::any_io_executor Executor,
+HeartbeatExchange::HeartbeatExchange(const asio::any_io_executor &Executor,
                                      HostBook &Book, settings::Endpoint Listen,
                                      Parts Others)
     : Book_(Book), Listen_(std::move(Listen)), Others_(std::move(Others)),
--- a/libs/members/HeartbeatExchange.h
+++ b/libs/members/HeartbeatExchange.h
@@ -31,8 +31,8 @@
 
   /// \param Book  outlives this. \param Listen  where heartbeats come in; all
   /// hosts use its port.
-  HeartbeatExchange(boost::asio::any_io_executor Executor, HostBook &Book,
-                    settings::Endpoint Listen, Parts Others);
+  HeartbeatExchange(const boost::asio::any_io_executor &Executor,
+                    HostBook &Book, settings::Endpoint Listen, Parts Others);
   HeartbeatExchange(const HeartbeatExchange &) = delete;
   HeartbeatExchange &operator=(const HeartbeatExchange &) = delete;
 
