Log lines go to standard output, bounded by kind, and never wait for their reader

Cause: a reader that stops reading fills the pipe, and the next line blocked the thread that serves callers.

--- a/apps/lycheed/LiveDaemon.cpp
+++ b/apps/lycheed/LiveDaemon.cpp
@@ -256,6 +256,7 @@
     Steering_.setFleet(
         {Hosts_.others(Now), Hosts_.shareHolders(Now), Hosts_.isCutOff(Now)},
         Now);
+    reporting::flushLog();
     if (++Paces % FileCheckPaces == 0 && settingsFileChanged())
       reloadSettings();
     Timer.expires_after(TimePace);
@@ -364,6 +365,7 @@
   asio::co_spawn(Control_, withdrawHost(), asio::use_future)
       .wait_for(WithdrawTimeout);
   stopControl();
+  reporting::flushLog();
   return Summary.CutRequests_.empty() ? 0 : ExitRequestsCut;
 }
 
--- a/apps/lycheed/Main.cpp
+++ b/apps/lycheed/Main.cpp
@@ -37,7 +37,7 @@
     return ExitBadSettings;
   if (FLAGS_check)
     return 0;
-  lychee::reporting::configureLog(Settings.LogLevel_);
+  lychee::reporting::configureLog(Settings.LogLevel_, true);
   return lychee::daemon::LiveDaemon(Settings, Live, *Bounds, FLAGS_settings)
       .run();
 }
--- a/libs/reporting/Log.cpp
+++ b/libs/reporting/Log.cpp
@@ -1,10 +1,14 @@
 #include "reporting/Log.h"
 
+#include "base/SystemClock.h"
+#include "reporting/LineWriter.h"
+
 #include <algorithm>
 #include <atomic>
 #include <easylogging++.h>
 #include <memory>
 #include <mutex>
+#include <unistd.h>
 
 // Made by the first line, not before main(): what runs before main cannot
 // choose the order in which the libraries' own static objects come up.
@@ -50,6 +54,35 @@
   return Character == ' ' || Character == ':' || Character == '=';
 }
 
+/// The one writer of this process. \param Batch  counts at the first call.
+LineWriter &lineWriter(bool Batch = false) {
+  static LineWriter Writer(STDOUT_FILENO, Batch);
+  return Writer;
+}
+
+/// \returns the word after "event="; "other" where there is none.
+std::string_view kindOf(std::string_view Line) noexcept {
+  static constexpr std::string_view Mark = "event=";
+  const std::size_t Found = Line.find(Mark);
+  if (Found == std::string_view::npos)
+    return "other";
+  Line.remove_prefix(Found + Mark.size());
+  return Line.substr(0, Line.find(' '));
+}
+
+/// Hands the library's finished lines to the writer.
+class ToLineWriter final : public el::LogDispatchCallback {
+protected:
+  void handle(const el::LogDispatchData *Data) override {
+    const std::string Line = Data->logMessage()->logger()->logBuilder()->build(
+        Data->logMessage(), true);
+    const bool Urgent = Data->logMessage()->level() == el::Level::Warning ||
+                        Data->logMessage()->level() == el::Level::Error;
+    lineWriter().write(kindOf(Line), Line, Urgent,
+                       base::SystemClock::monotonicNow());
+  }
+};
+
 bool endsKey(char Character) noexcept {
   return Character == ' ' || Character == '"' || Character == '\'' ||
          Character == ',';
@@ -75,20 +108,25 @@
   return Masked.append(Line);
 }
 
-void configureLog(std::string_view Level) {
+void configureLog(std::string_view Level, bool Batch) {
   createStorage();
+  lineWriter(Batch);
   el::Configurations Settings;
   Settings.setToDefault();
   Settings.setGlobally(el::ConfigurationType::ToFile, "false");
-  Settings.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
+  Settings.setGlobally(el::ConfigurationType::ToStandardOutput, "false");
   Settings.setGlobally(el::ConfigurationType::SubsecondPrecision, "6");
   Settings.setGlobally(el::ConfigurationType::Format,
                        "time=%datetime{%Y-%M-%dT%H:%m:%s.%g} %msg");
   el::Loggers::reconfigureAllLoggers(Settings);
-  el::Loggers::addFlag(el::LoggingFlag::ImmediateFlush);
+  el::Helpers::uninstallLogDispatchCallback<
+      el::base::DefaultLogDispatchCallback>("DefaultLogDispatchCallback");
+  el::Helpers::installLogDispatchCallback<ToLineWriter>("ToLineWriter");
   LeastLevel = parseLevel(Level);
 }
 
+void flushLog() { lineWriter().flush(base::SystemClock::monotonicNow()); }
+
 void logLine(LogLevel Level, const base::KeyValueLine &Event) {
   logLine(Level, std::string_view(Event.text()));
 }
--- a/libs/reporting/Log.h
+++ b/libs/reporting/Log.h
@@ -12,9 +12,15 @@
 enum class LogLevel { Debug, Info, Warning, Error };
 
 /// Sets easylogging++ up for this process: one line an event to standard
-/// error, no file. To be called once, before the first line.
+/// output, no file. To be called before the first line, and again to change the
+/// level. \see LineWriter, which never waits for the reader
 /// \param Level  "debug", "info", "warning" or "error": what is told at least.
-void configureLog(std::string_view Level);
+/// \param Batch  lines below "warning" go out together, by flushLog() at the
+/// latest; holds from the first call on.
+void configureLog(std::string_view Level, bool Batch = false);
+
+/// Writes out what is kept back, as far as the reader takes it.
+void flushLog();
 
 /// Writes "time=... level=... EVENT", without secrets. \see maskSecrets
 void logLine(LogLevel Level, const base::KeyValueLine &Event);
