--- a/apps/lycheed/LiveDaemon.cpp
+++ b/apps/lycheed/LiveDaemon.cpp
@@ -11,7 +11,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/use_future.hpp>
 #include <csignal>
 
 namespace lychee::daemon {
@@ -31,8 +30,9 @@
 constexpr std::chrono::milliseconds TimePace(200);
 /// A change of the settings file without a signal is seen within this.
 constexpr int FileCheckPaces = 10;
-/// A stop must be over this long before the process is ended by force.
-constexpr base::Duration StopMargin = std::chrono::milliseconds(700);
+/// A stop must be over this long before the process is ended by force. What is
+/// cut then was at work in the last sixth of a grace of 6 s.
+constexpr base::Duration StopMargin = std::chrono::milliseconds(900);
 /// Callers that keep an answer of the directory three times as long as they
 /// should go on coming for this long.
 constexpr int LookupKeepFactor = 3;
@@ -46,7 +46,6 @@
 constexpr std::uint32_t HeldBodyBytes = 1U << 20;
 /// What explain remembers; memory is paid for at its peak.
 constexpr std::size_t ExplainBytes = 512UL << 10;
-constexpr base::Duration WithdrawTimeout = std::chrono::milliseconds(400);
 constexpr std::string_view MetricsPath = "/metrics";
 constexpr unsigned StatusNotFound = 404;
 constexpr int ExitStartFailed = 1;
@@ -134,6 +133,7 @@
                 asio::post(Control_, [this] {
                   Heartbeats_.sayNow(SystemClock::monotonicNow());
                 });
+                spawnLogged(Control_, withdrawHost(), "withdraw-failed");
               }}),
       Claims_(std::make_unique<NoClaims>()),
       Polls_(std::make_unique<NoPolls>()),
@@ -362,8 +362,6 @@
                          .add("callers", Settings_.Callers_.text()));
   const gateway::StopSummary Summary = Gateway_.waitUntilStopped();
   tellStop(Summary);
-  asio::co_spawn(Control_, withdrawHost(), asio::use_future)
-      .wait_for(WithdrawTimeout);
   stopControl();
   reporting::flushLog();
   return Summary.CutRequests_.empty() ? 0 : ExitRequestsCut;
--- /dev/null
+++ b/standins/platform/StandinObjects.cpp
@@ -0,0 +1,215 @@
+#include "platform/StandinObjects.h"
+
+#include "base/SystemClock.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <json/json.h>
+#include <memory>
+
+namespace lychee::standins {
+
+namespace asio = boost::asio;
+using transport::HttpAnswer;
+using transport::HttpRequest;
+
+namespace {
+
+constexpr std::string_view Root = "/objects/";
+constexpr std::chrono::milliseconds WatchPace(5);
+
+HttpAnswer answerOf(unsigned Status, const Json::Value &Body = {}) {
+  HttpAnswer Made;
+  Made.Status_ = Status;
+  Json::StreamWriterBuilder Builder;
+  Builder["indentation"] = "";
+  Made.Body_ = Json::writeString(Builder, Body);
+  Made.Headers_.push_back({"Content-Type", "application/json"});
+  return Made;
+}
+
+Json::Value objectOf(const std::string &Name, std::uint64_t Revision,
+                     const Json::Value &Content) {
+  Json::Value Made;
+  Made["metadata"]["name"] = Name;
+  Made["metadata"]["revision"] = Json::UInt64(Revision);
+  Made["spec"] = Content;
+  return Made;
+}
+
+std::string valueOf(std::string_view Query, std::string_view Name) {
+  const std::size_t Found = Query.find(std::string(Name) + "=");
+  if (Found == std::string_view::npos)
+    return {};
+  Query.remove_prefix(Found + Name.size() + 1);
+  return std::string(Query.substr(0, Query.find('&')));
+}
+
+} // namespace
+
+StandinObjects::StandinObjects(const std::string &Address, std::uint16_t Port)
+    : Server_(Context_.get_executor(), {.Address_ = Address, .Port_ = Port},
+              [this](HttpRequest Asked) { return answer(std::move(Asked)); }) {}
+
+StandinObjects::~StandinObjects() {
+  Server_.stop();
+  Context_.stop();
+  if (Thread_.joinable())
+    Thread_.join();
+}
+
+bool StandinObjects::start(base::Error &Last) {
+  if (!Server_.listen(Last))
+    return false;
+  Thread_ = std::thread([this] { Context_.run(); });
+  return true;
+}
+
+void StandinObjects::change(const std::string &Kind, const std::string &Name,
+                            bool Deleted) {
+  Changes_.push_back({++Revision_, Kind, Name, Deleted});
+}
+
+void StandinObjects::put(const std::string &Kind, const std::string &Name,
+                         const Json::Value &Content) {
+  const std::lock_guard Guard(Lock_);
+  change(Kind, Name, false);
+  Kinds_[Kind][Name] = {Content, Revision_};
+}
+
+void StandinObjects::remove(const std::string &Kind, const std::string &Name) {
+  const std::lock_guard Guard(Lock_);
+  Kinds_[Kind].erase(Name);
+  change(Kind, Name, true);
+}
+
+void StandinObjects::setFaults(const ObjectFaults &Faults) {
+  const std::lock_guard Guard(Lock_);
+  Faults_ = Faults;
+}
+
+void StandinObjects::forgetHistory() {
+  const std::lock_guard Guard(Lock_);
+  Forgotten_ = Revision_;
+  Changes_.clear();
+}
+
+std::size_t StandinObjects::count(const std::string &Kind) const {
+  const std::lock_guard Guard(Lock_);
+  const auto Found = Kinds_.find(Kind);
+  return Found == Kinds_.end() ? 0 : Found->second.size();
+}
+
+HttpAnswer StandinObjects::list(const std::string &Kind) const {
+  const std::lock_guard Guard(Lock_);
+  Json::Value Body;
+  Body["items"] = Json::Value(Json::arrayValue);
+  if (const auto Found = Kinds_.find(Kind); Found != Kinds_.end())
+    for (const auto &[Name, Each] : Found->second)
+      Body["items"].append(objectOf(Name, Each.Revision_, Each.Content_));
+  Body["hasMore"] = false;
+  Body["at"] = Json::UInt64(Revision_);
+  return answerOf(200, Body);
+}
+
+HttpAnswer StandinObjects::changesSince(const std::string &Kind,
+                                        std::uint64_t Since, bool &Any) const {
+  const std::lock_guard Guard(Lock_);
+  Json::Value Body;
+  Body["events"] = Json::Value(Json::arrayValue);
+  Body["at"] = Json::UInt64(Revision_);
+  Any = Since < Forgotten_ || Faults_.Down_ || Faults_.Busy_;
+  if (Since < Forgotten_)
+    return answerOf(410);
+  if (Faults_.Deaf_)
+    return answerOf(200, Body);
+  for (const Change &Each : Changes_) {
+    if (Each.Revision_ <= Since || Each.Kind_ != Kind)
+      continue;
+    Json::Value Event;
+    Event["deleted"] = Each.Deleted_;
+    const auto &Objects = Kinds_.at(Kind);
+    const auto Found = Objects.find(Each.Name_);
+    Event["object"] = objectOf(Each.Name_, Each.Revision_,
+                               Found == Objects.end() ? Json::Value()
+                                                      : Found->second.Content_);
+    Body["events"].append(Event);
+    Any = true;
+  }
+  return answerOf(200, Body);
+}
+
+asio::awaitable<HttpAnswer>
+StandinObjects::watch(std::string Kind, std::uint64_t Since,
+                      std::int64_t WaitMilliseconds) {
+  asio::steady_timer Timer(Context_);
+  const base::TimePoint End = base::SystemClock::monotonicNow() +
+                              std::chrono::milliseconds(WaitMilliseconds);
+  while (true) {
+    bool Any = false;
+    HttpAnswer Answer = changesSince(Kind, Since, Any);
+    if (Any || base::SystemClock::monotonicNow() >= End)
+      co_return Answer;
+    Timer.expires_after(WatchPace);
+    co_await Timer.async_wait(asio::use_awaitable);
+  }
+}
+
+HttpAnswer StandinObjects::write(const HttpRequest &Asked,
+                                 const std::string &Kind, std::string Name) {
+  Json::Value Written;
+  const Json::CharReaderBuilder Builder;
+  const std::unique_ptr<Json::CharReader> Reader(Builder.newCharReader());
+  const std::string &Body = Asked.Body_;
+  if (Asked.Method_ != "DELETE" &&
+      !Reader->parse(Body.data(), Body.data() + Body.size(), &Written, nullptr))
+    return answerOf(400);
+  if (Name.empty())
+    Name = Written["metadata"]["name"].asString();
+  const bool Exists = [&] {
+    const std::lock_guard Guard(Lock_);
+    return Kinds_[Kind].contains(Name);
+  }();
+  if (Asked.Method_ == "POST" && Exists)
+    return answerOf(409);
+  if (Asked.Method_ != "POST" && !Exists)
+    return answerOf(404);
+  if (Asked.Method_ == "DELETE")
+    remove(Kind, Name);
+  else
+    put(Kind, Name, Written["spec"]);
+  return answerOf(200, Written);
+}
+
+asio::awaitable<HttpAnswer> StandinObjects::answer(HttpRequest Asked) {
+  const ObjectFaults Faults = [this] {
+    const std::lock_guard Guard(Lock_);
+    return Faults_;
+  }();
+  HttpAnswer Lost;
+  Lost.Lost_ = true;
+  if (Faults.Down_)
+    co_return Lost;
+  if (Faults.Busy_)
+    co_return answerOf(503);
+  const std::string_view Target = Asked.Target_;
+  if (!Target.starts_with(Root))
+    co_return answerOf(404);
+  const std::size_t Mark = Target.find('?');
+  const std::string Path(Target.substr(Root.size(), Mark - Root.size()));
+  const std::string_view Query =
+      Mark == std::string_view::npos ? "" : Target.substr(Mark + 1);
+  const std::string Kind = Path.substr(0, Path.find('/'));
+  const std::string Name =
+      Kind.size() == Path.size() ? "" : Path.substr(Kind.size() + 1);
+  if (Asked.Method_ != "GET")
+    co_return write(Asked, Kind, Name);
+  const std::string Since = valueOf(Query, "watch");
+  if (Since.empty())
+    co_return list(Kind);
+  HttpAnswer Heard = co_await watch(Kind, std::stoull(Since),
+                                    std::stoll(valueOf(Query, "waitMs")));
+  co_return Heard;
+}
+
+} // namespace lychee::standins
--- /dev/null
+++ b/standins/platform/StandinObjects.h
@@ -0,0 +1,84 @@
+#ifndef LYCHEE_STANDINS_PLATFORM_STANDINOBJECTS_H
+#define LYCHEE_STANDINS_PLATFORM_STANDINOBJECTS_H
+
+#include "transport/HttpServer.h"
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <json/value.h>
+#include <map>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace lychee::standins {
+
+/// What goes wrong with the stand-in.
+struct ObjectFaults {
+  /// Each call's connection is closed without an answer, and does nothing.
+  bool Down_ = false;
+  /// Each call is answered 503, and does nothing.
+  bool Busy_ = false;
+  /// Watches hear nothing of what changes.
+  bool Deaf_ = false;
+};
+
+/// The users' platform's store of objects by kind, in memory: lists, watches,
+/// creates, replaces and deletes, with its faults. On a thread of its own.
+class StandinObjects {
+public:
+  StandinObjects(const std::string &Address, std::uint16_t Port);
+  StandinObjects(const StandinObjects &) = delete;
+  StandinObjects &operator=(const StandinObjects &) = delete;
+  ~StandinObjects();
+
+  bool start(base::Error &Last);
+
+  /// Writes as an operator or an endpoint does.
+  void put(const std::string &Kind, const std::string &Name,
+           const Json::Value &Content);
+  void remove(const std::string &Kind, const std::string &Name);
+  void setFaults(const ObjectFaults &Faults);
+  /// Forgets what changed before: older watches are told so.
+  void forgetHistory();
+
+  std::size_t count(const std::string &Kind) const;
+
+private:
+  struct Object {
+    Json::Value Content_;
+    std::uint64_t Revision_ = 0;
+  };
+  struct Change {
+    std::uint64_t Revision_ = 0;
+    std::string Kind_;
+    std::string Name_;
+    bool Deleted_ = false;
+  };
+
+  boost::asio::awaitable<transport::HttpAnswer>
+  answer(transport::HttpRequest Asked);
+  boost::asio::awaitable<transport::HttpAnswer>
+  watch(std::string Kind, std::uint64_t Since, std::int64_t WaitMilliseconds);
+  transport::HttpAnswer list(const std::string &Kind) const;
+  transport::HttpAnswer write(const transport::HttpRequest &Asked,
+                              const std::string &Kind, std::string Name);
+  transport::HttpAnswer changesSince(const std::string &Kind,
+                                     std::uint64_t Since, bool &Any) const;
+  void change(const std::string &Kind, const std::string &Name, bool Deleted);
+
+  boost::asio::io_context Context_{1};
+  mutable std::mutex Lock_;
+  std::map<std::string, std::map<std::string, Object>> Kinds_;
+  std::vector<Change> Changes_;
+  std::uint64_t Revision_ = 1;
+  std::uint64_t Forgotten_ = 0;
+  ObjectFaults Faults_;
+  transport::HttpServer Server_;
+  std::thread Thread_;
+};
+
+} // namespace lychee::standins
+
+#endif
