--- a/apps/lycheed/LiveDaemon.cpp
+++ b/apps/lycheed/LiveDaemon.cpp
@@ -256,6 +256,7 @@
     Steering_.setFleet(
         {Hosts_.others(Now), Hosts_.shareHolders(Now), Hosts_.isCutOff(Now)},
         Now);
+    noteLosses(Now);
     reporting::flushLog();
     if (++Paces % FileCheckPaces == 0 && settingsFileChanged())
       reloadSettings();
@@ -264,6 +265,29 @@
   }
 }
 
+void LiveDaemon::noteLosses(base::TimePoint Now) {
+  std::set<base::HostId> Alive;
+  for (const members::HostView &Each : Hosts_.others(Now))
+    if (Each.Alive_)
+      Alive.insert(Each.Card_.Host_);
+  for (const base::HostId &Each : Heard_)
+    if (!Alive.contains(Each))
+      reporting::logLine(
+          LogLevel::Warning,
+          KeyValueLine().add("event", "host-silent").add("host", Each.name()));
+  Heard_ = std::move(Alive);
+  const bool Trusted = Intents_.isTrusted(Now);
+  if (Trusted == Trusted_)
+    return;
+  Trusted_ = Trusted;
+  const auto Age = Intents_.age(Now);
+  reporting::logLine(
+      Trusted ? LogLevel::Info : LogLevel::Warning,
+      KeyValueLine()
+          .add("event", Trusted ? "keys-trusted" : "keys-not-trusted")
+          .add("confirmed_ms_ago", Age ? base::toMilliseconds(*Age) : -1));
+}
+
 asio::awaitable<void> LiveDaemon::registerHost() {
   asio::steady_timer Timer(co_await asio::this_coro::executor);
   store::Backoff Pause;
--- a/apps/lycheed/LiveDaemon.h
+++ b/apps/lycheed/LiveDaemon.h
@@ -18,6 +18,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <filesystem>
 #include <memory>
+#include <set>
 #include <thread>
 
 namespace lychee::daemon {
@@ -50,6 +51,8 @@
   void reloadSettings();
   bool settingsFileChanged();
   boost::asio::awaitable<void> keepTime();
+  /// Tells of hosts that fell silent, and of trust in keys lost or regained.
+  void noteLosses(base::TimePoint Now);
   boost::asio::awaitable<void> registerHost();
   boost::asio::awaitable<void> withdrawHost();
   members::Heartbeat sayHeartbeat(base::TimePoint Now) const;
@@ -83,6 +86,8 @@
   members::HeartbeatExchange Heartbeats_;
   std::vector<std::unique_ptr<transport::HttpServer>> Servers_;
   std::thread ControlThread_;
+  std::set<base::HostId> Heard_;
+  bool Trusted_ = false;
 };
 
 } // namespace lychee::daemon
--- a/apps/lycheed/LiveFeed.cpp
+++ b/apps/lycheed/LiveFeed.cpp
@@ -126,6 +126,10 @@
   std::vector<live::TargetRecord> Sound;
   for (const live::StoredObject &Each : Heard.Objects_) {
     if (Each.Deleted_) {
+      reporting::logLine(LogLevel::Info, KeyValueLine()
+                                             .add("event", "target-gone")
+                                             .add("target", Each.Name_)
+                                             .add("revision", Each.Revision_));
       Targets_.remove(base::TargetId(Each.Name_), Now);
       continue;
     }
@@ -141,6 +145,18 @@
       continue;
     }
     Sound.push_back(*Read);
+    // A whole list says what is known already; only its changes are news.
+    if (!Whole)
+      reporting::logLine(
+          LogLevel::Info,
+          KeyValueLine()
+              .add("event", Read->Leaving_ ? "target-leaving" : "target-seen")
+              .add("target", Each.Name_)
+              .add("service", Read->Service_.name())
+              .add("zone", Read->Zone_.name())
+              .add("start", Read->Started_)
+              .add("cold_ms", base::toMilliseconds(Read->ColdLeft_))
+              .add("revision", Each.Revision_));
   }
   if (Whole)
     Targets_.replaceAll(Sound, Now);
--- a/libs/dispatch/DispatchSteering.cpp
+++ b/libs/dispatch/DispatchSteering.cpp
@@ -268,14 +268,18 @@
     return endFailed(Ticket, false, LeastRetryAfter);
   // What cannot be answered in time is not begun: it would take room from what
   // can, and its caller learns nothing by waiting.
-  if (Now + Chosen->Expected_ >= Request.Deadline_)
-    return endFailed(Ticket, false,
-                     std::max(Chosen->Waiting_, LeastRetryAfter));
   TargetState &Target = *Chosen->Target_;
+  const steering::ChoiceInputs Inputs{static_cast<std::uint32_t>(Chosen->Rank_),
+                                      Chosen->Expected_, Target.Load_.at(Now),
+                                      Now - Target.Load_.lastReport()};
+  if (Now + Chosen->Expected_ >= Request.Deadline_) {
+    Decision Refused =
+        endFailed(Ticket, false, std::max(Chosen->Waiting_, LeastRetryAfter));
+    Refused.Inputs_ = Inputs;
+    return Refused;
+  }
   Decision Made;
-  Made.Inputs_ = steering::ChoiceInputs{
-      static_cast<std::uint32_t>(Chosen->Rank_), Chosen->Expected_,
-      Target.Load_.at(Now), Now - Target.Load_.lastReport()};
+  Made.Inputs_ = Inputs;
   Target.Load_.sent();
   ++Request.Sends_;
   Request.Tried_.push_back(Target.Record_.Id_);
