--- a/apps/lycheed/DecisionReporter.cpp
+++ b/apps/lycheed/DecisionReporter.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+/// Stands for the age of a load that its target never told.
+constexpr std::int64_t NeverTold = -1;
+
 reporting::DecisionRecord recordOf(const steering::Request &Request) {
   reporting::DecisionRecord Record;
   Record.Request_ = Request.Id_;
@@ -41,7 +44,9 @@
   if (Made.Inputs_)
     Record.Inputs_ = reporting::DecisionRecord::Inputs{
         Made.Inputs_->Place_, base::toMilliseconds(Made.Inputs_->Expected_),
-        Made.Inputs_->Load_, base::toMilliseconds(Made.Inputs_->LoadAge_)};
+        Made.Inputs_->Load_,
+        Made.Inputs_->LoadAge_ ? base::toMilliseconds(*Made.Inputs_->LoadAge_)
+                               : NeverTold};
   Record.Region_ = Made.Region_;
   Record.Target_ = Made.Target_;
   Record.Reason_ = Made.Reason_;
--- a/libs/dispatch/DispatchSteering.cpp
+++ b/libs/dispatch/DispatchSteering.cpp
@@ -271,7 +271,7 @@
   TargetState &Target = *Chosen->Target_;
   const steering::ChoiceInputs Inputs{static_cast<std::uint32_t>(Chosen->Rank_),
                                       Chosen->Expected_, Target.Load_.at(Now),
-                                      Now - Target.Load_.lastReport()};
+                                      Target.Load_.age(Now)};
   if (Now + Chosen->Expected_ >= Request.Deadline_) {
     Decision Refused =
         endFailed(Ticket, false, std::max(Chosen->Waiting_, LeastRetryAfter));
--- a/libs/dispatch/LoadEstimate.h
+++ b/libs/dispatch/LoadEstimate.h
@@ -5,6 +5,7 @@
 #include "steering/Steering.h"
 
 #include <cstdint>
+#include <optional>
 
 namespace lychee::dispatch {
 
@@ -36,8 +37,12 @@
   /// \returns the requests at the target now.
   double at(base::TimePoint Now) const noexcept;
 
-  /// When the target last told its load, or refused.
-  base::TimePoint lastReport() const noexcept { return Reported_; }
+  /// \returns the age of the target's last word on its load, where it said any.
+  std::optional<base::Duration> age(base::TimePoint Now) const noexcept {
+    if (Reported_ == base::TimePoint())
+      return std::nullopt;
+    return Now - Reported_;
+  }
 
   std::uint32_t own() const noexcept { return Own_; }
 
--- a/libs/gateway/Authenticator.h
+++ b/libs/gateway/Authenticator.h
@@ -40,11 +40,13 @@
 
   /// Asked once more right before a send, since a request may have waited, or
   /// the process may have been paused, since the first check.
-  /// \returns whether the key that \p Found was found by still holds.
-  virtual bool stillHolds(const Identity &Found, base::TimePoint Now) {
+  /// \returns None where the key that \p Found was found by still holds; else
+  /// why it does not.
+  virtual steering::Refusal recheck(const Identity &Found,
+                                    base::TimePoint Now) {
     (void)Found;
     (void)Now;
-    return true;
+    return steering::Refusal::None;
   }
 };
 
--- a/libs/gateway/Forwarding.cpp
+++ b/libs/gateway/Forwarding.cpp
@@ -351,12 +351,14 @@
 }
 
 std::optional<steering::Decision> Forwarding::recheckKey() {
-  if (Identity_.Key_.empty() ||
-      Home_.shared().Others_.Authenticator_.stillHolds(
-          Identity_, base::SystemClock::monotonicNow()))
+  if (Identity_.Key_.empty())
+    return std::nullopt;
+  const steering::Refusal Why = Home_.shared().Others_.Authenticator_.recheck(
+      Identity_, base::SystemClock::monotonicNow());
+  if (Why == steering::Refusal::None)
     return std::nullopt;
   steering::Decision Refused;
-  Refused.Refusal_ = steering::Refusal::KeysStale;
+  Refused.Refusal_ = Why;
   Refused.Ran_ = Ran_;
   Refused.SettingsVersion_ = Decision_.SettingsVersion_;
   return Refused;
--- a/libs/gateway/TargetSend.cpp
+++ b/libs/gateway/TargetSend.cpp
@@ -311,7 +311,9 @@
   if (Reader_ && AnswerSeen_)
     Made.Status_ = static_cast<int>(Reader_->message().result_int());
   if (Written_ > 0)
-    Made.Took_ = std::max(LastRead_, FirstWrite_) - FirstWrite_;
+    Made.Took_ = (LastRead_ > FirstWrite_ ? LastRead_
+                                          : base::SystemClock::monotonicNow()) -
+                 FirstWrite_;
   Made.AnswerBytes_ = Received_;
   Made.Silent_ = LostPatience_;
   if (Reader_ && AnswerSeen_) {
--- a/libs/live/IntentBook.cpp
+++ b/libs/live/IntentBook.cpp
@@ -137,14 +137,16 @@
   return Found;
 }
 
-bool IntentBook::stillHolds(const gateway::Identity &Found,
-                            base::TimePoint Now) {
+steering::Refusal IntentBook::recheck(const gateway::Identity &Found,
+                                      base::TimePoint Now) {
   if (!isTrusted(Now))
-    return false;
+    return steering::Refusal::KeysStale;
   const std::lock_guard Guard(Lock_);
   const auto Holder = Current_.ById_.find(Found.Key_.name());
-  return Holder != Current_.ById_.end() &&
-         Current_.Intent_->Customers_[Holder->second].Id_ == Found.Customer_;
+  const bool Holds =
+      Holder != Current_.ById_.end() &&
+      Current_.Intent_->Customers_[Holder->second].Id_ == Found.Customer_;
+  return Holds ? steering::Refusal::None : steering::Refusal::KeyWithdrawn;
 }
 
 } // namespace lychee::live
--- a/libs/live/IntentBook.h
+++ b/libs/live/IntentBook.h
@@ -53,7 +53,8 @@
   route(const gateway::RouteQuery &Query) override;
   gateway::Identity check(std::string_view Presented,
                           base::TimePoint Now) override;
-  bool stillHolds(const gateway::Identity &Found, base::TimePoint Now) override;
+  steering::Refusal recheck(const gateway::Identity &Found,
+                            base::TimePoint Now) override;
 
 private:
   /// Divides a rule's requests among its services in exact proportion: each
--- a/libs/steering/Steering.h
+++ b/libs/steering/Steering.h
@@ -95,8 +95,8 @@
   base::Duration Expected_{};
   /// Requests believed to be at the target.
   double Load_ = 0;
-  /// Age of the target's own last word on that.
-  base::Duration LoadAge_{};
+  /// Age of the target's own last word on that; nothing: it has said none.
+  std::optional<base::Duration> LoadAge_;
 };
 
 /// What is to be done with a request now.
--- a/tests/live/IntentBookTest.cpp
+++ b/tests/live/IntentBookTest.cpp
@@ -78,8 +78,8 @@
   offer(intentOf(1));
   Book_.confirm(Now_);
   const auto Found = Book_.check("first-key", Now_);
-  CHECK(Book_.stillHolds(Found, Now_ + 1s));
-  CHECK_FALSE(Book_.stillHolds(Found, Now_ + 6s));
+  CHECK(Book_.recheck(Found, Now_ + 1s) == Refusal::None);
+  CHECK(Book_.recheck(Found, Now_ + 6s) == Refusal::KeysStale);
 }
 
 // A key is withdrawn while a request that showed it waits.
@@ -90,7 +90,7 @@
   live::Intent Next = intentOf(2);
   Next.Customers_[0].Keys_ = {"second-key"};
   offer(Next);
-  CHECK_FALSE(Book_.stillHolds(Found, Now_));
+  CHECK(Book_.recheck(Found, Now_) == Refusal::KeyWithdrawn);
   CHECK(Book_.check("first-key", Now_).Refusal_ == Refusal::UnknownKey);
 }
 
