Changes that come together cost one call of each host

Cause: 40 targets that register within 2 s were 40 events, and a call of each host for each. A host waits half a second after a change was heard before it watches again.

--- a/apps/lycheed/LiveFeed.cpp
+++ b/apps/lycheed/LiveFeed.cpp
@@ -21,10 +21,11 @@
 /// more often: its keys must be known to be fresh within 5 s, and a call that
 /// is lost must leave time for another.
 constexpr live::FollowerPace LongPace{std::chrono::seconds(20),
-                                      std::chrono::seconds(3)};
+                                      std::chrono::seconds(3),
+                                      std::chrono::milliseconds(500)};
 /// After trouble the intent is also what asks often; the others come with it.
-constexpr live::FollowerPace IntentPace{std::chrono::milliseconds(2500),
-                                        std::chrono::milliseconds(500)};
+constexpr live::FollowerPace IntentPace{
+    std::chrono::milliseconds(2500), std::chrono::milliseconds(500), {}};
 /// A call begun so shortly before another failed is no older than the trouble.
 constexpr base::Duration FreshCall = std::chrono::seconds(1);
 
--- a/libs/live/ObjectFollower.cpp
+++ b/libs/live/ObjectFollower.cpp
@@ -2,6 +2,9 @@
 
 #include "base/SystemClock.h"
 
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <utility>
 
 namespace lychee::live {
@@ -33,6 +36,15 @@
   co_await Recovered_.wait(Backoff_.next(Random_), Asked_);
 }
 
+asio::awaitable<void> ObjectFollower::linger() {
+  if (Pace_.Linger_ <= base::Duration::zero())
+    co_return;
+  asio::steady_timer Timer(co_await asio::this_coro::executor);
+  Timer.expires_after(
+      std::chrono::duration_cast<asio::steady_timer::duration>(Pace_.Linger_));
+  co_await Timer.async_wait(asio::use_awaitable);
+}
+
 void ObjectFollower::succeeded(base::TimePoint Now) {
   Backoff_.reset();
   if (std::exchange(InTrouble_, false))
@@ -77,6 +89,7 @@
   At_ = std::max(At_, Heard->At_);
   if (!Heard->Objects_.empty())
     Listeners_.Changed_(*Heard);
+  const bool HasNews = !Heard->Objects_.empty();
   const base::TimePoint Now = SystemClock::monotonicNow();
   // A watch that the store cut short is no proof of the time it did not last.
   const bool Lasted = Now - Asked_ >= Wait;
@@ -87,8 +100,10 @@
   }
   // A store that answers a watch at once, without news, is not to be asked
   // again at once.
-  if (!Lasted && Heard->Objects_.empty())
-    co_await Recovered_.wait(Backoff_.next(Random_), Asked_);
+  if (!Lasted && !HasNews)
+    co_await Recovered_.wait(Backoff_.next(Random_), Now);
+  if (HasNews)
+    co_await linger();
 }
 
 } // namespace lychee::live
--- a/libs/live/ObjectFollower.h
+++ b/libs/live/ObjectFollower.h
@@ -30,6 +30,9 @@
   base::Duration Watch_{};
   /// Longest pause between two calls that brought nothing.
   base::Duration LongestPause_{};
+  /// After a change was heard, so that changes that come together cost one call
+  /// and not one each; the watch then tells all of them.
+  base::Duration Linger_{};
 };
 
 /// Keeps up with one kind of object: lists, then watches, and after any trouble
@@ -64,6 +67,7 @@
   boost::asio::awaitable<bool> listOnce();
   boost::asio::awaitable<void> watchOnce();
   boost::asio::awaitable<void> pause();
+  boost::asio::awaitable<void> linger();
   void succeeded(base::TimePoint Now);
 
   ObjectSource &Source_;
--- a/tests/live/ObjectFollowerTest.cpp
+++ b/tests/live/ObjectFollowerTest.cpp
@@ -105,7 +105,8 @@
     Heard.Changed_ = [this](const auto &) { ++Changed_; };
     Heard.Trouble_ = [this](const auto &) { ++Troubles_; };
     Follower_ = std::make_unique<live::ObjectFollower>(
-        Source_, Recovered_, "kind", live::FollowerPace{1s, 10ms}, Heard, 1);
+        Source_, Recovered_, "kind", live::FollowerPace{1s, 10ms, {}}, Heard,
+        1);
     asio::co_spawn(Loop_, Follower_->run(), [](const std::exception_ptr &) {});
     Loop_.run();
     std::string Calls;
