--- a/apps/lycheed/Daemon.cpp
+++ b/apps/lycheed/Daemon.cpp
@@ -36,9 +36,6 @@
 /// Three partitions' writes and as many reads back.
 constexpr double ClaimCallsPerSecond = 80;
 
-constexpr std::string_view MetricsPath = "/metrics";
-constexpr unsigned StatusNotFound = 404;
-
 constexpr int ExitStartFailed = 1;
 constexpr int ExitRequestsCut = 3;
 constexpr int ExitRemoved = 4;
@@ -237,15 +234,8 @@
 
 asio::awaitable<transport::HttpAnswer>
 Daemon::answerMetrics(transport::HttpRequest Asked) {
-  transport::HttpAnswer Answer;
-  if (Asked.Method_ != "GET" || Asked.Target_ != MetricsPath) {
-    Answer.Status_ = StatusNotFound;
-    co_return Answer;
-  }
   Gauges_.set(readControl());
-  Answer.Headers_.push_back({"Content-Type", "text/plain; version=0.0.4"});
-  Answer.Body_ = Metrics_.text();
-  co_return Answer;
+  co_return metricsAnswer(Asked, Metrics_);
 }
 
 ControlReadings Daemon::readControl() const {
--- a/apps/lycheed/DaemonParts.cpp
+++ b/apps/lycheed/DaemonParts.cpp
@@ -81,6 +81,19 @@
   return Targets;
 }
 
+transport::HttpAnswer metricsAnswer(const transport::HttpRequest &Asked,
+                                    const reporting::Metrics &Metrics) {
+  constexpr unsigned StatusNotFound = 404;
+  transport::HttpAnswer Answer;
+  if (Asked.Method_ != "GET" || Asked.Target_ != "/metrics") {
+    Answer.Status_ = StatusNotFound;
+    return Answer;
+  }
+  Answer.Headers_.push_back({"Content-Type", "text/plain; version=0.0.4"});
+  Answer.Body_ = Metrics.text();
+  return Answer;
+}
+
 void tellStop(const gateway::StopSummary &Summary) {
   for (const std::string &Each : Summary.CutRequests_)
     reporting::logLine(
--- a/apps/lycheed/DaemonParts.h
+++ b/apps/lycheed/DaemonParts.h
@@ -7,6 +7,7 @@
 #include "gateway/HostDirectory.h"
 #include "gateway/StopSequence.h"
 #include "gateway/TargetObserver.h"
+#include "reporting/Metrics.h"
 #include "settings/DaemonSettings.h"
 #include "settings/Intent.h"
 #include "steering/FleetSteering.h"
@@ -42,6 +43,10 @@
 
 std::vector<gateway::TargetEntry> targetEntries(const settings::Intent &From);
 
+/// \returns the answer of a metrics listener: 404 but for GET /metrics.
+transport::HttpAnswer metricsAnswer(const transport::HttpRequest &Asked,
+                                    const reporting::Metrics &Metrics);
+
 /// Logs a stop's end, and each request that it cut.
 void tellStop(const gateway::StopSummary &Summary);
 
--- a/apps/lycheed/LiveDaemon.cpp
+++ b/apps/lycheed/LiveDaemon.cpp
@@ -46,7 +46,6 @@
 constexpr std::uint32_t HeldBodyBytes = 1U << 20;
 /// What explain remembers; memory is paid for at its peak.
 constexpr std::size_t ExplainBytes = 512UL << 10;
-constexpr std::string_view MetricsPath = "/metrics";
 constexpr unsigned StatusNotFound = 404;
 constexpr int ExitStartFailed = 1;
 constexpr int ExitRequestsCut = 3;
@@ -207,14 +206,7 @@
 
 asio::awaitable<transport::HttpAnswer>
 LiveDaemon::answerMetrics(transport::HttpRequest Asked) {
-  transport::HttpAnswer Answer;
-  if (Asked.Method_ != "GET" || Asked.Target_ != MetricsPath) {
-    Answer.Status_ = StatusNotFound;
-    co_return Answer;
-  }
-  Answer.Headers_.push_back({"Content-Type", "text/plain; version=0.0.4"});
-  Answer.Body_ = Metrics_.text();
-  co_return Answer;
+  co_return metricsAnswer(Asked, Metrics_);
 }
 
 // Start and stop.
--- a/libs/dispatch/DispatchSteering.h
+++ b/libs/dispatch/DispatchSteering.h
@@ -33,7 +33,8 @@
 /// is sent again. Nothing waits here: targets queue a few requests, and what no
 /// target can do in time is refused at once.
 ///
-/// Thread-safe: one lock, held for microseconds.
+/// Thread-safe: one lock, held for microseconds. DispatchUpkeep.cpp holds what
+/// is told between requests.
 /// \see steering::FleetSteering, which steers by the operators' own tree
 class DispatchSteering final : public steering::Steering {
 public:
