--- a/tests/live/IntentBookTest.cpp
+++ b/tests/live/IntentBookTest.cpp
@@ -117,7 +117,7 @@
   int New = 0;
   for (int Each = 0; Each < 200; ++Each) {
     const auto Found = Book_.route({"", "a.example", "/x/1", "GET", 0});
-    New += Found->Service_ == base::ServiceId("new") ? 1 : 0;
+    New += Found && Found->Service_ == base::ServiceId("new") ? 1 : 0;
   }
   LONGS_EQUAL(20, New);
 }
--- a/tests/members/HeartbeatTest.cpp
+++ b/tests/members/HeartbeatTest.cpp
@@ -28,18 +28,19 @@
 
 TEST(Heartbeat, comesBackAsItWasSaid) {
   const members::Heartbeat Said = sample();
-  const auto Read =
+  const auto Decoded =
       members::decodeHeartbeat(members::encodeHeartbeat(Said), Last_);
-  CHECK(Read.has_value());
-  CHECK(Read->From_ == Said.From_);
-  LONGS_EQUAL(9, Read->Sequence_);
-  CHECK(Read->Ready_);
-  CHECK_FALSE(Read->Leaving_);
-  DOUBLES_EQUAL(2.5, Read->Demands_[0].RequestsPerSecond_, 0.01);
-  DOUBLES_EQUAL(11.25, Read->Loads_[0].Slots_, 0.01);
-  STRCMP_EQUAL("north", Read->Loads_[0].BoundTo_.name().c_str());
-  CHECK(Read->Evidence_[0] == Said.Evidence_[0]);
-  STRCMP_EQUAL("127.0.0.3", Read->Hears_[0].c_str());
+  CHECK(Decoded.has_value());
+  const members::Heartbeat Read = Decoded.value_or(members::Heartbeat());
+  CHECK(Read.From_ == Said.From_);
+  LONGS_EQUAL(9, Read.Sequence_);
+  CHECK(Read.Ready_);
+  CHECK_FALSE(Read.Leaving_);
+  DOUBLES_EQUAL(2.5, Read.Demands_[0].RequestsPerSecond_, 0.01);
+  DOUBLES_EQUAL(11.25, Read.Loads_[0].Slots_, 0.01);
+  STRCMP_EQUAL("north", Read.Loads_[0].BoundTo_.name().c_str());
+  CHECK(Read.Evidence_[0] == Said.Evidence_[0]);
+  STRCMP_EQUAL("127.0.0.3", Read.Hears_[0].c_str());
 }
 
 // Anyone can send a datagram to the port. What is no heartbeat changes nothing
--- a/tests/platform/DecodersTest.cpp
+++ b/tests/platform/DecodersTest.cpp
@@ -59,27 +59,28 @@
 };
 
 TEST(IntentDecoder, readsAWholeConfiguration) {
-  const auto Read = platform::decodeIntent(parse(Sample), Last_);
-  CHECK(Read.has_value());
-  LONGS_EQUAL(12, Read->Version_);
-  LONGS_EQUAL(2, Read->Routes_.size());
-  const auto &First = Read->Routes_[0];
+  const auto Decoded = platform::decodeIntent(parse(Sample), Last_);
+  CHECK(Decoded.has_value());
+  const lychee::live::Intent Read = Decoded.value_or(lychee::live::Intent());
+  LONGS_EQUAL(12, Read.Version_);
+  LONGS_EQUAL(2, Read.Routes_.size());
+  const auto &First = Read.Routes_[0];
   STRCMP_EQUAL("portal.example", First.Host_.c_str());
   CHECK(First.Idempotent_ && First.ByObject_ && !First.Public_);
   CHECK(First.Timeout_ == 800ms && First.Objective_ == 400ms);
   LONGS_EQUAL(2, First.Services_.size());
   LONGS_EQUAL(9, First.Services_[0].Weight_);
-  const auto &Second = Read->Routes_[1];
+  const auto &Second = Read.Routes_[1];
   CHECK(!Second.Idempotent_ && Second.Public_);
   STRCMP_EQUAL("vault", Second.Services_[0].Service_.name().c_str());
   STRCMP_EQUAL("north", Second.Homes_[0].name().c_str());
-  const auto &Service = Read->Services_.at(base::ServiceId("vault"));
+  const auto &Service = Read.Services_.at(base::ServiceId("vault"));
   CHECK(Service.ColdTime_ == 3500ms);
   LONGS_EQUAL(390, Service.ConnectionLimit_);
-  LONGS_EQUAL(2, Read->Customers_[0].Keys_.size());
-  LONGS_EQUAL(1, *Read->Customers_[0].Priority_);
-  CHECK_FALSE(Read->Customers_[1].Priority_.has_value());
-  LONGS_EQUAL(8192, Read->Callers_.HeaderBytes_);
+  LONGS_EQUAL(2, Read.Customers_[0].Keys_.size());
+  LONGS_EQUAL(1, Read.Customers_[0].Priority_.value_or(99));
+  CHECK_FALSE(Read.Customers_[1].Priority_.has_value());
+  LONGS_EQUAL(8192, Read.Callers_.HeaderBytes_);
 }
 
 TEST(IntentDecoder, faultsAreNamedAndRefused) {
@@ -109,14 +110,16 @@
 };
 
 TEST(TargetDecoder, readsAnEntry) {
-  const auto Read = platform::decodeTarget("i-1", parse(Entry), Last_);
-  CHECK(Read.has_value());
-  STRCMP_EQUAL("i-1", Read->Id_.name().c_str());
-  STRCMP_EQUAL("n-a", Read->Zone_.name().c_str());
-  LONGS_EQUAL(3, Read->Slots_);
-  CHECK(Read->ColdLeft_ == 1500ms);
-  CHECK(Read->Started_ == 1700000000123);
-  CHECK_FALSE(Read->Leaving_);
+  const auto Decoded = platform::decodeTarget("i-1", parse(Entry), Last_);
+  CHECK(Decoded.has_value());
+  const lychee::live::TargetRecord Read =
+      Decoded.value_or(lychee::live::TargetRecord());
+  STRCMP_EQUAL("i-1", Read.Id_.name().c_str());
+  STRCMP_EQUAL("n-a", Read.Zone_.name().c_str());
+  LONGS_EQUAL(3, Read.Slots_);
+  CHECK(Read.ColdLeft_ == 1500ms);
+  CHECK(Read.Started_ == 1700000000123);
+  CHECK_FALSE(Read.Leaving_);
 }
 
 // Anyone can write into the store. An entry that cannot be read names no
@@ -136,15 +139,17 @@
 TEST_GROUP(BoundsDecoder) { base::Error Last_; };
 
 TEST(BoundsDecoder, readsWhatTheProductActsOnAndPassesOverTheRest) {
-  const auto Read = platform::decodeBounds(
+  const auto Decoded = platform::decodeBounds(
       "revokeMs=4000,strictRevoke=true,graceS=6,retryBudgetRatio=0.25,"
       "quotaOverage=0.1,news=12",
       Last_);
-  CHECK(Read.has_value());
-  CHECK(Read->KeyWithdrawal_ == 4s);
-  CHECK(Read->StopGrace_ == 6s);
-  DOUBLES_EQUAL(0.25, Read->RetryRatio_, 0.0001);
-  DOUBLES_EQUAL(0.1, Read->RateOverage_, 0.0001);
+  CHECK(Decoded.has_value());
+  const lychee::live::DeploymentBounds Read =
+      Decoded.value_or(lychee::live::DeploymentBounds());
+  CHECK(Read.KeyWithdrawal_ == 4s);
+  CHECK(Read.StopGrace_ == 6s);
+  DOUBLES_EQUAL(0.25, Read.RetryRatio_, 0.0001);
+  DOUBLES_EQUAL(0.1, Read.RateOverage_, 0.0001);
 }
 
 TEST(BoundsDecoder, whatIsNoNumberIsRefused) {
@@ -158,10 +163,12 @@
 TEST(EntryPoints, aQuestionIsReadAndAnswered) {
   lychee::transport::HttpRequest Asked;
   Asked.Target_ = "/resolve?name=a.example&region=north&zone=n-a";
-  const auto Read = platform::decodeResolve(Asked);
-  CHECK(Read.has_value());
-  STRCMP_EQUAL("a.example", Read->Name_.c_str());
-  STRCMP_EQUAL("n-a", Read->Zone_.c_str());
+  const auto Decoded = platform::decodeResolve(Asked);
+  CHECK(Decoded.has_value());
+  const platform::ResolveQuery Read =
+      Decoded.value_or(platform::ResolveQuery());
+  STRCMP_EQUAL("a.example", Read.Name_.c_str());
+  STRCMP_EQUAL("n-a", Read.Zone_.c_str());
   const std::vector<std::string> Two{"127.0.0.1:80", "127.0.0.2:80"};
   STRCMP_EQUAL(R"({"addresses":["127.0.0.1:80","127.0.0.2:80"],"ttlS":1.0})",
                platform::encodeResolve(Two, 1s).Body_.c_str());
