The grace for missing targets ends before leaving ones must get nothing more

The grace is now the deployment's bound less 1.2 s for hearing. Test: theGraceLeavesTimeToHearOfALeavingTarget.

--- a/apps/lycheed/LiveFeed.cpp
+++ b/apps/lycheed/LiveFeed.cpp
@@ -32,7 +32,8 @@
 } // namespace
 
 LiveFeed::LiveFeed(const LiveFeedParts &Parts, std::uint64_t Seed)
-    : Parts_(Parts), Intents_(Parts.Intents_), Random_(Seed) {
+    : Parts_(Parts), Intents_(Parts.Intents_), Targets_(Parts.DrainBound_),
+      Random_(Seed) {
   live::FollowerListeners Intent;
   Intent.Listed_ = [this](const live::ObjectBatch &All) { takeIntent(All); };
   Intent.Changed_ = Intent.Listed_;
--- a/apps/lycheed/LiveFeed.h
+++ b/apps/lycheed/LiveFeed.h
@@ -23,6 +23,8 @@
   gateway::Gateway &Gateway_;
   members::HostBook &Hosts_;
   const std::map<base::ZoneId, base::RegionId> &Zones_;
+  /// After this a leaving target must get nothing more.
+  base::Duration DrainBound_{};
 };
 
 /// Keeps the host's knowledge of intent, targets, zones to keep clear and
--- a/libs/live/TargetBook.cpp
+++ b/libs/live/TargetBook.cpp
@@ -21,7 +21,7 @@
     return;
   const bool MayComeBack = Trouble_ && Now - *Trouble_ < AfterTrouble &&
                            !Missing.Known_.Record_.Leaving_;
-  Missing.GoneAt_ = MayComeBack ? Now + MissingGrace : Now;
+  Missing.GoneAt_ = MayComeBack ? Now + Grace_ : Now;
 }
 
 void TargetBook::remove(const base::TargetId &Gone, base::TimePoint Now) {
--- a/libs/live/TargetBook.h
+++ b/libs/live/TargetBook.h
@@ -3,6 +3,7 @@
 
 #include "live/TargetRecord.h"
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <span>
@@ -22,21 +23,31 @@
 /// its return is short or empty. Symptom without a safeguard: every target
 /// counts as gone at once and callers are refused, although all are well.
 /// An entry that goes missing within AfterTrouble of trouble with the store is
-/// therefore kept for MissingGrace: live targets write again within about 2 s,
-/// and one still missing then is gone. Without trouble a missing entry is a
-/// target that left, and goes at once.
+/// therefore kept for a grace: live targets write again meanwhile, and one
+/// still missing then is gone. Without trouble a missing entry is a target that
+/// left, and goes at once. As a target may leave without a word right after
+/// trouble, the grace ends before leaving targets must get nothing more.
 ///
 /// Not thread-safe: of the control loop's thread.
 class TargetBook {
 public:
-  /// Live targets write within about 2 s of the store's return; leaving ones
-  /// must get nothing more 2.5 s after they said so. Between the two.
-  static constexpr base::Duration MissingGrace =
+  /// Live targets write again within about 2 s of the store's return.
+  static constexpr base::Duration LongestGrace =
       std::chrono::milliseconds(2100);
+  /// Of the time after which a leaving target must get nothing more, so much is
+  /// kept for hearing of it: half a second in which changes are gathered, and
+  /// what a busy host takes to read and act (0.7 s at the most was seen at a
+  /// tenth of a core).
+  static constexpr base::Duration HearingTime = std::chrono::milliseconds(1200);
   /// Trouble longer ago than this explains no missing entry: three heartbeats
   /// of targets (1.5 s each), after which the platform drops an entry.
   static constexpr base::Duration AfterTrouble = std::chrono::seconds(5);
 
+  /// \param DrainBound  after this a leaving target must get nothing more.
+  explicit TargetBook(base::Duration DrainBound) noexcept
+      : Grace_(std::clamp(DrainBound - HearingTime, base::Duration::zero(),
+                          LongestGrace)) {}
+
   /// The store did not answer, or answered with a failure.
   void noteTrouble(base::TimePoint Now) noexcept { Trouble_ = Now; }
 
@@ -61,6 +72,7 @@
 
   void miss(Entry &Missing, base::TimePoint Now);
 
+  const base::Duration Grace_;
   std::map<base::TargetId, Entry> Entries_;
   std::optional<base::TimePoint> Trouble_;
   bool Changed_ = false;
--- a/tests/live/TargetBookTest.cpp
+++ b/tests/live/TargetBookTest.cpp
@@ -8,7 +8,7 @@
 using namespace std::chrono_literals;
 
 TEST_GROUP(TargetBook) {
-  TargetBook Book_;
+  TargetBook Book_{2500ms};
   base::TimePoint Now_ = base::TimePoint(100s);
 
   static TargetRecord recordOf(const char *Name, std::int64_t Started = 1) {
@@ -46,10 +46,32 @@
   Book_.put(recordOf("t1"), Now_);
   Book_.noteTrouble(Now_ + 3s);
   Book_.replaceAll({}, Now_ + 4s);
-  Book_.expire(Now_ + 4s + TargetBook::MissingGrace);
+  Book_.expire(Now_ + 4s + 1299ms);
+  LONGS_EQUAL(1, Book_.targets().size());
+  Book_.expire(Now_ + 4s + 1300ms);
   LONGS_EQUAL(0, Book_.targets().size());
 }
 
+// A target leaves without a word, 4 s after trouble with the store. Kept for as
+// long as live targets may take to write again, and heard of half a second
+// late, it got a request 2,535 ms after it had left, over the bound of 2,500.
+TEST(TargetBook, theGraceLeavesTimeToHearOfALeavingTarget) {
+  const auto KeptFor = [&](lychee::base::Duration Bound) {
+    TargetBook Book(Bound);
+    Book.put(recordOf("t1"), Now_);
+    Book.noteTrouble(Now_);
+    Book.remove(base::TargetId("t1"), Now_ + 4s);
+    lychee::base::Duration Kept{};
+    for (; !Book.targets().empty() && Kept < 5s; Kept += 10ms)
+      Book.expire(Now_ + 4s + Kept);
+    return Kept;
+  };
+  for (const auto Bound : {1000ms, 2500ms, 3000ms})
+    CHECK(KeptFor(Bound) + TargetBook::HearingTime <=
+          std::max<lychee::base::Duration>(Bound, 1200ms) + 20ms);
+  CHECK(KeptFor(10s) <= TargetBook::LongestGrace + 20ms);
+}
+
 TEST(TargetBook, aLeavingTargetGetsNoGrace) {
   TargetRecord Leaving = recordOf("t1");
   Leaving.Leaving_ = true;
