--- a/apps/lycheed/LiveFeed.cpp
+++ b/apps/lycheed/LiveFeed.cpp
@@ -58,6 +58,15 @@
 std::unique_ptr<live::ObjectFollower>
 LiveFeed::follow(std::string_view Kind, const live::FollowerPace &Pace,
                  live::FollowerListeners Heard) {
+  Heard.Listed_ = [Kind, Next = std::move(Heard.Listed_)](
+                      const live::ObjectBatch &All) {
+    reporting::logLine(LogLevel::Info, KeyValueLine()
+                                           .add("event", "listed")
+                                           .add("kind", Kind)
+                                           .add("objects", All.Objects_.size())
+                                           .add("revision", All.At_));
+    Next(All);
+  };
   Heard.Trouble_ = [this, Kind](const base::Error &Why) {
     noteTrouble(Kind, Why);
   };
