Changes of targets that come together are taken in their order

Cause: where an entry's last change and its end came with one watch, ends were taken while reading and changes after it, so the change brought the target back for good. Ruled out: a lost watch (the end was heard 0.23 s after its ack), the grace. Change: TargetBook::apply takes a batch in order; the stand-in's watches tell what each change said. Tests: TargetBook.aChangeAndItsEndInOneBatchEndTheTarget, and two real hosts, LiveHost.aChangeAndItsEndThatComeTogetherEndTheTarget, which failed before.

--- a/apps/lycheed/LiveFeed.cpp
+++ b/apps/lycheed/LiveFeed.cpp
@@ -135,13 +135,14 @@
 void LiveFeed::takeTargets(const live::ObjectBatch &Heard, bool Whole) {
   const base::TimePoint Now = SystemClock::monotonicNow();
   std::vector<live::TargetRecord> Sound;
+  std::vector<live::TargetChange> Changes;
   for (const live::StoredObject &Each : Heard.Objects_) {
     if (Each.Deleted_) {
       reporting::logLine(LogLevel::Info, KeyValueLine()
                                              .add("event", "target-gone")
                                              .add("target", Each.Name_)
                                              .add("revision", Each.Revision_));
-      Targets_.remove(base::TargetId(Each.Name_), Now);
+      Changes.push_back({base::TargetId(Each.Name_), std::nullopt});
       continue;
     }
     base::Error Why;
@@ -152,10 +153,11 @@
                              .add("event", "target-entry-refused")
                              .add("target", Each.Name_)
                              .add("reason", Why.Reason_));
-      Targets_.remove(base::TargetId(Each.Name_), Now);
+      Changes.push_back({base::TargetId(Each.Name_), std::nullopt});
       continue;
     }
     Sound.push_back(*Read);
+    Changes.push_back({Read->Id_, *Read});
     // A whole list says what is known already; only its changes are news.
     if (!Whole)
       reporting::logLine(
@@ -172,8 +174,7 @@
   if (Whole)
     Targets_.replaceAll(Sound, Now);
   else
-    for (const live::TargetRecord &Each : Sound)
-      Targets_.put(Each, Now);
+    Targets_.apply(Changes, Now);
   HasTargets_ = true;
   expire(Now);
 }
--- a/libs/live/TargetBook.cpp
+++ b/libs/live/TargetBook.cpp
@@ -46,6 +46,15 @@
   expire(Now);
 }
 
+void TargetBook::apply(std::span<const TargetChange> Changes,
+                       base::TimePoint Now) {
+  for (const TargetChange &Each : Changes)
+    if (Each.Record_)
+      put(*Each.Record_, Now);
+    else
+      remove(Each.Target_, Now);
+}
+
 void TargetBook::expire(base::TimePoint Now) {
   const auto Gone = std::erase_if(Entries_, [Now](const auto &Each) {
     return Each.second.GoneAt_ && *Each.second.GoneAt_ <= Now;
--- a/libs/live/TargetBook.h
+++ b/libs/live/TargetBook.h
@@ -17,6 +17,12 @@
   base::TimePoint ColdUntil_;
 };
 
+/// One word on a target: what its entry says now, or that it has none.
+struct TargetChange {
+  base::TargetId Target_;
+  std::optional<TargetRecord> Record_;
+};
+
 /// Knows the targets that registered themselves.
 ///
 /// Failure: entries expire while the store is away, and the first list after
@@ -53,6 +59,9 @@
 
   /// Takes the whole list: what is not in it is missing.
   void replaceAll(std::span<const TargetRecord> All, base::TimePoint Now);
+  /// Takes changes in the order in which they happened: what comes together may
+  /// hold an entry's last change and its end.
+  void apply(std::span<const TargetChange> Changes, base::TimePoint Now);
   void put(const TargetRecord &Fresh, base::TimePoint Now);
   void remove(const base::TargetId &Gone, base::TimePoint Now);
 
--- a/standins/platform/StandinObjects.cpp
+++ b/standins/platform/StandinObjects.cpp
@@ -66,21 +66,21 @@
 }
 
 void StandinObjects::change(const std::string &Kind, const std::string &Name,
-                            bool Deleted) {
-  Changes_.push_back({++Revision_, Kind, Name, Deleted});
+                            bool Deleted, const Json::Value &Content) {
+  Changes_.push_back({++Revision_, Kind, Name, Deleted, Content});
 }
 
 void StandinObjects::put(const std::string &Kind, const std::string &Name,
                          const Json::Value &Content) {
   const std::lock_guard Guard(Lock_);
-  change(Kind, Name, false);
+  change(Kind, Name, false, Content);
   Kinds_[Kind][Name] = {Content, Revision_};
 }
 
 void StandinObjects::remove(const std::string &Kind, const std::string &Name) {
   const std::lock_guard Guard(Lock_);
   Kinds_[Kind].erase(Name);
-  change(Kind, Name, true);
+  change(Kind, Name, true, {});
 }
 
 void StandinObjects::setFaults(const ObjectFaults &Faults) {
@@ -128,11 +128,7 @@
       continue;
     Json::Value Event;
     Event["deleted"] = Each.Deleted_;
-    const auto &Objects = Kinds_.at(Kind);
-    const auto Found = Objects.find(Each.Name_);
-    Event["object"] = objectOf(Each.Name_, Each.Revision_,
-                               Found == Objects.end() ? Json::Value()
-                                                      : Found->second.Content_);
+    Event["object"] = objectOf(Each.Name_, Each.Revision_, Each.Content_);
     Body["events"].append(Event);
     Any = true;
   }
--- a/standins/platform/StandinObjects.h
+++ b/standins/platform/StandinObjects.h
@@ -55,6 +55,7 @@
     std::string Kind_;
     std::string Name_;
     bool Deleted_ = false;
+    Json::Value Content_;
   };
 
   boost::asio::awaitable<transport::HttpAnswer>
@@ -66,7 +67,8 @@
                               const std::string &Kind, std::string Name);
   transport::HttpAnswer changesSince(const std::string &Kind,
                                      std::uint64_t Since, bool &Any) const;
-  void change(const std::string &Kind, const std::string &Name, bool Deleted);
+  void change(const std::string &Kind, const std::string &Name, bool Deleted,
+              const Json::Value &Content);
 
   boost::asio::io_context Context_{1};
   mutable std::mutex Lock_;
--- a/tests/live/TargetBookTest.cpp
+++ b/tests/live/TargetBookTest.cpp
@@ -27,6 +27,19 @@
   LONGS_EQUAL(0, Book_.targets().size());
 }
 
+// A target's entry changes and is removed within one pause between two watches,
+// so that both come together. Taken out of order, the change brings the target
+// back for good, and it gets requests after it has ended.
+TEST(TargetBook, aChangeAndItsEndInOneBatchEndTheTarget) {
+  Book_.put(recordOf("t1", 1), Now_);
+  lychee::live::TargetRecord Warm = recordOf("t1", 1);
+  Warm.ColdLeft_ = 5ms;
+  const std::vector<lychee::live::TargetChange> Batch = {
+      {Warm.Id_, Warm}, {Warm.Id_, std::nullopt}};
+  Book_.apply(Batch, Now_ + 1s);
+  LONGS_EQUAL(0, Book_.targets().size());
+}
+
 // The store was away, the targets' entries expired meanwhile, and the first
 // list after its return is empty. All targets are well and write again within
 // two seconds; dropped, every caller would be refused until then.
--- a/tests/process/LiveHostTest.cpp
+++ b/tests/process/LiveHostTest.cpp
@@ -10,6 +10,7 @@
 #include <fstream>
 #include <json/json.h>
 #include <memory>
+#include <thread>
 #include <unistd.h>
 
 #include "CppUTest/TestHarness.h"
@@ -144,6 +145,19 @@
     return tests::get(at(Host, 7003), "/resolve?name=a.example&region=near")
         .Body_;
   }
+  bool logHas(int Host, const std::string &Text) const {
+    std::ifstream Log(Folder_ + "/host-" + std::to_string(Host) + ".log");
+    const std::string All((std::istreambuf_iterator<char>(Log)),
+                          std::istreambuf_iterator<char>());
+    return All.find(Text) != std::string::npos;
+  }
+  /// \returns whether none of a few requests to all hosts reached the target.
+  bool getsNothing(std::size_t Target) const {
+    const auto Before = Targets_[Target]->counts().total();
+    for (int Each = 0; Each < 20; ++Each)
+      ask(Each % HostCount);
+    return Targets_[Target]->counts().total() == Before;
+  }
 };
 
 TEST(LiveHost, aRequestIsServedAndHostsNameEachOther) {
@@ -197,13 +211,24 @@
 // A target says that it leaves. Its entry alone tells; it gets nothing more.
 TEST(LiveHost, aLeavingTargetGetsNothingMore) {
   Objects_->put("servers", "t0", entryOf(Targets_[0]->address(), "draining"));
-  const auto Runs = [&] { return Targets_[0]->counts().total(); };
-  CHECK(TestFleet::waitFor([&] {
-    const auto Before = Runs();
-    for (int Each = 0; Each < 20; ++Each)
-      ask(Each % HostCount);
-    return Runs() == Before;
-  }));
+  CHECK(TestFleet::waitFor([&] { return getsNothing(0); }));
+}
+
+// A target's entry changes twice and is removed while hosts pause between two
+// watches, so that they hear the last change and the end together. The target
+// gets nothing more.
+TEST(LiveHost, aChangeAndItsEndThatComeTogetherEndTheTarget) {
+  Json::Value Entry = entryOf(Targets_[0]->address(), "ready");
+  for (const int Cold : {3, 2, 1}) {
+    Entry["coldRemainingMs"] = Cold;
+    Objects_->put("servers", "t0", Entry);
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  }
+  Objects_->remove("servers", "t0");
+  for (int Host = 0; Host < HostCount; ++Host)
+    CHECK(TestFleet::waitFor(
+        [&] { return logHas(Host, "event=target-gone target=t0"); }));
+  CHECK(getsNothing(0));
 }
 
 // A host is told to stop while callers use it: no request is cut, it is named
