Two hosts of a region ask the store, the others are told by them

Change: libs/relaying. RelayRole ranks the region's hosts by hash, those in trouble with the store last; the first two ask, the others ask these two every 300 ms what changed since their revision and how fresh that is (HTTP between hosts, one exchange a question). An answer counts from before its question, so that neither a pause nor a slow way makes it look fresher. A host that is told nothing sound for 1 s asks itself. ObjectMirror turns lists, watches and news into changes told once; a change that a deaf store kept back is noticed by the last change's revision.

--- a/apps/lycheed/LiveDaemon.cpp
+++ b/apps/lycheed/LiveDaemon.cpp
@@ -79,6 +79,14 @@
   return {Settings.Region_, Settings.Zone_, Bounds, drawSeed()};
 }
 
+void noteRelayTrouble(const std::string &Address, const base::Error &Why) {
+  reporting::logLine(LogLevel::Warning, KeyValueLine()
+                                            .add("event", "relay-unanswered")
+                                            .add("peer", Address)
+                                            .add("step", Why.Step_)
+                                            .add("reason", Why.Reason_));
+}
+
 void spawnLogged(asio::io_context &Where, asio::awaitable<void> What,
                  const char *Event) {
   asio::co_spawn(Where, std::move(What),
@@ -140,9 +148,19 @@
           liveGatewaySettings(Settings, Bounds),
           {Steering_, Intents_, Intents_, Entry_, *Claims_, Reporter_, *Polls_},
           drawSeed()),
-      Feed_({Objects_, Intents_, Steering_, Gateway_, Hosts_, Live_.Zones_,
-             Bounds.TargetDrain_},
+      Role_(Hosts_.self()),
+      Feed_({Objects_, Intents_, Steering_, Gateway_, Hosts_, Role_,
+             Live_.Zones_, Bounds.TargetDrain_},
             drawSeed()),
+      Relays_(
+          Control_.get_executor(), Role_, Live.Relays_.Port_,
+          {[this] { return Feed_.question(); },
+           [this](const relaying::RelayQuestion &Asked, base::TimePoint Now) {
+             return Feed_.answer(Asked, Now);
+           },
+           [this](const relaying::RelayAnswer &Told, base::TimePoint AskedAt,
+                  base::TimePoint Now) { Feed_.take(Told, AskedAt, Now); },
+           noteRelayTrouble}),
       Heartbeats_(
           Control_.get_executor(), Hosts_, Live.Heartbeats_,
           {[this](base::TimePoint Now) { return sayHeartbeat(Now); },
@@ -160,6 +178,7 @@
   const members::OwnState Own = Entry_.ownState(Now);
   Said.Ready_ = Own.Ready_;
   Said.Leaving_ = Own.Leaving_;
+  Said.StoreTrouble_ = Role_.isInTrouble(Now);
   Said.Demands_ = Steering_.demands(Now);
   Said.Loads_ = Steering_.loads(Now);
   Said.Evidence_ = Steering_.evidence(Now);
@@ -224,6 +243,11 @@
   Serve(Live_.Readiness_, [this](transport::HttpRequest Asked) {
     return answerReadiness(std::move(Asked));
   });
+  Serve(Live_.Relays_,
+        [this](transport::HttpRequest Asked)
+            -> asio::awaitable<transport::HttpAnswer> {
+          co_return Relays_.answer(Asked, SystemClock::monotonicNow());
+        });
   Serve(Settings_.Metrics_, [this](transport::HttpRequest Asked) {
     return answerMetrics(std::move(Asked));
   });
@@ -235,6 +259,7 @@
   Feed_.start(Control_.get_executor());
   spawnLogged(Control_, Heartbeats_.sendAll(), "heartbeats-failed");
   spawnLogged(Control_, Heartbeats_.receiveAll(), "heartbeats-failed");
+  spawnLogged(Control_, Relays_.askAll(), "relays-failed");
   spawnLogged(Control_, keepTime(), "time-failed");
   spawnLogged(Control_, registerHost(), "register-failed");
   return true;
@@ -246,10 +271,11 @@
   while (true) {
     const base::TimePoint Now = SystemClock::monotonicNow();
     Feed_.expire(Now);
-    Steering_.setFleet(
-        {Hosts_.others(Now), Hosts_.shareHolders(Now), Hosts_.isCutOff(Now)},
-        Now);
-    noteLosses(Now);
+    const std::vector<members::HostView> Others = Hosts_.others(Now);
+    takeRole(Others, Now);
+    noteLosses(Others, Now);
+    Steering_.setFleet({Others, Hosts_.shareHolders(Now), Hosts_.isCutOff(Now)},
+                       Now);
     reporting::flushLog();
     if (++Paces % FileCheckPaces == 0 && settingsFileChanged())
       reloadSettings();
@@ -258,9 +284,25 @@
   }
 }
 
-void LiveDaemon::noteLosses(base::TimePoint Now) {
+void LiveDaemon::takeRole(std::span<const members::HostView> Others,
+                          base::TimePoint Now) {
+  Role_.update(Others, Entry_.ownState(Now).Leaving_, Now);
+  const bool Asking = Role_.mustAsk(Now);
+  if (std::exchange(Asking_, Asking) == Asking)
+    return;
+  const auto Age = Intents_.age(Now);
+  reporting::logLine(
+      LogLevel::Info,
+      KeyValueLine()
+          .add("event", Asking ? "store-asked-here" : "store-asked-by-others")
+          .add("trouble", Role_.isInTrouble(Now) ? 1 : 0)
+          .add("confirmed_ms_ago", Age ? base::toMilliseconds(*Age) : -1));
+}
+
+void LiveDaemon::noteLosses(std::span<const members::HostView> Others,
+                            base::TimePoint Now) {
   std::set<base::HostId> Alive;
-  for (const members::HostView &Each : Hosts_.others(Now))
+  for (const members::HostView &Each : Others)
     if (Each.Alive_)
       Alive.insert(Each.Card_.Host_);
   for (const base::HostId &Each : Heard_)
--- a/apps/lycheed/LiveDaemon.h
+++ b/apps/lycheed/LiveDaemon.h
@@ -9,6 +9,7 @@
 #include "lycheed/LiveFeed.h"
 #include "members/HeartbeatExchange.h"
 #include "platform/ObjectClient.h"
+#include "relaying/RelayExchange.h"
 #include "reporting/DecisionLog.h"
 #include "reporting/Metrics.h"
 #include "settings/DaemonSettings.h"
@@ -19,6 +20,7 @@
 #include <filesystem>
 #include <memory>
 #include <set>
+#include <span>
 #include <thread>
 
 namespace lychee::daemon {
@@ -52,7 +54,10 @@
   bool settingsFileChanged();
   boost::asio::awaitable<void> keepTime();
   /// Tells of hosts that fell silent, and of trust in keys lost or regained.
-  void noteLosses(base::TimePoint Now);
+  void noteLosses(std::span<const members::HostView> Others,
+                  base::TimePoint Now);
+  /// Decides anew whether this host asks the store.
+  void takeRole(std::span<const members::HostView> Others, base::TimePoint Now);
   boost::asio::awaitable<void> registerHost();
   boost::asio::awaitable<void> withdrawHost();
   members::Heartbeat sayHeartbeat(base::TimePoint Now) const;
@@ -82,12 +87,15 @@
   std::unique_ptr<gateway::ClaimGate> Claims_;
   std::unique_ptr<gateway::TargetObserver> Polls_;
   gateway::Gateway Gateway_;
+  relaying::RelayRole Role_;
   LiveFeed Feed_;
+  relaying::RelayExchange Relays_;
   members::HeartbeatExchange Heartbeats_;
   std::vector<std::unique_ptr<transport::HttpServer>> Servers_;
   std::thread ControlThread_;
   std::set<base::HostId> Heard_;
   bool Trusted_ = false;
+  bool Asking_ = true;
 };
 
 } // namespace lychee::daemon
--- a/apps/lycheed/LiveFeed.cpp
+++ b/apps/lycheed/LiveFeed.cpp
@@ -35,20 +35,16 @@
     : Parts_(Parts), Intents_(Parts.Intents_), Targets_(Parts.DrainBound_),
       Random_(Seed) {
   live::FollowerListeners Intent;
-  Intent.Listed_ = [this](const live::ObjectBatch &All) { takeIntent(All); };
-  Intent.Changed_ = Intent.Listed_;
+  Intent.Changed_ = [this](auto Heard) { takeIntent(Heard); };
   Intent.Confirmed_ = [this](base::TimePoint Moment) {
     Intents_.confirm(Moment);
   };
   live::FollowerListeners Targets;
-  Targets.Listed_ = [this](const auto &All) { takeTargets(All, true); };
-  Targets.Changed_ = [this](const auto &Some) { takeTargets(Some, false); };
+  Targets.Changed_ = [this](auto Heard) { takeTargets(Heard); };
   live::FollowerListeners Zones;
-  Zones.Listed_ = [this](const auto &All) { takeEvacuations(All, true); };
-  Zones.Changed_ = [this](const auto &Some) { takeEvacuations(Some, false); };
+  Zones.Changed_ = [this](auto Heard) { takeEvacuations(Heard); };
   live::FollowerListeners Hosts;
-  Hosts.Listed_ = [this](const auto &All) { takeHosts(All, true); };
-  Hosts.Changed_ = [this](const auto &Some) { takeHosts(Some, false); };
+  Hosts.Changed_ = [this](auto Heard) { takeHosts(Heard); };
   Followers_.push_back(follow(platform::IntentKind, IntentPace, Intent));
   Followers_.push_back(follow(platform::TargetKind, LongPace, Targets));
   Followers_.push_back(follow(platform::EvacuationKind, LongPace, Zones));
@@ -58,14 +54,8 @@
 std::unique_ptr<live::ObjectFollower>
 LiveFeed::follow(std::string_view Kind, const live::FollowerPace &Pace,
                  live::FollowerListeners Heard) {
-  Heard.Listed_ = [Kind, Next = std::move(Heard.Listed_)](
-                      const live::ObjectBatch &All) {
-    reporting::logLine(LogLevel::Info, KeyValueLine()
-                                           .add("event", "listed")
-                                           .add("kind", Kind)
-                                           .add("objects", All.Objects_.size())
-                                           .add("revision", All.At_));
-    Next(All);
+  Heard.MustAsk_ = [this](base::TimePoint Now) {
+    return Parts_.Role_.mustAsk(Now);
   };
   Heard.Trouble_ = [this, Kind](const base::Error &Why) {
     noteTrouble(Kind, Why);
@@ -86,6 +76,7 @@
 void LiveFeed::noteTrouble(std::string_view Kind, const base::Error &Why) {
   const base::TimePoint Now = SystemClock::monotonicNow();
   Targets_.noteTrouble(Now);
+  Parts_.Role_.noteTrouble(Now);
   // A store that goes silent answers none of the calls it has, and a long one
   // would wait for its end. What one call noticed counts for all.
   Parts_.Source_.abandonBegunBefore(Now - FreshCall);
@@ -96,8 +87,40 @@
                                             .add("reason", Why.Reason_));
 }
 
-void LiveFeed::takeIntent(const live::ObjectBatch &Heard) {
-  for (const live::StoredObject &Each : Heard.Objects_) {
+relaying::RelayQuestion LiveFeed::question() const {
+  relaying::RelayQuestion Asked;
+  for (const auto &Each : Followers_)
+    Asked.Known_[Each->kind()] = Each->at();
+  return Asked;
+}
+
+relaying::RelayAnswer LiveFeed::answer(const relaying::RelayQuestion &Asked,
+                                       base::TimePoint Now) const {
+  relaying::RelayAnswer Told;
+  Told.Sound_ = !Parts_.Role_.isInTrouble(Now);
+  if (const auto Trouble = Parts_.Role_.lastTrouble())
+    Told.TroubleAge_ = Now - *Trouble;
+  for (const auto &Each : Followers_) {
+    Told.Sound_ = Told.Sound_ && Each->isSound();
+    const auto Known = Asked.Known_.find(Each->kind());
+    if (Known != Asked.Known_.end())
+      Told.News_.push_back(Each->newsSince(Known->second, Now));
+  }
+  return Told;
+}
+
+void LiveFeed::take(const relaying::RelayAnswer &Told, base::TimePoint AskedAt,
+                    base::TimePoint Now) {
+  if (Told.TroubleAge_)
+    Targets_.noteTrouble(AskedAt - *Told.TroubleAge_);
+  for (const live::ObjectNews &News : Told.News_)
+    for (const auto &Each : Followers_)
+      if (Each->kind() == News.Kind_)
+        Each->takeNews(News, AskedAt, Now);
+}
+
+void LiveFeed::takeIntent(std::span<const live::StoredObject> Heard) {
+  for (const live::StoredObject &Each : Heard) {
     if (Each.Name_ != platform::IntentName || Each.Deleted_)
       continue;
     base::Error Why;
@@ -132,57 +155,52 @@
   }
 }
 
-void LiveFeed::takeTargets(const live::ObjectBatch &Heard, bool Whole) {
+void LiveFeed::takeTargets(std::span<const live::StoredObject> Heard) {
   const base::TimePoint Now = SystemClock::monotonicNow();
-  std::vector<live::TargetRecord> Sound;
   std::vector<live::TargetChange> Changes;
-  for (const live::StoredObject &Each : Heard.Objects_) {
-    if (Each.Deleted_) {
-      reporting::logLine(LogLevel::Info, KeyValueLine()
-                                             .add("event", "target-gone")
-                                             .add("target", Each.Name_)
-                                             .add("revision", Each.Revision_));
-      Changes.push_back({base::TargetId(Each.Name_), std::nullopt});
-      continue;
-    }
-    base::Error Why;
-    const auto Read = platform::decodeTarget(Each.Name_, Each.Content_, Why);
-    if (!Read) {
-      reporting::logLine(LogLevel::Warning,
-                         KeyValueLine()
-                             .add("event", "target-entry-refused")
-                             .add("target", Each.Name_)
-                             .add("reason", Why.Reason_));
-      Changes.push_back({base::TargetId(Each.Name_), std::nullopt});
-      continue;
-    }
-    Sound.push_back(*Read);
-    Changes.push_back({Read->Id_, *Read});
-    // A whole list says what is known already; only its changes are news.
-    if (!Whole)
-      reporting::logLine(
-          LogLevel::Info,
-          KeyValueLine()
-              .add("event", Read->Leaving_ ? "target-leaving" : "target-seen")
-              .add("target", Each.Name_)
-              .add("service", Read->Service_.name())
-              .add("zone", Read->Zone_.name())
-              .add("start", Read->Started_)
-              .add("cold_ms", base::toMilliseconds(Read->ColdLeft_))
-              .add("revision", Each.Revision_));
-  }
-  if (Whole)
-    Targets_.replaceAll(Sound, Now);
-  else
-    Targets_.apply(Changes, Now);
+  Changes.reserve(Heard.size());
+  for (const live::StoredObject &Each : Heard)
+    Changes.push_back(readTarget(Each));
+  Targets_.apply(Changes, Now);
   HasTargets_ = true;
   expire(Now);
 }
 
-void LiveFeed::takeEvacuations(const live::ObjectBatch &Heard, bool Whole) {
-  if (Whole)
-    Evacuated_.clear();
-  for (const live::StoredObject &Each : Heard.Objects_) {
+/// An entry that cannot be read names no target to use.
+live::TargetChange LiveFeed::readTarget(const live::StoredObject &Entry) {
+  const base::TargetId Target(Entry.Name_);
+  if (Entry.Deleted_) {
+    reporting::logLine(LogLevel::Info, KeyValueLine()
+                                           .add("event", "target-gone")
+                                           .add("target", Entry.Name_)
+                                           .add("revision", Entry.Revision_));
+    return {Target, std::nullopt};
+  }
+  base::Error Why;
+  auto Read = platform::decodeTarget(Entry.Name_, Entry.Content_, Why);
+  if (!Read) {
+    reporting::logLine(LogLevel::Warning,
+                       KeyValueLine()
+                           .add("event", "target-entry-refused")
+                           .add("target", Entry.Name_)
+                           .add("reason", Why.Reason_));
+    return {Target, std::nullopt};
+  }
+  reporting::logLine(
+      LogLevel::Info,
+      KeyValueLine()
+          .add("event", Read->Leaving_ ? "target-leaving" : "target-seen")
+          .add("target", Entry.Name_)
+          .add("service", Read->Service_.name())
+          .add("zone", Read->Zone_.name())
+          .add("start", Read->Started_)
+          .add("cold_ms", base::toMilliseconds(Read->ColdLeft_))
+          .add("revision", Entry.Revision_));
+  return {Target, std::move(Read)};
+}
+
+void LiveFeed::takeEvacuations(std::span<const live::StoredObject> Heard) {
+  for (const live::StoredObject &Each : Heard) {
     if (Each.Deleted_)
       Evacuated_.erase(base::ZoneId(Each.Name_));
     else
@@ -198,10 +216,8 @@
   Parts_.Steering_.setEvacuated(Evacuated_, SystemClock::monotonicNow());
 }
 
-void LiveFeed::takeHosts(const live::ObjectBatch &Heard, bool Whole) {
-  if (Whole)
-    HostAddresses_.clear();
-  for (const live::StoredObject &Each : Heard.Objects_) {
+void LiveFeed::takeHosts(std::span<const live::StoredObject> Heard) {
+  for (const live::StoredObject &Each : Heard) {
     if (Each.Deleted_ || !Each.Content_.isObject() ||
         !Each.Content_["address"].isString())
       HostAddresses_.erase(Each.Name_);
--- a/apps/lycheed/LiveFeed.h
+++ b/apps/lycheed/LiveFeed.h
@@ -7,10 +7,13 @@
 #include "live/ObjectFollower.h"
 #include "live/TargetBook.h"
 #include "members/HostBook.h"
+#include "relaying/RelayMessages.h"
+#include "relaying/RelayRole.h"
 
 #include <atomic>
 #include <memory>
 #include <set>
+#include <span>
 #include <vector>
 
 namespace lychee::daemon {
@@ -22,6 +25,7 @@
   dispatch::DispatchSteering &Steering_;
   gateway::Gateway &Gateway_;
   members::HostBook &Hosts_;
+  relaying::RelayRole &Role_;
   const std::map<base::ZoneId, base::RegionId> &Zones_;
   /// After this a leaving target must get nothing more.
   base::Duration DrainBound_{};
@@ -42,6 +46,13 @@
   /// Drops what has been missing for too long. To be called every 200 ms.
   void expire(base::TimePoint Now);
 
+  // What is passed on between hosts.
+  relaying::RelayQuestion question() const;
+  relaying::RelayAnswer answer(const relaying::RelayQuestion &Asked,
+                               base::TimePoint Now) const;
+  void take(const relaying::RelayAnswer &Told, base::TimePoint AskedAt,
+            base::TimePoint Now);
+
   /// \returns whether everything that a request needs has been heard once.
   bool knowsAll() const noexcept {
     return HasTargets_ && HasEvacuations_ && Intents_.current() != nullptr;
@@ -52,10 +63,11 @@
                                                const live::FollowerPace &Pace,
                                                live::FollowerListeners Heard);
   void noteTrouble(std::string_view Kind, const base::Error &Why);
-  void takeIntent(const live::ObjectBatch &Heard);
-  void takeTargets(const live::ObjectBatch &Heard, bool Whole);
-  void takeEvacuations(const live::ObjectBatch &Heard, bool Whole);
-  void takeHosts(const live::ObjectBatch &Heard, bool Whole);
+  void takeIntent(std::span<const live::StoredObject> Heard);
+  static live::TargetChange readTarget(const live::StoredObject &Entry);
+  void takeTargets(std::span<const live::StoredObject> Heard);
+  void takeEvacuations(std::span<const live::StoredObject> Heard);
+  void takeHosts(std::span<const live::StoredObject> Heard);
   void pushTargets(base::TimePoint Now);
 
   const LiveFeedParts Parts_;
--- a/libs/live/ObjectFollower.cpp
+++ b/libs/live/ObjectFollower.cpp
@@ -19,8 +19,20 @@
       Pace_(Pace), Listeners_(std::move(Listeners)), Random_(Seed),
       Backoff_(Pace.LongestPause_) {}
 
+bool ObjectFollower::mustAsk(base::TimePoint Now) const {
+  return HasGap_ || !Listeners_.MustAsk_ || Listeners_.MustAsk_(Now);
+}
+
 asio::awaitable<void> ObjectFollower::run() {
   while (true) {
+    if (!mustAsk(SystemClock::monotonicNow())) {
+      // What changes meanwhile is told by others; whether all of it was is
+      // not known once this host asks again.
+      Listed_ = false;
+      InTrouble_ = false;
+      co_await waitFor(RestPace);
+      continue;
+    }
     if (Listed_) {
       co_await watchOnce();
       continue;
@@ -36,12 +48,12 @@
   co_await Recovered_.wait(Backoff_.next(Random_), Asked_);
 }
 
-asio::awaitable<void> ObjectFollower::linger() {
-  if (Pace_.Linger_ <= base::Duration::zero())
+asio::awaitable<void> ObjectFollower::waitFor(base::Duration Span) {
+  if (Span <= base::Duration::zero())
     co_return;
   asio::steady_timer Timer(co_await asio::this_coro::executor);
   Timer.expires_after(
-      std::chrono::duration_cast<asio::steady_timer::duration>(Pace_.Linger_));
+      std::chrono::duration_cast<asio::steady_timer::duration>(Span));
   co_await Timer.async_wait(asio::use_awaitable);
 }
 
@@ -51,6 +63,14 @@
     Recovered_.announce(Now);
 }
 
+void ObjectFollower::confirm(base::TimePoint Moment) {
+  if (Confirmed_ && *Confirmed_ >= Moment)
+    return;
+  Confirmed_ = Moment;
+  if (Listeners_.Confirmed_)
+    Listeners_.Confirmed_(Moment);
+}
+
 asio::awaitable<bool> ObjectFollower::listOnce() {
   base::Error Last;
   Asked_ = SystemClock::monotonicNow();
@@ -59,12 +79,15 @@
     Listeners_.Trouble_(Last);
     co_return false;
   }
-  succeeded(SystemClock::monotonicNow());
-  At_ = All->At_;
+  const base::TimePoint Now = SystemClock::monotonicNow();
+  succeeded(Now);
   Listed_ = true;
-  Listeners_.Listed_(*All);
-  if (Listeners_.Confirmed_)
-    Listeners_.Confirmed_(Asked_);
+  HasGap_ = false;
+  const bool First = Mirror_.isEmpty();
+  const std::vector<StoredObject> News = Mirror_.replaceAll(*All, Now);
+  if (First || !News.empty())
+    Listeners_.Changed_(News);
+  confirm(Asked_);
   co_return true;
 }
 
@@ -74,7 +97,7 @@
   Asked_ = SystemClock::monotonicNow();
   const base::Duration Wait = ConfirmSoon_ ? ShortWatch : Pace_.Watch_;
   const std::optional<ObjectBatch> Heard =
-      co_await Source_.watch(Kind_, At_, Wait, Fault, Last);
+      co_await Source_.watch(Kind_, Mirror_.at(), Wait, Fault, Last);
   if (!Heard && Fault == SourceFault::HistoryGone) {
     Listed_ = false;
     co_return;
@@ -85,25 +108,60 @@
     co_await pause();
     co_return;
   }
-  succeeded(SystemClock::monotonicNow());
-  At_ = std::max(At_, Heard->At_);
-  if (!Heard->Objects_.empty())
-    Listeners_.Changed_(*Heard);
-  const bool HasNews = !Heard->Objects_.empty();
   const base::TimePoint Now = SystemClock::monotonicNow();
+  succeeded(Now);
+  const bool Ended = !Heard->Objects_.empty();
+  const std::vector<StoredObject> News = Mirror_.apply(*Heard, Now);
+  if (!News.empty())
+    Listeners_.Changed_(News);
   // A watch that the store cut short is no proof of the time it did not last.
   const bool Lasted = Now - Asked_ >= Wait;
   if (Listeners_.Confirmed_) {
-    Listeners_.Confirmed_(Lasted ? std::max(Asked_, Asked_ + Wait - DeafWatch)
-                                 : Asked_);
+    confirm(Lasted ? std::max(Asked_, Asked_ + Wait - DeafWatch) : Asked_);
     ConfirmSoon_ = !Lasted;
   }
   // A store that answers a watch at once, without news, is not to be asked
   // again at once.
-  if (!Lasted && !HasNews)
+  if (!Lasted && !Ended)
     co_await Recovered_.wait(Backoff_.next(Random_), Now);
-  if (HasNews)
-    co_await linger();
+  if (Ended)
+    co_await waitFor(Pace_.Linger_);
+}
+
+ObjectNews ObjectFollower::newsSince(std::uint64_t Since,
+                                     base::TimePoint Now) const {
+  ObjectNews Told;
+  Told.Kind_ = Kind_;
+  Told.Newest_ = Mirror_.newest();
+  if (Confirmed_)
+    Told.Age_ = Now - *Confirmed_;
+  std::optional<ObjectBatch> Changes = Mirror_.since(Since);
+  Told.MustList_ = !Changes;
+  if (Changes)
+    Told.Changes_ = std::move(*Changes);
+  return Told;
+}
+
+void ObjectFollower::takeNews(const ObjectNews &Told, base::TimePoint AskedAt,
+                              base::TimePoint Now) {
+  // Before the first list there is nothing that changes could be added to.
+  if (Mirror_.isEmpty())
+    return;
+  if (Told.MustList_) {
+    HasGap_ = true;
+    return;
+  }
+  const std::vector<StoredObject> News = Mirror_.apply(Told.Changes_, Now);
+  if (!News.empty())
+    Listeners_.Changed_(News);
+  if (!Mirror_.covers(Told.Newest_)) {
+    HasGap_ = true;
+    return;
+  }
+  // The answer was given after the question was asked, whatever time either
+  // spent on its way; so it is no older than its age before the question.
+  if (Told.Age_)
+    confirm(AskedAt - *Told.Age_);
 }
 
 } // namespace lychee::live
--- a/libs/live/ObjectFollower.h
+++ b/libs/live/ObjectFollower.h
@@ -2,26 +2,30 @@
 #define LYCHEE_LIVE_OBJECTFOLLOWER_H
 
 #include "base/Random.h"
-#include "live/ObjectSource.h"
+#include "live/ObjectMirror.h"
+#include "live/ObjectNews.h"
 #include "live/RecoverySignal.h"
 #include "store/Backoff.h"
 
 #include <functional>
+#include <span>
 #include <string>
 
 namespace lychee::live {
 
 /// Whom a follower tells. All are called on the executor that it runs on.
 struct FollowerListeners {
-  /// All objects of the kind, after a list.
-  std::function<void(const ObjectBatch &)> Listed_;
-  /// What changed, in order.
-  std::function<void(const ObjectBatch &)> Changed_;
+  /// What changed, in order, each change once; after the first list all there
+  /// is, if only to say that there is nothing.
+  std::function<void(std::span<const StoredObject>)> Changed_;
   /// Whatever was told before is the newest as of the moment. Empty: nobody
   /// needs to know.
   std::function<void(base::TimePoint Moment)> Confirmed_;
   /// A call brought nothing.
   std::function<void(const base::Error &)> Trouble_;
+  /// Whether this host asks the store itself; else it waits for what other
+  /// hosts tell. Empty: it always asks.
+  std::function<bool(base::TimePoint Now)> MustAsk_;
 };
 
 /// How often a follower calls.
@@ -36,7 +40,7 @@
 };
 
 /// Keeps up with one kind of object: lists, then watches, and after any trouble
-/// lists again.
+/// lists again; or rests, while other hosts tell what they hear.
 ///
 /// Failure: a store that loses its history goes deaf first: its watches stay
 /// open and hear nothing of what changes, also one begun right after the cut.
@@ -60,15 +64,32 @@
   ObjectFollower(const ObjectFollower &) = delete;
   ObjectFollower &operator=(const ObjectFollower &) = delete;
 
+  /// How often a host that rests looks whether it must ask.
+  static constexpr base::Duration RestPace = std::chrono::milliseconds(200);
+
   /// Runs until the executor ends.
   boost::asio::awaitable<void> run();
 
+  const std::string &kind() const noexcept { return Kind_; }
+  std::uint64_t at() const noexcept { return Mirror_.at(); }
+  /// \returns whether the last call to the store brought what there is.
+  bool isSound() const noexcept { return Listed_ && !InTrouble_; }
+
+  /// \returns what to tell a host that knows everything up to \p Since.
+  ObjectNews newsSince(std::uint64_t Since, base::TimePoint Now) const;
+
+  /// Takes what another host told in answer to a question of \p AskedAt.
+  void takeNews(const ObjectNews &Told, base::TimePoint AskedAt,
+                base::TimePoint Now);
+
 private:
   boost::asio::awaitable<bool> listOnce();
   boost::asio::awaitable<void> watchOnce();
   boost::asio::awaitable<void> pause();
-  boost::asio::awaitable<void> linger();
+  boost::asio::awaitable<void> waitFor(base::Duration Span);
+  bool mustAsk(base::TimePoint Now) const;
   void succeeded(base::TimePoint Now);
+  void confirm(base::TimePoint Moment);
 
   ObjectSource &Source_;
   const std::string Kind_;
@@ -77,9 +98,13 @@
   const FollowerListeners Listeners_;
   base::Random Random_;
   store::Backoff Backoff_;
-  std::uint64_t At_ = 0;
+  ObjectMirror Mirror_;
+  /// The next call may be a watch; else what is known may have gaps.
   bool Listed_ = false;
   bool InTrouble_ = false;
+  /// Another host could not tell all that changed.
+  bool HasGap_ = false;
+  std::optional<base::TimePoint> Confirmed_;
   /// When the last call began.
   base::TimePoint Asked_;
   /// The last confirmation speaks for a moment that lies far back.
--- a/libs/live/TargetBook.cpp
+++ b/libs/live/TargetBook.cpp
@@ -32,20 +32,6 @@
   expire(Now);
 }
 
-void TargetBook::replaceAll(std::span<const TargetRecord> All,
-                            base::TimePoint Now) {
-  for (auto &[Id, Stored] : Entries_) {
-    const bool Listed = std::any_of(
-        All.begin(), All.end(),
-        [&Id = Id](const TargetRecord &Each) { return Each.Id_ == Id; });
-    if (!Listed)
-      miss(Stored, Now);
-  }
-  for (const TargetRecord &Each : All)
-    put(Each, Now);
-  expire(Now);
-}
-
 void TargetBook::apply(std::span<const TargetChange> Changes,
                        base::TimePoint Now) {
   for (const TargetChange &Each : Changes)
--- a/libs/live/TargetBook.h
+++ b/libs/live/TargetBook.h
@@ -55,10 +55,10 @@
                           LongestGrace)) {}
 
   /// The store did not answer, or answered with a failure.
-  void noteTrouble(base::TimePoint Now) noexcept { Trouble_ = Now; }
+  void noteTrouble(base::TimePoint At) noexcept {
+    Trouble_ = Trouble_ ? std::max(*Trouble_, At) : At;
+  }
 
-  /// Takes the whole list: what is not in it is missing.
-  void replaceAll(std::span<const TargetRecord> All, base::TimePoint Now);
   /// Takes changes in the order in which they happened: what comes together may
   /// hold an entry's last change and its end.
   void apply(std::span<const TargetChange> Changes, base::TimePoint Now);
--- a/libs/members/Heartbeat.cpp
+++ b/libs/members/Heartbeat.cpp
@@ -96,6 +96,7 @@
   Text["n"] = Json::UInt64(Said.Sequence_);
   Text["ready"] = Said.Ready_;
   Text["leaving"] = Said.Leaving_;
+  Text["trouble"] = Said.StoreTrouble_;
   for (const CustomerDemand &Each : Said.Demands_)
     Text["demands"].append(
         hundredthsOf(Each.Customer_.name(), Each.RequestsPerSecond_));
@@ -136,6 +137,7 @@
   Read.Sequence_ = Said["n"].asUInt64();
   Read.Ready_ = Said["ready"].asBool();
   Read.Leaving_ = Said["leaving"].asBool();
+  Read.StoreTrouble_ = Said["trouble"] == Json::Value(true);
   return Read;
 }
 
--- a/libs/members/Heartbeat.h
+++ b/libs/members/Heartbeat.h
@@ -53,6 +53,8 @@
   bool Ready_ = false;
   /// It was told to stop: callers must not be sent to it any more.
   bool Leaving_ = false;
+  /// A call of it to the store failed lately.
+  bool StoreTrouble_ = false;
   std::vector<CustomerDemand> Demands_;
   std::vector<ServiceDemand> Loads_;
   std::vector<retrying::CrashEvidence> Evidence_;
--- a/libs/members/HostBook.cpp
+++ b/libs/members/HostBook.cpp
@@ -60,7 +60,8 @@
     if (Now - Each.HeardAt_ < RememberedFor)
       All.push_back({Each.Last_.From_, Each.Last_.Ready_, Each.Last_.Leaving_,
                      isAlive(Each, Now), Now - Each.HeardAt_ < ReservedFor,
-                     Each.Last_.Demands_, Each.Last_.Loads_});
+                     Each.Last_.StoreTrouble_, Each.Last_.Demands_,
+                     Each.Last_.Loads_});
   return All;
 }
 
--- a/libs/members/HostBook.h
+++ b/libs/members/HostBook.h
@@ -20,6 +20,8 @@
   bool Alive_ = false;
   /// It may still be spending its part of what all hosts share.
   bool HoldsShare_ = false;
+  /// A call of it to the store failed lately.
+  bool StoreTrouble_ = false;
   std::vector<CustomerDemand> Demands_;
   std::vector<ServiceDemand> Loads_;
 };
--- /dev/null
+++ b/libs/relaying/RelayMessages.h
@@ -0,0 +1,43 @@
+#ifndef LYCHEE_RELAYING_RELAYMESSAGES_H
+#define LYCHEE_RELAYING_RELAYMESSAGES_H
+
+#include "base/Error.h"
+#include "live/ObjectNews.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace lychee::relaying {
+
+/// What a host asks another: what changed since the revision that it knows, for
+/// each kind of object.
+struct RelayQuestion {
+  std::map<std::string, std::uint64_t> Known_;
+};
+
+/// What the other answers.
+struct RelayAnswer {
+  /// It asks the store itself, and its last calls brought what there is.
+  bool Sound_ = false;
+  /// How long ago a call of it to the store failed; entries that are missing
+  /// right after that may come back. \see live::TargetBook
+  std::optional<base::Duration> TroubleAge_;
+  std::vector<live::ObjectNews> News_;
+};
+
+std::string encodeQuestion(const RelayQuestion &Asked);
+std::string encodeAnswer(const RelayAnswer &Told);
+
+/// \returns nothing, and \p Last filled, where \p Text is no such message.
+std::optional<RelayQuestion> decodeQuestion(std::string_view Text,
+                                            base::Error &Last);
+std::optional<RelayAnswer> decodeAnswer(std::string_view Text,
+                                        base::Error &Last);
+
+} // namespace lychee::relaying
+
+#endif
--- a/libs/settings/DaemonSettings.cpp
+++ b/libs/settings/DaemonSettings.cpp
@@ -73,6 +73,7 @@
   Section.listener("directory", Read.Directory_);
   Section.listener("readiness", Read.Readiness_);
   Section.listener("heartbeats", Read.Heartbeats_);
+  Section.listener("relays", Read.Relays_);
   Section.peers("seeds", Seeds);
   for (const Endpoint &Each : Seeds)
     Read.SeedAddresses_.push_back(Each.Address_);
--- a/libs/settings/DaemonSettings.h
+++ b/libs/settings/DaemonSettings.h
@@ -33,6 +33,8 @@
   Endpoint Readiness_;
   /// Heartbeats between hosts, as datagrams; all hosts use one port.
   Endpoint Heartbeats_;
+  /// Hosts ask each other here what the store told; all use one port.
+  Endpoint Relays_;
   /// Hosts to send heartbeats to before any others are known.
   std::vector<std::string> SeedAddresses_;
   /// The region of each availability zone.
--- a/tests/live/ObjectFollowerTest.cpp
+++ b/tests/live/ObjectFollowerTest.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <deque>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -94,15 +95,17 @@
   asio::io_context Loop_;
   ScriptedSource Source_{Loop_};
   std::unique_ptr<live::ObjectFollower> Follower_;
-  int Listed_ = 0;
   int Changed_ = 0;
   int Troubles_ = 0;
+  base::TimePoint Confirmed_;
+  std::function<bool(base::TimePoint)> MustAsk_;
 
   std::string play(std::deque<std::string> Script) {
     Source_.Script_ = std::move(Script);
     live::FollowerListeners Heard;
-    Heard.Listed_ = [this](const auto &) { ++Listed_; };
     Heard.Changed_ = [this](const auto &) { ++Changed_; };
+    Heard.Confirmed_ = [this](base::TimePoint At) { Confirmed_ = At; };
+    Heard.MustAsk_ = MustAsk_;
     Heard.Trouble_ = [this](const auto &) { ++Troubles_; };
     Follower_ = std::make_unique<live::ObjectFollower>(
         Source_, Recovered_, "kind", live::FollowerPace{1s, 10ms, {}}, Heard,
@@ -118,7 +121,8 @@
 
 TEST(ObjectFollower, listsOnceAndThenWatches) {
   STRCMP_EQUAL("list watch watch ", play({"list", "watch", "watch"}).c_str());
-  LONGS_EQUAL(1, Listed_);
+  // All there is, and what the first watch told; the second told the same.
+  LONGS_EQUAL(2, Changed_);
 }
 
 TEST(ObjectFollower, listsAgainWhereHistoryIsGone) {
@@ -161,3 +165,44 @@
   Loop_.poll();
   CHECK(Woken);
 }
+
+// Other hosts tell what changes, so this one makes no call; once it must ask
+// again it lists, since nobody knows what it was not told.
+TEST(ObjectFollower, whileItRestsItTakesWhatOthersTellAndThenLists) {
+  int Question = 0;
+  MustAsk_ = [&](base::TimePoint) {
+    ++Question;
+    if (Question == 3) {
+      const base::TimePoint AskedAt = base::SystemClock::monotonicNow() + 1h;
+      live::ObjectNews News;
+      News.Changes_ = {{{"one", 6, {}, false}}, 6};
+      News.Newest_ = 6;
+      News.Age_ = 2s;
+      Follower_->takeNews(News, AskedAt, AskedAt);
+      CHECK(Confirmed_ == AskedAt - 2s);
+    }
+    return Question != 2 && Question != 3;
+  };
+  STRCMP_EQUAL("list list ", play({"list", "list"}).c_str());
+  CHECK(Changed_ >= 2);
+}
+
+// Another host heard of a change that it cannot tell any more. Its word on how
+// fresh that is counts for nothing here, and the store is asked though others
+// do, too.
+TEST(ObjectFollower, aChangeThatNobodyCanTellIsListed) {
+  int Question = 0;
+  MustAsk_ = [&](base::TimePoint) {
+    if (++Question != 2)
+      return true;
+    const base::TimePoint Before = Confirmed_;
+    live::ObjectNews News;
+    News.Changes_ = {{}, 9};
+    News.Newest_ = 8;
+    News.Age_ = 0s;
+    Follower_->takeNews(News, Before + 1h, Before + 1h);
+    CHECK(Confirmed_ == Before);
+    return false;
+  };
+  STRCMP_EQUAL("list list ", play({"list", "list"}).c_str());
+}
--- a/tests/live/TargetBookTest.cpp
+++ b/tests/live/TargetBookTest.cpp
@@ -46,7 +46,7 @@
 TEST(TargetBook, anEmptyListAfterAnOutageKeepsTheTargets) {
   Book_.put(recordOf("t1"), Now_);
   Book_.noteTrouble(Now_ + 3s);
-  Book_.replaceAll({}, Now_ + 4s);
+  Book_.remove(base::TargetId("t1"), Now_ + 4s);
   LONGS_EQUAL(1, Book_.targets().size());
   Book_.put(recordOf("t1"), Now_ + 5s);
   Book_.expire(Now_ + 20s);
@@ -58,7 +58,7 @@
 TEST(TargetBook, aTargetStillMissingAfterTheGraceIsGone) {
   Book_.put(recordOf("t1"), Now_);
   Book_.noteTrouble(Now_ + 3s);
-  Book_.replaceAll({}, Now_ + 4s);
+  Book_.remove(base::TargetId("t1"), Now_ + 4s);
   Book_.expire(Now_ + 4s + 1299ms);
   LONGS_EQUAL(1, Book_.targets().size());
   Book_.expire(Now_ + 4s + 1300ms);
@@ -90,7 +90,7 @@
   Leaving.Leaving_ = true;
   Book_.put(Leaving, Now_);
   Book_.noteTrouble(Now_ + 1s);
-  Book_.replaceAll({}, Now_ + 2s);
+  Book_.remove(base::TargetId("t1"), Now_ + 2s);
   LONGS_EQUAL(0, Book_.targets().size());
 }
 
--- a/tests/process/LiveHostTest.cpp
+++ b/tests/process/LiveHostTest.cpp
@@ -123,6 +123,7 @@
                         << "[live]\ndirectory = " << at(Index, 7003)
                         << "\nreadiness = " << at(Index, 7004)
                         << "\nheartbeats = " << at(Index, 7005)
+                        << "\nrelays = " << at(Index, 7006)
                         << "\nbound = revokeMs=5000\nbound = graceS=6\n"
                         << "[zone near-1]\nregion = near\n";
     Hosts_.resize(HostCount);
--- /dev/null
+++ b/tests/relaying/RelayMessagesTest.cpp
@@ -0,0 +1,63 @@
+#include "relaying/RelayMessages.h"
+
+#include "CppUTest/TestHarness.h"
+
+namespace base = lychee::base;
+namespace live = lychee::live;
+namespace relaying = lychee::relaying;
+using namespace std::chrono_literals;
+
+TEST_GROUP(RelayMessages){};
+
+TEST(RelayMessages, aQuestionComesBackAsItWas) {
+  relaying::RelayQuestion Asked;
+  Asked.Known_ = {{"a", 7}, {"b", 0}};
+  base::Error Last;
+  const auto Read =
+      relaying::decodeQuestion(relaying::encodeQuestion(Asked), Last);
+  CHECK(Read.has_value());
+  CHECK(Read.value_or(relaying::RelayQuestion()).Known_ == Asked.Known_);
+}
+
+TEST(RelayMessages, anAnswerComesBackAndSeemsNoFresher) {
+  relaying::RelayAnswer Told;
+  Told.Sound_ = true;
+  Told.TroubleAge_ = 3s;
+  live::ObjectNews News;
+  News.Kind_ = "targets";
+  News.Newest_ = 9;
+  News.Age_ = 1500us;
+  News.Changes_.At_ = 12;
+  Json::Value Content;
+  Content["slots"] = 3;
+  News.Changes_.Objects_ = {{"t1", 8, Content, false}, {"t2", 9, {}, true}};
+  Told.News_ = {News};
+  base::Error Last;
+  const auto Maybe = relaying::decodeAnswer(relaying::encodeAnswer(Told), Last);
+  CHECK(Maybe.has_value());
+  const auto Read = Maybe.value_or(relaying::RelayAnswer());
+  CHECK(Read.Sound_);
+  CHECK(Read.TroubleAge_ == Told.TroubleAge_);
+  LONGS_EQUAL(1, Read.News_.size());
+  const live::ObjectNews &Back = Read.News_.front();
+  LONGS_EQUAL(9, Back.Newest_);
+  LONGS_EQUAL(12, Back.Changes_.At_);
+  CHECK(Back.Age_.value_or(0ns) >= 1500us);
+  LONGS_EQUAL(2, Back.Changes_.Objects_.size());
+  CHECK(Back.Changes_.Objects_[0].Content_ == Content);
+  CHECK(Back.Changes_.Objects_[1].Deleted_);
+}
+
+TEST(RelayMessages, whatIsNoMessageIsRefusedWithAReason) {
+  for (const char *Text :
+       {"", "[]", "{", "{\"sound\":1}", "{\"sound\":true,\"news\":[1]}",
+        "{\"sound\":true,\"news\":{\"a\":{}}}",
+        "{\"sound\":true,\"news\":{\"a\":{\"at\":1,\"newest\":1,"
+        "\"objects\":[[\"t\"]]}}}"}) {
+    base::Error Last;
+    CHECK_FALSE(relaying::decodeAnswer(Text, Last).has_value());
+    CHECK_FALSE(Last.Reason_.empty());
+  }
+  base::Error Last;
+  CHECK_FALSE(relaying::decodeQuestion("{}", Last).has_value());
+}
--- /dev/null
+++ b/tests/relaying/RelayRoleTest.cpp
@@ -0,0 +1,155 @@
+#include "relaying/RelayRole.h"
+
+#include "CppUTest/TestHarness.h"
+
+namespace base = lychee::base;
+namespace members = lychee::members;
+using lychee::relaying::RelayRole;
+using namespace std::chrono_literals;
+
+namespace {
+
+members::HostCard cardOf(int Number, const char *Region = "near") {
+  members::HostCard Made;
+  Made.Host_ = base::HostId("host-" + std::to_string(Number));
+  Made.Region_ = base::RegionId(Region);
+  Made.Address_ = "127.0.0." + std::to_string(Number);
+  return Made;
+}
+
+members::HostView viewOf(int Number, const char *Region = "near") {
+  members::HostView Made;
+  Made.Card_ = cardOf(Number, Region);
+  Made.Alive_ = true;
+  Made.Ready_ = true;
+  return Made;
+}
+
+constexpr int HostCount = 10;
+
+} // namespace
+
+/// Ten hosts of a region, each with its own view of all others.
+TEST_GROUP(RelayRole) {
+  base::TimePoint Now_ = base::TimePoint(100s);
+  std::vector<RelayRole> Roles_;
+  std::vector<members::HostView> Views_;
+
+  void setup() override {
+    for (int Number = 1; Number <= HostCount; ++Number) {
+      Roles_.emplace_back(cardOf(Number));
+      Views_.push_back(viewOf(Number));
+    }
+    updateAll();
+  }
+  void updateAll() {
+    for (std::size_t Each = 0; Each < Roles_.size(); ++Each) {
+      std::vector<members::HostView> Others = Views_;
+      Others.erase(Others.begin() + static_cast<std::ptrdiff_t>(Each));
+      Roles_[Each].update(Others, false, Now_);
+    }
+  }
+  /// All hosts hear a sound answer now.
+  void answerAll(bool Sound) {
+    for (RelayRole &Each : Roles_)
+      Each.noteAnswer(Sound, Now_);
+  }
+  std::vector<std::size_t> asking() const {
+    std::vector<std::size_t> Found;
+    for (std::size_t Each = 0; Each < Roles_.size(); ++Each)
+      if (Roles_[Each].mustAsk(Now_))
+        Found.push_back(Each);
+    return Found;
+  }
+};
+
+TEST(RelayRole, twoHostsOfARegionAskAndAllAgreeWhich) {
+  answerAll(true);
+  const std::vector<std::size_t> Asking = asking();
+  LONGS_EQUAL(RelayRole::AskersPerRegion, Asking.size());
+  for (std::size_t Each = 0; Each < Roles_.size(); ++Each)
+    for (const std::string &Address : Roles_[Each].askers())
+      CHECK(Address == Views_[Asking[0]].Card_.Address_ ||
+            Address == Views_[Asking[1]].Card_.Address_);
+}
+
+TEST(RelayRole, aHostThatHeardNobodyAsks) {
+  RelayRole Alone(cardOf(1));
+  CHECK(Alone.mustAsk(Now_));
+  Alone.update({}, false, Now_);
+  CHECK(Alone.mustAsk(Now_));
+}
+
+TEST(RelayRole, hostsOfOtherRegionsAreNotAsked) {
+  RelayRole Role(cardOf(1));
+  const std::vector<members::HostView> Others = {viewOf(2, "far"),
+                                                 viewOf(3, "far")};
+  Role.update(Others, false, Now_);
+  CHECK(Role.askers().empty());
+  CHECK(Role.mustAsk(Now_ + 1h));
+}
+
+// The hosts that ask die. Nothing is told any more, and a target that leaves
+// would go on getting requests; so after a second all others ask themselves,
+// and once the dead are known to be dead, two of them are enough again.
+TEST(RelayRole, whereNobodyAnswersAllAskUntilOthersTakeOver) {
+  answerAll(true);
+  const std::vector<std::size_t> Dead = asking();
+  Now_ += RelayRole::Silence;
+  LONGS_EQUAL(HostCount, asking().size());
+  for (const std::size_t Each : Dead)
+    Views_[Each].Alive_ = false;
+  updateAll();
+  answerAll(true);
+  for (const std::size_t Each : asking())
+    CHECK(Each == Dead[0] || Each == Dead[1] || Views_[Each].Alive_);
+  LONGS_EQUAL(RelayRole::AskersPerRegion + Dead.size(), asking().size());
+}
+
+// The store refuses the hosts that ask, and serves all others. Those refused
+// say so, and the next two ask in their place.
+TEST(RelayRole, hostsThatTheStoreRefusesAreReplaced) {
+  answerAll(true);
+  const std::vector<std::size_t> Refused = asking();
+  for (const std::size_t Each : Refused) {
+    Roles_[Each].noteTrouble(Now_);
+    Views_[Each].StoreTrouble_ = true;
+  }
+  updateAll();
+  const std::vector<std::size_t> Asking = asking();
+  LONGS_EQUAL(RelayRole::AskersPerRegion, Asking.size());
+  for (const std::size_t Each : Asking)
+    CHECK_FALSE(Views_[Each].StoreTrouble_);
+}
+
+// The store is away. Every host has tried and failed, and answers the others;
+// two go on trying, and not all, which would be a call a second and host.
+TEST(RelayRole, inAnOutageTwoGoOnTrying) {
+  for (std::size_t Each = 0; Each < Roles_.size(); ++Each) {
+    Roles_[Each].noteTrouble(Now_);
+    Views_[Each].StoreTrouble_ = true;
+  }
+  updateAll();
+  Now_ += 3s;
+  answerAll(false);
+  LONGS_EQUAL(RelayRole::AskersPerRegion, asking().size());
+}
+
+// The hosts that ask answer, but hear nothing themselves: their view of who
+// asks differs. This host waits two seconds and then asks.
+TEST(RelayRole, answersWithoutSubstanceAreNotWaitedForForLong) {
+  answerAll(true);
+  Now_ += RelayRole::TroublePatience - 1ms;
+  answerAll(false);
+  LONGS_EQUAL(RelayRole::AskersPerRegion, asking().size());
+  Now_ += 1ms;
+  LONGS_EQUAL(HostCount, asking().size());
+}
+
+TEST(RelayRole, aHostThatLeavesDoesNotAsk) {
+  RelayRole Role(cardOf(1));
+  const std::vector<members::HostView> Others = {viewOf(2)};
+  Role.update(Others, true, Now_);
+  Role.noteAnswer(true, Now_);
+  CHECK_FALSE(Role.mustAsk(Now_));
+}
