Heartbeats tell changes, callers find tokens elsewhere

Where the fleet hears less than 0.85 of a customer's rate a caller may come back after 50 ms, when it most likely finds another host's token. Tests: DemandTeller, HostBook (far hosts, merged changes), RateDivision (aCallerIsToldToTryElsewhereWhereOthersHaveTokens).

--- a/apps/lycheed/LiveDaemon.cpp
+++ b/apps/lycheed/LiveDaemon.cpp
@@ -163,7 +163,9 @@
            noteRelayTrouble}),
       Heartbeats_(
           Control_.get_executor(), Hosts_, Live.Heartbeats_,
-          {[this](base::TimePoint Now) { return sayHeartbeat(Now); },
+          {[this](bool Whole, bool WithHosts, base::TimePoint Now) {
+             return sayHeartbeat(Whole, WithHosts, Now);
+           },
            [this](const members::Heartbeat &Said, bool News,
                   base::TimePoint Now) { hearHeartbeat(Said, News, Now); }}) {
   Hosts_.addSeeds(Live_.SeedAddresses_);
@@ -173,15 +175,19 @@
 
 // Heartbeats.
 
-members::Heartbeat LiveDaemon::sayHeartbeat(base::TimePoint Now) const {
+members::Heartbeat LiveDaemon::sayHeartbeat(bool Whole, bool WithHosts,
+                                            base::TimePoint Now) {
   members::Heartbeat Said;
   const members::OwnState Own = Entry_.ownState(Now);
   Said.Ready_ = Own.Ready_;
   Said.Leaving_ = Own.Leaving_;
   Said.StoreTrouble_ = Role_.isInTrouble(Now);
-  Said.Demands_ = Steering_.demands(Now);
+  Said.IsWhole_ = Whole;
+  Said.Demands_ = Demands_.tell(Steering_.demands(Now), Whole);
   Said.Loads_ = Steering_.loads(Now);
   Said.Evidence_ = Steering_.evidence(Now);
+  if (!WithHosts)
+    return Said;
   for (const members::HostView &Each : Hosts_.others(Now))
     if (Each.Alive_)
       Said.Hears_.push_back(Each.Card_.Address_);
--- a/apps/lycheed/LiveDaemon.h
+++ b/apps/lycheed/LiveDaemon.h
@@ -7,6 +7,7 @@
 #include "lycheed/DecisionReporter.h"
 #include "lycheed/LiveEntry.h"
 #include "lycheed/LiveFeed.h"
+#include "members/DemandTeller.h"
 #include "members/HeartbeatExchange.h"
 #include "platform/ObjectClient.h"
 #include "relaying/RelayExchange.h"
@@ -60,7 +61,8 @@
   void takeRole(std::span<const members::HostView> Others, base::TimePoint Now);
   boost::asio::awaitable<void> registerHost();
   boost::asio::awaitable<void> withdrawHost();
-  members::Heartbeat sayHeartbeat(base::TimePoint Now) const;
+  members::Heartbeat sayHeartbeat(bool Whole, bool WithHosts,
+                                  base::TimePoint Now);
   void hearHeartbeat(const members::Heartbeat &Said, bool News,
                      base::TimePoint Now);
   boost::asio::awaitable<transport::HttpAnswer>
@@ -82,7 +84,7 @@
   platform::ObjectClient Objects_;
   live::IntentBook Intents_;
   members::HostBook Hosts_;
-  mutable dispatch::DispatchSteering Steering_;
+  dispatch::DispatchSteering Steering_;
   LiveEntry Entry_;
   std::unique_ptr<gateway::ClaimGate> Claims_;
   std::unique_ptr<gateway::TargetObserver> Polls_;
@@ -90,6 +92,7 @@
   relaying::RelayRole Role_;
   LiveFeed Feed_;
   relaying::RelayExchange Relays_;
+  members::DemandTeller Demands_;
   members::HeartbeatExchange Heartbeats_;
   std::vector<std::unique_ptr<transport::HttpServer>> Servers_;
   std::thread ControlThread_;
--- a/libs/dispatch/RateDivision.cpp
+++ b/libs/dispatch/RateDivision.cpp
@@ -45,14 +45,18 @@
     const double Least = std::min(Floor, Each.Rate_ * FloorPart);
     const double Own = Each.Demand_.perSecond(Now) + Least;
     double Sum = Own;
+    double Heard = Each.Demand_.perSecond(Now);
     for (const members::HostView &Other : Fleet.Others_) {
       if (!Other.HoldsShare_)
         continue;
       Sum += Least;
       for (const members::CustomerDemand &Told : Other.Demands_)
-        if (Told.Customer_ == Customer)
+        if (Told.Customer_ == Customer) {
           Sum += Told.RequestsPerSecond_;
+          Heard += Told.RequestsPerSecond_;
+        }
     }
+    Each.Used_ = Each.Rate_ > 0 ? Heard / Each.Rate_ : 1;
     Each.Part_ = Sum > 0 ? Own / Sum : 0;
     if (Now - Start_ < StartTime)
       Each.Part_ = std::min(Each.Part_, MostAtStart);
@@ -80,7 +84,8 @@
     return std::nullopt;
   }
   const double Rate = std::max(0.1, Of.Rate_ * Of.Part_ * UsedPart);
-  return base::fromSeconds((1 - Of.Tokens_) / Rate);
+  const base::Duration Here = base::fromSeconds((1 - Of.Tokens_) / Rate);
+  return Of.Used_ < AmpleRate ? std::min(Here, ElsewhereSoon) : Here;
 }
 
 std::vector<members::CustomerDemand>
--- a/libs/dispatch/RateDivision.h
+++ b/libs/dispatch/RateDivision.h
@@ -54,6 +54,14 @@
   /// rate 1.6 times the demand).
   static constexpr double UsedSlack = 0.8;
 
+  /// Where all hosts together hear less than this part of the rate, a caller
+  /// that finds this host's part spent finds a token at another one, where its
+  /// next try most likely goes. Waiting for this host's next token would take
+  /// it past its objective: 2 s where 60 hosts divide 29 requests a second.
+  static constexpr double AmpleRate = 0.85;
+  /// When it may try there: what all hosts heard is a second old.
+  static constexpr base::Duration ElsewhereSoon = std::chrono::milliseconds(50);
+
   RateDivision(const live::DeploymentBounds &Bounds, base::TimePoint Start)
       : Bounds_(Bounds), Start_(Start) {}
 
@@ -64,7 +72,8 @@
   void divide(const FleetDemand &Fleet, base::TimePoint Now);
 
   /// Counts a request and takes its token.
-  /// \returns nothing where it may pass; else when a token is there again.
+  /// \returns nothing where it may pass; else when a token is there again, here
+  /// or at another host.
   std::optional<base::Duration> take(const base::CustomerId &Customer,
                                      base::TimePoint Now);
 
@@ -76,6 +85,8 @@
     double Rate_ = 0;
     double Burst_ = 0;
     double Part_ = 0;
+    /// What all hosts together heard, as a part of the rate.
+    double Used_ = 1;
     /// Most tokens that the bucket holds.
     double Most_ = 1;
     /// A bucket starts empty: a fleet that restarts must not give each
--- /dev/null
+++ b/libs/members/DemandTeller.cpp
@@ -0,0 +1,32 @@
+#include "members/DemandTeller.h"
+
+#include <cmath>
+
+namespace lychee::members {
+
+std::vector<CustomerDemand>
+DemandTeller::tell(std::span<const CustomerDemand> All, bool Whole) {
+  std::map<base::CustomerId, double> Demands;
+  for (const CustomerDemand &Each : All)
+    Demands.emplace(Each.Customer_, Each.RequestsPerSecond_);
+  if (Whole) {
+    Told_ = std::move(Demands);
+    return {All.begin(), All.end()};
+  }
+  std::vector<CustomerDemand> Changed;
+  const auto Tell = [&](const base::CustomerId &Customer, double Before,
+                        double Is) {
+    if (std::abs(Is - Before) > Noise + NoisePart * Before)
+      Changed.push_back({Customer, Is});
+  };
+  for (const auto &[Customer, Is] : Demands) {
+    const auto Before = Told_.find(Customer);
+    Tell(Customer, Before == Told_.end() ? 0 : Before->second, Is);
+  }
+  for (const auto &[Customer, Before] : Told_)
+    if (!Demands.contains(Customer))
+      Tell(Customer, Before, 0);
+  return Changed;
+}
+
+} // namespace lychee::members
--- a/libs/members/Heartbeat.cpp
+++ b/libs/members/Heartbeat.cpp
@@ -97,6 +97,7 @@
   Text["ready"] = Said.Ready_;
   Text["leaving"] = Said.Leaving_;
   Text["trouble"] = Said.StoreTrouble_;
+  Text["whole"] = Said.IsWhole_;
   for (const CustomerDemand &Each : Said.Demands_)
     Text["demands"].append(
         hundredthsOf(Each.Customer_.name(), Each.RequestsPerSecond_));
@@ -137,6 +138,7 @@
   Read.Sequence_ = Said["n"].asUInt64();
   Read.Ready_ = Said["ready"].asBool();
   Read.Leaving_ = Said["leaving"].asBool();
+  Read.IsWhole_ = Said["whole"] != Json::Value(false);
   Read.StoreTrouble_ = Said["trouble"] == Json::Value(true);
   return Read;
 }
--- a/libs/members/Heartbeat.h
+++ b/libs/members/Heartbeat.h
@@ -55,6 +55,9 @@
   bool Leaving_ = false;
   /// A call of it to the store failed lately.
   bool StoreTrouble_ = false;
+  /// Demands_ are all there are; else those that changed since the last whole.
+  /// \see DemandTeller
+  bool IsWhole_ = true;
   std::vector<CustomerDemand> Demands_;
   std::vector<ServiceDemand> Loads_;
   std::vector<retrying::CrashEvidence> Evidence_;
--- a/libs/members/HeartbeatExchange.cpp
+++ b/libs/members/HeartbeatExchange.cpp
@@ -1,6 +1,7 @@
 #include "members/HeartbeatExchange.h"
 
 #include "base/SystemClock.h"
+#include "members/DemandTeller.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -41,13 +42,18 @@
 }
 
 void HeartbeatExchange::sayNow(base::TimePoint Now) {
-  Heartbeat Said = Others_.Say_(Now);
+  say(true, true, true, Now);
+}
+
+void HeartbeatExchange::say(bool Whole, bool WithHosts, bool AlsoFar,
+                            base::TimePoint Now) {
+  Heartbeat Said = Others_.Say_(Whole, WithHosts, Now);
   Said.From_ = Book_.self();
   Said.Sequence_ = ++Sequence_;
   const std::string Text = encodeHeartbeat(Said);
   if (Text.size() > MostBytes)
     return;
-  for (const std::string &Each : Book_.recipients(Now)) {
+  for (const std::string &Each : Book_.recipients(AlsoFar, Now)) {
     boost::system::error_code Ignored;
     const auto Address = asio::ip::make_address(Each, Ignored);
     // A datagram that does not go out is one that was lost; the next follows.
@@ -58,8 +64,11 @@
 }
 
 asio::awaitable<void> HeartbeatExchange::sendAll() {
-  while (true) {
-    sayNow(SystemClock::monotonicNow());
+  for (std::uint64_t Beat = 0;; ++Beat) {
+    const bool IsFirst = Beat < FirstBeats;
+    say(IsFirst || Beat % DemandTeller::WholeEvery == 0,
+        IsFirst || Beat % HostsEvery == 0, IsFirst || Beat % FarEvery == 0,
+        SystemClock::monotonicNow());
     Timer_.expires_after(Pace);
     co_await Timer_.async_wait(AsTuple);
   }
--- a/libs/members/HeartbeatExchange.h
+++ b/libs/members/HeartbeatExchange.h
@@ -18,12 +18,19 @@
 public:
   /// Look-ups must drop a dead host within seconds; \see HostBook::AliveFor.
   static constexpr std::chrono::milliseconds Pace{500};
+  /// Every second one goes to other regions. \see HostBook::FarAliveFor
+  static constexpr std::uint64_t FarEvery = 2;
+  /// Hosts that find each other need the names of others, at first in each and
+  /// later now and then, for the case that the store is away.
+  static constexpr std::uint64_t HostsEvery = 8;
+  static constexpr std::uint64_t FirstBeats = 8;
   /// A larger datagram would be cut into packets, of which each may be lost.
   static constexpr std::size_t MostBytes = 8UL * 1024;
 
   struct Parts {
-    /// \returns what to say now, but for sender and sequence.
-    std::function<Heartbeat(base::TimePoint)> Say_;
+    /// \returns what to say now, but for sender and sequence: all demands
+    /// where \p Whole, and the hosts that are heard where \p WithHosts.
+    std::function<Heartbeat(bool Whole, bool WithHosts, base::TimePoint)> Say_;
     /// Hears each heartbeat. \p News  the host was not heard lately, or
     /// changed.
     std::function<void(const Heartbeat &, bool News, base::TimePoint)> Hear_;
@@ -43,10 +50,12 @@
   boost::asio::awaitable<void> sendAll();
   boost::asio::awaitable<void> receiveAll();
 
-  /// Sends a heartbeat now, besides the steady ones.
+  /// Sends a heartbeat to all now, besides the steady ones.
   void sayNow(base::TimePoint Now);
 
 private:
+  void say(bool Whole, bool WithHosts, bool AlsoFar, base::TimePoint Now);
+
   HostBook &Book_;
   const settings::Endpoint Listen_;
   const Parts Others_;
--- a/libs/members/HostBook.cpp
+++ b/libs/members/HostBook.cpp
@@ -6,6 +6,24 @@
 
 namespace lychee::members {
 
+void HostBook::take(const Heartbeat &Said, Heartbeat &Into) {
+  Heartbeat Next = Said;
+  const bool SameStart = Into.From_.Start_ == Said.From_.Start_;
+  if (!Said.IsWhole_ && SameStart) {
+    Next.Demands_ = std::move(Into.Demands_);
+    for (const CustomerDemand &Told : Said.Demands_) {
+      std::erase_if(Next.Demands_, [&Told](const CustomerDemand &Each) {
+        return Each.Customer_ == Told.Customer_;
+      });
+      Next.Demands_.push_back(Told);
+    }
+  }
+  // Not every heartbeat names the hosts that are heard.
+  if (Next.Hears_.empty() && SameStart)
+    Next.Hears_ = std::move(Into.Hears_);
+  Into = std::move(Next);
+}
+
 bool HostBook::heard(const Heartbeat &Said, base::TimePoint Now) {
   if (Said.From_.Host_ == Self_.Host_)
     return false;
@@ -23,7 +41,7 @@
   const bool Told = New || !isAlive(Stored, Now) ||
                     Before.Ready_ != Said.Ready_ ||
                     Before.Leaving_ != Said.Leaving_;
-  Stored.Last_ = Said;
+  take(Said, Stored.Last_);
   Stored.HeardAt_ = Now;
   return Told;
 }
@@ -38,7 +56,8 @@
   Seeds_.insert(Addresses.begin(), Addresses.end());
 }
 
-std::vector<std::string> HostBook::recipients(base::TimePoint Now) const {
+std::vector<std::string> HostBook::recipients(bool AlsoFar,
+                                              base::TimePoint Now) const {
   const std::lock_guard Guard(Lock_);
   std::set<std::string> All = Listed_;
   All.insert(Seeds_.begin(), Seeds_.end());
@@ -50,6 +69,10 @@
       All.insert(Each.Last_.Hears_.begin(), Each.Last_.Hears_.end());
   }
   All.erase(Self_.Address_);
+  if (!AlsoFar)
+    for (const auto &[Host, Each] : Known_)
+      if (isAlive(Each, Now) && Each.Last_.From_.Region_ != Self_.Region_)
+        All.erase(Each.Last_.From_.Address_);
   return {All.begin(), All.end()};
 }
 
@@ -65,6 +88,11 @@
   return All;
 }
 
+bool HostBook::isAlive(const Known &Each, base::TimePoint Now) const noexcept {
+  const bool IsNear = Each.Last_.From_.Region_ == Self_.Region_;
+  return Now - Each.HeardAt_ < (IsNear ? AliveFor : FarAliveFor);
+}
+
 bool HostBook::isCutOff(base::TimePoint Now) const {
   const std::lock_guard Guard(Lock_);
   std::size_t Lately = 0;
--- a/libs/members/HostBook.h
+++ b/libs/members/HostBook.h
@@ -40,6 +40,9 @@
   /// Four heartbeats of 500 ms: datagrams are lost now and then, four in a row
   /// of 3% lossy ones once in a million.
   static constexpr base::Duration AliveFor = std::chrono::seconds(2);
+  /// The same for hosts of other regions, which get every second heartbeat:
+  /// bytes between regions cost most, and few callers are sent there.
+  static constexpr base::Duration FarAliveFor = std::chrono::seconds(3);
   /// A silent host's share stays reserved for so long: its keys go stale 4.7 s
   /// after its last sound contact with the store, and then it spends nothing.
   static constexpr base::Duration ReservedFor = std::chrono::seconds(7);
@@ -58,7 +61,8 @@
   void addSeeds(std::span<const std::string> Addresses);
 
   /// \returns the addresses to send heartbeats to.
-  std::vector<std::string> recipients(base::TimePoint Now) const;
+  /// \param AlsoFar  also to hosts that are known to be in other regions.
+  std::vector<std::string> recipients(bool AlsoFar, base::TimePoint Now) const;
 
   /// \returns every remembered host but this one.
   std::vector<HostView> others(base::TimePoint Now) const;
@@ -83,9 +87,9 @@
     base::TimePoint HeardAt_;
   };
 
-  bool isAlive(const Known &Each, base::TimePoint Now) const noexcept {
-    return Now - Each.HeardAt_ < AliveFor;
-  }
+  bool isAlive(const Known &Each, base::TimePoint Now) const noexcept;
+  /// Takes what changed since the last whole heartbeat into what is known.
+  static void take(const Heartbeat &Said, Heartbeat &Into);
 
   const HostCard Self_;
   mutable std::mutex Lock_;
--- a/tests/dispatch/RateDivisionTest.cpp
+++ b/tests/dispatch/RateDivisionTest.cpp
@@ -59,6 +59,13 @@
     }
   }
 
+  /// \returns when a caller refused at a host now may come back.
+  base::Duration waitAt(std::size_t Host) {
+    while (true)
+      if (const auto Wait = Hosts_[Host].take(Customer, Now_))
+        return *Wait;
+  }
+
   /// Plays \p Seconds with so many requests a second at each host.
   /// \returns the part that was refused.
   double play(double Seconds, const std::vector<double> &Rates) {
@@ -120,6 +127,18 @@
   CHECK(Hosts.play(30, std::vector<double>(12, 0.95)) < 0.03);
 }
 
+// Sixty hosts, each asked every third second, and a customer well within its
+// rate: chance spends a host's part, and its next token is two seconds away.
+// Another host has one, so the caller is told to come back at once; where the
+// customer sends more than its rate no host has, and it is told to wait.
+TEST(RateDivision, aCallerIsToldToTryElsewhereWhereOthersHaveTokens) {
+  Fleet Hosts(60, 29, 29);
+  Hosts.play(8, std::vector<double>(60, 0.3));
+  CHECK(Hosts.waitAt(7) <= RateDivision::ElsewhereSoon);
+  Hosts.play(8, std::vector<double>(60, 1.5));
+  CHECK(Hosts.waitAt(7) > RateDivision::ElsewhereSoon);
+}
+
 // One customer sends eight times its rate to all hosts. What passes stays
 // within rate and burst over all hosts together.
 TEST(RateDivision, aHotCustomerGetsNoMoreThanItsRate) {
--- /dev/null
+++ b/tests/members/DemandTellerTest.cpp
@@ -0,0 +1,49 @@
+#include "members/DemandTeller.h"
+
+#include "CppUTest/TestHarness.h"
+
+namespace base = lychee::base;
+using lychee::members::CustomerDemand;
+using lychee::members::DemandTeller;
+
+TEST_GROUP(DemandTeller) {
+  DemandTeller Teller_;
+
+  static CustomerDemand of(const char *Name, double PerSecond) {
+    return {base::CustomerId(Name), PerSecond};
+  }
+};
+
+TEST(DemandTeller, aWholeTellsAll) {
+  const std::vector<CustomerDemand> All = {of("a", 1), of("b", 0.1)};
+  LONGS_EQUAL(2, Teller_.tell(All, true).size());
+}
+
+TEST(DemandTeller, betweenOnlyWhatChangedIsTold) {
+  const std::vector<CustomerDemand> Before = {of("a", 10), of("b", 1)};
+  Teller_.tell(Before, true);
+  const std::vector<CustomerDemand> Chance = {of("a", 11), of("b", 1.5)};
+  CHECK(Teller_.tell(Chance, false).empty());
+  const std::vector<CustomerDemand> Moved = {of("a", 4), of("b", 1)};
+  const auto Told = Teller_.tell(Moved, false);
+  LONGS_EQUAL(1, Told.size());
+  DOUBLES_EQUAL(4, Told.front().RequestsPerSecond_, 0);
+}
+
+// A heartbeat with a change is lost. The next one tells the change, too, since
+// changes count from the last whole and not from the last heartbeat.
+TEST(DemandTeller, aLostHeartbeatIsMadeUpForByTheNext) {
+  const std::vector<CustomerDemand> Before = {of("a", 10)};
+  Teller_.tell(Before, true);
+  const std::vector<CustomerDemand> Moved = {of("a", 4)};
+  LONGS_EQUAL(1, Teller_.tell(Moved, false).size());
+  LONGS_EQUAL(1, Teller_.tell(Moved, false).size());
+}
+
+TEST(DemandTeller, aCustomerThatStoppedIsToldAsNothing) {
+  const std::vector<CustomerDemand> Before = {of("a", 10)};
+  Teller_.tell(Before, true);
+  const auto Told = Teller_.tell({}, false);
+  LONGS_EQUAL(1, Told.size());
+  DOUBLES_EQUAL(0, Told.front().RequestsPerSecond_, 0);
+}
--- a/tests/members/HostBookTest.cpp
+++ b/tests/members/HostBookTest.cpp
@@ -114,13 +114,50 @@
     CHECK(Book_.isPickedFor(Matter, Now_) != Other.isPickedFor(Matter, Now_));
 }
 
+// Hosts of other regions get every second heartbeat, so they are heard half as
+// often; taken for dead after the same time, one lost datagram less would do.
+TEST(HostBook, hostsOfOtherRegionsMaySkipABeat) {
+  hear("far", true, false, "south");
+  Now_ += HostBook::AliveFor;
+  CHECK(Book_.others(Now_)[0].Alive_);
+  CHECK(Book_.recipients(false, Now_).empty());
+  LONGS_EQUAL(1, Book_.recipients(true, Now_).size());
+  Now_ += HostBook::FarAliveFor - HostBook::AliveFor;
+  CHECK_FALSE(Book_.others(Now_)[0].Alive_);
+}
+
+// Between whole heartbeats only what changed is told. What was told before
+// stands, but for a host that started anew since.
+TEST(HostBook, aChangeIsTakenIntoWhatWasTold) {
+  members::Heartbeat Said;
+  Said.From_ = cardOf("h1", "north");
+  Said.Sequence_ = 1;
+  Said.Demands_ = {{base::CustomerId("a"), 3}, {base::CustomerId("b"), 1}};
+  Said.Hears_ = {"h2-ip"};
+  Book_.heard(Said, Now_);
+  Said.Sequence_ = 2;
+  Said.IsWhole_ = false;
+  Said.Demands_ = {{base::CustomerId("a"), 7}};
+  Said.Hears_.clear();
+  Book_.heard(Said, Now_);
+  double Sum = 0;
+  for (const auto &Each : Book_.others(Now_)[0].Demands_)
+    Sum += Each.RequestsPerSecond_;
+  DOUBLES_EQUAL(8, Sum, 0.01);
+  LONGS_EQUAL(2, Book_.recipients(true, Now_).size());
+  Said.From_.Start_ = 2;
+  Said.Sequence_ = 1;
+  Book_.heard(Said, Now_);
+  LONGS_EQUAL(1, Book_.others(Now_)[0].Demands_.size());
+}
+
 TEST(HostBook, hostsThatOthersHearGetHeartbeats) {
   members::Heartbeat Said;
   Said.From_ = cardOf("h1", "north");
   Said.Sequence_ = 1;
   Said.Hears_ = {"h2-ip", "self-ip"};
   Book_.heard(Said, Now_);
-  const std::vector<std::string> To = Book_.recipients(Now_);
+  const std::vector<std::string> To = Book_.recipients(true, Now_);
   LONGS_EQUAL(2, To.size());
   STRCMP_EQUAL("h1-ip", To[0].c_str());
   STRCMP_EQUAL("h2-ip", To[1].c_str());
