A host that knows nothing yet makes others ask for nothing

Change: only a host that asks the store with success tells of a gap. Test: ObjectFollower.whatAHostThatKnowsNothingCannotTellIsNoGap, which failed before the change (two lists).

--- a/apps/lycheed/LiveFeed.cpp
+++ b/apps/lycheed/LiveFeed.cpp
@@ -116,7 +116,7 @@
   for (const live::ObjectNews &News : Told.News_)
     for (const auto &Each : Followers_)
       if (Each->kind() == News.Kind_)
-        Each->takeNews(News, AskedAt, Now);
+        Each->takeNews(News, Told.Sound_, AskedAt, Now);
 }
 
 void LiveFeed::takeIntent(std::span<const live::StoredObject> Heard) {
--- a/libs/live/ObjectFollower.cpp
+++ b/libs/live/ObjectFollower.cpp
@@ -142,20 +142,20 @@
   return Told;
 }
 
-void ObjectFollower::takeNews(const ObjectNews &Told, base::TimePoint AskedAt,
-                              base::TimePoint Now) {
+void ObjectFollower::takeNews(const ObjectNews &Told, bool Sound,
+                              base::TimePoint AskedAt, base::TimePoint Now) {
   // Before the first list there is nothing that changes could be added to.
   if (Mirror_.isEmpty())
     return;
   if (Told.MustList_) {
-    HasGap_ = true;
+    HasGap_ = HasGap_ || Sound;
     return;
   }
   const std::vector<StoredObject> News = Mirror_.apply(Told.Changes_, Now);
   if (!News.empty())
     Listeners_.Changed_(News);
   if (!Mirror_.covers(Told.Newest_)) {
-    HasGap_ = true;
+    HasGap_ = HasGap_ || Sound;
     return;
   }
   // The answer was given after the question was asked, whatever time either
--- a/libs/live/ObjectFollower.h
+++ b/libs/live/ObjectFollower.h
@@ -79,7 +79,9 @@
   ObjectNews newsSince(std::uint64_t Since, base::TimePoint Now) const;
 
   /// Takes what another host told in answer to a question of \p AskedAt.
-  void takeNews(const ObjectNews &Told, base::TimePoint AskedAt,
+  /// \param Sound  it asks the store itself, with success: what it cannot tell
+  /// is then to be had there.
+  void takeNews(const ObjectNews &Told, bool Sound, base::TimePoint AskedAt,
                 base::TimePoint Now);
 
 private:
--- a/tests/live/ObjectFollowerTest.cpp
+++ b/tests/live/ObjectFollowerTest.cpp
@@ -178,7 +178,7 @@
       News.Changes_ = {{{"one", 6, {}, false}}, 6};
       News.Newest_ = 6;
       News.Age_ = 2s;
-      Follower_->takeNews(News, AskedAt, AskedAt);
+      Follower_->takeNews(News, true, AskedAt, AskedAt);
       CHECK(Confirmed_ == AskedAt - 2s);
     }
     return Question != 2 && Question != 3;
@@ -200,9 +200,27 @@
     News.Changes_ = {{}, 9};
     News.Newest_ = 8;
     News.Age_ = 0s;
-    Follower_->takeNews(News, Before + 1h, Before + 1h);
+    Follower_->takeNews(News, true, Before + 1h, Before + 1h);
     CHECK(Confirmed_ == Before);
     return false;
   };
   STRCMP_EQUAL("list list ", play({"list", "list"}).c_str());
 }
+
+// A host that has just started is asked, and has not listed yet. What it cannot
+// tell is no reason to ask the store: else each start of a host that others
+// ask makes all of them list every kind.
+TEST(ObjectFollower, whatAHostThatKnowsNothingCannotTellIsNoGap) {
+  int Question = 0;
+  MustAsk_ = [&](base::TimePoint) {
+    if (++Question == 2) {
+      live::ObjectNews News;
+      News.MustList_ = true;
+      Follower_->takeNews(News, false, Confirmed_, Confirmed_);
+    }
+    if (Question == 4)
+      Loop_.stop();
+    return Question == 1;
+  };
+  STRCMP_EQUAL("list ", play({"list", "list"}).c_str());
+}
