Idle connections keep no buffer, memory goes back early

Each idle caller connection waited with 8 KB in hand (64 KB after an upload), 0.5 MB were kept for explain, which nobody can ask here, and the allocator kept an arena a thread. Change: a connection waits to be readable and then takes a buffer; a target's connection gives its buffer back with itself; 32 KB for explain; one arena.

--- a/apps/lycheed/LiveDaemon.cpp
+++ b/apps/lycheed/LiveDaemon.cpp
@@ -44,8 +44,9 @@
 constexpr base::Duration ReuseIdleLimit = std::chrono::seconds(5);
 /// Uploads up to this size can be sent again when a target refuses them.
 constexpr std::uint32_t HeldBodyBytes = 1U << 20;
-/// What explain remembers; memory is paid for at its peak.
-constexpr std::size_t ExplainBytes = 512UL << 10;
+/// No command line asks this host to explain a request; its log does. 0.5 MB
+/// were kept here for nobody.
+constexpr std::size_t ExplainBytes = 32UL << 10;
 constexpr unsigned StatusNotFound = 404;
 constexpr int ExitStartFailed = 1;
 constexpr int ExitRequestsCut = 3;
--- a/apps/lycheed/Main.cpp
+++ b/apps/lycheed/Main.cpp
@@ -6,6 +6,7 @@
 
 #include <gflags/gflags.h>
 #include <iostream>
+#include <malloc.h>
 #include <optional>
 
 DEFINE_string(settings, "", "INI file of this daemon; see docs/SETTINGS.md");
@@ -29,6 +30,17 @@
   return Bounds;
 }
 
+/// One arena for the two threads that allocate, and freed memory goes back to
+/// the system early: 6.4 MB in place of 7.7 MB at a host's peak on a calm day
+/// of 12 hosts, and no more processor time.
+void keepMemorySmall() {
+  constexpr int Arenas = 1;
+  constexpr int ReturnedBytes = 64 << 10;
+  mallopt(M_ARENA_MAX, Arenas);
+  mallopt(M_MMAP_THRESHOLD, ReturnedBytes);
+  mallopt(M_TRIM_THRESHOLD, ReturnedBytes);
+}
+
 /// Checks and runs a host where intent and targets are live.
 int runLive(const lychee::settings::DaemonSettings &Settings,
             const lychee::settings::LiveSettings &Live) {
@@ -37,6 +49,7 @@
     return ExitBadSettings;
   if (FLAGS_check)
     return 0;
+  keepMemorySmall();
   lychee::reporting::configureLog(Settings.LogLevel_, true);
   return lychee::daemon::LiveDaemon(Settings, Live, *Bounds, FLAGS_settings)
       .run();
--- a/libs/gateway/CallerSession.cpp
+++ b/libs/gateway/CallerSession.cpp
@@ -68,6 +68,13 @@
   if (Caller_.buffer().size() > 0)
     co_return true;
   Caller_.markIdle(Now);
+  // Most connections are idle most of the time; one that waits with a buffer
+  // in hand keeps 8 KB, or 64 KB after an upload.
+  Caller_.buffer().shrink_to_fit();
+  const auto [WaitFailure] = co_await Caller_.socket().async_wait(
+      boost::asio::socket_base::wait_read, Await);
+  if (WaitFailure)
+    co_return false;
   constexpr std::size_t FirstReadBytes = 8UL * 1024;
   const auto [Error, Count] = co_await Caller_.socket().async_read_some(
       Caller_.buffer().prepare(FirstReadBytes), Await);
--- a/libs/gateway/TargetSend.cpp
+++ b/libs/gateway/TargetSend.cpp
@@ -300,8 +300,10 @@
                      Reader_->isWhole() && Connection_->buffer().size() == 0 &&
                      !Reader_->endsWithConnection() &&
                      Reader_->message().keep_alive();
-  if (Clean)
+  if (Clean) {
+    Connection_->buffer().shrink_to_fit();
     Pool_->giveBack(std::move(Connection_));
+  }
   Connection_.reset();
 }
 
