--- /dev/null
+++ b/tests/soak/Ledger.cpp
@@ -0,0 +1,64 @@
+#include "soak/Ledger.h"
+
+#include <array>
+
+namespace lychee::soak {
+
+namespace {
+
+bool promisesNotRun(int Status) {
+  return Status == 429 || Status == 503 || Status == 408 || Status == 421;
+}
+
+bool isSuccess(int Status) { return Status >= 200 && Status < 300; }
+
+} // namespace
+
+void Ledger::add(Attempt Made) {
+  const std::lock_guard Guard(Lock_);
+  Attempts_.push_back(std::move(Made));
+}
+
+void Ledger::withdraw(const std::string &Key, base::TimePoint At) {
+  const std::lock_guard Guard(Lock_);
+  Withdrawn_.emplace(Key, At);
+}
+
+std::vector<std::string> Ledger::broken(
+    const std::function<std::uint64_t(const std::string &Id)> &RunsOf) const {
+  const std::lock_guard Guard(Lock_);
+  std::vector<std::string> Found;
+  for (const Attempt &Each : Attempts_) {
+    const std::uint64_t Runs = RunsOf(Each.Id_);
+    const std::string What = " request=" + Each.Id_ +
+                             " status=" + std::to_string(Each.Status_) +
+                             " runs=" + std::to_string(Runs);
+    if (Each.IsBooking_ && Runs > 1)
+      Found.push_back("ran-twice" + What);
+    if (promisesNotRun(Each.Status_) && Runs > 0)
+      Found.push_back("refused-but-ran" + What);
+    if (isSuccess(Each.Status_) && Runs == 0)
+      Found.push_back("success-without-a-run" + What);
+    const auto Gone = Withdrawn_.find(Each.Key_);
+    if (Runs > 0 && Gone != Withdrawn_.end() &&
+        Each.SentAt_ > Gone->second + KeyBound)
+      Found.push_back("withdrawn-key" + What);
+  }
+  return Found;
+}
+
+std::string Ledger::summary() const {
+  const std::lock_guard Guard(Lock_);
+  std::size_t Served = 0;
+  std::size_t Refused = 0;
+  for (const Attempt &Each : Attempts_) {
+    Served += isSuccess(Each.Status_) ? 1 : 0;
+    Refused += promisesNotRun(Each.Status_) ? 1 : 0;
+  }
+  return "requests=" + std::to_string(Attempts_.size()) +
+         " served=" + std::to_string(Served) +
+         " refused=" + std::to_string(Refused) +
+         " failed=" + std::to_string(Attempts_.size() - Served - Refused);
+}
+
+} // namespace lychee::soak
--- /dev/null
+++ b/tests/soak/Ledger.h
@@ -0,0 +1,58 @@
+#ifndef LYCHEE_TESTS_SOAK_LEDGER_H
+#define LYCHEE_TESTS_SOAK_LEDGER_H
+
+#include "base/Time.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace lychee::soak {
+
+/// One request as its caller saw it.
+struct Attempt {
+  std::string Id_;
+  /// It may run once at most.
+  bool IsBooking_ = false;
+  std::string Key_;
+  base::TimePoint SentAt_;
+  /// 0: the connection ended without an answer.
+  int Status_ = 0;
+};
+
+/// Keeps what callers were answered, and holds it against what targets ran:
+///
+/// - a booking runs once at most;
+/// - what was refused as not run (429, 503, 408, 421) has not run;
+/// - what was answered with success has run;
+/// - nothing runs for a key that was withdrawn longer ago than promised.
+///
+/// Thread-safe.
+class Ledger {
+public:
+  /// What deployments promise for a withdrawn key.
+  static constexpr base::Duration KeyBound = std::chrono::seconds(5);
+
+  void add(Attempt Made);
+  void withdraw(const std::string &Key, base::TimePoint At);
+
+  /// \param RunsOf  how often all targets together ran a request.
+  /// \returns a line for each promise that was broken.
+  std::vector<std::string> broken(
+      const std::function<std::uint64_t(const std::string &Id)> &RunsOf) const;
+
+  /// \returns "requests=.. served=.. refused=.. failed=..".
+  std::string summary() const;
+
+private:
+  mutable std::mutex Lock_;
+  std::vector<Attempt> Attempts_;
+  std::map<std::string, base::TimePoint> Withdrawn_;
+};
+
+} // namespace lychee::soak
+
+#endif
--- /dev/null
+++ b/tests/support/LiveFleet.h
@@ -0,0 +1,90 @@
+#ifndef LYCHEE_TESTS_SUPPORT_LIVEFLEET_H
+#define LYCHEE_TESTS_SUPPORT_LIVEFLEET_H
+
+#include "link/LoopbackProxy.h"
+#include "platform/StandinObjects.h"
+#include "standins/target/TargetServer.h"
+#include "support/ChildProcess.h"
+#include "support/HttpCall.h"
+
+#include <json/value.h>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace lychee::tests {
+
+/// How large a fleet is, and on which addresses of 127.0.0.0/8.
+struct LiveFleetSize {
+  /// First three parts of each address, with a dot at the end.
+  std::string Base_;
+  std::size_t Hosts_ = 2;
+  std::size_t Targets_ = 2;
+  /// Each host reaches the store, and all hosts a target, through a proxy.
+  bool HasProxies_ = false;
+};
+
+/// Real hosts on the stand-in of the users' platform, with targets in this
+/// process. One customer "parish"; requests to /x/ may be repeated, those to
+/// /y/ may not. \see TestFleet, hosts of the operators' own tree
+class LiveFleet {
+public:
+  explicit LiveFleet(LiveFleetSize Size);
+  LiveFleet(const LiveFleet &) = delete;
+  LiveFleet &operator=(const LiveFleet &) = delete;
+  ~LiveFleet();
+
+  // Parts.
+
+  standins::StandinObjects &objects() noexcept { return *Objects_; }
+  standins::target::TargetServer &target(std::size_t Index) {
+    return *Targets_[Index];
+  }
+  standins::LoopbackProxy &storeLink(std::size_t Host) {
+    return *StoreLinks_[Host];
+  }
+  standins::LoopbackProxy &targetLink(std::size_t Target) {
+    return *TargetLinks_[Target];
+  }
+  ChildProcess &host(std::size_t Index) { return *Hosts_[Index]; }
+  std::size_t hostCount() const noexcept { return Size_.Hosts_; }
+  std::size_t targetCount() const noexcept { return Size_.Targets_; }
+
+  // Actions.
+
+  /// Starts a host, or starts it again.
+  void startHost(std::size_t Index);
+  /// Kills a host without a word.
+  void killHost(std::size_t Index) { Hosts_[Index].reset(); }
+  /// Puts a configuration in force, in which \p Key is the customer's.
+  void writeIntent(int Version, const std::string &Key);
+  /// Writes a target's entry. \p State  "ready" or "draining".
+  void writeEntry(std::size_t Target, const std::string &State,
+                  int ColdMilliseconds = 0);
+
+  // What is seen from outside.
+
+  std::string callers(std::size_t Host) const { return at(Host, 7001); }
+  bool isReady(std::size_t Host) const;
+  CallerAnswer ask(std::size_t Host, const std::string &Key) const;
+  std::string resolve(std::size_t Host) const;
+  std::string log(std::size_t Host) const;
+  /// \returns whether none of a few requests to all hosts reached the target.
+  bool getsNothing(std::size_t Target, const std::string &Key);
+
+private:
+  std::string at(std::size_t Host, int Port) const;
+  std::string logPath(std::size_t Host) const;
+
+  const LiveFleetSize Size_;
+  std::string Folder_;
+  std::unique_ptr<standins::StandinObjects> Objects_;
+  std::vector<std::unique_ptr<standins::target::TargetServer>> Targets_;
+  std::vector<std::unique_ptr<standins::LoopbackProxy>> StoreLinks_;
+  std::vector<std::unique_ptr<standins::LoopbackProxy>> TargetLinks_;
+  std::vector<std::unique_ptr<ChildProcess>> Hosts_;
+};
+
+} // namespace lychee::tests
+
+#endif
