A target whose entry stands is trusted again, stated rate or not

Cause: a target that was out is sounded by one picked host alone until its entry tells of a new start. (1) Without a stated cold rate that was a rate of 0, never. (2) Where only the way to it was cut no entry ever changes, so hosts that are not picked never used it again. Change: an unstated rate is 5 a second, which deployments state; a target whose entry still stands 6 s after the failure has written it since at the same start, and is trusted. Tests: ColdAllowance.withoutAStatedRateTargetsAreSoundedAllTheSame replaces withoutARateNothingIsSent, which asked for the first cause; it binds two hosts to the same bound as the stated rate. TargetTrust.aTargetWhoseEntryStandsIs- TrustedAgain.

--- a/libs/dispatch/ColdAllowance.cpp
+++ b/libs/dispatch/ColdAllowance.cpp
@@ -3,9 +3,10 @@
 namespace lychee::dispatch {
 
 bool ColdAllowance::take(double RatePerSecond, base::TimePoint Now) noexcept {
-  if (RatePerSecond <= 0 || Now < Next_)
+  if (Now < Next_)
     return false;
-  Next_ = Now + base::fromSeconds(1 / (RatePerSecond * HostPart));
+  const double Rate = RatePerSecond > 0 ? RatePerSecond : UnstatedRate;
+  Next_ = Now + base::fromSeconds(1 / (Rate * HostPart));
   return true;
 }
 
--- a/libs/dispatch/ColdAllowance.h
+++ b/libs/dispatch/ColdAllowance.h
@@ -18,6 +18,13 @@
   /// deployments promise.
   static constexpr double HostPart = 0.75;
 
+  /// Where the operators state no rate. Failure without it: a target that was
+  /// out once is to be sounded at a rate of 0, which is never, and with the
+  /// last one out every request is refused for good. Deployments that state a
+  /// rate state 5.
+  static constexpr double UnstatedRate = 5;
+
+  /// \param RatePerSecond  0: the operators state none.
   /// \returns whether a request may be sent now, and counts it.
   bool take(double RatePerSecond, base::TimePoint Now) noexcept;
 
--- a/libs/dispatch/TargetTrust.cpp
+++ b/libs/dispatch/TargetTrust.cpp
@@ -12,16 +12,16 @@
 } // namespace
 
 void TargetTrust::answered(base::TimePoint Now) noexcept {
-  if (Suspect_)
+  if (isSuspect(Now))
     ProbationUntil_ = Now + Probation;
-  Suspect_ = false;
+  SuspectUntil_ = {};
   InRow_ = 0;
   NextOut_ = FirstOut;
   FailureShare_ -= ShareWeight * FailureShare_;
 }
 
 void TargetTrust::takeOut(base::TimePoint Now) noexcept {
-  Suspect_ = true;
+  SuspectUntil_ = Now + EntryProof;
   OutUntil_ = Now + NextOut_;
   NextOut_ = std::min(NextOut_ * 2, LongestOut);
 }
--- a/libs/dispatch/TargetTrust.h
+++ b/libs/dispatch/TargetTrust.h
@@ -15,6 +15,12 @@
 /// connections is out for a while, and then sounded by one host alone until
 /// its entry tells of a new start or it has answered for a while.
 ///
+/// Failure that bounds this: the way to the target was cut, and the target is
+/// well. Symptom without the bound: no entry ever changes, one host alone goes
+/// on sounding it, and a host that lost all targets for a moment refuses for
+/// good. Where the entry still stands EntryProof later, the target has written
+/// it since, at the same start: it did not end, and it is not cold.
+///
 /// A target that fails only some requests stays in, and costs more the more it
 /// fails: with all of them failing alike, nobody is left out.
 class TargetTrust {
@@ -25,6 +31,9 @@
   /// Failures in a row that are no chance: where one request in twenty loses
   /// its answer, three in a row are one in 8,000.
   static constexpr std::uint32_t FailuresInRow = 3;
+  /// The platform drops a silent target's entry after three heartbeats of 1.5
+  /// s; the rest is for hearing of it. \see live::TargetBook::HearingTime
+  static constexpr base::Duration EntryProof = std::chrono::seconds(6);
   /// A restarted target is cold for about this long.
   static constexpr base::Duration Probation = std::chrono::seconds(3);
 
@@ -39,19 +48,22 @@
   bool isOut(base::TimePoint Now) const noexcept { return Now < OutUntil_; }
   /// It may have restarted: one host alone sounds it.
   bool isOnProbation(base::TimePoint Now) const noexcept {
-    return Suspect_ || Now < ProbationUntil_;
+    return isSuspect(Now) || Now < ProbationUntil_;
   }
   /// \returns the part of its requests that failed lately, 0 to 1.
   double failureShare() const noexcept { return FailureShare_; }
 
 private:
   void takeOut(base::TimePoint Now) noexcept;
+  bool isSuspect(base::TimePoint Now) const noexcept {
+    return Now < SuspectUntil_;
+  }
 
   base::TimePoint OutUntil_;
   base::TimePoint ProbationUntil_;
   base::Duration NextOut_ = FirstOut;
   std::uint32_t InRow_ = 0;
-  bool Suspect_ = false;
+  base::TimePoint SuspectUntil_;
   double FailureShare_ = 0;
 };
 
