Metrics for each dependency of a live host; registration stands alone

LiveGauges: version and age of the intent, trust in keys, whether this host asks the store, hosts heard, targets known, zones to keep clear; calls to the store by kind and end, questions to other hosts by their end. Test: LiveHost.metricsTellOfEachDependency.

--- a/apps/lycheed/Daemon.cpp
+++ b/apps/lycheed/Daemon.cpp
@@ -284,11 +284,7 @@
   Signals_.add(SIGINT);
   awaitSignal();
   if (!startAll(Last)) {
-    reporting::logLine(LogLevel::Error, base::KeyValueLine()
-                                            .add("event", "start-failed")
-                                            .add("step", Last.Step_)
-                                            .add("peer", Last.Peer_)
-                                            .add("reason", Last.Reason_));
+    tellStartFailed(Last);
     return ExitStartFailed;
   }
   for (int Index = 0; Index < ControlThreadCount; ++Index)
--- a/apps/lycheed/DaemonParts.cpp
+++ b/apps/lycheed/DaemonParts.cpp
@@ -94,6 +94,15 @@
   return Answer;
 }
 
+void tellStartFailed(const base::Error &Last) {
+  reporting::logLine(reporting::LogLevel::Error,
+                     base::KeyValueLine()
+                         .add("event", "start-failed")
+                         .add("step", Last.Step_)
+                         .add("peer", Last.Peer_)
+                         .add("reason", Last.Reason_));
+}
+
 void tellStop(const gateway::StopSummary &Summary) {
   for (const std::string &Each : Summary.CutRequests_)
     reporting::logLine(
--- a/apps/lycheed/DaemonParts.h
+++ b/apps/lycheed/DaemonParts.h
@@ -48,6 +48,7 @@
                                     const reporting::Metrics &Metrics);
 
 /// Logs a stop's end, and each request that it cut.
+void tellStartFailed(const base::Error &Last);
 void tellStop(const gateway::StopSummary &Summary);
 
 } // namespace lychee::daemon
--- a/apps/lycheed/LiveDaemon.cpp
+++ b/apps/lycheed/LiveDaemon.cpp
@@ -80,14 +80,6 @@
   return {Settings.Region_, Settings.Zone_, Bounds, drawSeed()};
 }
 
-void noteRelayTrouble(const std::string &Address, const base::Error &Why) {
-  reporting::logLine(LogLevel::Warning, KeyValueLine()
-                                            .add("event", "relay-unanswered")
-                                            .add("peer", Address)
-                                            .add("step", Why.Step_)
-                                            .add("reason", Why.Reason_));
-}
-
 void spawnLogged(asio::io_context &Where, asio::awaitable<void> What,
                  const char *Event) {
   asio::co_spawn(Where, std::move(What),
@@ -136,12 +128,13 @@
             return Hosts_.isPickedFor(Matter, SystemClock::monotonicNow());
           },
           SystemClock::monotonicNow()),
+      Registration_(Objects_, Hosts_.self()),
       Entry_({Hosts_, Intents_, [this] { return Feed_.knowsAll(); },
               [this] {
                 asio::post(Control_, [this] {
                   Heartbeats_.sayNow(SystemClock::monotonicNow());
                 });
-                spawnLogged(Control_, withdrawHost(), "withdraw-failed");
+                spawnLogged(Control_, Registration_.leave(), "withdraw-failed");
               }}),
       Claims_(std::make_unique<NoClaims>()),
       Polls_(std::make_unique<NoPolls>()),
@@ -149,19 +142,22 @@
           liveGatewaySettings(Settings, Bounds),
           {Steering_, Intents_, Intents_, Entry_, *Claims_, Reporter_, *Polls_},
           drawSeed()),
-      Role_(Hosts_.self()),
-      Feed_({Objects_, Intents_, Steering_, Gateway_, Hosts_, Role_,
+      Gauges_(Metrics_), Role_(Hosts_.self()),
+      Feed_({Objects_, Intents_, Steering_, Gateway_, Hosts_, Role_, Gauges_,
              Live_.Zones_, Bounds.TargetDrain_},
             drawSeed()),
-      Relays_(
-          Control_.get_executor(), Role_, Live.Relays_.Port_,
-          {[this] { return Feed_.question(); },
-           [this](const relaying::RelayQuestion &Asked, base::TimePoint Now) {
-             return Feed_.answer(Asked, Now);
-           },
-           [this](const relaying::RelayAnswer &Told, base::TimePoint AskedAt,
-                  base::TimePoint Now) { Feed_.take(Told, AskedAt, Now); },
-           noteRelayTrouble}),
+      Relays_(Control_.get_executor(), Role_, Live.Relays_.Port_,
+              {[this] { return Feed_.question(); },
+               [this](const relaying::RelayQuestion &Asked,
+                      base::TimePoint Now) { return Feed_.answer(Asked, Now); },
+               [this](const relaying::RelayAnswer &Told,
+                      base::TimePoint AskedAt, base::TimePoint Now) {
+                 Gauges_.countRelayAnswer(Told.Sound_);
+                 Feed_.take(Told, AskedAt, Now);
+               },
+               [this](const std::string &Address, const base::Error &Why) {
+                 noteRelayTrouble(Address, Why);
+               }}),
       Heartbeats_(
           Control_.get_executor(), Hosts_, Live.Heartbeats_,
           {[this](bool Whole, bool WithHosts, base::TimePoint Now) {
@@ -269,7 +265,7 @@
   spawnLogged(Control_, Heartbeats_.receiveAll(), "heartbeats-failed");
   spawnLogged(Control_, Relays_.askAll(), "relays-failed");
   spawnLogged(Control_, keepTime(), "time-failed");
-  spawnLogged(Control_, registerHost(), "register-failed");
+  spawnLogged(Control_, Registration_.enter(), "register-failed");
   return true;
 }
 
@@ -282,6 +278,7 @@
     const std::vector<members::HostView> Others = Hosts_.others(Now);
     takeRole(Others, Now);
     noteLosses(Others, Now);
+    setGauges(Now);
     Steering_.setFleet({Others, Hosts_.shareHolders(Now), Hosts_.isCutOff(Now)},
                        Now);
     reporting::flushLog();
@@ -307,6 +304,23 @@
           .add("confirmed_ms_ago", Age ? base::toMilliseconds(*Age) : -1));
 }
 
+void LiveDaemon::noteRelayTrouble(const std::string &Address,
+                                  const base::Error &Why) {
+  Gauges_.countRelayFailure();
+  reporting::logLine(LogLevel::Warning, KeyValueLine()
+                                            .add("event", "relay-unanswered")
+                                            .add("peer", Address)
+                                            .add("step", Why.Step_)
+                                            .add("reason", Why.Reason_));
+}
+
+void LiveDaemon::setGauges(base::TimePoint Now) const {
+  const auto Intent = Intents_.current();
+  Gauges_.set({Intent ? Intent->Version_ : 0, Intents_.age(Now), Trusted_,
+               Asking_, Heard_.size(), Feed_.targetCount(),
+               Feed_.evacuatedCount()});
+}
+
 void LiveDaemon::noteLosses(std::span<const members::HostView> Others,
                             base::TimePoint Now) {
   std::set<base::HostId> Alive;
@@ -331,40 +345,6 @@
           .add("confirmed_ms_ago", Age ? base::toMilliseconds(*Age) : -1));
 }
 
-asio::awaitable<void> LiveDaemon::registerHost() {
-  asio::steady_timer Timer(co_await asio::this_coro::executor);
-  store::Backoff Pause;
-  base::Random Random(drawSeed());
-  while (true) {
-    Json::Value Content;
-    Content["address"] = Hosts_.self().Address_;
-    Content["start"] = Json::UInt64(Hosts_.self().Start_);
-    base::Error Last;
-    const bool Written = co_await Objects_.write(
-        platform::HostKind, Settings_.Host_.name(), Content, Last);
-    if (Written)
-      co_return;
-    reporting::logLine(LogLevel::Warning, KeyValueLine()
-                                              .add("event", "register-failed")
-                                              .add("step", Last.Step_)
-                                              .add("reason", Last.Reason_));
-    Timer.expires_after(
-        std::chrono::duration_cast<asio::steady_timer::duration>(
-            Pause.next(Random)));
-    co_await Timer.async_wait(asio::use_awaitable);
-  }
-}
-
-asio::awaitable<void> LiveDaemon::withdrawHost() {
-  base::Error Last;
-  const bool Removed = co_await Objects_.remove(platform::HostKind,
-                                                Settings_.Host_.name(), Last);
-  if (!Removed)
-    reporting::logLine(LogLevel::Warning, KeyValueLine()
-                                              .add("event", "withdraw-failed")
-                                              .add("reason", Last.Reason_));
-}
-
 void LiveDaemon::awaitSignal() {
   Signals_.async_wait(
       [this](const boost::system::error_code &Failure, int Number) {
@@ -413,11 +393,7 @@
     Signals_.add(Number);
   awaitSignal();
   if (!startAll(Last)) {
-    reporting::logLine(LogLevel::Error, KeyValueLine()
-                                            .add("event", "start-failed")
-                                            .add("step", Last.Step_)
-                                            .add("peer", Last.Peer_)
-                                            .add("reason", Last.Reason_));
+    tellStartFailed(Last);
     return ExitStartFailed;
   }
   ControlThread_ = std::thread([this] { Control_.run(); });
--- a/apps/lycheed/LiveDaemon.h
+++ b/apps/lycheed/LiveDaemon.h
@@ -5,6 +5,7 @@
 #include "gateway/Gateway.h"
 #include "live/IntentBook.h"
 #include "lycheed/DecisionReporter.h"
+#include "lycheed/HostRegistration.h"
 #include "lycheed/LiveEntry.h"
 #include "lycheed/LiveFeed.h"
 #include "members/DemandTeller.h"
@@ -57,10 +58,10 @@
   /// Tells of hosts that fell silent, and of trust in keys lost or regained.
   void noteLosses(std::span<const members::HostView> Others,
                   base::TimePoint Now);
+  void noteRelayTrouble(const std::string &Address, const base::Error &Why);
+  void setGauges(base::TimePoint Now) const;
   /// Decides anew whether this host asks the store.
   void takeRole(std::span<const members::HostView> Others, base::TimePoint Now);
-  boost::asio::awaitable<void> registerHost();
-  boost::asio::awaitable<void> withdrawHost();
   members::Heartbeat sayHeartbeat(bool Whole, bool WithHosts,
                                   base::TimePoint Now);
   void hearHeartbeat(const members::Heartbeat &Said, bool News,
@@ -85,10 +86,12 @@
   live::IntentBook Intents_;
   members::HostBook Hosts_;
   dispatch::DispatchSteering Steering_;
+  HostRegistration Registration_;
   LiveEntry Entry_;
   std::unique_ptr<gateway::ClaimGate> Claims_;
   std::unique_ptr<gateway::TargetObserver> Polls_;
   gateway::Gateway Gateway_;
+  LiveGauges Gauges_;
   relaying::RelayRole Role_;
   LiveFeed Feed_;
   relaying::RelayExchange Relays_;
--- a/apps/lycheed/LiveFeed.cpp
+++ b/apps/lycheed/LiveFeed.cpp
@@ -57,7 +57,10 @@
   Heard.MustAsk_ = [this](base::TimePoint Now) {
     return Parts_.Role_.mustAsk(Now);
   };
-  Heard.Came_ = [this] { Parts_.Role_.noteCall(); };
+  Heard.Came_ = [this, Kind] {
+    Parts_.Role_.noteCall();
+    Parts_.Gauges_.countStoreCall(std::string(Kind), true);
+  };
   Heard.Trouble_ = [this, Kind](const base::Error &Why) {
     noteTrouble(Kind, Why);
   };
@@ -78,6 +81,7 @@
   const base::TimePoint Now = SystemClock::monotonicNow();
   Targets_.noteTrouble(Now);
   Parts_.Role_.noteTrouble(Now);
+  Parts_.Gauges_.countStoreCall(std::string(Kind), false);
   // A store that goes silent answers none of the calls it has, and a long one
   // would wait for its end. What one call noticed counts for all.
   Parts_.Source_.abandonBegunBefore(Now - FreshCall);
--- a/apps/lycheed/LiveFeed.h
+++ b/apps/lycheed/LiveFeed.h
@@ -6,6 +6,7 @@
 #include "live/IntentBook.h"
 #include "live/ObjectFollower.h"
 #include "live/TargetBook.h"
+#include "lycheed/LiveGauges.h"
 #include "members/HostBook.h"
 #include "relaying/RelayMessages.h"
 #include "relaying/RelayRole.h"
@@ -26,6 +27,7 @@
   gateway::Gateway &Gateway_;
   members::HostBook &Hosts_;
   relaying::RelayRole &Role_;
+  LiveGauges &Gauges_;
   const std::map<base::ZoneId, base::RegionId> &Zones_;
   /// After this a leaving target must get nothing more.
   base::Duration DrainBound_{};
@@ -53,6 +55,9 @@
   void take(const relaying::RelayAnswer &Told, base::TimePoint AskedAt,
             base::TimePoint Now);
 
+  std::size_t targetCount() const noexcept { return Targets_.size(); }
+  std::size_t evacuatedCount() const noexcept { return Evacuated_.size(); }
+
   /// \returns whether everything that a request needs has been heard once.
   bool knowsAll() const noexcept {
     return HasTargets_ && HasEvacuations_ && Intents_.current() != nullptr;
--- /dev/null
+++ b/apps/lycheed/LiveGauges.cpp
@@ -0,0 +1,71 @@
+#include "lycheed/LiveGauges.h"
+
+#include <array>
+
+namespace lychee::daemon {
+
+namespace {
+
+reporting::Counter relayCounter(reporting::Metrics &Metrics,
+                                std::string_view End) {
+  const std::array<reporting::Label, 1> Labels = {{{"end", End}}};
+  return Metrics.counter("lychee_relay_questions_total",
+                         "Questions to hosts that ask the store, by their end",
+                         Labels);
+}
+
+} // namespace
+
+LiveGauges::LiveGauges(reporting::Metrics &Metrics)
+    : Metrics_(Metrics),
+      IntentVersion_(Metrics.gauge("lychee_settings_version",
+                                   "Version of the intent in force")),
+      IntentAge_(Metrics.gauge(
+          "lychee_settings_age_seconds",
+          "Since the intent was known to be the newest; -1: never")),
+      KeysTrusted_(Metrics.gauge("lychee_keys_trusted",
+                                 "1 while keys are known to hold")),
+      AsksStore_(Metrics.gauge("lychee_asks_store",
+                               "1 while this host asks the store itself")),
+      HostsAlive_(
+          Metrics.gauge("lychee_hosts_alive", "Other hosts that are heard")),
+      TargetsKnown_(
+          Metrics.gauge("lychee_targets_known", "Targets that may be used")),
+      ZonesEvacuated_(Metrics.gauge("lychee_zones_evacuated",
+                                    "Zones whose targets get nothing")),
+      RelaySound_(relayCounter(Metrics, "sound")),
+      RelayUnsound_(relayCounter(Metrics, "unsound")),
+      RelayFailed_(relayCounter(Metrics, "failed")) {}
+
+void LiveGauges::set(const LiveReadings &Read) const {
+  IntentVersion_.set(static_cast<double>(Read.IntentVersion_));
+  IntentAge_.set(Read.IntentAge_ ? base::toSeconds(*Read.IntentAge_) : -1);
+  KeysTrusted_.set(Read.KeysTrusted_ ? 1 : 0);
+  AsksStore_.set(Read.AsksStore_ ? 1 : 0);
+  HostsAlive_.set(static_cast<double>(Read.HostsAlive_));
+  TargetsKnown_.set(static_cast<double>(Read.TargetsKnown_));
+  ZonesEvacuated_.set(static_cast<double>(Read.ZonesEvacuated_));
+}
+
+void LiveGauges::countStoreCall(const std::string &Kind, bool Came) {
+  const auto Found = StoreCalls_.find({Kind, Came});
+  if (Found != StoreCalls_.end()) {
+    Found->second.add();
+    return;
+  }
+  const std::array<reporting::Label, 2> Labels = {
+      {{"kind", Kind}, {"end", Came ? "answered" : "failed"}}};
+  const auto Made = StoreCalls_.emplace(
+      std::pair(Kind, Came),
+      Metrics_.counter("lychee_store_calls_total",
+                       "Lists and watches of the store, by their end", Labels));
+  Made.first->second.add();
+}
+
+void LiveGauges::countRelayAnswer(bool Sound) const {
+  (Sound ? RelaySound_ : RelayUnsound_).add();
+}
+
+void LiveGauges::countRelayFailure() const { RelayFailed_.add(); }
+
+} // namespace lychee::daemon
--- /dev/null
+++ b/apps/lycheed/LiveGauges.h
@@ -0,0 +1,61 @@
+#ifndef LYCHEE_APPS_LYCHEED_LIVEGAUGES_H
+#define LYCHEE_APPS_LYCHEED_LIVEGAUGES_H
+
+#include "base/Time.h"
+#include "reporting/Metrics.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace lychee::daemon {
+
+/// What a host where intent and targets are live knows of those on whom it
+/// depends, a few times a second.
+struct LiveReadings {
+  std::uint64_t IntentVersion_ = 0;
+  /// Nothing before the first confirmation.
+  std::optional<base::Duration> IntentAge_;
+  bool KeysTrusted_ = false;
+  /// It asks the store itself. \see relaying::RelayRole
+  bool AsksStore_ = false;
+  std::size_t HostsAlive_ = 0;
+  std::size_t TargetsKnown_ = 0;
+  std::size_t ZonesEvacuated_ = 0;
+};
+
+/// The metrics of such a host beside those of its requests.
+/// \see ControlGauges, DecisionReporter
+class LiveGauges {
+public:
+  explicit LiveGauges(reporting::Metrics &Metrics);
+  LiveGauges(const LiveGauges &) = delete;
+  LiveGauges &operator=(const LiveGauges &) = delete;
+
+  void set(const LiveReadings &Read) const;
+
+  // Calls, each with its end.
+  void countStoreCall(const std::string &Kind, bool Came);
+  void countRelayAnswer(bool Sound) const;
+  void countRelayFailure() const;
+
+private:
+  reporting::Metrics &Metrics_;
+  const reporting::Gauge IntentVersion_;
+  const reporting::Gauge IntentAge_;
+  const reporting::Gauge KeysTrusted_;
+  const reporting::Gauge AsksStore_;
+  const reporting::Gauge HostsAlive_;
+  const reporting::Gauge TargetsKnown_;
+  const reporting::Gauge ZonesEvacuated_;
+  const reporting::Counter RelaySound_;
+  const reporting::Counter RelayUnsound_;
+  const reporting::Counter RelayFailed_;
+  /// By kind of object and whether the call came.
+  std::map<std::pair<std::string, bool>, reporting::Counter> StoreCalls_;
+};
+
+} // namespace lychee::daemon
+
+#endif
--- a/libs/live/TargetBook.h
+++ b/libs/live/TargetBook.h
@@ -72,6 +72,7 @@
   bool takeChanged() noexcept;
 
   std::vector<KnownTarget> targets() const;
+  std::size_t size() const noexcept { return Entries_.size(); }
 
 private:
   struct Entry {
--- a/tests/process/LiveHostTest.cpp
+++ b/tests/process/LiveHostTest.cpp
@@ -51,6 +51,21 @@
   LONGS_EQUAL(HostCount, Fleet_->objects().count("lychee-hosts"));
 }
 
+TEST(LiveHost, metricsTellOfEachDependency) {
+  CHECK(TestFleet::waitFor([&] {
+    const std::string Text = Fleet_->metrics(0);
+    for (const char *Line :
+         {"lychee_settings_version 1", "lychee_keys_trusted 1",
+          "lychee_hosts_alive 1", "lychee_targets_known 2",
+          "lychee_zones_evacuated 0", "lychee_asks_store 1",
+          "lychee_store_calls_total{end=\"answered\"",
+          "lychee_relay_questions_total{end=\"sound\"}"})
+      if (Text.find(Line) == std::string::npos)
+        return false;
+    return true;
+  }));
+}
+
 // A host dies without a word. The other leaves it out of its answers; callers
 // would be sent to it for as long as it is named.
 TEST(LiveHost, aKilledHostIsNamedNoMore) {
--- a/tests/support/LiveFleet.cpp
+++ b/tests/support/LiveFleet.cpp
@@ -149,6 +149,10 @@
   return get(at(Host, 7003), "/resolve?name=a.example&region=near").Body_;
 }
 
+std::string LiveFleet::metrics(std::size_t Host) const {
+  return get(at(Host, 7002), "/metrics").Body_;
+}
+
 std::string LiveFleet::log(std::size_t Host) const {
   std::ifstream Log(logPath(Host));
   return {std::istreambuf_iterator<char>(Log),
--- a/tests/support/LiveFleet.h
+++ b/tests/support/LiveFleet.h
@@ -69,6 +69,7 @@
   CallerAnswer ask(std::size_t Host, const std::string &Key) const;
   std::string resolve(std::size_t Host) const;
   std::string log(std::size_t Host) const;
+  std::string metrics(std::size_t Host) const;
   /// \returns whether none of a few requests to all hosts reached the target.
   bool getsNothing(std::size_t Target, const std::string &Key);
 
