--- a/standins/link/LoopbackProxy.cpp
+++ b/standins/link/LoopbackProxy.cpp
@@ -77,18 +77,20 @@
       continue;
     std::erase_if(Links_, [](const auto &Each) { return Each.expired(); });
     Links_.push_back(Both);
-    asio::co_spawn(Context_, serve(Both), asio::detached);
+    serve(Both);
   }
 }
 
-asio::awaitable<void> LoopbackProxy::serve(std::shared_ptr<Link> Both) {
-  const auto [Failure] = co_await Both->Far_.async_connect(Far_, AsTuple);
-  if (Failure) {
-    reset(*Both);
-    co_return;
-  }
-  asio::co_spawn(Context_, pump(Both, true), asio::detached);
-  asio::co_spawn(Context_, pump(Both, false), asio::detached);
+void LoopbackProxy::serve(const std::shared_ptr<Link> &Both) {
+  Both->Far_.async_connect(
+      Far_, [this, Both](const boost::system::error_code &Failure) {
+        if (Failure) {
+          reset(*Both);
+          return;
+        }
+        asio::co_spawn(Context_, pump(Both, true), asio::detached);
+        asio::co_spawn(Context_, pump(Both, false), asio::detached);
+      });
 }
 
 asio::awaitable<void> LoopbackProxy::hold(bool Forth) {
--- a/standins/link/LoopbackProxy.h
+++ b/standins/link/LoopbackProxy.h
@@ -53,7 +53,7 @@
   };
 
   boost::asio::awaitable<void> accept();
-  boost::asio::awaitable<void> serve(std::shared_ptr<Link> Both);
+  void serve(const std::shared_ptr<Link> &Both);
   boost::asio::awaitable<void> pump(std::shared_ptr<Link> Both, bool Forth);
   /// Waits out delay and cut. \returns once bytes may go on.
   boost::asio::awaitable<void> hold(bool Forth);
