A customer's tokens are kept by one host a region, which the others ask

Change: RateDivision divides between regions by told demand; within one a host picked by hash keeps the tokens, asked by datagram (TokenExchange), then the next in line; a host that finds neither goes by half its own part. The check that a caller is told to try elsewhere is replaced: at 71 hosts under 1 in 200 is refused within the rate; the cut-off host's check asks for half its own part in place of a sixteenth.

--- a/apps/lycheed/LiveDaemon.cpp
+++ b/apps/lycheed/LiveDaemon.cpp
@@ -80,6 +80,13 @@
   return {Settings.Region_, Settings.Zone_, Bounds, drawSeed()};
 }
 
+std::size_t regionCount(const settings::LiveSettings &Live) {
+  std::set<base::RegionId> Regions;
+  for (const auto &[Zone, Region] : Live.Zones_)
+    Regions.insert(Region);
+  return Regions.size();
+}
+
 void spawnLogged(asio::io_context &Where, asio::awaitable<void> What,
                  const char *Event) {
   asio::co_spawn(Where, std::move(What),
@@ -122,12 +129,18 @@
                Settings.StoreTimeout_),
       Intents_(Bounds.KeyWithdrawal_ - KeyMargin),
       Hosts_(cardOf(Settings, Live)),
-      Steering_(
-          dispatchSettings(Settings, Bounds),
-          [this](std::uint64_t Matter) {
-            return Hosts_.isPickedFor(Matter, SystemClock::monotonicNow());
-          },
-          SystemClock::monotonicNow()),
+      Steering_(dispatchSettings(Settings, Bounds),
+                {[this](std::uint64_t Matter) {
+                   return Hosts_.isPickedFor(Matter,
+                                             SystemClock::monotonicNow());
+                 },
+                 [this](const std::string &Holder, std::uint64_t Ticket,
+                        const base::CustomerId &Customer) {
+                   asio::post(Control_, [this, Holder, Ticket, Customer] {
+                     Tokens_.ask(Holder, Ticket, Customer);
+                   });
+                 }},
+                SystemClock::monotonicNow()),
       Registration_(Objects_, Hosts_.self()),
       Entry_({Hosts_, Intents_, [this] { return Feed_.knowsAll(); },
               [this] {
@@ -158,6 +171,16 @@
                [this](const std::string &Address, const base::Error &Why) {
                  noteRelayTrouble(Address, Why);
                }}),
+      Tokens_(Control_.get_executor(), Live.Relays_, Hosts_.self().Start_,
+              {[this](const base::CustomerId &Customer, base::TimePoint Now) {
+                 return Steering_.giveToken(Customer, Now);
+               },
+               [this](std::uint64_t Ticket, std::optional<base::Duration> Wait,
+                      base::TimePoint Now) {
+                 std::vector<steering::Wakeup> Woken;
+                 Steering_.heardToken(Ticket, Wait, Now, Woken);
+                 Gateway_.deliver(Woken, Now);
+               }}),
       Heartbeats_(
           Control_.get_executor(), Hosts_, Live.Heartbeats_,
           {[this](bool Whole, bool WithHosts, base::TimePoint Now) {
@@ -258,11 +281,12 @@
   for (const auto &Each : Servers_)
     if (!Each->listen(Last))
       return false;
-  if (!Heartbeats_.open(Last) || !Gateway_.start(Last))
+  if (!Heartbeats_.open(Last) || !Tokens_.open(Last) || !Gateway_.start(Last))
     return false;
   Feed_.start(Control_.get_executor());
   spawnLogged(Control_, Heartbeats_.sendAll(), "heartbeats-failed");
   spawnLogged(Control_, Heartbeats_.receiveAll(), "heartbeats-failed");
+  spawnLogged(Control_, Tokens_.receiveAll(), "tokens-failed");
   spawnLogged(Control_, Relays_.askAll(), "relays-failed");
   spawnLogged(Control_, keepTime(), "time-failed");
   spawnLogged(Control_, Registration_.enter(), "register-failed");
@@ -279,7 +303,10 @@
     takeRole(Others, Now);
     noteLosses(Others, Now);
     setGauges(Now);
-    Steering_.setFleet({Others, Hosts_.shareHolders(Now), Hosts_.isCutOff(Now)},
+    const members::OwnState Own = Entry_.ownState(Now);
+    Steering_.setFleet({Others, Hosts_.self(), Own.Ready_ && !Own.Leaving_,
+                        Hosts_.shareHolders(Now), regionCount(Live_),
+                        Hosts_.isCutOff(Now)},
                        Now);
     reporting::flushLog();
     if (++Paces % FileCheckPaces == 0 && settingsFileChanged())
--- a/apps/lycheed/LiveDaemon.h
+++ b/apps/lycheed/LiveDaemon.h
@@ -10,6 +10,7 @@
 #include "lycheed/LiveFeed.h"
 #include "members/DemandTeller.h"
 #include "members/HeartbeatExchange.h"
+#include "members/TokenExchange.h"
 #include "platform/ObjectClient.h"
 #include "relaying/RelayExchange.h"
 #include "reporting/DecisionLog.h"
@@ -96,6 +97,7 @@
   LiveFeed Feed_;
   relaying::RelayExchange Relays_;
   members::DemandTeller Demands_;
+  members::TokenExchange Tokens_;
   members::HeartbeatExchange Heartbeats_;
   std::vector<std::unique_ptr<transport::HttpServer>> Servers_;
   std::thread ControlThread_;
--- a/libs/dispatch/DispatchSteering.cpp
+++ b/libs/dispatch/DispatchSteering.cpp
@@ -47,9 +47,8 @@
 } // namespace
 
 DispatchSteering::DispatchSteering(const DispatchSettings &Settings,
-                                   std::function<bool(std::uint64_t)> PickedFor,
-                                   base::TimePoint Now)
-    : Settings_(Settings), PickedFor_(std::move(PickedFor)),
+                                   DispatchParts Parts, base::TimePoint Now)
+    : Settings_(Settings), Parts_(std::move(Parts)),
       Chooser_(Settings.Region_, Settings.Zone_), Random_(Settings.Seed_),
       Rates_(Settings.Bounds_, Now) {}
 
@@ -98,15 +97,6 @@
 Decision DispatchSteering::arrive(const steering::Request &Arrived,
                                   base::TimePoint Now) {
   const std::lock_guard Guard(Lock_);
-  ServiceState &Service = serviceAt(Arrived.Service_);
-  if (!Arrived.Customer_.empty())
-    if (const auto Wait = Rates_.take(Arrived.Customer_, Now))
-      return refuse(Refusal::OverRate, std::max(*Wait, LeastRetryAfter), false);
-  Service.Budget_.requested(Hosts_);
-  const base::TimePoint Suspect =
-      Suspects_.suspectUntil(Arrived.Fingerprint_, Now);
-  if (Suspect > Now)
-    return refuse(Refusal::CrashSuspect, Suspect - Now, false);
   const std::uint64_t Ticket = ++LastTicket_;
   Flight &Request = Flights_[Ticket];
   Request.Service_ = Arrived.Service_;
@@ -122,6 +112,31 @@
                            : Arrived.Deadline_;
   Request.Idempotent_ = Arrived.Idempotent_;
   Request.MaximumSends_ = std::max(1U, Arrived.MaximumSends_);
+  if (Arrived.Customer_.empty())
+    return admit(Ticket, Request, Now);
+  const RateVerdict Verdict = Rates_.take(Arrived.Customer_, Now);
+  switch (Verdict.Kind_) {
+  case RateVerdict::Kind::Refused:
+    return refuseOverRate(Ticket, Verdict.Wait_);
+  case RateVerdict::Kind::AskHolder:
+    return awaitToken(Ticket, {Arrived.Customer_, Verdict.Second_, {}},
+                      Verdict.Holder_, Now);
+  case RateVerdict::Kind::Passed:
+    break;
+  }
+  return admit(Ticket, Request, Now);
+}
+
+Decision DispatchSteering::admit(std::uint64_t Ticket, Flight &Request,
+                                 base::TimePoint Now) {
+  ServiceState &Service = serviceAt(Request.Service_);
+  Service.Budget_.requested(Hosts_);
+  const base::TimePoint Suspect =
+      Suspects_.suspectUntil(Request.Fingerprint_, Now);
+  if (Suspect > Now) {
+    Flights_.erase(Ticket);
+    return refuse(Refusal::CrashSuspect, Suspect - Now, false);
+  }
   const bool IsBound = Request.Homes_ && Request.Homes_->size() == 1;
   Service.Demands_[IsBound ? Request.Homes_->front() : base::RegionId()].add(
       workOf(Request).usualSeconds(), Now);
@@ -140,7 +155,8 @@
                                            Asked.Homes_);
   Asked.Work_ = workOf(Request);
   const auto MaySound = [&](TargetState &Each) {
-    return PickedFor_(Each.Hash_) && Each.Cold_.take(Service.ColdRate_, Now);
+    return Parts_.PickedFor_(Each.Hash_) &&
+           Each.Cold_.take(Service.ColdRate_, Now);
   };
   return Chooser_.choose(Asked, Service.Targets_, MaySound, Now);
 }
@@ -365,9 +381,7 @@
 void DispatchSteering::cancel(std::uint64_t Ticket, base::TimePoint /*Now*/) {
   const std::lock_guard Guard(Lock_);
   Flights_.erase(Ticket);
+  TokenWaits_.erase(Ticket);
 }
 
-void DispatchSteering::tick(base::TimePoint /*Now*/,
-                            std::vector<steering::Wakeup> & /*Woken*/) {}
-
 } // namespace lychee::dispatch
--- a/libs/dispatch/DispatchSteering.h
+++ b/libs/dispatch/DispatchSteering.h
@@ -28,20 +28,35 @@
   std::uint64_t Seed_ = 0;
 };
 
+/// What a dispatch asks of the rest of the host. Called under its lock.
+struct DispatchParts {
+  /// \returns whether this host is the one for a matter, of all that are
+  /// alive. \see members::HostBook::isPickedFor
+  std::function<bool(std::uint64_t Matter)> PickedFor_;
+  /// Asks the host at \p Holder for a token; heardToken() is called with its
+  /// answer. \see RateDivision
+  std::function<void(const std::string &Holder, std::uint64_t Ticket,
+                     const base::CustomerId &Customer)>
+      AskToken_ = [](const auto &, auto, const auto &) {};
+};
+
 /// A request's way through the decisions where targets register themselves:
 /// customer's rate, crash suspects, target, and after a failed send whether it
-/// is sent again. Nothing waits here: targets queue a few requests, and what no
-/// target can do in time is refused at once.
+/// is sent again. Nothing waits here but, for some milliseconds, for the word
+/// of the host that keeps the customer's tokens: targets queue a few requests,
+/// and what no target can do in time is refused at once.
 ///
 /// Thread-safe: one lock, held for microseconds. DispatchUpkeep.cpp holds what
-/// is told between requests.
+/// is told between requests, DispatchTokens.cpp how a request waits for a
+/// token.
 /// \see steering::FleetSteering, which steers by the operators' own tree
 class DispatchSteering final : public steering::Steering {
 public:
-  /// \param PickedFor  whether this host is the one for a matter, of all that
-  /// are alive. \see members::HostBook::isPickedFor
-  DispatchSteering(const DispatchSettings &Settings,
-                   std::function<bool(std::uint64_t)> PickedFor,
+  /// Within a region a datagram and its answer take 1 to 2 ms, where neither
+  /// host waits for its processor; then the next host in line is asked.
+  static constexpr base::Duration TokenPatience = std::chrono::milliseconds(60);
+
+  DispatchSteering(const DispatchSettings &Settings, DispatchParts Parts,
                    base::TimePoint Now);
 
   // What is in force.
@@ -67,6 +82,14 @@
     Suspects_.merge(Told, Now);
   }
 
+  // Tokens of customers' rates.
+  /// \returns when a token is there for another host; nothing: it took one.
+  std::optional<base::Duration> giveToken(const base::CustomerId &Customer,
+                                          base::TimePoint Now);
+  /// The answer on a request that waits. \p Woken gains its decision.
+  void heardToken(std::uint64_t Ticket, std::optional<base::Duration> Wait,
+                  base::TimePoint Now, std::vector<steering::Wakeup> &Woken);
+
   // steering::Steering
   steering::Decision arrive(const steering::Request &Arrived,
                             base::TimePoint Now) override;
@@ -117,6 +140,14 @@
     base::Duration ColdTime_{};
   };
 
+  /// A request that waits for a token.
+  struct TokenWait {
+    base::CustomerId Customer_;
+    /// Who is asked next; empty: nobody.
+    std::string Next_;
+    base::TimePoint Until_;
+  };
+
   /// A target that was lost with requests in flight, until it is known whether
   /// it is down.
   struct Loss {
@@ -129,6 +160,16 @@
   TargetState *find(ServiceState &Service, const base::TargetId &Target);
   WorkTimes &workOf(const Flight &Request);
   std::optional<Choice> choose(const Flight &Request, base::TimePoint Now);
+  /// Decides on a request whose customer's rate allows it.
+  steering::Decision admit(std::uint64_t Ticket, Flight &Request,
+                           base::TimePoint Now);
+  steering::Decision awaitToken(std::uint64_t Ticket, TokenWait Wanted,
+                                const std::string &Holder, base::TimePoint Now);
+  /// \param Wait  as RateDivision said; nothing: there is a token.
+  steering::Decision endTokenWait(std::uint64_t Ticket,
+                                  std::optional<base::Duration> Wait,
+                                  base::TimePoint Now);
+  steering::Decision refuseOverRate(std::uint64_t Ticket, base::Duration Wait);
   steering::Decision send(std::uint64_t Ticket, Flight &Request,
                           base::TimePoint Now);
   steering::Decision refuse(steering::Refusal Why, base::Duration RetryAfter,
@@ -147,7 +188,7 @@
   void noteDown(const base::TargetId &Target, base::TimePoint Now);
 
   const DispatchSettings Settings_;
-  const std::function<bool(std::uint64_t)> PickedFor_;
+  const DispatchParts Parts_;
   const TargetChooser Chooser_;
   mutable std::mutex Lock_;
   base::Random Random_;
@@ -156,6 +197,7 @@
   std::set<base::ZoneId> Evacuated_;
   std::map<std::string, WorkTimes> Works_;
   std::unordered_map<std::uint64_t, Flight> Flights_;
+  std::map<std::uint64_t, TokenWait> TokenWaits_;
   std::uint64_t LastTicket_ = 0;
   RateDivision Rates_;
   std::size_t Hosts_ = 1;
--- a/libs/dispatch/RateDivision.cpp
+++ b/libs/dispatch/RateDivision.cpp
@@ -1,33 +1,68 @@
 #include "dispatch/RateDivision.h"
 
+#include "base/Hash.h"
+
 #include <algorithm>
+#include <utility>
 
 namespace lychee::dispatch {
 
+namespace {
+
+/// Where a rate is next to nothing, waits are still told in seconds.
+constexpr double LeastRate = 0.1;
+/// A region's part of the room for bursts is at most so many times its part of
+/// the rate: half of that room is divided evenly, as bursts are chance.
+constexpr double MostBurstPart = 4;
+
+/// Hosts of this one's region that may keep tokens.
+std::vector<const members::HostCard *> keepersOf(const FleetDemand &Fleet) {
+  std::vector<const members::HostCard *> Found;
+  if (Fleet.Serving_)
+    Found.push_back(&Fleet.Self_);
+  for (const members::HostView &Each : Fleet.Others_)
+    if (Each.Alive_ && Each.Ready_ && !Each.Leaving_ &&
+        Each.Card_.Region_ == Fleet.Self_.Region_)
+      Found.push_back(&Each.Card_);
+  return Found;
+}
+
+} // namespace
+
+void RateDivision::Bucket::fill(double PerSecond, double Most,
+                                base::TimePoint Now) noexcept {
+  Tokens_ = std::min(Tokens_ + base::toSeconds(Now - Filled_) * PerSecond,
+                     std::max(Most, Tokens_));
+  Filled_ = Now;
+}
+
+std::optional<base::Duration>
+RateDivision::Bucket::take(double PerSecond) noexcept {
+  if (Tokens_ >= 1) {
+    Tokens_ -= 1;
+    return std::nullopt;
+  }
+  return base::fromSeconds((1 - Tokens_) / std::max(LeastRate, PerSecond));
+}
+
 void RateDivision::setCustomers(std::span<const live::CustomerRule> Customers,
                                 base::TimePoint Now) {
   std::map<base::CustomerId, Share> Next;
   for (const live::CustomerRule &Each : Customers) {
     Share Made;
-    Made.Part_ = 1.0 / AssumedHosts;
-    Made.Filled_ = Now;
+    Made.Region_.Filled_ = Now;
+    Made.Alone_.Filled_ = Now;
     if (const auto Old = Shares_.find(Each.Id_); Old != Shares_.end())
-      Made = Old->second;
-    fill(Made, Now);
+      Made = std::move(Old->second);
+    if (Made.Holder_.empty())
+      Made.Region_.fill(Made.regionRate(), Made.Most_, Now);
     Made.Rate_ = Each.RatePerSecond_;
     Made.Burst_ = Each.Burst_;
-    Next.emplace(Each.Id_, Made);
+    Next.emplace(Each.Id_, std::move(Made));
   }
   Shares_ = std::move(Next);
 }
 
-void RateDivision::fill(Share &Of, base::TimePoint Now) noexcept {
-  const double Passed = base::toSeconds(Now - Of.Filled_);
-  Of.Filled_ = Now;
-  Of.Tokens_ =
-      std::min(Of.Tokens_ + Passed * Of.Rate_ * Of.Part_ * UsedPart, Of.Most_);
-}
-
 double RateDivision::allTokens(const Share &Of) const noexcept {
   const double InWindow =
       Of.Rate_ * base::toSeconds(Bounds_.RateWindow_) + Of.Burst_;
@@ -35,57 +70,121 @@
          UsedSlack * (InWindow * Bounds_.RateOverage_ + Bounds_.RateSlack_);
 }
 
+std::map<base::CustomerId, RateDivision::Told>
+RateDivision::sumOf(const FleetDemand &Fleet) {
+  std::map<base::CustomerId, Told> Sums;
+  for (const members::HostView &Other : Fleet.Others_) {
+    if (!Other.HoldsShare_)
+      continue;
+    const bool Near =
+        Other.Alive_ && Other.Card_.Region_ == Fleet.Self_.Region_;
+    for (const members::CustomerDemand &Each : Other.Demands_) {
+      Told &Sum = Sums[Each.Customer_];
+      Sum.All_ += Each.RequestsPerSecond_;
+      Sum.Region_ += Near ? Each.RequestsPerSecond_ : 0;
+    }
+  }
+  return Sums;
+}
+
+void RateDivision::pickHolder(Share &Of, std::uint64_t Matter,
+                              std::span<const members::HostCard *const> Keepers,
+                              const std::string &Self) {
+  const members::HostCard *First = nullptr;
+  const members::HostCard *Second = nullptr;
+  std::uint64_t Highest = 0;
+  std::uint64_t Next = 0;
+  for (const members::HostCard *Each : Keepers) {
+    const std::uint64_t Place = base::stableHash(Each->Host_.name(), Matter);
+    if (First == nullptr || Place > Highest) {
+      Second = std::exchange(First, Each);
+      Next = std::exchange(Highest, Place);
+    } else if (Second == nullptr || Place > Next) {
+      Second = Each;
+      Next = Place;
+    }
+  }
+  const auto AddressOf = [&Self](const members::HostCard *Each) {
+    return Each == nullptr || Each->Address_ == Self ? std::string()
+                                                     : Each->Address_;
+  };
+  Of.Holder_ = AddressOf(First);
+  Of.Second_ = AddressOf(Second);
+}
+
+void RateDivision::divideOne(Share &Of, const Told &Others,
+                             const FleetDemand &Fleet,
+                             base::TimePoint Now) const {
+  const double Even =
+      1.0 / static_cast<double>(std::max<std::size_t>(1, Fleet.Regions_));
+  const double Least = std::min(Floor, Of.Rate_ * FloorPart);
+  const double Own = Of.Demand_.perSecond(Now);
+  const double Sum =
+      Own + Others.All_ + Least * static_cast<double>(Fleet.Regions_);
+  Of.Part_ = Sum > 0 ? (Own + Others.Region_ + Least) / Sum : Even;
+  Of.OwnPart_ = Sum > 0 ? Own / Sum : 0;
+  if (Now - Start_ < StartTime)
+    Of.Part_ = std::min(Of.Part_, Even);
+  Of.Most_ = std::max(
+      1.0, allTokens(Of) *
+               (Of.Part_ + std::min(Even, Of.Part_ * MostBurstPart)) / 2);
+}
+
 void RateDivision::divide(const FleetDemand &Fleet, base::TimePoint Now) {
   if (Fleet.CutOff_)
     return;
-  const double MostAtStart =
-      1.0 / static_cast<double>(std::max(AssumedHosts, Fleet.Holders_));
+  const std::map<base::CustomerId, Told> Sums = sumOf(Fleet);
+  const std::vector<const members::HostCard *> Keepers = keepersOf(Fleet);
   for (auto &[Customer, Each] : Shares_) {
-    fill(Each, Now);
-    const double Least = std::min(Floor, Each.Rate_ * FloorPart);
-    const double Own = Each.Demand_.perSecond(Now) + Least;
-    double Sum = Own;
-    double Heard = Each.Demand_.perSecond(Now);
-    for (const members::HostView &Other : Fleet.Others_) {
-      if (!Other.HoldsShare_)
-        continue;
-      Sum += Least;
-      for (const members::CustomerDemand &Told : Other.Demands_)
-        if (Told.Customer_ == Customer) {
-          Sum += Told.RequestsPerSecond_;
-          Heard += Told.RequestsPerSecond_;
-        }
-    }
-    Each.Used_ = Each.Rate_ > 0 ? Heard / Each.Rate_ : 1;
-    Each.Part_ = Sum > 0 ? Own / Sum : 0;
-    if (Now - Start_ < StartTime)
-      Each.Part_ = std::min(Each.Part_, MostAtStart);
-    // Bursts are chance at each host, so half of the room for them is divided
-    // evenly.
-    const double Even = 1.0 / static_cast<double>(Fleet.Holders_);
-    Each.Most_ =
-        std::max(1.0, allTokens(Each) *
-                          (Each.Part_ + std::min(Even, Each.Part_ * 4)) / 2);
+    if (Each.Holder_.empty())
+      Each.Region_.fill(Each.regionRate(), Each.Most_, Now);
+    const auto Sum = Sums.find(Customer);
+    divideOne(Each, Sum == Sums.end() ? Told() : Sum->second, Fleet, Now);
+    pickHolder(Each, base::stableHash(Customer.name()), Keepers,
+               Fleet.Self_.Address_);
+    // What another host keeps now is no longer this one's to give.
+    if (!Each.Holder_.empty())
+      Each.Region_ = {0, Now};
   }
 }
 
-std::optional<base::Duration>
-RateDivision::take(const base::CustomerId &Customer, base::TimePoint Now) {
+RateVerdict RateDivision::take(const base::CustomerId &Customer,
+                               base::TimePoint Now) {
   const auto Found = Shares_.find(Customer);
   if (Found == Shares_.end())
-    return std::nullopt;
+    return {};
   Share &Of = Found->second;
   Of.Demand_.add(1, Now);
   if (Of.Rate_ <= 0)
+    return {};
+  if (!Of.Holder_.empty())
+    return {RateVerdict::Kind::AskHolder, {}, Of.Holder_, Of.Second_};
+  if (const auto Wait = takeFor(Customer, Now))
+    return {RateVerdict::Kind::Refused, *Wait, {}, {}};
+  return {};
+}
+
+std::optional<base::Duration>
+RateDivision::takeFor(const base::CustomerId &Customer, base::TimePoint Now) {
+  const auto Found = Shares_.find(Customer);
+  if (Found == Shares_.end() || Found->second.Rate_ <= 0)
     return std::nullopt;
-  fill(Of, Now);
-  if (Of.Tokens_ >= 1) {
-    Of.Tokens_ -= 1;
+  Share &Of = Found->second;
+  Of.Region_.fill(Of.regionRate(), Of.Most_, Now);
+  return Of.Region_.take(Of.regionRate());
+}
+
+std::optional<base::Duration>
+RateDivision::takeAlone(const base::CustomerId &Customer, base::TimePoint Now) {
+  const auto Found = Shares_.find(Customer);
+  if (Found == Shares_.end())
     return std::nullopt;
-  }
-  const double Rate = std::max(0.1, Of.Rate_ * Of.Part_ * UsedPart);
-  const base::Duration Here = base::fromSeconds((1 - Of.Tokens_) / Rate);
-  return Of.Used_ < AmpleRate ? std::min(Here, ElsewhereSoon) : Here;
+  Share &Of = Found->second;
+  if (Now - Of.Alone_.Filled_ > AloneFor)
+    Of.Alone_ = {0, Now};
+  const double PerSecond = Of.Rate_ * Of.OwnPart_ * AlonePart;
+  Of.Alone_.fill(PerSecond, MostAlone, Now);
+  return Of.Alone_.take(PerSecond);
 }
 
 std::vector<members::CustomerDemand>
--- a/libs/dispatch/RateDivision.h
+++ b/libs/dispatch/RateDivision.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <optional>
 #include <span>
+#include <string>
 #include <vector>
 
 namespace lychee::dispatch {
@@ -17,50 +18,76 @@
 /// What other hosts tell, as far as the division of rates needs it.
 struct FleetDemand {
   std::vector<members::HostView> Others_;
+  members::HostCard Self_;
+  /// This host takes callers' requests, as others do.
+  bool Serving_ = true;
   /// Hosts that hold a part, this one included.
   std::size_t Holders_ = 1;
+  /// Regions that the fleet has.
+  std::size_t Regions_ = 1;
   /// Most others fell silent at once: this host is cut off.
   bool CutOff_ = false;
 };
 
-/// This host's part of each customer's rate and burst.
+/// What becomes of one request by its customer's rate.
+struct RateVerdict {
+  enum class Kind {
+    Passed,
+    /// Its customer's rate is used up; Wait_ says until when.
+    Refused,
+    /// The host at Holder_ has the region's tokens and is to be asked.
+    AskHolder,
+  };
+
+  Kind Kind_ = Kind::Passed;
+  base::Duration Wait_{};
+  std::string Holder_;
+  /// Who takes the holder's place; empty: nobody else is there.
+  std::string Second_;
+};
+
+/// Each customer's rate and burst, divided between regions and, within a
+/// region, kept by one host that the others ask.
+///
+/// Load pattern: many hosts and many customers; a small customer asks each host
+/// once in many seconds. Cut into a part for each host, a rate of 6 a second at
+/// 71 hosts is one request in 12 s at each, and chance refuses a third of a
+/// customer's requests though it stays within its rate; buckets that hold a
+/// whole token each would together give 71 at once. Kept together by region the
+/// tokens are where they are needed.
 ///
-/// Load pattern: a customer's callers sit on few hosts, move, and now and then
-/// send several times the customer's rate. Equal parts refuse what is within
-/// the rate; one owner a customer fails with its host. Here each host's part is
-/// its part of the demand that all hosts tell in heartbeats, so that the parts
-/// add up to one where all heard the same. A host that is cut off keeps the
-/// part it has; the others take a silent host's part over only when it can no
-/// longer spend it. \see members::HostBook
+/// A region's part is its part of the demand that all hosts tell in heartbeats,
+/// so that the parts add up to one where all heard the same. Who keeps a
+/// customer's tokens in a region is picked by hash among the hosts that are
+/// alive; it costs no word between them. A host that becomes the keeper starts
+/// with none. A silent host's demand counts in the whole but in no region's
+/// part until it can no longer spend anything. \see members::HostBook
 class RateDivision {
 public:
   /// Part of the rate that is used: heartbeats are up to a second old, and two
-  /// hosts may each count a moving caller as theirs.
+  /// regions may each count a moving caller as theirs.
   static constexpr double UsedPart = 0.97;
-  /// Each host counts for at least so much demand, in requests a second and as
-  /// a part of the rate: a customer's first request at a host finds room, and a
-  /// quiet second does not take a host's part away.
+  /// Each region counts for at least so much demand, in requests a second and
+  /// as a part of the rate: a customer's first request there finds room, and a
+  /// quiet second does not take the region's part away.
   static constexpr double Floor = 0.5;
   static constexpr double FloorPart = 0.04;
-  /// A host that has just started has not heard the others yet; it takes no
-  /// more than one of so many parts.
-  static constexpr std::size_t AssumedHosts = 16;
+  /// A host that has just started has not heard the others yet; until then its
+  /// region takes no more than an even part.
   static constexpr base::Duration StartTime = std::chrono::seconds(3);
 
-  /// Part of what is allowed beyond rate and burst that is used for bursts of
-  /// single hosts. A small customer asks each of a dozen hosts about once a
-  /// second; a twelfth of its burst is then one or two requests, and chance
-  /// alone refuses every tenth (measured: 5 to 15 of 100 at 12 hosts, within a
-  /// rate 1.6 times the demand).
+  /// Part of what is allowed beyond rate and burst that is used for bursts:
+  /// requests come by chance, and a small customer's burst is one or two at
+  /// each region.
   static constexpr double UsedSlack = 0.8;
 
-  /// Where all hosts together hear less than this part of the rate, a caller
-  /// that finds this host's part spent finds a token at another one, where its
-  /// next try most likely goes. Waiting for this host's next token would take
-  /// it past its objective: 2 s where 60 hosts divide 29 requests a second.
-  static constexpr double AmpleRate = 0.85;
-  /// When it may try there: what all hosts heard is a second old.
-  static constexpr base::Duration ElsewhereSoon = std::chrono::milliseconds(50);
+  /// A host that finds no keeper takes tokens for its own callers from so much
+  /// of its own part of the demand, which the region's part holds, too. Keys go
+  /// stale 4.7 s after a host is cut off, which bounds what comes of that.
+  static constexpr double AlonePart = 0.5;
+  /// Tokens that it may save up, and how long without a keeper ends that.
+  static constexpr double MostAlone = 2;
+  static constexpr base::Duration AloneFor = std::chrono::seconds(5);
 
   RateDivision(const live::DeploymentBounds &Bounds, base::TimePoint Start)
       : Bounds_(Bounds), Start_(Start) {}
@@ -71,32 +98,62 @@
   /// Divides anew. To be called every 250 ms.
   void divide(const FleetDemand &Fleet, base::TimePoint Now);
 
-  /// Counts a request and takes its token.
-  /// \returns nothing where it may pass; else when a token is there again, here
-  /// or at another host.
-  std::optional<base::Duration> take(const base::CustomerId &Customer,
-                                     base::TimePoint Now);
+  /// Counts a request, and takes its token where this host keeps them.
+  RateVerdict take(const base::CustomerId &Customer, base::TimePoint Now);
+
+  /// Takes a token for a request that another host of the region counted.
+  /// \returns nothing where it may pass; else when a token is there again.
+  std::optional<base::Duration> takeFor(const base::CustomerId &Customer,
+                                        base::TimePoint Now);
+
+  /// The same for a request of this host whose keeper does not answer.
+  std::optional<base::Duration> takeAlone(const base::CustomerId &Customer,
+                                          base::TimePoint Now);
 
   /// \returns what this host tells the others.
   std::vector<members::CustomerDemand> demands(base::TimePoint Now);
 
 private:
+  struct Bucket {
+    /// A bucket starts empty: a fleet that restarts must not give each
+    /// customer a second burst.
+    double Tokens_ = 0;
+    base::TimePoint Filled_;
+
+    void fill(double PerSecond, double Most, base::TimePoint Now) noexcept;
+    std::optional<base::Duration> take(double PerSecond) noexcept;
+  };
+
   struct Share {
     double Rate_ = 0;
     double Burst_ = 0;
+    /// The region's part of the rate, and this host's.
     double Part_ = 0;
-    /// What all hosts together heard, as a part of the rate.
-    double Used_ = 1;
-    /// Most tokens that the bucket holds.
+    double OwnPart_ = 0;
+    /// Most tokens that the region's bucket holds.
     double Most_ = 1;
-    /// A bucket starts empty: a fleet that restarts must not give each
-    /// customer a second burst.
-    double Tokens_ = 0;
-    base::TimePoint Filled_;
+    /// Who keeps the region's tokens; empty: this host.
+    std::string Holder_;
+    std::string Second_;
+    Bucket Region_;
+    Bucket Alone_;
     DemandMeter Demand_;
+
+    double regionRate() const noexcept { return Rate_ * Part_ * UsedPart; }
+  };
+
+  /// Demand of one customer by where it was told.
+  struct Told {
+    double Region_ = 0;
+    double All_ = 0;
   };
 
-  static void fill(Share &Of, base::TimePoint Now) noexcept;
+  static std::map<base::CustomerId, Told> sumOf(const FleetDemand &Fleet);
+  static void pickHolder(Share &Of, std::uint64_t Matter,
+                         std::span<const members::HostCard *const> Keepers,
+                         const std::string &Self);
+  void divideOne(Share &Of, const Told &Others, const FleetDemand &Fleet,
+                 base::TimePoint Now) const;
 
   /// \returns the tokens that all buckets of a customer may hold together.
   double allTokens(const Share &Of) const noexcept;
--- a/libs/members/HeartbeatExchange.cpp
+++ b/libs/members/HeartbeatExchange.cpp
@@ -1,6 +1,7 @@
 #include "members/HeartbeatExchange.h"
 
 #include "base/SystemClock.h"
+#include "members/DatagramSocket.h"
 #include "members/DemandTeller.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -27,18 +28,7 @@
       Socket_(Executor), Timer_(Executor) {}
 
 bool HeartbeatExchange::open(base::Error &Last) {
-  boost::system::error_code Failure;
-  const auto Address = asio::ip::make_address(Listen_.Address_, Failure);
-  if (!Failure)
-    Socket_.open(udp::v4(), Failure);
-  if (!Failure)
-    Socket_.bind(udp::endpoint(Address, Listen_.Port_), Failure);
-  if (!Failure)
-    Socket_.non_blocking(true, Failure);
-  if (!Failure)
-    return true;
-  Last = {"heartbeat.listen", Listen_.text(), Failure.message()};
-  return false;
+  return openDatagramSocket(Socket_, Listen_, "heartbeat.listen", Last);
 }
 
 void HeartbeatExchange::sayNow(base::TimePoint Now) {
