A second send to the same target is asked of the steering

Change: Steering::mayRepeat; a target that leaves, is evacuated or lost its address gets none, and repeats spend the budget of second sends. Tests: nothingIsRepeatedAtATargetThatLeaves, repeatsAreInTheBudget, aTargetThatMayGetNothingMoreGetsNoSecondSend (each without the change fails or does not build).

--- a/libs/dispatch/DispatchSteering.cpp
+++ b/libs/dispatch/DispatchSteering.cpp
@@ -224,6 +224,22 @@
   return Request.Reserved_;
 }
 
+/// Failure without it: the target said that it leaves while the first send was
+/// at work there, and the second reached it after all work was to have ended;
+/// and second sends on dead connections were in nobody's budget.
+bool DispatchSteering::mayRepeat(std::uint64_t Ticket,
+                                 base::TimePoint /*Now*/) {
+  const std::lock_guard Guard(Lock_);
+  const auto Found = Flights_.find(Ticket);
+  if (Found == Flights_.end() || Found->second.Tried_.empty())
+    return false;
+  ServiceState &Service = serviceAt(Found->second.Service_);
+  const TargetState *Target = find(Service, Found->second.Tried_.back());
+  return Target != nullptr && !Target->Record_.Leaving_ &&
+         !Target->Evacuated_ && !Target->AddressTaken_ &&
+         Service.Budget_.spend();
+}
+
 /// Ends a request that no target answered. What may have run is never refused
 /// by an answer that promises the opposite.
 Decision DispatchSteering::endFailed(std::uint64_t Ticket, bool ByTarget,
--- a/libs/dispatch/DispatchSteering.h
+++ b/libs/dispatch/DispatchSteering.h
@@ -98,6 +98,7 @@
                             base::TimePoint Now,
                             std::vector<steering::Wakeup> &Woken) override;
   bool mayAbandon(std::uint64_t Ticket, base::TimePoint Now) override;
+  bool mayRepeat(std::uint64_t Ticket, base::TimePoint Now) override;
   void cancel(std::uint64_t Ticket, base::TimePoint Now) override;
   void tick(base::TimePoint Now, std::vector<steering::Wakeup> &Woken) override;
 
--- a/libs/gateway/Forwarding.cpp
+++ b/libs/gateway/Forwarding.cpp
@@ -250,6 +250,10 @@
            Shared.Others_.Steering_.mayAbandon(
                Decision_.Ticket_, base::SystemClock::monotonicNow());
   });
+  Send.repeatIf([this] {
+    return Home_.shared().Others_.Steering_.mayRepeat(
+        Decision_.Ticket_, base::SystemClock::monotonicNow());
+  });
   if (Reader_.isWhole())
     Caller_.watch().watchHangUp(Caller_.socket().native_handle());
   TargetSend::Failure Failed = co_await Send.open(Request_.Idempotent_);
--- a/libs/gateway/TargetSend.cpp
+++ b/libs/gateway/TargetSend.cpp
@@ -207,11 +207,23 @@
 /// A send that is ended while its target works on it loses that work, so it
 /// ends only where another target can still do it in time.
 void TargetSend::watchPatience() {
-  if (HedgeDelay_ || !MayAbandon_ || Patience_ >= Deadline_)
+  const bool MayEnd = MayAbandon_ && Patience_ < Deadline_;
+  if (!MayEnd && !HedgeDelay_)
     return;
   Caller_.watch().onExpiry([this] {
-    if (AnswerSeen_ || Patience_ >= Deadline_)
+    if (AnswerSeen_)
       return Deadline_;
+    const base::TimePoint Now = base::SystemClock::monotonicNow();
+    if (HedgeDelay_) {
+      // A moment long past: it fires at once.
+      if (!MayRepeat_ || MayRepeat_())
+        return base::TimePoint();
+      HedgeDelay_.reset();
+    }
+    if (!MayAbandon_ || Patience_ >= Deadline_)
+      return Deadline_;
+    if (Now < Patience_)
+      return Patience_;
     const base::TimePoint Asked = Patience_;
     Patience_ = Deadline_;
     return MayAbandon_() ? Asked : Deadline_;
--- a/libs/gateway/TargetSend.h
+++ b/libs/gateway/TargetSend.h
@@ -42,6 +42,12 @@
     MayAbandon_ = std::move(MayAbandon);
   }
 
+  /// \param MayRepeat  asked once before the request is sent once more to the
+  /// same target, as its kept connection may be dead; false: wait on.
+  void repeatIf(std::function<bool()> MayRepeat) {
+    MayRepeat_ = std::move(MayRepeat);
+  }
+
   /// Takes an idle connection or opens one. \param Idempotent  a request that
   /// is not goes only on one that is new or has just shown life.
   Task<Failure> open(bool Idempotent);
@@ -100,6 +106,7 @@
   const base::RequestId &Id_;
   base::TimePoint Patience_ = base::TimePoint::max();
   std::function<bool()> MayAbandon_;
+  std::function<bool()> MayRepeat_;
   std::unique_ptr<TargetConnection> Connection_;
   std::unique_ptr<AnswerReader> Reader_;
   std::string Held_;
--- a/libs/steering/Steering.h
+++ b/libs/steering/Steering.h
@@ -195,6 +195,15 @@
     return true;
   }
 
+  /// Asked when a kept connection shows no life and the request is to be sent
+  /// once more, on a new one to the same target. \returns whether it may be;
+  /// else the first send goes on.
+  virtual bool mayRepeat(std::uint64_t Ticket, base::TimePoint Now) {
+    (void)Ticket;
+    (void)Now;
+    return true;
+  }
+
   /// Gives up a request that waits: its caller hung up.
   virtual void cancel(std::uint64_t Ticket, base::TimePoint Now) = 0;
 
--- a/tests/dispatch/DispatchSteeringTest.cpp
+++ b/tests/dispatch/DispatchSteeringTest.cpp
@@ -166,6 +166,33 @@
   CHECK(arrive(requestOf(false)).PatienceUntil_ == base::TimePoint::max());
 }
 
+// A look-up runs for seconds on a kept connection that shows no sign of life,
+// and its target says in the meantime that it leaves. Sent once more it would
+// reach the target after the last moment for new work.
+TEST(DispatchSteering, nothingIsRepeatedAtATargetThatLeaves) {
+  const Decision Sent = arrive(requestOf(true));
+  CHECK(Steering_.mayRepeat(Sent.Ticket_, Now_));
+  for (live::KnownTarget &Each : Targets_)
+    Each.Record_.Leaving_ = true;
+  push();
+  CHECK_FALSE(Steering_.mayRepeat(Sent.Ticket_, Now_));
+  for (live::KnownTarget &Each : Targets_)
+    Each.Record_.Leaving_ = false;
+  push();
+  Steering_.setEvacuated({base::ZoneId("north-a")}, Now_);
+  CHECK_FALSE(Steering_.mayRepeat(Sent.Ticket_, Now_));
+}
+
+// Repeats count among the second sends that all hosts together may make.
+TEST(DispatchSteering, repeatsAreInTheBudgetOfSecondSends) {
+  const Decision Sent = arrive(requestOf(true));
+  int Repeats = 0;
+  while (Steering_.mayRepeat(Sent.Ticket_, Now_))
+    ++Repeats;
+  CHECK(Repeats >= 1);
+  CHECK(Repeats <= live::DeploymentBounds().RetrySlack_);
+}
+
 // A request crashes two targets: each takes no connection right after it was
 // lost. The request is refused from then on. One that only lost its answers is
 // not: answers get lost on the way.
--- a/tests/gateway/FakeSteering.h
+++ b/tests/gateway/FakeSteering.h
@@ -25,6 +25,7 @@
   int MaximumSends_ = 3;
   steering::Refusal RefuseAll_ = steering::Refusal::None;
   base::Duration WaitLimit_ = std::chrono::seconds(10);
+  bool MayRepeat_ = true;
 
   steering::Decision arrive(const steering::Request &Arrived,
                             base::TimePoint Now) override;
@@ -32,6 +33,9 @@
                             const steering::SendReport &Report,
                             base::TimePoint Now,
                             std::vector<steering::Wakeup> &Woken) override;
+  bool mayRepeat(std::uint64_t /*Ticket*/, base::TimePoint /*Now*/) override {
+    return MayRepeat_;
+  }
   void cancel(std::uint64_t Ticket, base::TimePoint Now) override;
   void tick(base::TimePoint Now, std::vector<steering::Wakeup> &Woken) override;
 
--- a/tests/gateway/HedgeTest.cpp
+++ b/tests/gateway/HedgeTest.cpp
@@ -62,6 +62,23 @@
   LONGS_EQUAL(2, Under.target().connectionsMade());
 }
 
+// The steering lets nothing more go to the target: it leaves. The first send
+// goes on until it is answered or the time is up, and none follows it.
+TEST(Hedge, aTargetThatMayGetNothingMoreGetsNoSecondSend) {
+  Fixture Under;
+  Under.Settings_.HedgeIdleLimit_ = {};
+  Under.Settings_.Threads_ = 1;
+  Under.Steering_->MayRepeat_ = false;
+  Under.start();
+  RawClient Caller(Under.address());
+  LONGS_EQUAL(200, Caller.request("GET", "/s/warm").Status_);
+  Under.target().setFaults(tests::faultsOf("silent=1"));
+  LONGS_EQUAL(
+      504,
+      Caller.request("GET", "/s/x", "Lychee-Deadline-Ms: 1000\r\n").Status_);
+  LONGS_EQUAL(1, Under.target().connectionsMade());
+}
+
 // The second send is refused by the target as not run. The first may have run
 // all the same, and the refusal must not say "not run".
 TEST(Hedge, aShedSecondSendDoesNotProveThatTheFirstDidNotRun) {
--- a/tests/members/TokenExchangeTest.cpp
+++ b/tests/members/TokenExchangeTest.cpp
@@ -24,13 +24,14 @@
 ;
 
 TEST(TokenMessages, aQuestionAndItsAnswersComeBackAsTheyWere) {
-  const auto Asked = decode(
-      members::encodeTokenMessage({7, 42, base::CustomerId("parish"), std::nullopt}));
+  const auto Asked = decode(members::encodeTokenMessage(
+      {7, 42, base::CustomerId("parish"), std::nullopt}));
   CHECK(Asked.has_value());
   LONGS_EQUAL(7, Asked->Start_);
   LONGS_EQUAL(42, Asked->Ticket_);
   STRCMP_EQUAL("parish", Asked->Customer_.name().c_str());
-  const auto Given = decode(members::encodeTokenMessage({7, 42, {}, std::nullopt}));
+  const auto Given =
+      decode(members::encodeTokenMessage({7, 42, {}, std::nullopt}));
   CHECK(Given.has_value());
   CHECK(Given->Customer_.empty());
   CHECK_FALSE(Given->Wait_.has_value());
