Regions move fast only where slots came or went

Change: RegionLoad::Bound_; a large change is one of real slots. Test: boundRequestsThatSeemLongerMoveNothingFast.

--- a/libs/dispatch/DispatchUpkeep.cpp
+++ b/libs/dispatch/DispatchUpkeep.cpp
@@ -7,14 +7,6 @@
 /// What a dispatch is told between requests: intent, targets, the fleet.
 namespace lychee::dispatch {
 
-namespace {
-
-/// Slots are kept for requests that may run in one region only as if they kept
-/// them busy to this part: with 4 slots a target, few of them wait then.
-constexpr double BoundUtilization = 0.8;
-
-} // namespace
-
 void DispatchSteering::setIntent(std::shared_ptr<const live::Intent> Fresh,
                                  base::TimePoint Now) {
   const std::lock_guard Guard(Lock_);
@@ -84,15 +76,12 @@
     for (const TargetState &Each : Service.Targets_)
       if (!Each.Evacuated_ && !Each.Record_.Leaving_ && !Each.Trust_.isOut(Now))
         Loads[Each.Region_].Slots_ += Each.Record_.Slots_;
-    // What is bound to a region takes its slots first; what is free divides the
-    // rest.
-    std::map<base::RegionId, double> Bound;
     const auto Count = [&](const base::RegionId &From,
                            const base::RegionId &BoundTo, double Slots) {
       if (BoundTo.empty())
         Loads[From].Demand_ += Slots;
       else
-        Bound[BoundTo] += Slots;
+        Loads[BoundTo].Bound_ += Slots;
     };
     Loads[Settings_.Region_];
     for (auto &[BoundTo, Demand] : Service.Demands_)
@@ -101,9 +90,6 @@
       for (const members::ServiceDemand &Told : Other.Loads_)
         if (Other.Alive_ && Told.Service_ == Id)
           Count(Other.Card_.Region_, Told.BoundTo_, Told.Slots_);
-    for (auto &[Region, Load] : Loads)
-      Load.Slots_ =
-          std::max(0.0, Load.Slots_ - Bound[Region] / BoundUtilization);
     Service.Split_.update(Loads, Now);
   }
 }
--- a/libs/dispatch/RegionSplit.cpp
+++ b/libs/dispatch/RegionSplit.cpp
@@ -25,6 +25,12 @@
   return std::exp(-1 / placeOf(Object, LeavingSeed, 1));
 }
 
+/// \returns the slots that bound requests leave to those that may run anywhere.
+double freeSlots(const RegionLoad &Load) noexcept {
+  return std::max(0.0,
+                  Load.Slots_ - Load.Bound_ / RegionSplit::BoundUtilization);
+}
+
 double sumOf(const std::map<base::RegionId, double> &Parts) {
   double Sum = 0;
   for (const auto &[Region, Part] : Parts)
@@ -39,7 +45,7 @@
   double Slots = 0;
   double Demand = 0;
   for (const auto &[Region, Load] : Loads) {
-    Slots += Load.Slots_;
+    Slots += freeSlots(Load);
     Demand += Load.Demand_;
   }
   Wanted Made;
@@ -53,14 +59,14 @@
   const double Kept = Known ? std::max(KeptUtilization, Demand / Slots) : 1.0;
   for (const auto &[Region, Load] : Loads) {
     const double Asked = Known ? Load.Demand_ : Even;
-    const double Room = Kept * Load.Slots_ - Asked;
+    const double Room = Kept * freeSlots(Load) - Asked;
     if (Region == Own_)
       Made.Leaving_ = Asked > 0 ? std::clamp(-Room / Asked, 0.0, 1.0) : 0;
     else if (Room > 0)
       Made.Spare_[Region] = Room;
   }
   // Nobody else has room: what stays at least saves the way.
-  if (sumOf(Made.Spare_) <= 0 && Own->second.Slots_ > 0)
+  if (sumOf(Made.Spare_) <= 0 && freeSlots(Own->second) > 0)
     Made.Leaving_ = 0;
   return Made;
 }
--- a/libs/dispatch/RegionSplit.h
+++ b/libs/dispatch/RegionSplit.h
@@ -18,6 +18,9 @@
   /// Slots that the requests of the region's callers keep busy, wherever they
   /// run.
   double Demand_ = 0;
+  /// Slots that requests keep busy which may run in this region only; they take
+  /// its slots first.
+  double Bound_ = 0;
 };
 
 /// Which part of a region's requests, for one service, runs in other regions.
@@ -33,13 +36,19 @@
 /// objects change region one by one.
 class RegionSplit {
 public:
+  /// Slots are kept for requests that may run in one region only as if they
+  /// kept them busy to this part: with 4 slots a target, few of them wait then.
+  static constexpr double BoundUtilization = 0.8;
   /// A region keeps its requests up to this utilization. With 3 or 4 slots a
   /// target, half of the requests would wait at 0.8, and one in six at 0.6.
   static constexpr double KeptUtilization = 0.6;
   /// Part that may move in a second. Deployments bound moves to 15 in 100
   /// within 2 s; chance alone moves some 5.
   static constexpr double Pace = 0.03;
-  /// The same right after slots came or went: a zone lost or taken back.
+  /// The same right after slots came or went: a zone lost or taken back. What
+  /// bound requests leave of them is no such change: as the first answers
+  /// taught how long requests run it seemed to jump, and 35 in 100 of a
+  /// region's requests moved within 2 s.
   static constexpr double FastPace = 0.3;
   static constexpr base::Duration FastTime = std::chrono::seconds(3);
   /// Slots that come or go together, as a part of all, that call for it.
--- a/tests/dispatch/RegionSplitTest.cpp
+++ b/tests/dispatch/RegionSplitTest.cpp
@@ -47,6 +47,21 @@
   DOUBLES_EQUAL(0.5, partIn(Small), 0.03);
 }
 
+// The first answers teach that requests run three times as long as was guessed.
+// What bound requests leave of the slots seems to shrink at once, though no
+// slot came or went: the part that leaves still moves at its slow pace.
+TEST(RegionSplit, boundRequestsThatSeemLongerMoveNothingFast) {
+  Loads_[Small].Demand_ = 5;
+  pass(5s);
+  DOUBLES_EQUAL(0, Split_.leaving(), 0.001);
+  for (auto &[Region, Load] : Loads_)
+    Load.Bound_ = 8;
+  Loads_[Small].Demand_ = 15;
+  const double Before = partIn(Small);
+  pass(2s);
+  CHECK(Before - partIn(Small) < 0.1);
+}
+
 TEST(RegionSplit, aRegionWithRoomKeepsAll) {
   Loads_[Small].Demand_ = 5;
   Loads_[Large].Demand_ = 5;
