A margin of the rate for keepers that come and go

Change: UsedPart 0.97 -> 0.9, UsedSlack 0.4 -> 0.6, which by reckoning leaves 1,818 and 4,380; small customers keep their bursts (manyHostsHardlyRefuseWhatIsWithinTheRate failed at 0.9 with 0.4).

--- a/libs/dispatch/RateDivision.h
+++ b/libs/dispatch/RateDivision.h
@@ -71,8 +71,10 @@
 class RateDivision {
 public:
   /// Part of the rate that is used: heartbeats are up to a second old, and two
-  /// regions may each count a moving caller as theirs.
-  static constexpr double UsedPart = 0.97;
+  /// regions may each count a moving caller as theirs. At 0.97 a fleet of 66
+  /// hosts, most of them killed under a customer at several times its rate,
+  /// gave 4,532 requests in 5 s where 4,396 are allowed.
+  static constexpr double UsedPart = 0.9;
   /// Each region counts for at least so much demand, in requests a second and
   /// as a part of the rate: a customer's first request there finds room, and a
   /// quiet second does not take the region's part away.
@@ -92,7 +94,7 @@
   /// each region. The rest is for keepers that change while a customer sends
   /// many times its rate; at 0.8 one of 8 days with such troubles gave 647 of
   /// 640 in 5 s.
-  static constexpr double UsedSlack = 0.4;
+  static constexpr double UsedSlack = 0.6;
 
   /// A host that finds no keeper takes tokens for its own callers from so much
   /// of its own part of the demand, which the region's part holds, too. Keys go
