How old news is decides who asks the store, not whether somebody answers

A watch lasted 2.5 s and might take 1 s more, longer than the 2 s in which a change must be in force there. Change: FreshnessPace divides that bound: watch, patience with it, age at which tellers are passed over for the next in line, age at which a host asks itself, spread over the region's hosts.

--- a/apps/lycheed/LiveDaemon.cpp
+++ b/apps/lycheed/LiveDaemon.cpp
@@ -156,9 +156,11 @@
           liveGatewaySettings(Settings, Bounds),
           {Steering_, Intents_, Intents_, Entry_, *Claims_, Reporter_, *Polls_},
           drawSeed()),
-      Gauges_(Metrics_), Role_(Hosts_.self()),
+      Gauges_(Metrics_),
+      Role_(Hosts_.self(), relaying::freshnessPaceFor(Bounds.ChangeInForce_)),
       Feed_({Objects_, Intents_, Steering_, Gateway_, Hosts_, Role_, Gauges_,
-             Live_.Zones_, Bounds.TargetDrain_},
+             Live_.Zones_, Bounds.TargetDrain_,
+             relaying::freshnessPaceFor(Bounds.ChangeInForce_)},
             drawSeed()),
       Relays_(Control_.get_executor(), Role_, Live.Relays_.Port_,
               {[this] { return Feed_.question(); },
@@ -322,6 +324,7 @@
 
 void LiveDaemon::takeRole(std::span<const members::HostView> Others,
                           base::TimePoint Now) {
+  tellTrouble(Now);
   Role_.update(Others, Entry_.ownState(Now).Leaving_, Now);
   const bool Asking = Role_.mustAsk(Now);
   if (std::exchange(Asking_, Asking) == Asking)
@@ -335,6 +338,14 @@
           .add("confirmed_ms_ago", Age ? base::toMilliseconds(*Age) : -1));
 }
 
+/// Others rely on a host that asks the store, so they hear at once that it no
+/// longer can, and not with the next heartbeat.
+void LiveDaemon::tellTrouble(base::TimePoint Now) {
+  const bool Troubled = Role_.isInTrouble(Now);
+  if (!std::exchange(Troubled_, Troubled) && Troubled && Role_.isChosen())
+    Heartbeats_.sayNow(Now);
+}
+
 void LiveDaemon::noteRelayTrouble(const std::string &Address,
                                   const base::Error &Why) {
   Gauges_.countRelayFailure();
--- a/apps/lycheed/LiveDaemon.h
+++ b/apps/lycheed/LiveDaemon.h
@@ -63,6 +63,7 @@
   void setGauges(base::TimePoint Now) const;
   /// Decides anew whether this host asks the store.
   void takeRole(std::span<const members::HostView> Others, base::TimePoint Now);
+  void tellTrouble(base::TimePoint Now);
   members::Heartbeat sayHeartbeat(bool Whole, bool WithHosts,
                                   base::TimePoint Now);
   void hearHeartbeat(const members::Heartbeat &Said, bool News,
@@ -104,6 +105,7 @@
   std::set<base::HostId> Heard_;
   bool Trusted_ = false;
   bool Asking_ = true;
+  bool Troubled_ = false;
 };
 
 } // namespace lychee::daemon
--- a/apps/lycheed/LiveFeed.cpp
+++ b/apps/lycheed/LiveFeed.cpp
@@ -25,14 +25,18 @@
 /// first, and asked within 300 ms; at 71 hosts a watch of each kind by each
 /// host that starts was an eighth of a day's calls.
 constexpr std::chrono::milliseconds StartRest(1200);
-constexpr live::FollowerPace LongPace{
-    std::chrono::seconds(20), std::chrono::seconds(3),
-    std::chrono::milliseconds(500), StartRest};
+constexpr live::FollowerPace LongPace{.Watch_ = std::chrono::seconds(20),
+                                      .LongestPause_ = std::chrono::seconds(3),
+                                      .Linger_ = std::chrono::milliseconds(500),
+                                      .StartRest_ = StartRest};
 /// After trouble the intent is also what asks often; the others come with it.
-constexpr live::FollowerPace IntentPace{std::chrono::milliseconds(2500),
-                                        std::chrono::milliseconds(500),
-                                        {},
-                                        StartRest};
+live::FollowerPace intentPace(const relaying::FreshnessPace &Pace) {
+  return {.Watch_ = Pace.Watch_,
+          .Patience_ = Pace.Patience_,
+          .LongestPause_ = std::chrono::milliseconds(500),
+          .StartRest_ = StartRest};
+}
+
 /// A call begun so shortly before another failed is no older than the trouble.
 constexpr base::Duration FreshCall = std::chrono::seconds(1);
 
@@ -52,7 +56,8 @@
   Zones.Changed_ = [this](auto Heard) { takeEvacuations(Heard); };
   live::FollowerListeners Hosts;
   Hosts.Changed_ = [this](auto Heard) { takeHosts(Heard); };
-  Followers_.push_back(follow(platform::IntentKind, IntentPace, Intent));
+  Followers_.push_back(
+      follow(platform::IntentKind, intentPace(Parts.Pace_), Intent));
   Followers_.push_back(follow(platform::TargetKind, LongPace, Targets));
   Followers_.push_back(follow(platform::EvacuationKind, LongPace, Zones));
   Followers_.push_back(follow(platform::HostKind, LongPace, Hosts));
@@ -115,6 +120,8 @@
   Told.Sound_ = !Parts_.Role_.isInTrouble(Now);
   if (const auto Trouble = Parts_.Role_.lastTrouble())
     Told.TroubleAge_ = Now - *Trouble;
+  if (const auto Contact = Followers_.front()->contact())
+    Told.ContactAge_ = Now - *Contact;
   for (const auto &Each : Followers_) {
     Told.Sound_ = Told.Sound_ && Each->isSound();
     const auto Known = Asked.Known_.find(Each->kind());
--- a/apps/lycheed/LiveFeed.h
+++ b/apps/lycheed/LiveFeed.h
@@ -31,6 +31,7 @@
   const std::map<base::ZoneId, base::RegionId> &Zones_;
   /// After this a leaving target must get nothing more.
   base::Duration DrainBound_{};
+  relaying::FreshnessPace Pace_;
 };
 
 /// Keeps the host's knowledge of intent, targets, zones to keep clear and
--- a/libs/live/Intent.h
+++ b/libs/live/Intent.h
@@ -85,6 +85,8 @@
 struct DeploymentBounds {
   /// A withdrawn key stops working within this time.
   base::Duration KeyWithdrawal_ = std::chrono::seconds(5);
+  /// A new version of the intent is in force everywhere within this time.
+  base::Duration ChangeInForce_ = std::chrono::seconds(2);
   /// A leaving target gets no new work after this time.
   base::Duration TargetDrain_ = std::chrono::milliseconds(2500);
   /// From the signal to stop until the process is ended by force.
--- a/libs/live/ObjectFollower.cpp
+++ b/libs/live/ObjectFollower.cpp
@@ -67,14 +67,22 @@
   co_await Timer.async_wait(asio::use_awaitable);
 }
 
-void ObjectFollower::succeeded(base::TimePoint Now) {
+void ObjectFollower::succeeded(base::Duration Wait, base::TimePoint Now) {
   Backoff_.reset();
+  Contact_ = Now;
+  StoreDelay_ = std::max(Now - Asked_ - Wait, base::Duration::zero());
   if (Listeners_.Came_)
     Listeners_.Came_();
   if (std::exchange(InTrouble_, false))
     Recovered_.announce(Now);
 }
 
+base::Duration ObjectFollower::patience() const {
+  if (Pace_.Patience_ == base::Duration::zero())
+    return Pace_.Patience_;
+  return std::max(Pace_.Patience_, 2 * StoreDelay_);
+}
+
 void ObjectFollower::confirm(base::TimePoint Moment) {
   if (Confirmed_ && *Confirmed_ >= Moment)
     return;
@@ -92,7 +100,7 @@
     co_return false;
   }
   const base::TimePoint Now = SystemClock::monotonicNow();
-  succeeded(Now);
+  succeeded(base::Duration::zero(), Now);
   Listed_ = true;
   HasGap_ = false;
   const bool First = Mirror_.isEmpty();
@@ -110,8 +118,8 @@
   SourceFault Fault = SourceFault::Trouble;
   Asked_ = SystemClock::monotonicNow();
   const base::Duration Wait = ConfirmSoon_ ? ShortWatch : Pace_.Watch_;
-  const std::optional<ObjectBatch> Heard =
-      co_await Source_.watch(Kind_, Mirror_.at(), Wait, Fault, Last);
+  const std::optional<ObjectBatch> Heard = co_await Source_.watch(
+      Kind_, Mirror_.at(), {Wait, patience()}, Fault, Last);
   if (!Heard && Fault == SourceFault::HistoryGone) {
     Listed_ = false;
     co_return;
@@ -123,7 +131,7 @@
     co_return;
   }
   const base::TimePoint Now = SystemClock::monotonicNow();
-  succeeded(Now);
+  succeeded(Wait, Now);
   HasGap_ = false;
   const bool Ended = !Heard->Objects_.empty();
   const std::vector<StoredObject> News = Mirror_.apply(*Heard, Now);
--- a/libs/live/ObjectFollower.h
+++ b/libs/live/ObjectFollower.h
@@ -37,6 +37,10 @@
 struct FollowerPace {
   /// Length of one watch.
   base::Duration Watch_{};
+  /// A watch that is silent for so much longer than it should last, or twice
+  /// what the store took for the last answer, has ended unheard. Zero: as long
+  /// as any other call.
+  base::Duration Patience_{};
   /// Longest pause between two calls that brought nothing.
   base::Duration LongestPause_{};
   /// After a change was heard, so that changes that come together cost one call
@@ -88,6 +92,11 @@
   /// \returns whether the last call to the store brought what there is.
   bool isSound() const noexcept { return Listed_ && !InTrouble_; }
 
+  /// \returns when the last call that came was answered: all that changed
+  /// before is known, unless the store itself is in trouble. Unlike a
+  /// confirmation it does not allow for a store that goes deaf.
+  std::optional<base::TimePoint> contact() const noexcept { return Contact_; }
+
   /// \returns what to tell a host that knows everything up to \p Since.
   ObjectNews newsSince(std::uint64_t Since, base::TimePoint Now) const;
 
@@ -103,7 +112,9 @@
   boost::asio::awaitable<void> pause();
   boost::asio::awaitable<void> waitFor(base::Duration Span);
   bool mustAsk(base::TimePoint Now) const;
-  void succeeded(base::TimePoint Now);
+  /// \param Wait  how long the store was asked to wait.
+  void succeeded(base::Duration Wait, base::TimePoint Now);
+  base::Duration patience() const;
   void confirm(base::TimePoint Moment);
 
   ObjectSource &Source_;
@@ -122,6 +133,9 @@
   /// objects is several.
   bool HasGap_ = false;
   std::optional<base::TimePoint> Confirmed_;
+  std::optional<base::TimePoint> Contact_;
+  /// What the store took for its last answer, beyond a watch's length.
+  base::Duration StoreDelay_{};
   /// When the last call began.
   base::TimePoint Asked_;
   /// The last confirmation speaks for a moment that lies far back.
--- a/libs/live/ObjectSource.h
+++ b/libs/live/ObjectSource.h
@@ -37,6 +37,15 @@
   HistoryGone,
 };
 
+/// How long a watch may take.
+struct WatchSpan {
+  /// The store answers after this, also where nothing changed.
+  base::Duration Wait_{};
+  /// An answer that is later than Wait_ by more than this does not come. Zero:
+  /// as long as any other call may take.
+  base::Duration Patience_{};
+};
+
 /// A store's objects by kind: listed whole, then watched for changes. The one
 /// implementation that speaks the store's protocol stands outside this library.
 /// \see ObjectFollower
@@ -51,11 +60,11 @@
   virtual boost::asio::awaitable<std::optional<ObjectBatch>>
   list(std::string_view Kind, base::Error &Last) = 0;
 
-  /// Waits up to \p Wait for a change after \p Since.
+  /// Waits for a change after \p Since.
   /// \returns the changes, none where the time passed without one; or nothing,
   /// \p Fault and \p Last filled.
   virtual boost::asio::awaitable<std::optional<ObjectBatch>>
-  watch(std::string_view Kind, std::uint64_t Since, base::Duration Wait,
+  watch(std::string_view Kind, std::uint64_t Since, WatchSpan Span,
         SourceFault &Fault, base::Error &Last) = 0;
 
   /// Ends all calls begun before \p Moment; each tells trouble.
--- a/libs/relaying/RelayExchange.cpp
+++ b/libs/relaying/RelayExchange.cpp
@@ -36,9 +36,16 @@
       if (!Whom)
         Whom.reset(new Peer{Address,
                             {Executor_, {.Address_ = Address, .Port_ = Port_}},
-                            false});
-      if (std::exchange(Whom->Pending_, true))
+                            false,
+                            std::nullopt});
+      const base::TimePoint Now = SystemClock::monotonicNow();
+      // Half a pace early is in time; timers fire late.
+      const bool IsDue =
+          !Whom->AskedAt_ || Now - *Whom->AskedAt_ >= AskEvery - Pace / 2;
+      if (Whom->Pending_ || !IsDue)
         continue;
+      Whom->Pending_ = true;
+      Whom->AskedAt_ = Now;
       asio::co_spawn(Executor_, ask(Whom), asio::detached);
     }
     Timer.expires_after(Pace);
@@ -76,7 +83,10 @@
     co_return;
   }
   const base::TimePoint Now = SystemClock::monotonicNow();
-  Role_.noteAnswer(Told->Sound_, Now);
+  std::optional<base::TimePoint> Contact;
+  if (Told->Sound_ && Told->ContactAge_)
+    Contact = AskedAt - *Told->ContactAge_;
+  Role_.noteAnswer(Whom->Address_, Contact, Now);
   Others_.Take_(*Told, AskedAt, Now);
 }
 
--- a/libs/relaying/RelayMessages.cpp
+++ b/libs/relaying/RelayMessages.cpp
@@ -92,6 +92,8 @@
 std::string encodeAnswer(const RelayAnswer &Told) {
   Json::Value Text;
   Text["sound"] = Told.Sound_;
+  if (Told.ContactAge_)
+    Text["contact"] = Json::Int64(base::toMilliseconds(*Told.ContactAge_));
   if (Told.TroubleAge_)
     Text["trouble"] = Json::Int64(base::toMilliseconds(*Told.TroubleAge_));
   for (const ObjectNews &Each : Told.News_)
@@ -127,6 +129,10 @@
     return std::nullopt;
   RelayAnswer Read;
   Read.Sound_ = (*Document)["sound"].asBool();
+  // Rounded up, as the age of news.
+  if ((*Document)["contact"].isInt64())
+    Read.ContactAge_ =
+        std::chrono::milliseconds((*Document)["contact"].asInt64() + 1);
   if ((*Document)["trouble"].isInt64())
     Read.TroubleAge_ =
         std::chrono::milliseconds((*Document)["trouble"].asInt64());
--- a/libs/relaying/RelayMessages.h
+++ b/libs/relaying/RelayMessages.h
@@ -23,6 +23,8 @@
 struct RelayAnswer {
   /// It asks the store itself, and its last calls brought what there is.
   bool Sound_ = false;
+  /// How long ago a call about the intent came: how old its news may be.
+  std::optional<base::Duration> ContactAge_;
   /// How long ago a call of it to the store failed; entries that are missing
   /// right after that may come back. \see live::TargetBook
   std::optional<base::Duration> TroubleAge_;
--- a/libs/relaying/RelayRole.h
+++ b/libs/relaying/RelayRole.h
@@ -3,8 +3,10 @@
 
 #include "base/Time.h"
 #include "members/HostBook.h"
+#include "relaying/FreshnessPace.h"
 
 #include <cstddef>
+#include <map>
 #include <optional>
 #include <span>
 #include <string>
@@ -24,22 +26,24 @@
 /// the store, or see other hosts than this one does. Symptom without a
 /// safeguard: a leaving target goes on getting requests here, and where two of
 /// a region's three hosts were cut off from the store the third, which one
-/// reset call had put behind them, heard of no change for 5 s. A host that was
-/// told nothing sound for Silence therefore asks itself, whatever it saw of the
-/// store before, and a call that comes ends its trouble.
+/// reset call had put behind them, heard of no change for 5 s. The same where
+/// both have watches that fell silent: they answer, and what they tell is old.
+/// So not whether somebody answers decides, but how long ago the store answered
+/// whoever told it: past a part of the time in which changes must be in force
+/// the silent ones are passed over for the next in line, and a little later a
+/// host asks itself, whatever it saw of the store before. That leaves time for
+/// a call, and a call that comes ends its trouble.
 class RelayRole {
 public:
   /// Two, so that one that dies is no gap; more cost calls and gain nothing.
   static constexpr std::size_t AskersPerRegion = 2;
   /// Without any answer for this long: three questions in a row.
   static constexpr base::Duration Silence = std::chrono::seconds(1);
-  /// With answers that tell of trouble: others take over meanwhile, since those
-  /// in trouble say so in their heartbeats.
-  static constexpr base::Duration TroublePatience = std::chrono::seconds(2);
   /// A call that failed speaks against this host for so long.
   static constexpr base::Duration TroubleMemory = std::chrono::seconds(5);
 
-  explicit RelayRole(members::HostCard Self) : Self_(std::move(Self)) {}
+  RelayRole(members::HostCard Self, const FreshnessPace &Pace)
+      : Self_(std::move(Self)), Pace_(Pace) {}
 
   /// Ranks the region's hosts anew. To be called a few times a second.
   void update(std::span<const members::HostView> Others, bool OwnLeaving,
@@ -52,8 +56,10 @@
   }
   /// A call of this host to the store came.
   void noteCall() noexcept { Trouble_.reset(); }
-  /// Another host answered. \p Sound  it asks the store itself, with success.
-  void noteAnswer(bool Sound, base::TimePoint Now) noexcept;
+  /// The host at \p Address answered. \param Contact  when the store last
+  /// answered it; nothing: it does not ask the store, or in vain.
+  void noteAnswer(const std::string &Address,
+                  std::optional<base::TimePoint> Contact, base::TimePoint Now);
 
   /// \returns whether this host has trouble with the store, to be told to all.
   bool isInTrouble(base::TimePoint Now) const noexcept {
@@ -63,6 +69,9 @@
     return LastTrouble_;
   }
 
+  /// \returns whether this host is one of the few that ask.
+  bool isChosen() const noexcept { return Chosen_; }
+
   bool mustAsk(base::TimePoint Now) const noexcept;
 
   /// Load pattern: the store refuses everybody for seconds, so nobody is told
@@ -77,15 +86,32 @@
   const std::vector<std::string> &askers() const noexcept { return Askers_; }
 
 private:
+  /// A host that this one asks.
+  struct Asker {
+    /// When the store last answered it; at first, since when it is asked.
+    base::TimePoint Contact_;
+  };
+
+  /// \returns whether what the host at \p Address tells is too old.
+  bool isPassedOver(const std::string &Address, base::TimePoint Now) const;
+  void noteAskers(base::TimePoint Now);
+  /// \returns how old news may be before this host asks itself.
+  base::Duration patience() const noexcept;
+
   const members::HostCard Self_;
+  const FreshnessPace Pace_;
   bool Chosen_ = true;
   std::size_t RegionHosts_ = 1;
+  /// How many hosts of the region are to ask before this one.
+  std::size_t Rank_ = 0;
   std::vector<std::string> Askers_;
+  std::map<std::string, Asker> Asked_;
   /// Nothing since a call came.
   std::optional<base::TimePoint> Trouble_;
   std::optional<base::TimePoint> LastTrouble_;
   std::optional<base::TimePoint> Answered_;
-  std::optional<base::TimePoint> Sound_;
+  /// When the store last answered somebody who told this host.
+  std::optional<base::TimePoint> Contact_;
 };
 
 } // namespace lychee::relaying
--- a/tests/live/ObjectFollowerTest.cpp
+++ b/tests/live/ObjectFollowerTest.cpp
@@ -29,11 +29,17 @@
   /// "list", "watch", "gone" or "trouble", in order.
   std::deque<std::string> Script_;
   std::vector<std::string> Calls_;
+  std::vector<live::WatchSpan> Spans_;
+  /// How long a list takes.
+  base::Duration ListTime_{};
 
   asio::awaitable<std::optional<live::ObjectBatch>>
   list(std::string_view /*Kind*/, base::Error & /*Last*/) override {
     co_await endWithScript();
     const std::string Answer = next("list");
+    asio::steady_timer Timer(Loop_);
+    Timer.expires_after(ListTime_);
+    co_await Timer.async_wait(asio::use_awaitable);
     if (Answer != "list")
       co_return std::nullopt;
     live::ObjectBatch All;
@@ -42,10 +48,11 @@
   }
   asio::awaitable<std::optional<live::ObjectBatch>>
   watch(std::string_view /*Kind*/, std::uint64_t /*Since*/,
-        base::Duration /*Wait*/, live::SourceFault &Fault,
+        live::WatchSpan Span, live::SourceFault &Fault,
         base::Error & /*Last*/) override {
     co_await endWithScript();
     const std::string Answer = next("watch");
+    Spans_.push_back(Span);
     Fault = Answer == "gone" ? live::SourceFault::HistoryGone
                              : live::SourceFault::Trouble;
     if (Answer != "watch")
@@ -100,6 +107,7 @@
   base::TimePoint Confirmed_;
   std::function<bool(base::TimePoint)> MustAsk_;
   std::function<double(base::TimePoint)> Spread_;
+  live::FollowerPace Pace_{.Watch_ = 1s, .LongestPause_ = 10ms};
 
   std::string play(std::deque<std::string> Script) {
     Source_.Script_ = std::move(Script);
@@ -109,9 +117,8 @@
     Heard.MustAsk_ = MustAsk_;
     Heard.Spread_ = Spread_;
     Heard.Trouble_ = [this](const auto &) { ++Troubles_; };
-    Follower_ = std::make_unique<live::ObjectFollower>(
-        Source_, Recovered_, "kind", live::FollowerPace{1s, 10ms, {}}, Heard,
-        1);
+    Follower_ = std::make_unique<live::ObjectFollower>(Source_, Recovered_,
+                                                       "kind", Pace_, Heard, 1);
     asio::co_spawn(Loop_, Follower_->run(), [](const std::exception_ptr &) {});
     Loop_.run();
     std::string Calls;
@@ -254,3 +261,18 @@
   };
   STRCMP_EQUAL("list ", play({"list", "list"}).c_str());
 }
+
+// The connection of a watch falls silent while new ones work. A key withdrawn
+// meanwhile goes on working for as long as nobody notices, so the watch is
+// given up soon after it should have ended; but not where the store is slow and
+// answers late, since then every watch would be given up.
+TEST(ObjectFollower, aWatchIsWaitedForNotMuchLongerThanTheStoreTakes) {
+  Pace_.Patience_ = 10ms;
+  play({"list", "watch"});
+  CHECK(Source_.Spans_.front().Patience_ >= 10ms);
+  CHECK(Source_.Spans_.front().Patience_ < 30ms);
+  Loop_.restart();
+  Source_.ListTime_ = 30ms;
+  play({"list", "watch"});
+  CHECK(Source_.Spans_.back().Patience_ >= 60ms);
+}
--- a/tests/relaying/RelayMessagesTest.cpp
+++ b/tests/relaying/RelayMessagesTest.cpp
@@ -23,6 +23,7 @@
   relaying::RelayAnswer Told;
   Told.Sound_ = true;
   Told.TroubleAge_ = 3s;
+  Told.ContactAge_ = 1500us;
   live::ObjectNews News;
   News.Kind_ = "targets";
   News.Newest_ = 9;
@@ -38,6 +39,7 @@
   const auto Read = Maybe.value_or(relaying::RelayAnswer());
   CHECK(Read.Sound_);
   CHECK(Read.TroubleAge_ == Told.TroubleAge_);
+  CHECK(Read.ContactAge_.value_or(0ns) >= 1500us);
   LONGS_EQUAL(1, Read.News_.size());
   const live::ObjectNews &Back = Read.News_.front();
   LONGS_EQUAL(9, Back.Newest_);
--- a/tests/relaying/RelayRoleTest.cpp
+++ b/tests/relaying/RelayRoleTest.cpp
@@ -26,6 +26,7 @@
 }
 
 constexpr int HostCount = 10;
+const auto Pace = lychee::relaying::freshnessPaceFor(4s);
 
 } // namespace
 
@@ -37,7 +38,7 @@
 
   void setup() override {
     for (int Number = 1; Number <= HostCount; ++Number) {
-      Roles_.emplace_back(cardOf(Number));
+      Roles_.emplace_back(cardOf(Number), Pace);
       Views_.push_back(viewOf(Number));
     }
     updateAll();
@@ -49,10 +50,13 @@
       Roles_[Each].update(Others, false, Now_);
     }
   }
-  /// All hosts hear a sound answer now.
+  /// All hosts hear the hosts that they ask now, which the store has just
+  /// answered where \p Sound.
   void answerAll(bool Sound) {
     for (RelayRole &Each : Roles_)
-      Each.noteAnswer(Sound, Now_);
+      for (const std::string &Address : Each.askers())
+        Each.noteAnswer(Address, Sound ? std::optional(Now_) : std::nullopt,
+                        Now_);
   }
   std::vector<std::size_t> asking() const {
     std::vector<std::size_t> Found;
@@ -74,14 +78,14 @@
 }
 
 TEST(RelayRole, aHostThatHeardNobodyAsks) {
-  RelayRole Alone(cardOf(1));
+  RelayRole Alone(cardOf(1), Pace);
   CHECK(Alone.mustAsk(Now_));
   Alone.update({}, false, Now_);
   CHECK(Alone.mustAsk(Now_));
 }
 
 TEST(RelayRole, hostsOfOtherRegionsAreNotAsked) {
-  RelayRole Role(cardOf(1));
+  RelayRole Role(cardOf(1), Pace);
   const std::vector<members::HostView> Others = {viewOf(2, "far"),
                                                  viewOf(3, "far")};
   Role.update(Others, false, Now_);
@@ -148,7 +152,7 @@
     Roles_[Each].noteTrouble(Now_);
     Views_[Each].StoreTrouble_ = true;
   }
-  Now_ += RelayRole::TroublePatience;
+  Now_ += Pace.Ask_ + Pace.AskSpread_;
   answerAll(false);
   LONGS_EQUAL(HostCount, asking().size());
   for (std::size_t Each = 0; Each < Roles_.size(); ++Each)
@@ -164,20 +168,20 @@
 }
 
 // The hosts that ask answer, but hear nothing themselves: their view of who
-// asks differs. This host waits two seconds and then asks.
+// asks differs. What they told last grows old, and then this host asks.
 TEST(RelayRole, answersWithoutSubstanceAreNotWaitedForForLong) {
   answerAll(true);
-  Now_ += RelayRole::TroublePatience - 1ms;
+  Now_ += Pace.Ask_ - 1ms;
   answerAll(false);
   LONGS_EQUAL(RelayRole::AskersPerRegion, asking().size());
-  Now_ += 1ms;
+  Now_ += Pace.AskSpread_ + 1ms;
   LONGS_EQUAL(HostCount, asking().size());
 }
 
 TEST(RelayRole, aHostThatLeavesDoesNotAsk) {
-  RelayRole Role(cardOf(1));
+  RelayRole Role(cardOf(1), Pace);
   const std::vector<members::HostView> Others = {viewOf(2)};
   Role.update(Others, true, Now_);
-  Role.noteAnswer(true, Now_);
+  Role.noteAnswer("127.0.0.2", Now_, Now_);
   CHECK_FALSE(Role.mustAsk(Now_));
 }
