Two speakers a region tell other regions, in place of each host each host

Change: hosts beat inside their region; two hosts by hash tell two of each other region what changed and the rest in turn, and those pass it on (RegionTeller, RegionBook, RegionExchange). Rates and region shares are divided by the regions' sums. Losses of targets are told for 6 s, those of suspect requests for as long as before: where many targets end they were more than a datagram holds.

--- a/apps/lycheed/HostRegistration.cpp
+++ b/apps/lycheed/HostRegistration.cpp
@@ -22,6 +22,7 @@
   while (true) {
     Json::Value Content;
     Content["address"] = Self_.Address_;
+    Content["region"] = Self_.Region_.name();
     Content["start"] = Json::UInt64(Self_.Start_);
     base::Error Last;
     const bool Written = co_await Store_.write(
--- a/apps/lycheed/LiveDaemon.cpp
+++ b/apps/lycheed/LiveDaemon.cpp
@@ -193,7 +193,13 @@
              return sayHeartbeat(Whole, WithHosts, Now);
            },
            [this](const members::Heartbeat &Said, bool News,
-                  base::TimePoint Now) { hearHeartbeat(Said, News, Now); }}) {
+                  base::TimePoint Now) { hearHeartbeat(Said, News, Now); }}),
+      News_(Control_.get_executor(), Hosts_, Live.Heartbeats_,
+            {[this](base::TimePoint Now) { return ownSummary(Now); },
+             [this] { return Entry_.leaving(); },
+             [this](const members::RegionNews &Said, base::TimePoint Now) {
+               Steering_.mergeEvidence(Said.Told_.Evidence_, Now);
+             }}) {
   Hosts_.addSeeds(Live_.SeedAddresses_);
 }
 
@@ -221,12 +227,21 @@
   return Said;
 }
 
+members::OwnSummary LiveDaemon::ownSummary(base::TimePoint Now) {
+  const members::OwnState Own = Entry_.ownState(Now);
+  return {Own.Ready_, Own.Leaving_, Steering_.demands(Now),
+          Steering_.loads(Now), Steering_.evidence(Now)};
+}
+
 void LiveDaemon::hearHeartbeat(const members::Heartbeat &Said, bool News,
                                base::TimePoint Now) {
   if (!Said.Evidence_.empty())
     Steering_.mergeEvidence(Said.Evidence_, Now);
   if (!News)
     return;
+  // Callers of other regions may be sent there, too.
+  if (Said.Leaving_)
+    News_.sayNow(Now);
   reporting::logLine(LogLevel::Info,
                      KeyValueLine()
                          .add("event", "host-heard")
@@ -287,11 +302,14 @@
   for (const auto &Each : Servers_)
     if (!Each->listen(Last))
       return false;
-  if (!Heartbeats_.open(Last) || !Tokens_.open(Last) || !Gateway_.start(Last))
+  if (!Heartbeats_.open(Last) || !News_.open(Last) || !Tokens_.open(Last) ||
+      !Gateway_.start(Last))
     return false;
   Feed_.start(Control_.get_executor());
   spawnLogged(Control_, Heartbeats_.sendAll(), "heartbeats-failed");
   spawnLogged(Control_, Heartbeats_.receiveAll(), "heartbeats-failed");
+  spawnLogged(Control_, News_.sendAll(), "region-news-failed");
+  spawnLogged(Control_, News_.receiveAll(), "region-news-failed");
   spawnLogged(Control_, Tokens_.receiveAll(), "tokens-failed");
   spawnLogged(Control_, Relays_.askAll(), "relays-failed");
   spawnLogged(Control_, keepTime(), "time-failed");
@@ -310,9 +328,9 @@
     noteLosses(Others, Now);
     setGauges(Now);
     const members::OwnState Own = Entry_.ownState(Now);
-    Steering_.setFleet({Others, Hosts_.self(), Own.Ready_ && !Own.Leaving_,
-                        Hosts_.shareHolders(Now), regionCount(Live_),
-                        Hosts_.isCutOff(Now)},
+    Steering_.setFleet({Others, Hosts_.regions(Now), Hosts_.self(),
+                        Own.Ready_ && !Own.Leaving_, Hosts_.shareHolders(Now),
+                        regionCount(Live_), Hosts_.isCutOff(Now)},
                        Now);
     reporting::flushLog();
     if (++Paces % FileCheckPaces == 0 && settingsFileChanged())
--- a/apps/lycheed/LiveDaemon.h
+++ b/apps/lycheed/LiveDaemon.h
@@ -10,6 +10,7 @@
 #include "lycheed/LiveFeed.h"
 #include "members/DemandTeller.h"
 #include "members/HeartbeatExchange.h"
+#include "members/RegionExchange.h"
 #include "members/TokenExchange.h"
 #include "platform/ObjectClient.h"
 #include "relaying/RelayExchange.h"
@@ -66,6 +67,7 @@
   void tellTrouble(base::TimePoint Now);
   members::Heartbeat sayHeartbeat(bool Whole, bool WithHosts,
                                   base::TimePoint Now);
+  members::OwnSummary ownSummary(base::TimePoint Now);
   void hearHeartbeat(const members::Heartbeat &Said, bool News,
                      base::TimePoint Now);
   boost::asio::awaitable<transport::HttpAnswer>
@@ -100,6 +102,7 @@
   members::DemandTeller Demands_;
   members::TokenExchange Tokens_;
   members::HeartbeatExchange Heartbeats_;
+  members::RegionExchange News_;
   std::vector<std::unique_ptr<transport::HttpServer>> Servers_;
   std::thread ControlThread_;
   std::set<base::HostId> Heard_;
--- a/apps/lycheed/LiveFeed.cpp
+++ b/apps/lycheed/LiveFeed.cpp
@@ -40,6 +40,11 @@
 /// A call begun so shortly before another failed is no older than the trouble.
 constexpr base::Duration FreshCall = std::chrono::seconds(1);
 
+/// Empty where a listed host tells none.
+std::string regionOf(const Json::Value &Content) {
+  return Content["region"].isString() ? Content["region"].asString() : "";
+}
+
 } // namespace
 
 LiveFeed::LiveFeed(const LiveFeedParts &Parts, std::uint64_t Seed)
@@ -242,15 +247,16 @@
   for (const live::StoredObject &Each : Heard) {
     if (Each.Deleted_ || !Each.Content_.isObject() ||
         !Each.Content_["address"].isString())
-      HostAddresses_.erase(Each.Name_);
+      Listed_.erase(Each.Name_);
     else
-      HostAddresses_[Each.Name_] = Each.Content_["address"].asString();
+      Listed_[Each.Name_] = {Each.Content_["address"].asString(),
+                             base::RegionId(regionOf(Each.Content_))};
   }
-  std::vector<std::string> Addresses;
-  Addresses.reserve(HostAddresses_.size());
-  for (const auto &[Name, Address] : HostAddresses_)
-    Addresses.push_back(Address);
-  Parts_.Hosts_.setListed(Addresses);
+  std::vector<members::ListedHost> Hosts;
+  Hosts.reserve(Listed_.size());
+  for (const auto &[Name, Host] : Listed_)
+    Hosts.push_back(Host);
+  Parts_.Hosts_.setListed(Hosts);
 }
 
 void LiveFeed::expire(base::TimePoint Now) {
--- a/apps/lycheed/LiveFeed.h
+++ b/apps/lycheed/LiveFeed.h
@@ -80,7 +80,7 @@
   live::IntentBook &Intents_;
   live::TargetBook Targets_;
   std::set<base::ZoneId> Evacuated_;
-  std::map<std::string, std::string> HostAddresses_;
+  std::map<std::string, members::ListedHost> Listed_;
   std::atomic<bool> HasTargets_ = false;
   std::atomic<bool> HasEvacuations_ = false;
   base::Random Random_;
--- a/libs/dispatch/DispatchUpkeep.cpp
+++ b/libs/dispatch/DispatchUpkeep.cpp
@@ -90,6 +90,10 @@
       for (const members::ServiceDemand &Told : Other.Loads_)
         if (Other.Alive_ && Told.Service_ == Id)
           Count(Other.Card_.Region_, Told.BoundTo_, Told.Slots_);
+    for (const members::RegionView &Region : Fleet.Elsewhere_)
+      for (const members::ServiceDemand &Told : Region.Loads_)
+        if (Region.Alive_ && Told.Service_ == Id)
+          Count(Region.Region_, Told.BoundTo_, Told.Slots_);
     Service.Split_.update(Loads, Now);
   }
 }
--- a/libs/dispatch/RateDivision.cpp
+++ b/libs/dispatch/RateDivision.cpp
@@ -84,6 +84,10 @@
       Sum.Region_ += Near ? Each.RequestsPerSecond_ : 0;
     }
   }
+  for (const members::RegionView &Region : Fleet.Elsewhere_)
+    if (Region.HoldsShare_)
+      for (const members::CustomerDemand &Each : Region.Demands_)
+        Sums[Each.Customer_].All_ += Each.RequestsPerSecond_;
   return Sums;
 }
 
--- a/libs/dispatch/RateDivision.h
+++ b/libs/dispatch/RateDivision.h
@@ -18,6 +18,8 @@
 /// What other hosts tell, as far as the division of rates needs it.
 struct FleetDemand {
   std::vector<members::HostView> Others_;
+  /// Other regions, of whose hosts no single demands are told.
+  std::vector<members::RegionView> Elsewhere_;
   members::HostCard Self_;
   /// This host takes callers' requests, as others do.
   bool Serving_ = true;
--- a/libs/members/Heartbeat.cpp
+++ b/libs/members/Heartbeat.cpp
@@ -1,64 +1,11 @@
 #include "members/Heartbeat.h"
 
-#include <json/json.h>
-#include <memory>
+#include "members/MessageRows.h"
 
 namespace lychee::members {
 
 namespace {
 
-/// Rates are told in hundredths: enough for shares, and short.
-constexpr double Hundredths = 100;
-
-Json::Value evidenceOf(const retrying::CrashEvidence &Seen) {
-  Json::Value Row(Json::arrayValue);
-  Row.append(Json::UInt64(Seen.Fingerprint_));
-  Row.append(Json::UInt64(Seen.Target_));
-  Row.append(Json::Int64(base::toMilliseconds(Seen.Age_)));
-  return Row;
-}
-
-bool readDemands(const Json::Value &Rows, Heartbeat &Into) {
-  for (const Json::Value &Row : Rows) {
-    if (!Row.isArray() || Row.size() != 2 || !Row[0].isString() ||
-        !Row[1].isInt64())
-      return false;
-    Into.Demands_.push_back({base::CustomerId(Row[0].asString()),
-                             double(Row[1].asInt64()) / Hundredths});
-  }
-  return true;
-}
-
-bool readLoads(const Json::Value &Rows, Heartbeat &Into) {
-  for (const Json::Value &Row : Rows) {
-    if (!Row.isArray() || Row.size() != 3 || !Row[0].isString() ||
-        !Row[1].isInt64() || !Row[2].isString())
-      return false;
-    Into.Loads_.push_back({base::ServiceId(Row[0].asString()),
-                           double(Row[1].asInt64()) / Hundredths,
-                           base::RegionId(Row[2].asString())});
-  }
-  return true;
-}
-
-Json::Value hundredthsOf(const std::string &Name, double Amount) {
-  Json::Value Row(Json::arrayValue);
-  Row.append(Name);
-  Row.append(Json::Int64(Amount * Hundredths));
-  return Row;
-}
-
-bool readEvidence(const Json::Value &Rows, Heartbeat &Into) {
-  for (const Json::Value &Row : Rows) {
-    if (!Row.isArray() || Row.size() != 3 || !Row[0].isUInt64() ||
-        !Row[1].isUInt64() || !Row[2].isInt64())
-      return false;
-    Into.Evidence_.push_back({Row[0].asUInt64(), Row[1].asUInt64(),
-                              std::chrono::milliseconds(Row[2].asInt64())});
-  }
-  return true;
-}
-
 bool readHears(const Json::Value &Rows, Heartbeat &Into) {
   for (const Json::Value &Row : Rows) {
     if (!Row.isString())
@@ -98,42 +45,33 @@
   Text["leaving"] = Said.Leaving_;
   Text["trouble"] = Said.StoreTrouble_;
   Text["whole"] = Said.IsWhole_;
-  for (const CustomerDemand &Each : Said.Demands_)
-    Text["demands"].append(
-        hundredthsOf(Each.Customer_.name(), Each.RequestsPerSecond_));
-  for (const ServiceDemand &Each : Said.Loads_) {
-    Json::Value Row = hundredthsOf(Each.Service_.name(), Each.Slots_);
-    Row.append(Each.BoundTo_.name());
-    Text["loads"].append(Row);
-  }
-  for (const retrying::CrashEvidence &Each : Said.Evidence_)
-    Text["crashes"].append(evidenceOf(Each));
+  // What is empty is left out.
+  if (!Said.Demands_.empty())
+    addDemands(Said.Demands_, Text["demands"]);
+  if (!Said.Loads_.empty())
+    addLoads(Said.Loads_, Text["loads"]);
+  if (!Said.Evidence_.empty())
+    addEvidence(Said.Evidence_, Text["crashes"]);
   for (const std::string &Each : Said.Hears_)
     Text["hears"].append(Each);
-  Json::StreamWriterBuilder Builder;
-  Builder["indentation"] = "";
-  return Json::writeString(Builder, Text);
+  return textOf(Text);
 }
 
 std::optional<Heartbeat> decodeHeartbeat(std::string_view Text,
                                          base::Error &Last) {
   Last = {"heartbeat.decode", "", "not a heartbeat"};
-  Json::Value Said;
-  const Json::CharReaderBuilder Builder;
-  const std::unique_ptr<Json::CharReader> Reader(Builder.newCharReader());
-  if (!Reader->parse(Text.data(), Text.data() + Text.size(), &Said,
-                     &Last.Reason_) ||
-      !Said.isObject()) {
-    if (Last.Reason_.empty())
-      Last.Reason_ = "no JSON object";
+  const std::optional<Json::Value> Object = objectOf(Text, Last);
+  if (!Object)
     return std::nullopt;
-  }
+  const Json::Value &Said = *Object;
   Heartbeat Read;
   Last.Reason_ = "a field is missing or of another type";
   if (!readCard(Said, Read.From_) || !Said["n"].isUInt64() ||
       !Said["ready"].isBool() || !Said["leaving"].isBool() ||
-      !readDemands(Said["demands"], Read) || !readLoads(Said["loads"], Read) ||
-      !readEvidence(Said["crashes"], Read) || !readHears(Said["hears"], Read))
+      !readDemands(Said["demands"], Read.Demands_) ||
+      !readLoads(Said["loads"], Read.Loads_) ||
+      !readEvidence(Said["crashes"], Read.Evidence_) ||
+      !readHears(Said["hears"], Read))
     return std::nullopt;
   Read.Sequence_ = Said["n"].asUInt64();
   Read.Ready_ = Said["ready"].asBool();
--- a/libs/members/HeartbeatExchange.cpp
+++ b/libs/members/HeartbeatExchange.cpp
@@ -31,19 +31,16 @@
   return openDatagramSocket(Socket_, Listen_, "heartbeat.listen", Last);
 }
 
-void HeartbeatExchange::sayNow(base::TimePoint Now) {
-  say(true, true, true, Now);
-}
+void HeartbeatExchange::sayNow(base::TimePoint Now) { say(true, true, Now); }
 
-void HeartbeatExchange::say(bool Whole, bool WithHosts, bool AlsoFar,
-                            base::TimePoint Now) {
+void HeartbeatExchange::say(bool Whole, bool WithHosts, base::TimePoint Now) {
   Heartbeat Said = Others_.Say_(Whole, WithHosts, Now);
   Said.From_ = Book_.self();
   Said.Sequence_ = ++Sequence_;
   const std::string Text = encodeHeartbeat(Said);
   if (Text.size() > MostBytes)
     return;
-  for (const std::string &Each : Book_.recipients(AlsoFar, Now)) {
+  for (const std::string &Each : Book_.recipients(Now)) {
     boost::system::error_code Ignored;
     const auto Address = asio::ip::make_address(Each, Ignored);
     // A datagram that does not go out is one that was lost; the next follows.
@@ -57,8 +54,7 @@
   for (std::uint64_t Beat = 0;; ++Beat) {
     const bool IsFirst = Beat < FirstBeats;
     say(IsFirst || Beat % DemandTeller::WholeEvery == 0,
-        IsFirst || Beat % HostsEvery == 0, IsFirst || Beat % FarEvery == 0,
-        SystemClock::monotonicNow());
+        IsFirst || Beat % HostsEvery == 0, SystemClock::monotonicNow());
     Timer_.expires_after(Pace);
     co_await Timer_.async_wait(AsTuple);
   }
--- a/libs/members/HeartbeatExchange.h
+++ b/libs/members/HeartbeatExchange.h
@@ -12,16 +12,13 @@
 
 namespace lychee::members {
 
-/// Sends this host's heartbeat to all others at a steady pace, and at once
-/// where something must not wait; takes theirs. \see HostBook
+/// Sends this host's heartbeat to all others of its region at a steady pace,
+/// and at once where something must not wait; takes theirs. \see HostBook,
+/// RegionExchange
 class HeartbeatExchange {
 public:
   /// Look-ups must drop a dead host within seconds; \see HostBook::AliveFor.
   static constexpr std::chrono::milliseconds Pace{500};
-  /// Other regions hear only so often: that this host is alive, and demands,
-  /// of which each heartbeat tells all that changed since the last whole one.
-  /// \see HostBook::FarAliveFor
-  static constexpr std::uint64_t FarEvery = 2;
   /// Hosts that find each other need the names of others, at first in each and
   /// later now and then, for the case that the store is away.
   static constexpr std::uint64_t HostsEvery = 8;
@@ -56,7 +53,7 @@
   void sayNow(base::TimePoint Now);
 
 private:
-  void say(bool Whole, bool WithHosts, bool AlsoFar, base::TimePoint Now);
+  void say(bool Whole, bool WithHosts, base::TimePoint Now);
 
   HostBook &Book_;
   const settings::Endpoint Listen_;
--- a/libs/members/HostBook.h
+++ b/libs/members/HostBook.h
@@ -2,6 +2,7 @@
 #define LYCHEE_MEMBERS_HOSTBOOK_H
 
 #include "members/Heartbeat.h"
+#include "members/RegionBook.h"
 
 #include <map>
 #include <mutex>
@@ -22,27 +23,47 @@
   bool HoldsShare_ = false;
   /// A call of it to the store failed lately.
   bool StoreTrouble_ = false;
+  /// Nothing of a host of another region; RegionView tells the region's.
   std::vector<CustomerDemand> Demands_;
   std::vector<ServiceDemand> Loads_;
 };
 
-/// Knows the other hosts by their heartbeats, at two speeds: look-ups drop a
-/// silent host fast, since callers sent to it wait in vain; what it may still
-/// be spending goes to others only after it can no longer spend it.
+/// A host that the store lists.
+struct ListedHost {
+  std::string Address_;
+  /// Empty: not told.
+  base::RegionId Region_;
+};
+
+/// What a host tells of itself to those that speak for its region.
+struct OwnSummary {
+  bool Ready_ = false;
+  bool Leaving_ = false;
+  std::vector<CustomerDemand> Demands_;
+  std::vector<ServiceDemand> Loads_;
+  std::vector<retrying::CrashEvidence> Evidence_;
+};
+
+/// Knows the other hosts of its region by their heartbeats, at two speeds:
+/// look-ups drop a silent host fast, since callers sent to it wait in vain;
+/// what it may still be spending goes to others only after it can no longer
+/// spend it.
 ///
 /// Not silent hosts alone: where most known hosts fall silent together, this
 /// host is the one that was cut off, and it must not take over what the others
 /// hold. \see isCutOff
 ///
+/// Hosts of other regions are known by what two speakers of each tell, so that
+/// nothing grows with hosts x hosts between regions. \see RegionBook
+///
 /// Thread-safe.
 class HostBook {
 public:
   /// Four heartbeats of 500 ms: datagrams are lost now and then, four in a row
   /// of 3% lossy ones once in a million.
   static constexpr base::Duration AliveFor = std::chrono::seconds(2);
-  /// The same for hosts of other regions, which may get every second heartbeat
-  /// only: bytes between regions cost most, and few callers are sent there.
-  static constexpr base::Duration FarAliveFor = std::chrono::seconds(3);
+  /// Two, so that one that dies is no gap.
+  static constexpr std::size_t SpeakerCount = 2;
   /// A silent host's share stays reserved for so long: its keys go stale 4.7 s
   /// after its last sound contact with the store, and then it spends nothing.
   static constexpr base::Duration ReservedFor = std::chrono::seconds(7);
@@ -57,12 +78,33 @@
   bool heard(const Heartbeat &Said, base::TimePoint Now);
 
   /// Hosts that the store lists; heartbeats go to them, too.
-  void setListed(std::span<const std::string> Addresses);
+  void setListed(std::span<const ListedHost> Hosts);
   void addSeeds(std::span<const std::string> Addresses);
 
-  /// \returns the addresses to send heartbeats to.
-  /// \param AlsoFar  also to hosts that are known to be in other regions.
-  std::vector<std::string> recipients(bool AlsoFar, base::TimePoint Now) const;
+  /// \returns the addresses to send heartbeats to: hosts of this region, and
+  /// those of which the region is not known yet.
+  std::vector<std::string> recipients(base::TimePoint Now) const;
+
+  /// Takes what a speaker of another region tells. \returns whether it is to be
+  /// passed on.
+  bool heardNews(const RegionNews &Said, base::TimePoint Now);
+
+  /// \returns whether this host is one that tells other regions of its own.
+  bool isSpeaker(bool OwnLeaving, base::TimePoint Now) const;
+  /// \returns what to tell them.
+  RegionSummary summary(const OwnSummary &Own, base::TimePoint Now) const;
+  /// \returns the addresses of other regions' speakers, or of some hosts of
+  /// regions whose speakers are not known.
+  std::vector<std::string> farSpeakers(base::TimePoint Now) const;
+  /// News go from speaker to speaker, and from there to all hosts of a region.
+  /// A host that is told directly and is no speaker passes them to those that
+  /// are: the teller knew an older order.
+  /// \returns the addresses to pass news on to that came from \p Sender.
+  std::vector<std::string> passOnTo(const std::string &Sender, bool OwnLeaving,
+                                    base::TimePoint Now) const;
+
+  /// \returns the other regions.
+  std::vector<RegionView> regions(base::TimePoint Now) const;
 
   /// \returns every remembered host but this one.
   std::vector<HostView> others(base::TimePoint Now) const;
@@ -87,14 +129,29 @@
     base::TimePoint HeardAt_;
   };
 
-  bool isAlive(const Known &Each, base::TimePoint Now) const noexcept;
+  /// A host that may speak for its region.
+  struct Candidate {
+    std::uint64_t Hash_ = 0;
+    std::string Address_;
+  };
+
+  static bool isAlive(const Known &Each, base::TimePoint Now) noexcept;
+  bool isNear(const Known &Each) const {
+    return Each.Last_.From_.Region_ == Self_.Region_;
+  }
+  /// \returns the addresses of the first by hash.
+  static std::vector<std::string> firstOf(std::vector<Candidate> All);
+  std::vector<std::string> ownSpeakers(bool OwnLeaving,
+                                       base::TimePoint Now) const;
   /// Takes what changed since the last whole heartbeat into what is known.
   static void take(const Heartbeat &Said, Heartbeat &Into);
 
   const HostCard Self_;
   mutable std::mutex Lock_;
   std::map<base::HostId, Known> Known_;
-  std::set<std::string> Listed_;
+  /// By address.
+  std::map<std::string, base::RegionId> Listed_;
+  RegionBook Regions_;
   std::set<std::string> Seeds_;
 };
 
--- /dev/null
+++ b/libs/members/MessageRows.cpp
@@ -0,0 +1,100 @@
+#include "members/MessageRows.h"
+
+#include <json/json.h>
+#include <memory>
+
+namespace lychee::members {
+
+namespace {
+
+/// Rates are told in hundredths: enough for shares, and short.
+constexpr double Hundredths = 100;
+
+Json::Value hundredthsOf(const std::string &Name, double Amount) {
+  Json::Value Row(Json::arrayValue);
+  Row.append(Name);
+  Row.append(Json::Int64(Amount * Hundredths));
+  return Row;
+}
+
+} // namespace
+
+std::string textOf(const Json::Value &Document) {
+  Json::StreamWriterBuilder Builder;
+  Builder["indentation"] = "";
+  return Json::writeString(Builder, Document);
+}
+
+std::optional<Json::Value> objectOf(std::string_view Text, base::Error &Last) {
+  Json::Value Said;
+  const Json::CharReaderBuilder Builder;
+  const std::unique_ptr<Json::CharReader> Reader(Builder.newCharReader());
+  if (Reader->parse(Text.data(), Text.data() + Text.size(), &Said,
+                    &Last.Reason_) &&
+      Said.isObject())
+    return Said;
+  if (Last.Reason_.empty())
+    Last.Reason_ = "no JSON object";
+  return std::nullopt;
+}
+
+void addDemands(std::span<const CustomerDemand> All, Json::Value &Into) {
+  for (const CustomerDemand &Each : All)
+    Into.append(hundredthsOf(Each.Customer_.name(), Each.RequestsPerSecond_));
+}
+
+void addLoads(std::span<const ServiceDemand> All, Json::Value &Into) {
+  for (const ServiceDemand &Each : All) {
+    Json::Value Row = hundredthsOf(Each.Service_.name(), Each.Slots_);
+    Row.append(Each.BoundTo_.name());
+    Into.append(Row);
+  }
+}
+
+void addEvidence(std::span<const retrying::CrashEvidence> All,
+                 Json::Value &Into) {
+  for (const retrying::CrashEvidence &Each : All) {
+    Json::Value Row(Json::arrayValue);
+    Row.append(Json::UInt64(Each.Fingerprint_));
+    Row.append(Json::UInt64(Each.Target_));
+    Row.append(Json::Int64(base::toMilliseconds(Each.Age_)));
+    Into.append(Row);
+  }
+}
+
+bool readDemands(const Json::Value &Rows, std::vector<CustomerDemand> &Into) {
+  for (const Json::Value &Row : Rows) {
+    if (!Row.isArray() || Row.size() != 2 || !Row[0].isString() ||
+        !Row[1].isInt64())
+      return false;
+    Into.push_back({base::CustomerId(Row[0].asString()),
+                    double(Row[1].asInt64()) / Hundredths});
+  }
+  return true;
+}
+
+bool readLoads(const Json::Value &Rows, std::vector<ServiceDemand> &Into) {
+  for (const Json::Value &Row : Rows) {
+    if (!Row.isArray() || Row.size() != 3 || !Row[0].isString() ||
+        !Row[1].isInt64() || !Row[2].isString())
+      return false;
+    Into.push_back({base::ServiceId(Row[0].asString()),
+                    double(Row[1].asInt64()) / Hundredths,
+                    base::RegionId(Row[2].asString())});
+  }
+  return true;
+}
+
+bool readEvidence(const Json::Value &Rows,
+                  std::vector<retrying::CrashEvidence> &Into) {
+  for (const Json::Value &Row : Rows) {
+    if (!Row.isArray() || Row.size() != 3 || !Row[0].isUInt64() ||
+        !Row[1].isUInt64() || !Row[2].isInt64())
+      return false;
+    Into.push_back({Row[0].asUInt64(), Row[1].asUInt64(),
+                    std::chrono::milliseconds(Row[2].asInt64())});
+  }
+  return true;
+}
+
+} // namespace lychee::members
--- /dev/null
+++ b/libs/members/MessageRows.h
@@ -0,0 +1,30 @@
+#ifndef LYCHEE_MEMBERS_MESSAGEROWS_H
+#define LYCHEE_MEMBERS_MESSAGEROWS_H
+
+#include "members/Heartbeat.h"
+
+#include <json/value.h>
+#include <span>
+
+namespace lychee::members {
+
+// Rows that heartbeats and news of regions have in common. Readers return false
+// where a row is of another form, and may have added rows before it.
+
+std::string textOf(const Json::Value &Document);
+/// \returns the object that \p Text holds, or nothing and \p Last filled.
+std::optional<Json::Value> objectOf(std::string_view Text, base::Error &Last);
+
+void addDemands(std::span<const CustomerDemand> All, Json::Value &Into);
+void addLoads(std::span<const ServiceDemand> All, Json::Value &Into);
+void addEvidence(std::span<const retrying::CrashEvidence> All,
+                 Json::Value &Into);
+
+bool readDemands(const Json::Value &Rows, std::vector<CustomerDemand> &Into);
+bool readLoads(const Json::Value &Rows, std::vector<ServiceDemand> &Into);
+bool readEvidence(const Json::Value &Rows,
+                  std::vector<retrying::CrashEvidence> &Into);
+
+} // namespace lychee::members
+
+#endif
--- /dev/null
+++ b/libs/members/RegionExchange.cpp
@@ -0,0 +1,98 @@
+#include "members/RegionExchange.h"
+
+#include "base/SystemClock.h"
+#include "members/DatagramSocket.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace lychee::members {
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+using base::SystemClock;
+
+namespace {
+
+constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
+/// A receive that fails at once again and again must not take the processor.
+constexpr std::chrono::milliseconds FailurePause(50);
+
+settings::Endpoint nextPort(settings::Endpoint Heartbeats) {
+  ++Heartbeats.Port_;
+  return Heartbeats;
+}
+
+} // namespace
+
+RegionExchange::RegionExchange(const asio::any_io_executor &Executor,
+                               HostBook &Book,
+                               const settings::Endpoint &Heartbeats,
+                               Parts Others)
+    : Book_(Book), Listen_(nextPort(Heartbeats)), Others_(std::move(Others)),
+      Socket_(Executor), Timer_(Executor) {}
+
+bool RegionExchange::open(base::Error &Last) {
+  return openDatagramSocket(Socket_, Listen_, "region-news.listen", Last);
+}
+
+void RegionExchange::send(std::string_view Text,
+                          std::span<const std::string> Receivers) {
+  for (const std::string &Each : Receivers) {
+    boost::system::error_code Ignored;
+    const auto Address = asio::ip::make_address(Each, Ignored);
+    // A datagram that does not go out is one that was lost; others follow.
+    if (!Ignored)
+      Socket_.send_to(asio::buffer(Text), udp::endpoint(Address, Listen_.Port_),
+                      0, Ignored);
+  }
+}
+
+void RegionExchange::sayNow(base::TimePoint Now) {
+  if (!Book_.isSpeaker(Others_.IsLeaving_(), Now))
+    return;
+  RegionNews Said;
+  Said.Region_ = Book_.self().Region_;
+  Said.Speaker_ = Book_.self().Host_;
+  Said.Start_ = Book_.self().Start_;
+  Said.Sequence_ = ++Sequence_;
+  Said.Told_ = Teller_.tell(Book_.summary(Others_.Say_(Now), Now));
+  send(encodeRegionNews(Said), Book_.farSpeakers(Now));
+}
+
+asio::awaitable<void> RegionExchange::sendAll() {
+  while (true) {
+    sayNow(SystemClock::monotonicNow());
+    Timer_.expires_after(Pace);
+    co_await Timer_.async_wait(AsTuple);
+  }
+}
+
+void RegionExchange::take(std::string_view Text,
+                          const asio::ip::address &Sender,
+                          base::TimePoint Now) {
+  base::Error Unreadable;
+  const std::optional<RegionNews> Said = decodeRegionNews(Text, Unreadable);
+  if (!Said || !Book_.heardNews(*Said, Now))
+    return;
+  Others_.Hear_(*Said, Now);
+  send(Text, Book_.passOnTo(Sender.to_string(), Others_.IsLeaving_(), Now));
+}
+
+asio::awaitable<void> RegionExchange::receiveAll() {
+  asio::steady_timer Pause(Socket_.get_executor());
+  while (true) {
+    udp::endpoint Sender;
+    const auto [Failure, Count] = co_await Socket_.async_receive_from(
+        asio::buffer(Received_), Sender, AsTuple);
+    if (Failure) {
+      Pause.expires_after(FailurePause);
+      co_await Pause.async_wait(AsTuple);
+      continue;
+    }
+    take({Received_.data(), Count}, Sender.address(),
+         SystemClock::monotonicNow());
+  }
+}
+
+} // namespace lychee::members
--- a/libs/retrying/CrashSuspects.cpp
+++ b/libs/retrying/CrashSuspects.cpp
@@ -36,13 +36,18 @@
   return std::max(Now, Newer + EvidenceAge);
 }
 
+base::Duration CrashSuspects::toldFor(const Losses &Seen) noexcept {
+  const bool IsSuspect = Seen[0].Target_ != 0 && Seen[1].Target_ != 0;
+  return IsSuspect ? EvidenceAge : ToldFor;
+}
+
 std::vector<CrashEvidence> CrashSuspects::evidence(base::TimePoint Now) const {
   std::vector<CrashEvidence> All;
   for (const Shard &Each : Shards_) {
     const std::scoped_lock Guard(Each.Lock_);
     for (const auto &[Fingerprint, Seen] : Each.Known_)
       for (const Loss &One : Seen)
-        if (One.Target_ != 0 && Now - One.At_ <= EvidenceAge)
+        if (One.Target_ != 0 && Now - One.At_ <= toldFor(Seen))
           All.push_back({Fingerprint, One.Target_, Now - One.At_});
   }
   return All;
--- a/libs/retrying/CrashSuspects.h
+++ b/libs/retrying/CrashSuspects.h
@@ -66,7 +66,14 @@
   base::TimePoint suspectUntil(std::uint64_t Fingerprint,
                                base::TimePoint Now) const;
 
-  /// \returns what this host knows, for its peers.
+  /// A loss is told to peers for so long. One that is no longer told is
+  /// remembered by those that heard it; a host that starts later hears of the
+  /// requests that are suspect.
+  static constexpr base::Duration ToldFor = std::chrono::seconds(6);
+
+  /// \returns what this host knows, for its peers: losses of late, and all of
+  /// requests that are suspect. Everything that was lost in the last minute
+  /// would be more than a datagram holds where many targets end at once.
   std::vector<CrashEvidence> evidence(base::TimePoint Now) const;
 
   /// Takes in what a peer knows.
@@ -87,6 +94,8 @@
     std::unordered_map<std::uint64_t, Losses> Known_;
   };
 
+  /// \returns how long losses of a request are told.
+  static base::Duration toldFor(const Losses &Seen) noexcept;
   Shard &shardOf(std::uint64_t Fingerprint) const noexcept;
   void add(std::uint64_t Fingerprint, Loss Seen);
   void makeRoom(Shard &Full);
