Most heartbeats leave out where the host is

Hypothesis: half of what is left between zones are heartbeats, of which the card is half. Change: the card goes with the first four heartbeats, each eighth, and in answer to a host that starts; names on the wire are short; one that is too long is logged.

--- a/libs/members/Heartbeat.cpp
+++ b/libs/members/Heartbeat.cpp
@@ -15,18 +15,62 @@
   return true;
 }
 
-bool readCard(const Json::Value &Said, HostCard &Into) {
-  for (const char *Name : {"host", "region", "zone", "at", "callers"})
+/// Names on the wire are short: a heartbeat goes to each host of a region twice
+/// a second.
+constexpr const char *HostName = "h";
+constexpr const char *StartName = "s";
+constexpr const char *SequenceName = "n";
+constexpr const char *StateName = "f";
+constexpr const char *DemandsName = "d";
+constexpr const char *LoadsName = "l";
+constexpr const char *EvidenceName = "c";
+constexpr const char *HearsName = "o";
+constexpr const char *RegionName = "region";
+constexpr const char *ZoneName = "zone";
+constexpr const char *AddressName = "at";
+constexpr const char *CallersName = "callers";
+
+constexpr unsigned ReadyBit = 1;
+constexpr unsigned LeavingBit = 2;
+constexpr unsigned StoreTroubleBit = 4;
+constexpr unsigned WholeBit = 8;
+
+unsigned stateOf(const Heartbeat &Said) {
+  return (Said.Ready_ ? ReadyBit : 0U) | (Said.Leaving_ ? LeavingBit : 0U) |
+         (Said.StoreTrouble_ ? StoreTroubleBit : 0U) |
+         (Said.IsWhole_ ? WholeBit : 0U);
+}
+
+void readState(unsigned State, Heartbeat &Into) {
+  Into.Ready_ = (State & ReadyBit) != 0;
+  Into.Leaving_ = (State & LeavingBit) != 0;
+  Into.StoreTrouble_ = (State & StoreTroubleBit) != 0;
+  Into.IsWhole_ = (State & WholeBit) != 0;
+}
+
+void addCard(const HostCard &Card, Json::Value &Into) {
+  Into[RegionName] = Card.Region_.name();
+  Into[ZoneName] = Card.Zone_.name();
+  Into[AddressName] = Card.Address_;
+  Into[CallersName] = Card.Callers_;
+}
+
+/// Either all of the card is told, or host and start alone.
+bool readCard(const Json::Value &Said, Heartbeat &Into) {
+  if (!Said[HostName].isString() || !Said[StartName].isUInt64())
+    return false;
+  Into.From_.Host_ = base::HostId(Said[HostName].asString());
+  Into.From_.Start_ = Said[StartName].asUInt64();
+  Into.HasCard_ = Said.isMember(RegionName);
+  if (!Into.HasCard_)
+    return true;
+  for (const char *Name : {RegionName, ZoneName, AddressName, CallersName})
     if (!Said[Name].isString())
       return false;
-  if (!Said["start"].isUInt64())
-    return false;
-  Into.Host_ = base::HostId(Said["host"].asString());
-  Into.Region_ = base::RegionId(Said["region"].asString());
-  Into.Zone_ = base::ZoneId(Said["zone"].asString());
-  Into.Address_ = Said["at"].asString();
-  Into.Callers_ = Said["callers"].asString();
-  Into.Start_ = Said["start"].asUInt64();
+  Into.From_.Region_ = base::RegionId(Said[RegionName].asString());
+  Into.From_.Zone_ = base::ZoneId(Said[ZoneName].asString());
+  Into.From_.Address_ = Said[AddressName].asString();
+  Into.From_.Callers_ = Said[CallersName].asString();
   return true;
 }
 
@@ -34,26 +78,21 @@
 
 std::string encodeHeartbeat(const Heartbeat &Said) {
   Json::Value Text;
-  Text["host"] = Said.From_.Host_.name();
-  Text["region"] = Said.From_.Region_.name();
-  Text["zone"] = Said.From_.Zone_.name();
-  Text["at"] = Said.From_.Address_;
-  Text["callers"] = Said.From_.Callers_;
-  Text["start"] = Json::UInt64(Said.From_.Start_);
-  Text["n"] = Json::UInt64(Said.Sequence_);
-  Text["ready"] = Said.Ready_;
-  Text["leaving"] = Said.Leaving_;
-  Text["trouble"] = Said.StoreTrouble_;
-  Text["whole"] = Said.IsWhole_;
+  Text[HostName] = Said.From_.Host_.name();
+  Text[StartName] = Json::UInt64(Said.From_.Start_);
+  Text[SequenceName] = Json::UInt64(Said.Sequence_);
+  Text[StateName] = stateOf(Said);
+  if (Said.HasCard_)
+    addCard(Said.From_, Text);
   // What is empty is left out.
   if (!Said.Demands_.empty())
-    addDemands(Said.Demands_, Text["demands"]);
+    addDemands(Said.Demands_, Text[DemandsName]);
   if (!Said.Loads_.empty())
-    addLoads(Said.Loads_, Text["loads"]);
+    addLoads(Said.Loads_, Text[LoadsName]);
   if (!Said.Evidence_.empty())
-    addEvidence(Said.Evidence_, Text["crashes"]);
+    addEvidence(Said.Evidence_, Text[EvidenceName]);
   for (const std::string &Each : Said.Hears_)
-    Text["hears"].append(Each);
+    Text[HearsName].append(Each);
   return textOf(Text);
 }
 
@@ -66,18 +105,15 @@
   const Json::Value &Said = *Object;
   Heartbeat Read;
   Last.Reason_ = "a field is missing or of another type";
-  if (!readCard(Said, Read.From_) || !Said["n"].isUInt64() ||
-      !Said["ready"].isBool() || !Said["leaving"].isBool() ||
-      !readDemands(Said["demands"], Read.Demands_) ||
-      !readLoads(Said["loads"], Read.Loads_) ||
-      !readEvidence(Said["crashes"], Read.Evidence_) ||
-      !readHears(Said["hears"], Read))
+  if (!readCard(Said, Read) || !Said[SequenceName].isUInt64() ||
+      !Said[StateName].isUInt() ||
+      !readDemands(Said[DemandsName], Read.Demands_) ||
+      !readLoads(Said[LoadsName], Read.Loads_) ||
+      !readEvidence(Said[EvidenceName], Read.Evidence_) ||
+      !readHears(Said[HearsName], Read))
     return std::nullopt;
-  Read.Sequence_ = Said["n"].asUInt64();
-  Read.Ready_ = Said["ready"].asBool();
-  Read.Leaving_ = Said["leaving"].asBool();
-  Read.IsWhole_ = Said["whole"] != Json::Value(false);
-  Read.StoreTrouble_ = Said["trouble"] == Json::Value(true);
+  Read.Sequence_ = Said[SequenceName].asUInt64();
+  readState(Said[StateName].asUInt(), Read);
   return Read;
 }
 
--- a/libs/members/Heartbeat.h
+++ b/libs/members/Heartbeat.h
@@ -47,6 +47,9 @@
 /// that is lost is made up for by the next.
 struct Heartbeat {
   HostCard From_;
+  /// Else From_ tells host and start alone: the rest was told before, and is
+  /// half of what a heartbeat holds.
+  bool HasCard_ = true;
   /// Rises with each heartbeat of a start.
   std::uint64_t Sequence_ = 0;
   /// It knows its intent and targets, and its keys are fresh.
--- a/libs/members/HeartbeatExchange.cpp
+++ b/libs/members/HeartbeatExchange.cpp
@@ -3,6 +3,7 @@
 #include "base/SystemClock.h"
 #include "members/DatagramSocket.h"
 #include "members/DemandTeller.h"
+#include "reporting/Log.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -33,28 +34,48 @@
 
 void HeartbeatExchange::sayNow(base::TimePoint Now) { say(true, true, Now); }
 
-void HeartbeatExchange::say(bool Whole, bool WithHosts, base::TimePoint Now) {
-  Heartbeat Said = Others_.Say_(Whole, WithHosts, Now);
+std::string HeartbeatExchange::make(bool Whole, bool WithCard,
+                                    base::TimePoint Now) {
+  Heartbeat Said = Others_.Say_(Whole, WithCard, Now);
   Said.From_ = Book_.self();
+  Said.HasCard_ = WithCard;
   Said.Sequence_ = ++Sequence_;
-  const std::string Text = encodeHeartbeat(Said);
-  if (Text.size() > MostBytes)
-    return;
-  for (const std::string &Each : Book_.recipients(Now)) {
-    boost::system::error_code Ignored;
-    const auto Address = asio::ip::make_address(Each, Ignored);
-    // A datagram that does not go out is one that was lost; the next follows.
-    if (!Ignored)
-      Socket_.send_to(asio::buffer(Text), udp::endpoint(Address, Listen_.Port_),
-                      0, Ignored);
-  }
+  std::string Text = encodeHeartbeat(Said);
+  if (Text.size() <= MostBytes)
+    return Text;
+  reporting::logLine(reporting::LogLevel::Warning,
+                     base::KeyValueLine()
+                         .add("event", "heartbeat-too-long")
+                         .add("bytes", Text.size()));
+  return {};
+}
+
+void HeartbeatExchange::send(std::string_view Text,
+                             const std::string &Address) {
+  boost::system::error_code Ignored;
+  const auto Receiver = asio::ip::make_address(Address, Ignored);
+  // A datagram that does not go out is one that was lost; the next follows.
+  if (!Ignored && !Text.empty())
+    Socket_.send_to(asio::buffer(Text), udp::endpoint(Receiver, Listen_.Port_),
+                    0, Ignored);
+}
+
+void HeartbeatExchange::say(bool Whole, bool WithCard, base::TimePoint Now) {
+  const std::string Text = make(Whole, WithCard, Now);
+  for (const std::string &Each : Book_.recipients(Now))
+    send(Text, Each);
+}
+
+void HeartbeatExchange::answer(const std::string &Address,
+                               base::TimePoint Now) {
+  send(make(true, true, Now), Address);
 }
 
 asio::awaitable<void> HeartbeatExchange::sendAll() {
   for (std::uint64_t Beat = 0;; ++Beat) {
     const bool IsFirst = Beat < FirstBeats;
     say(IsFirst || Beat % DemandTeller::WholeEvery == 0,
-        IsFirst || Beat % HostsEvery == 0, SystemClock::monotonicNow());
+        IsFirst || Beat % CardEvery == 0, SystemClock::monotonicNow());
     Timer_.expires_after(Pace);
     co_await Timer_.async_wait(AsTuple);
   }
--- a/libs/members/HeartbeatExchange.h
+++ b/libs/members/HeartbeatExchange.h
@@ -19,17 +19,18 @@
 public:
   /// Look-ups must drop a dead host within seconds; \see HostBook::AliveFor.
   static constexpr std::chrono::milliseconds Pace{500};
-  /// Hosts that find each other need the names of others, at first in each and
-  /// later now and then, for the case that the store is away.
-  static constexpr std::uint64_t HostsEvery = 8;
-  static constexpr std::uint64_t FirstBeats = 8;
+  /// Who and where this host is, and which others it hears, is told at first in
+  /// each heartbeat, and later now and then, for the case that the store is
+  /// away. A host that starts is told at once, by answer().
+  static constexpr std::uint64_t CardEvery = 8;
+  static constexpr std::uint64_t FirstBeats = 4;
   /// A larger datagram would be cut into packets, of which each may be lost.
   static constexpr std::size_t MostBytes = 8UL * 1024;
 
   struct Parts {
     /// \returns what to say now, but for sender and sequence: all demands
-    /// where \p Whole, and the hosts that are heard where \p WithHosts.
-    std::function<Heartbeat(bool Whole, bool WithHosts, base::TimePoint)> Say_;
+    /// where \p Whole, and the hosts that are heard where \p WithCard.
+    std::function<Heartbeat(bool Whole, bool WithCard, base::TimePoint)> Say_;
     /// Hears each heartbeat. \p News  the host was not heard lately, or
     /// changed.
     std::function<void(const Heartbeat &, bool News, base::TimePoint)> Hear_;
@@ -52,8 +53,15 @@
   /// Sends a heartbeat to all now, besides the steady ones.
   void sayNow(base::TimePoint Now);
 
+  /// Tells one host all at once: it has just started, and would else not know
+  /// who and where this host is before the next heartbeat that says so.
+  void answer(const std::string &Address, base::TimePoint Now);
+
 private:
-  void say(bool Whole, bool WithHosts, base::TimePoint Now);
+  /// \returns the text of a heartbeat; empty where it is too long to be sent.
+  std::string make(bool Whole, bool WithCard, base::TimePoint Now);
+  void send(std::string_view Text, const std::string &Address);
+  void say(bool Whole, bool WithCard, base::TimePoint Now);
 
   HostBook &Book_;
   const settings::Endpoint Listen_;
--- a/libs/members/HostBook.cpp
+++ b/libs/members/HostBook.cpp
@@ -9,6 +9,8 @@
 void HostBook::take(const Heartbeat &Said, Heartbeat &Into) {
   Heartbeat Next = Said;
   const bool SameStart = Into.From_.Start_ == Said.From_.Start_;
+  if (!Said.HasCard_)
+    Next.From_ = Into.From_;
   if (!Said.IsWhole_ && SameStart) {
     Next.Demands_ = std::move(Into.Demands_);
     for (const CustomerDemand &Told : Said.Demands_) {
@@ -28,19 +30,25 @@
   if (Said.From_.Host_ == Self_.Host_)
     return false;
   const std::lock_guard Guard(Lock_);
+  // Where it is does not follow from what was told by an earlier start.
+  const auto Before = Known_.find(Said.From_.Host_);
+  if (!Said.HasCard_ &&
+      (Before == Known_.end() ||
+       Before->second.Last_.From_.Start_ != Said.From_.Start_))
+    return false;
   const auto [Found, New] = Known_.try_emplace(Said.From_.Host_);
   Known &Stored = Found->second;
-  const Heartbeat &Before = Stored.Last_;
+  const Heartbeat &Last = Stored.Last_;
   // Datagrams overtake each other, and one of an earlier start may come late.
   // After silence anything counts: the host's time of day may have gone back.
   if (!New && isAlive(Stored, Now) &&
-      (Said.From_.Start_ < Before.From_.Start_ ||
-       (Said.From_.Start_ == Before.From_.Start_ &&
-        Said.Sequence_ <= Before.Sequence_)))
+      (Said.From_.Start_ < Last.From_.Start_ ||
+       (Said.From_.Start_ == Last.From_.Start_ &&
+        Said.Sequence_ <= Last.Sequence_)))
     return false;
   const bool Told = New || !isAlive(Stored, Now) ||
-                    Before.Ready_ != Said.Ready_ ||
-                    Before.Leaving_ != Said.Leaving_;
+                    Last.Ready_ != Said.Ready_ ||
+                    Last.Leaving_ != Said.Leaving_;
   take(Said, Stored.Last_);
   Stored.HeardAt_ = Now;
   return Told;
--- a/libs/members/RegionNews.cpp
+++ b/libs/members/RegionNews.cpp
@@ -7,13 +7,14 @@
 namespace {
 
 /// A host's state in its row.
-enum LineState : std::uint8_t { ReadyBit = 1, LeavingBit = 2, GoneBit = 4 };
+constexpr unsigned ReadyBit = 1;
+constexpr unsigned LeavingBit = 2;
+constexpr unsigned GoneBit = 4;
 constexpr Json::ArrayIndex LineColumns = 6;
 
-std::uint8_t stateOf(const HostLine &Each) {
-  return static_cast<std::uint8_t>((Each.Ready_ ? ReadyBit : 0) |
-                                   (Each.Leaving_ ? LeavingBit : 0) |
-                                   (Each.Gone_ ? GoneBit : 0));
+unsigned stateOf(const HostLine &Each) {
+  return (Each.Ready_ ? ReadyBit : 0U) | (Each.Leaving_ ? LeavingBit : 0U) |
+         (Each.Gone_ ? GoneBit : 0U);
 }
 
 Json::Value rowOf(const HostLine &Each) {
--- a/tests/members/HeartbeatTest.cpp
+++ b/tests/members/HeartbeatTest.cpp
@@ -1,5 +1,7 @@
 #include "members/Heartbeat.h"
 
+#include "members/HostBook.h"
+
 #include "CppUTest/TestHarness.h"
 
 namespace base = lychee::base;
@@ -47,11 +49,14 @@
 // and says why.
 TEST(Heartbeat, anythingElseIsRefused) {
   for (const char *Text :
-       {"", "no json", "[]", "{}", R"({"host":1})",
-        R"({"host":"h","region":"r","zone":"z","at":"a","callers":"c",)"
-        R"("start":1,"n":"1","ready":true,"leaving":false})",
-        R"({"host":"h","region":"r","zone":"z","at":"a","callers":"c",)"
-        R"("start":1,"n":1,"ready":true,"leaving":false,"demands":[1]})"}) {
+       {"", "no json", "[]", "{}", R"({"h":1})", R"({"h":"a","s":"1"})",
+        R"({"h":"a","region":"r","zone":"z","at":"a","callers":"c",)"
+        R"("s":1,"n":"1","f":1})",
+        R"({"h":"a","region":"r","zone":"z","callers":"c",)"
+        R"("s":1,"n":1,"f":1})",
+        R"({"h":"a","s":1,"n":1,"f":"1"})",
+        R"({"h":"a","region":"r","zone":"z","at":"a","callers":"c",)"
+        R"("s":1,"n":1,"f":1,"d":[1]})"}) {
     CHECK_FALSE(members::decodeHeartbeat(Text, Last_).has_value());
     CHECK_FALSE(Last_.Reason_.empty());
   }
@@ -65,3 +70,28 @@
         {base::CustomerId("customer-" + std::to_string(Each)), 123.45});
   CHECK(members::encodeHeartbeat(Said).size() < 8192);
 }
+
+// Most heartbeats leave out where the host is. A host that missed the one that
+// told it, or hears a new start, cannot place them and waits for the next.
+TEST(Heartbeat, withoutItsCardItIsPlacedByWhatWasToldBefore) {
+  members::HostBook Book({});
+  members::Heartbeat Said = sample();
+  const base::TimePoint Now(100s);
+  const auto Hear = [&](bool WithCard) {
+    Said.HasCard_ = WithCard;
+    ++Said.Sequence_;
+    const auto Read =
+        members::decodeHeartbeat(members::encodeHeartbeat(Said), Last_);
+    return Read && Book.heard(*Read, Now);
+  };
+  CHECK_FALSE(Hear(false));
+  CHECK(Hear(true));
+  Said.Ready_ = false;
+  CHECK(Hear(false));
+  const auto Views = Book.recipients(Now);
+  LONGS_EQUAL(2, Views.size());
+  Said.From_.Start_ += 1;
+  Said.Ready_ = true;
+  CHECK_FALSE(Hear(false));
+  CHECK(Hear(true));
+}
