Callers of a region of hundreds are told different hosts

Cause: all callers were told the same order and the adapter cut it at 64, so that others of 100 hosts served nobody. Change: the policy picks a stretch of one order by hash; zones begin at even distances, and hosts that answer where that is not enough.

--- a/apps/lycheed/LiveDaemon.cpp
+++ b/apps/lycheed/LiveDaemon.cpp
@@ -189,8 +189,8 @@
                }}),
       Heartbeats_(
           Control_.get_executor(), Hosts_, Live.Heartbeats_,
-          {[this](bool Whole, bool WithHosts, base::TimePoint Now) {
-             return sayHeartbeat(Whole, WithHosts, Now);
+          {[this](bool Whole, bool WithCard, base::TimePoint Now) {
+             return sayHeartbeat(Whole, WithCard, Now);
            },
            [this](const members::Heartbeat &Said, bool News,
                   base::TimePoint Now) { hearHeartbeat(Said, News, Now); }}),
@@ -207,7 +207,7 @@
 
 // Heartbeats.
 
-members::Heartbeat LiveDaemon::sayHeartbeat(bool Whole, bool WithHosts,
+members::Heartbeat LiveDaemon::sayHeartbeat(bool Whole, bool WithCard,
                                             base::TimePoint Now) {
   members::Heartbeat Said;
   const members::OwnState Own = Entry_.ownState(Now);
@@ -219,7 +219,7 @@
   Said.Demands_ = std::move(Told.Demands_);
   Said.Loads_ = Steering_.loads(Now);
   Said.Evidence_ = Steering_.evidence(Now);
-  if (!WithHosts)
+  if (!WithCard)
     return Said;
   for (const members::HostView &Each : Hosts_.others(Now))
     if (Each.Alive_)
@@ -242,6 +242,8 @@
   // Callers of other regions may be sent there, too.
   if (Said.Leaving_)
     News_.sayNow(Now);
+  else if (Said.HasCard_)
+    Heartbeats_.answer(Said.From_.Address_, Now);
   reporting::logLine(LogLevel::Info,
                      KeyValueLine()
                          .add("event", "host-heard")
@@ -262,8 +264,11 @@
     co_return Answer;
   }
   co_return platform::encodeResolve(
-      Entry_.resolve(Query->Name_, base::RegionId(Query->Region_),
-                     base::ZoneId(Query->Zone_), SystemClock::monotonicNow()),
+      Entry_.resolve({.Region_ = base::RegionId(Query->Region_),
+                      .Zone_ = base::ZoneId(Query->Zone_),
+                      .Name_ = Query->Name_,
+                      .Most_ = platform::MostAddresses},
+                     SystemClock::monotonicNow()),
       LiveEntry::TimeToLive);
 }
 
--- a/apps/lycheed/LiveDaemon.h
+++ b/apps/lycheed/LiveDaemon.h
@@ -65,7 +65,7 @@
   /// Decides anew whether this host asks the store.
   void takeRole(std::span<const members::HostView> Others, base::TimePoint Now);
   void tellTrouble(base::TimePoint Now);
-  members::Heartbeat sayHeartbeat(bool Whole, bool WithHosts,
+  members::Heartbeat sayHeartbeat(bool Whole, bool WithCard,
                                   base::TimePoint Now);
   members::OwnSummary ownSummary(base::TimePoint Now);
   void hearHeartbeat(const members::Heartbeat &Said, bool News,
--- a/apps/lycheed/LiveEntry.cpp
+++ b/apps/lycheed/LiveEntry.cpp
@@ -23,12 +23,10 @@
   return Homes;
 }
 
-std::vector<std::string> LiveEntry::resolve(const std::string &HostName,
-                                            const base::RegionId &Region,
-                                            const base::ZoneId &Zone,
+std::vector<std::string> LiveEntry::resolve(members::EntryQuery Asked,
                                             base::TimePoint Now) const {
-  return members::chooseEntries({Region, Zone, homesOf(HostName)},
-                                Others_.Hosts_.self(), ownState(Now),
+  Asked.Homes_ = homesOf(Asked.Name_);
+  return members::chooseEntries(Asked, Others_.Hosts_.self(), ownState(Now),
                                 Others_.Hosts_.others(Now));
 }
 
--- a/apps/lycheed/LiveEntry.h
+++ b/apps/lycheed/LiveEntry.h
@@ -29,10 +29,9 @@
 
   explicit LiveEntry(Parts Others) : Others_(std::move(Others)) {}
 
-  /// \returns the caller addresses for requests to \p HostName.
-  std::vector<std::string> resolve(const std::string &HostName,
-                                   const base::RegionId &Region,
-                                   const base::ZoneId &Zone,
+  /// \returns the caller addresses for \p Asked, of which homes are filled
+  /// in here.
+  std::vector<std::string> resolve(members::EntryQuery Asked,
                                    base::TimePoint Now) const;
 
   /// \returns whether requests can be served here.
--- a/libs/members/EntryPolicy.cpp
+++ b/libs/members/EntryPolicy.cpp
@@ -1,46 +1,84 @@
 #include "members/EntryPolicy.h"
 
+#include "base/Hash.h"
+
 #include <algorithm>
 #include <functional>
+#include <set>
 
 namespace lychee::members {
 
 namespace {
 
 using Filter = std::function<bool(const HostCard &)>;
-
-void addIf(const Filter &Wanted, const HostCard &Card,
-           std::vector<std::string> &Into) {
-  if (Wanted(Card))
-    Into.push_back(Card.Callers_);
-}
+using Cards = std::vector<const HostCard *>;
 
 bool serves(const HostView &Each) {
   return Each.Alive_ && Each.Ready_ && !Each.Leaving_;
 }
 
-std::vector<std::string> serving(const Filter &Wanted, const HostCard &Self,
-                                 const OwnState &Own,
-                                 std::span<const HostView> Others) {
-  std::vector<std::string> Found;
-  if (Own.Ready_ && !Own.Leaving_ && !Own.CutOff_)
-    addIf(Wanted, Self, Found);
+Cards serving(const Filter &Wanted, const HostCard &Self, const OwnState &Own,
+              std::span<const HostView> Others) {
+  Cards Found;
+  if (Own.Ready_ && !Own.Leaving_ && !Own.CutOff_ && Wanted(Self))
+    Found.push_back(&Self);
   for (const HostView &Each : Others)
-    if (serves(Each))
-      addIf(Wanted, Each.Card_, Found);
+    if (serves(Each) && Wanted(Each.Card_))
+      Found.push_back(&Each.Card_);
   return Found;
 }
 
 /// When nobody is known to be ready, a host that is alive may be soon; and
 /// where this host is the one that was cut off, the others were well.
-std::vector<std::string> hopeful(const HostCard &Self, const OwnState &Own,
-                                 std::span<const HostView> Others) {
-  std::vector<std::string> Found;
+Cards hopeful(const HostCard &Self, const OwnState &Own,
+              std::span<const HostView> Others) {
+  Cards Found;
   for (const HostView &Each : Others)
     if (!Each.Leaving_ && (Each.Alive_ || Own.CutOff_))
-      Found.push_back(Each.Card_.Callers_);
+      Found.push_back(&Each.Card_);
   if (!Own.Leaving_ && !Own.CutOff_)
-    Found.push_back(Self.Callers_);
+    Found.push_back(&Self);
+  return Found;
+}
+
+/// The same order at all hosts, and another one for each name.
+void sortByHash(Cards &All, std::string_view Name) {
+  const std::uint64_t Matter = base::stableHash(Name);
+  std::sort(All.begin(), All.end(),
+            [Matter](const HostCard *Left, const HostCard *Right) {
+              return base::stableHash(Left->Host_.name(), Matter) <
+                     base::stableHash(Right->Host_.name(), Matter);
+            });
+}
+
+/// Where there are more hosts than a caller takes: a stretch of all hosts in
+/// one order. Zones begin at even distances, so that together they cover all
+/// hosts as evenly as they can; where that is not all, the hosts that answer
+/// begin at different places, too.
+Cards stretchOf(Cards All, const EntryQuery &Asked, const HostCard &Self) {
+  if (All.size() <= Asked.Most_)
+    return All;
+  sortByHash(All, Asked.Name_);
+  std::set<base::ZoneId> Zones = {Asked.Zone_};
+  for (const HostCard *Each : All)
+    Zones.insert(Each->Zone_);
+  const auto Place = static_cast<std::size_t>(
+      std::distance(Zones.begin(), Zones.find(Asked.Zone_)));
+  const std::size_t Covered = Zones.size() * Asked.Most_;
+  const std::size_t Turns = (All.size() + Covered - 1) / Covered;
+  const std::size_t Turn = base::stableHash(Self.Host_.name()) % Turns;
+  const std::size_t Begin =
+      (Place * Turns + Turn) * All.size() / (Zones.size() * Turns);
+  std::rotate(All.begin(), All.begin() + static_cast<std::ptrdiff_t>(Begin),
+              All.end());
+  All.resize(Asked.Most_);
+  return All;
+}
+
+std::vector<std::string> callersOf(const Cards &All) {
+  std::vector<std::string> Found;
+  for (const HostCard *Each : All)
+    Found.push_back(Each->Callers_);
   return Found;
 }
 
@@ -59,11 +97,11 @@
   };
   const Filter Anywhere = [](const HostCard &) { return true; };
   for (const Filter &Wanted : {InRegion, AtHome, Anywhere}) {
-    std::vector<std::string> Found = serving(Wanted, Self, Own, Others);
+    const Cards Found = serving(Wanted, Self, Own, Others);
     if (!Found.empty())
-      return Found;
+      return callersOf(stretchOf(Found, Asked, Self));
   }
-  return hopeful(Self, Own, Others);
+  return callersOf(stretchOf(hopeful(Self, Own, Others), Asked, Self));
 }
 
 } // namespace lychee::members
--- a/libs/members/EntryPolicy.h
+++ b/libs/members/EntryPolicy.h
@@ -14,7 +14,11 @@
   base::RegionId Region_;
   base::ZoneId Zone_;
   /// Regions to prefer where the caller's own has no host; empty: any.
-  std::vector<base::RegionId> Homes_;
+  std::vector<base::RegionId> Homes_{};
+  /// Host name that the caller's requests go to.
+  std::string Name_{};
+  /// Callers take no more hosts than this.
+  std::size_t Most_ = 64;
 };
 
 /// This host, as far as callers may be sent to it.
@@ -34,7 +38,9 @@
 /// region's callers on one that may die next.
 ///
 /// Hosts of the caller's region that are alive, ready and not leaving; where
-/// there are none, those of the homes, then all others.
+/// there are none, those of the homes, then all others. Where they are more
+/// than a caller takes, zones and names are told different ones, so that the
+/// fleet's callers use all of them, and the same caller the same each time.
 /// \returns their caller addresses; none where nobody can be named.
 std::vector<std::string> chooseEntries(const EntryQuery &Asked,
                                        const HostCard &Self,
