Large regions have more hosts that ask the store, and each answers few

Change: one asker for 25 hosts, two at least; each host asks two of them, beginning at different places. A host that is asked anew is asked each 100 ms until it has heard the store. Mended on the way: a host that was merely not asked any more counted as passed over a second later, so that hosts' orders differed (RelayRegionTest, nine askers of 95 where eight are allowed).

--- a/libs/relaying/RelayExchange.cpp
+++ b/libs/relaying/RelayExchange.cpp
@@ -36,16 +36,11 @@
       if (!Whom)
         Whom.reset(new Peer{Address,
                             {Executor_, {.Address_ = Address, .Port_ = Port_}},
-                            false,
-                            std::nullopt});
-      const base::TimePoint Now = SystemClock::monotonicNow();
-      // Half a pace early is in time; timers fire late.
-      const bool IsDue =
-          !Whom->AskedAt_ || Now - *Whom->AskedAt_ >= AskEvery - Pace / 2;
-      if (Whom->Pending_ || !IsDue)
+                            false});
+      if (Whom->Pending_ ||
+          !Role_.takeTurn(Address, SystemClock::monotonicNow()))
         continue;
       Whom->Pending_ = true;
-      Whom->AskedAt_ = Now;
       asio::co_spawn(Executor_, ask(Whom), asio::detached);
     }
     Timer.expires_after(Pace);
--- a/libs/relaying/RelayExchange.h
+++ b/libs/relaying/RelayExchange.h
@@ -9,7 +9,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <optional>
 #include <string>
 
 namespace lychee::relaying {
@@ -18,11 +17,7 @@
 /// ask this one. Of the control loop's thread. \see RelayRole
 class RelayExchange {
 public:
-  /// A change is known everywhere this much after an asker heard it; three
-  /// questions fit into RelayRole::Silence.
-  static constexpr std::chrono::milliseconds AskEvery{300};
-  /// A host that is asked anew, in place of one whose news are old, is asked
-  /// within this: the others' news are old by then.
+  /// How often this host looks whom to ask.
   static constexpr std::chrono::milliseconds Pace{100};
   /// A host that has not answered by then is asked anew.
   static constexpr std::chrono::milliseconds Timeout{400};
@@ -55,7 +50,6 @@
     std::string Address_;
     transport::HttpClient Client_;
     bool Pending_ = false;
-    std::optional<base::TimePoint> AskedAt_;
   };
 
   boost::asio::awaitable<void> ask(std::shared_ptr<Peer> Whom);
--- a/libs/relaying/RelayRole.h
+++ b/libs/relaying/RelayRole.h
@@ -20,7 +20,8 @@
 /// call that the store has to answer and that is paid for: at 60 hosts 7,481
 /// calls in 50 s, the largest price of the day. So of the hosts of a region
 /// that are alive and have no trouble with the store, the first few by hash
-/// ask; all hosts that hear each other agree on them without a word.
+/// ask; all hosts that hear each other agree on them without a word. Each other
+/// host asks two of these.
 ///
 /// Failure that the rest guards against: those few are dead, frozen, refused by
 /// the store, or see other hosts than this one does. Symptom without a
@@ -35,8 +36,19 @@
 /// a call, and a call that comes ends its trouble.
 class RelayRole {
 public:
-  /// Two, so that one that dies is no gap; more cost calls and gain nothing.
+  /// Two, so that one that dies is no gap; more cost calls and gain nothing,
+  /// unless a region has so many hosts that two small ones spend all of their
+  /// processor on answering the others.
   static constexpr std::size_t AskersPerRegion = 2;
+  static constexpr std::size_t HostsPerAsker = 25;
+  /// So many of them each host asks.
+  static constexpr std::size_t AskedByEach = 2;
+
+  /// \returns how many hosts of a region of \p Hosts ask the store.
+  static constexpr std::size_t askersFor(std::size_t Hosts) noexcept {
+    const std::size_t Needed = (Hosts + HostsPerAsker - 1) / HostsPerAsker;
+    return Needed > AskersPerRegion ? Needed : AskersPerRegion;
+  }
   /// Without any answer for this long: three questions in a row.
   static constexpr base::Duration Silence = std::chrono::seconds(1);
   /// A call that failed speaks against this host for so long.
@@ -82,18 +94,46 @@
   /// \returns by how much longer to pause.
   double spread(base::TimePoint Now) const noexcept;
 
+  /// A change is known everywhere this much after an asker heard it; three
+  /// questions fit into Silence.
+  static constexpr base::Duration AskEvery = std::chrono::milliseconds(300);
+  /// A host that is asked anew, in place of one whose news are old, is asked so
+  /// often until it has heard the store itself: the others' news are old then.
+  static constexpr base::Duration AskAnewEvery = std::chrono::milliseconds(100);
+  /// For so long at most: where the store refuses everybody none has heard it.
+  static constexpr base::Duration AskedAnewFor = std::chrono::seconds(1);
+
+  /// \returns whether the host at \p Address, one of askers(), is to be asked
+  /// now; it counts as asked then.
+  bool takeTurn(const std::string &Address, base::TimePoint Now);
+
   /// \returns the addresses of the hosts to be asked for news.
   const std::vector<std::string> &askers() const noexcept { return Askers_; }
 
 private:
+  /// One host of the region, as a candidate for asking the store.
+  struct Candidate {
+    bool InTrouble_ = false;
+    std::uint64_t Hash_ = 0;
+    std::string Address_;
+  };
+
   /// A host that this one asks.
   struct Asker {
+    base::TimePoint Since_;
+    std::optional<base::TimePoint> AskedAt_;
+    /// What it tells was too old; it is not asked for TroubleMemory.
+    std::optional<base::TimePoint> PassedOverAt_;
     /// When the store last answered it; at first, since when it is asked.
     base::TimePoint Contact_;
   };
 
-  /// \returns whether what the host at \p Address tells is too old.
-  bool isPassedOver(const std::string &Address, base::TimePoint Now) const;
+  /// Passes over those that are asked and whose news are too old.
+  void passOver(base::TimePoint Now);
+  bool isPassedOver(const std::string &Address) const;
+  static bool goesBefore(const Candidate &Left,
+                         const Candidate &Right) noexcept;
+  void pickAskers(std::span<const Candidate> Ranked);
   void noteAskers(base::TimePoint Now);
   /// \returns how old news may be before this host asks itself.
   base::Duration patience() const noexcept;
