--- a/apps/lycheed/LiveDaemon.cpp
+++ b/apps/lycheed/LiveDaemon.cpp
@@ -282,12 +282,13 @@
     Answer.Status_ = StatusNotFound;
     co_return Answer;
   }
+  members::EntryQuery Wanted;
+  Wanted.Region_ = base::RegionId(Query->Region_);
+  Wanted.Zone_ = base::ZoneId(Query->Zone_);
+  Wanted.Name_ = Query->Name_;
+  Wanted.Most_ = platform::MostAddresses;
   co_return platform::encodeResolve(
-      Entry_.resolve({.Region_ = base::RegionId(Query->Region_),
-                      .Zone_ = base::ZoneId(Query->Zone_),
-                      .Name_ = Query->Name_,
-                      .Most_ = platform::MostAddresses},
-                     SystemClock::monotonicNow()),
+      Entry_.resolve(std::move(Wanted), SystemClock::monotonicNow()),
       LiveEntry::TimeToLive);
 }
 
--- a/libs/members/EntryPolicy.h
+++ b/libs/members/EntryPolicy.h
@@ -14,9 +14,9 @@
   base::RegionId Region_;
   base::ZoneId Zone_;
   /// Regions to prefer where the caller's own has no host; empty: any.
-  std::vector<base::RegionId> Homes_{};
+  std::vector<base::RegionId> Homes_;
   /// Host name that the caller's requests go to.
-  std::string Name_{};
+  std::string Name_;
   /// Callers take no more hosts than this.
   std::size_t Most_ = 64;
 };
--- a/tests/members/EntryPolicyTest.cpp
+++ b/tests/members/EntryPolicyTest.cpp
@@ -31,6 +31,13 @@
   static base::ZoneId zone(std::size_t Number) {
     return base::ZoneId("zone-" + std::to_string(Number));
   }
+  static EntryQuery from(std::size_t Zone) {
+    EntryQuery Asked;
+    Asked.Region_ = base::RegionId("north");
+    Asked.Zone_ = zone(Zone);
+    Asked.Name_ = "name";
+    return Asked;
+  }
   std::vector<std::string> told(const EntryQuery &Asked,
                                 const std::string &By = "by") const {
     members::HostCard Self;
@@ -43,9 +50,7 @@
   for (const std::size_t Count : {1U, 6U, 64U}) {
     Hosts_.clear();
     makeRegion(Count);
-    LONGS_EQUAL(
-        Count,
-        told({.Region_ = base::RegionId("north"), .Zone_ = zone(1)}).size());
+    LONGS_EQUAL(Count, told(from(1)).size());
   }
 }
 
@@ -59,10 +64,7 @@
     std::map<std::string, double> Load;
     for (std::size_t Zone = 0; Zone < Zones; ++Zone)
       for (int By = 0; By < 60; ++By) {
-        const auto Told = told({.Region_ = base::RegionId("north"),
-                                .Zone_ = zone(Zone),
-                                .Name_ = "name"},
-                               "by-" + std::to_string(By));
+        const auto Told = told(from(Zone), "by-" + std::to_string(By));
         CHECK(Told.size() <= 64);
         for (const std::string &Each : Told)
           Load[Each] += 1.0 / double(Told.size());
@@ -78,8 +80,7 @@
 
 TEST(EntryPolicy, theSameCallerIsToldTheSameHosts) {
   makeRegion(200);
-  const EntryQuery Asked = {
-      .Region_ = base::RegionId("north"), .Zone_ = zone(2), .Name_ = "name"};
+  const EntryQuery Asked = from(2);
   const auto First = told(Asked);
   Hosts_[0].Alive_ = false;
   const auto Second = told(Asked);
--- a/tests/members/HostBookTest.cpp
+++ b/tests/members/HostBookTest.cpp
@@ -42,9 +42,11 @@
   }
   std::string entries(members::OwnState Own = {true, false, false}) {
     std::string Text;
-    for (const std::string &Each : members::chooseEntries(
-             {base::RegionId("north"), base::ZoneId("north-a"), {}},
-             Book_.self(), Own, Book_.others(Now_)))
+    members::EntryQuery Asked;
+    Asked.Region_ = base::RegionId("north");
+    Asked.Zone_ = base::ZoneId("north-a");
+    for (const std::string &Each :
+         members::chooseEntries(Asked, Book_.self(), Own, Book_.others(Now_)))
       Text += Each + " ";
     return Text;
   }
