--- a/libs/dispatch/DispatchSteering.cpp
+++ b/libs/dispatch/DispatchSteering.cpp
@@ -129,7 +129,8 @@
   case RateVerdict::Kind::Refused:
     return refuseOverRate(Ticket, Verdict.Wait_);
   case RateVerdict::Kind::AskHolder:
-    return awaitToken(Ticket, {Arrived.Customer_, Verdict.Second_, {}},
+    return awaitToken(Ticket,
+                      {Arrived.Customer_, Verdict.Second_, {}, false, {}},
                       Verdict.Holder_, Now);
   case RateVerdict::Kind::Passed:
     break;
--- a/libs/dispatch/DispatchSteering.h
+++ b/libs/dispatch/DispatchSteering.h
@@ -153,7 +153,7 @@
     /// Two are asked, and the answer of one is missing.
     bool AsksBoth_ = false;
     /// One of them has no token until then.
-    std::optional<base::Duration> Denied_{};
+    std::optional<base::Duration> Denied_;
   };
 
   /// A target that was lost with requests in flight, until it is known whether
@@ -192,6 +192,10 @@
   base::TimePoint latestFor(const Flight &Request, const Choice &Chosen,
                             base::TimePoint Now);
   bool mayResend(const Flight &Request, const steering::SendReport &Report);
+  /// Adds what callers of each region ask of a service.
+  void countDemands(const base::ServiceId &Id, ServiceState &Service,
+                    const FleetDemand &Fleet, base::TimePoint Now,
+                    std::map<base::RegionId, RegionLoad> &Into);
   void divideRegions(const FleetDemand &Fleet, base::TimePoint Now);
   void noteLoss(const Flight &Request, const base::TargetId &Target,
                 base::TimePoint Now);
--- a/libs/dispatch/DispatchUpkeep.cpp
+++ b/libs/dispatch/DispatchUpkeep.cpp
@@ -67,6 +67,33 @@
   divideRegions(Fleet, Now);
 }
 
+void DispatchSteering::countDemands(
+    const base::ServiceId &Id, ServiceState &Service, const FleetDemand &Fleet,
+    base::TimePoint Now, std::map<base::RegionId, RegionLoad> &Into) {
+  const auto Count = [&Into](const base::RegionId &From,
+                             const base::RegionId &BoundTo, double Slots) {
+    if (BoundTo.empty())
+      Into[From].Demand_ += Slots;
+    else
+      Into[BoundTo].Bound_ += Slots;
+  };
+  const auto CountTold = [&](const base::RegionId &From,
+                             std::span<const members::ServiceDemand> Loads) {
+    for (const members::ServiceDemand &Told : Loads)
+      if (Told.Service_ == Id)
+        Count(From, Told.BoundTo_, Told.Slots_);
+  };
+  Into[Settings_.Region_];
+  for (auto &[BoundTo, Demand] : Service.Demands_)
+    Count(Settings_.Region_, BoundTo, Demand.perSecond(Now));
+  for (const members::HostView &Other : Fleet.Others_)
+    if (Other.Alive_)
+      CountTold(Other.Card_.Region_, Other.Loads_);
+  for (const members::RegionView &Region : Fleet.Elsewhere_)
+    if (Region.Alive_)
+      CountTold(Region.Region_, Region.Loads_);
+}
+
 void DispatchSteering::divideRegions(const FleetDemand &Fleet,
                                      base::TimePoint Now) {
   for (auto &[Id, Service] : Services_) {
@@ -76,24 +103,7 @@
     for (const TargetState &Each : Service.Targets_)
       if (!Each.Evacuated_ && !Each.Record_.Leaving_ && !Each.Trust_.isOut(Now))
         Loads[Each.Region_].Slots_ += Each.Record_.Slots_;
-    const auto Count = [&](const base::RegionId &From,
-                           const base::RegionId &BoundTo, double Slots) {
-      if (BoundTo.empty())
-        Loads[From].Demand_ += Slots;
-      else
-        Loads[BoundTo].Bound_ += Slots;
-    };
-    Loads[Settings_.Region_];
-    for (auto &[BoundTo, Demand] : Service.Demands_)
-      Count(Settings_.Region_, BoundTo, Demand.perSecond(Now));
-    for (const members::HostView &Other : Fleet.Others_)
-      for (const members::ServiceDemand &Told : Other.Loads_)
-        if (Other.Alive_ && Told.Service_ == Id)
-          Count(Other.Card_.Region_, Told.BoundTo_, Told.Slots_);
-    for (const members::RegionView &Region : Fleet.Elsewhere_)
-      for (const members::ServiceDemand &Told : Region.Loads_)
-        if (Region.Alive_ && Told.Service_ == Id)
-          Count(Region.Region_, Told.BoundTo_, Told.Slots_);
+    countDemands(Id, Service, Fleet, Now, Loads);
     Service.Split_.update(Loads, Now);
   }
 }
--- a/libs/members/HostBook.cpp
+++ b/libs/members/HostBook.cpp
@@ -166,6 +166,7 @@
             });
   All.resize(std::min(All.size(), SpeakerCount));
   std::vector<std::string> Addresses;
+  Addresses.reserve(All.size());
   for (Candidate &Each : All)
     Addresses.push_back(std::move(Each.Address_));
   return Addresses;
