One receive loop for the datagrams of members; figures leave comments

HeartbeatExchange, RegionExchange and TokenExchange held the same loop three times; receiveDatagrams and sendDatagram serve them. Figures and tuning stories in the comments of what this change touches went: they stand in their commits and in docs.

--- a/apps/lycheed/LiveFeed.cpp
+++ b/apps/lycheed/LiveFeed.cpp
@@ -22,8 +22,8 @@
 /// is lost must leave time for another.
 ///
 /// Others of the region are heard with the second heartbeat, 500 ms after the
-/// first, and asked within 300 ms; at 71 hosts a watch of each kind by each
-/// host that starts was an eighth of a day's calls.
+/// first, and asked within 300 ms; a watch of each kind by each host that
+/// starts is a call for nothing.
 constexpr std::chrono::milliseconds StartRest(1200);
 constexpr live::FollowerPace LongPace{.Watch_ = std::chrono::seconds(20),
                                       .LongestPause_ = std::chrono::seconds(3),
--- a/libs/dispatch/RateDivision.h
+++ b/libs/dispatch/RateDivision.h
@@ -72,10 +72,9 @@
 /// part, which the others leave it.
 class RateDivision {
 public:
-  /// Part of the rate that is used: heartbeats are up to a second old, and two
-  /// regions may each count a moving caller as theirs. At 0.97 a fleet of 66
-  /// hosts, most of them killed under a customer at several times its rate,
-  /// gave 4,532 requests in 5 s where 4,396 are allowed.
+  /// Part of the rate that is used: what regions tell each other is up to a
+  /// second old, and two may each count a moving caller as theirs; standbys and
+  /// hosts that go alone give some more.
   static constexpr double UsedPart = 0.94;
   /// Each region counts for at least so much demand, in requests a second and
   /// as a part of the rate: a customer's first request there finds room, and a
@@ -86,9 +85,8 @@
   /// region takes no more than a part of an even one.
   static constexpr base::Duration StartTime = std::chrono::seconds(3);
   /// Part of the even part that it takes: where most hosts restart, regions
-  /// whose keepers lived on hold more than an even part for about a second
-  /// (1,880 requests in 5 s where 1,842 are allowed). Usual demand is well
-  /// below it.
+  /// whose keepers lived on hold more than an even part for about a second.
+  /// Usual demand is well below it.
   static constexpr double StartPart = 0.75;
 
   /// Part of what is allowed beyond rate and burst that is used for bursts:
@@ -101,8 +99,8 @@
   /// A host that is asked in the keeper's place gives so much of the region's
   /// part, and may save up so many tokens. The keeper waits for its processor
   /// more often than it is dead, and has then given a token of its own for the
-  /// same request: with the region's whole part for both, 4,453 requests of a
-  /// busy customer passed in 5 s where 4,396 are allowed.
+  /// same request: with the region's whole part for both, a busy customer gets
+  /// more than its rate. The overage that deployments allow is more than this.
   static constexpr double StandbyPart = 0.08;
   static constexpr double MostStandby = 2;
 
--- a/libs/members/DatagramSocket.cpp
+++ b/libs/members/DatagramSocket.cpp
@@ -1,8 +1,21 @@
 #include "members/DatagramSocket.h"
 
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 namespace lychee::members {
 
-using boost::asio::ip::udp;
+namespace asio = boost::asio;
+using asio::ip::udp;
+
+namespace {
+
+constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
+/// A receive that fails at once again and again must not take the processor.
+constexpr std::chrono::milliseconds FailurePause(50);
+
+} // namespace
 
 bool openDatagramSocket(udp::socket &Socket, const settings::Endpoint &Listen,
                         const char *Step, base::Error &Last) {
@@ -20,4 +33,30 @@
   return false;
 }
 
+void sendDatagram(udp::socket &Socket, std::string_view Text,
+                  const std::string &Address, std::uint16_t Port) {
+  boost::system::error_code Ignored;
+  const auto Receiver = asio::ip::make_address(Address, Ignored);
+  if (!Ignored)
+    Socket.send_to(asio::buffer(Text), udp::endpoint(Receiver, Port), 0,
+                   Ignored);
+}
+
+asio::awaitable<void> receiveDatagrams(
+    udp::socket &Socket, std::span<char> Buffer,
+    const std::function<void(std::string_view, const udp::endpoint &)> &Take) {
+  asio::steady_timer Pause(Socket.get_executor());
+  while (true) {
+    udp::endpoint Sender;
+    const auto [Failure, Count] = co_await Socket.async_receive_from(
+        asio::buffer(Buffer.data(), Buffer.size()), Sender, AsTuple);
+    if (Failure) {
+      Pause.expires_after(FailurePause);
+      co_await Pause.async_wait(AsTuple);
+      continue;
+    }
+    Take({Buffer.data(), Count}, Sender);
+  }
+}
+
 } // namespace lychee::members
--- a/libs/members/DemandTeller.h
+++ b/libs/members/DemandTeller.h
@@ -18,11 +18,10 @@
 
 /// Chooses which customers' demands a heartbeat tells.
 ///
-/// Load pattern: hosts x hosts x customers. With 60 hosts and 72 customers,
-/// heartbeats that tell every customer were 0.6 GB between regions in 50 s, the
-/// second largest price of the day. Most demands are small and stay what they
-/// are, so every fourth heartbeat tells all, and those between only what has
-/// changed since then. A heartbeat that is lost is made up for by the next.
+/// Load pattern: hosts of a region x hosts x customers. Most demands are small
+/// and stay what they are, so every fourth heartbeat tells all, and those
+/// between only what has changed since then. A heartbeat that is lost is made
+/// up for by the next.
 ///
 /// What is told late costs: hosts divide a rate by demands of different age.
 /// Few customers are therefore always told whole (RateDivisionTest: of a small
--- a/libs/members/HeartbeatExchange.cpp
+++ b/libs/members/HeartbeatExchange.cpp
@@ -17,8 +17,6 @@
 namespace {
 
 constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
-/// A receive that fails at once again and again must not take the processor.
-constexpr std::chrono::milliseconds FailurePause(50);
 
 } // namespace
 
@@ -50,12 +48,8 @@
 
 void HeartbeatExchange::send(std::string_view Text,
                              const std::string &Address) {
-  boost::system::error_code Ignored;
-  const auto Receiver = asio::ip::make_address(Address, Ignored);
-  // A datagram that does not go out is one that was lost; the next follows.
-  if (!Ignored && !Text.empty())
-    Socket_.send_to(asio::buffer(Text), udp::endpoint(Receiver, Listen_.Port_),
-                    0, Ignored);
+  if (!Text.empty())
+    sendDatagram(Socket_, Text, Address, Listen_.Port_);
 }
 
 void HeartbeatExchange::say(bool Whole, bool WithCard, base::TimePoint Now) {
@@ -79,25 +73,19 @@
   }
 }
 
-asio::awaitable<void> HeartbeatExchange::receiveAll() {
-  asio::steady_timer Pause(Socket_.get_executor());
-  while (true) {
-    udp::endpoint Sender;
-    const auto [Failure, Count] = co_await Socket_.async_receive_from(
-        asio::buffer(Received_), Sender, AsTuple);
-    if (Failure) {
-      Pause.expires_after(FailurePause);
-      co_await Pause.async_wait(AsTuple);
-      continue;
-    }
-    base::Error Unreadable;
-    const std::optional<Heartbeat> Said =
-        decodeHeartbeat({Received_.data(), Count}, Unreadable);
-    if (!Said)
-      continue;
-    const base::TimePoint Now = SystemClock::monotonicNow();
+void HeartbeatExchange::take(std::string_view Text, base::TimePoint Now) {
+  base::Error Unreadable;
+  const std::optional<Heartbeat> Said = decodeHeartbeat(Text, Unreadable);
+  if (Said)
     Others_.Hear_(*Said, Book_.heard(*Said, Now), Now);
-  }
+}
+
+asio::awaitable<void> HeartbeatExchange::receiveAll() {
+  const std::function<void(std::string_view, const udp::endpoint &)> Take =
+      [this](std::string_view Text, const udp::endpoint &) {
+        take(Text, SystemClock::monotonicNow());
+      };
+  co_await receiveDatagrams(Socket_, Received_, Take);
 }
 
 } // namespace lychee::members
--- a/libs/members/HeartbeatExchange.h
+++ b/libs/members/HeartbeatExchange.h
@@ -65,6 +65,7 @@
   /// \returns the text of a heartbeat; empty where it is too long to be sent.
   std::string textOf(Heartbeat Said, bool WithCard);
   void send(std::string_view Text, const std::string &Address);
+  void take(std::string_view Text, base::TimePoint Now);
   void say(bool Whole, bool WithCard, base::TimePoint Now);
 
   HostBook &Book_;
--- a/libs/members/HostBook.h
+++ b/libs/members/HostBook.h
@@ -90,9 +90,9 @@
   bool heardNews(const RegionNews &Said, base::TimePoint Now);
 
   /// A host that has just started knows its region in part only. Told as the
-  /// whole, that made other regions take the rest of a customer's rate for
-  /// theirs: 704 requests in 5 s where 673 are allowed. What was told before
-  /// stands meanwhile. Where all have just started nobody knows better.
+  /// whole, that makes other regions take the rest of each rate for theirs, and
+  /// a busy customer gets more than its rate. What was told before stands
+  /// meanwhile. Where all have just started nobody knows better.
   static constexpr base::Duration Settling = std::chrono::seconds(2);
   /// Within this a host that starts hears whether others have been there.
   static constexpr base::Duration FirstHearing = std::chrono::milliseconds(700);
--- a/libs/members/RegionExchange.cpp
+++ b/libs/members/RegionExchange.cpp
@@ -15,8 +15,6 @@
 namespace {
 
 constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
-/// A receive that fails at once again and again must not take the processor.
-constexpr std::chrono::milliseconds FailurePause(50);
 
 settings::Endpoint nextPort(settings::Endpoint Heartbeats) {
   ++Heartbeats.Port_;
@@ -39,14 +37,8 @@
 
 void RegionExchange::send(std::string_view Text,
                           std::span<const std::string> Receivers) {
-  for (const std::string &Each : Receivers) {
-    boost::system::error_code Ignored;
-    const auto Address = asio::ip::make_address(Each, Ignored);
-    // A datagram that does not go out is one that was lost; others follow.
-    if (!Ignored)
-      Socket_.send_to(asio::buffer(Text), udp::endpoint(Address, Listen_.Port_),
-                      0, Ignored);
-  }
+  for (const std::string &Each : Receivers)
+    sendDatagram(Socket_, Text, Each, Listen_.Port_);
 }
 
 void RegionExchange::sayNow(base::TimePoint Now) {
@@ -81,19 +73,11 @@
 }
 
 asio::awaitable<void> RegionExchange::receiveAll() {
-  asio::steady_timer Pause(Socket_.get_executor());
-  while (true) {
-    udp::endpoint Sender;
-    const auto [Failure, Count] = co_await Socket_.async_receive_from(
-        asio::buffer(Received_), Sender, AsTuple);
-    if (Failure) {
-      Pause.expires_after(FailurePause);
-      co_await Pause.async_wait(AsTuple);
-      continue;
-    }
-    take({Received_.data(), Count}, Sender.address(),
-         SystemClock::monotonicNow());
-  }
+  const std::function<void(std::string_view, const udp::endpoint &)> Take =
+      [this](std::string_view Text, const udp::endpoint &Sender) {
+        take(Text, Sender.address(), SystemClock::monotonicNow());
+      };
+  co_await receiveDatagrams(Socket_, Received_, Take);
 }
 
 } // namespace lychee::members
--- a/libs/members/RegionTeller.h
+++ b/libs/members/RegionTeller.h
@@ -11,10 +11,10 @@
 ///
 /// Load pattern: hosts x hosts. Where each host tells each host of other
 /// regions that it is alive and what its customers ask, bytes between regions
-/// grow with the square of the fleet: 95 hosts told 0.12 GB in 26 s, the
-/// largest price of a calm day. Two speakers a region tell two of each other
-/// region what has changed, and the rest in turn, so that what is lost is told
-/// again and no news is larger than a part of what there is.
+/// grow with the square of the fleet and cost more than the requests. Two
+/// speakers a region tell two of each other region what has changed, and the
+/// rest in turn, so that what is lost is told again and no news is larger than
+/// a part of what there is.
 ///
 /// What changed is told more than once, since datagrams are lost; and
 /// everything is told within Turns news, for those that missed all of them.
--- a/libs/members/TokenExchange.cpp
+++ b/libs/members/TokenExchange.cpp
@@ -3,24 +3,12 @@
 #include "base/SystemClock.h"
 #include "members/DatagramSocket.h"
 
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
-
 namespace lychee::members {
 
 namespace asio = boost::asio;
 using asio::ip::udp;
 using base::SystemClock;
 
-namespace {
-
-constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
-/// A receive that fails at once again and again must not take the processor.
-constexpr std::chrono::milliseconds FailurePause(50);
-
-} // namespace
-
 TokenExchange::TokenExchange(const asio::any_io_executor &Executor,
                              settings::Endpoint Listen, std::uint64_t Start,
                              Parts Others)
@@ -57,21 +45,13 @@
 }
 
 asio::awaitable<void> TokenExchange::receiveAll() {
-  asio::steady_timer Pause(Socket_.get_executor());
-  while (true) {
-    udp::endpoint Sender;
-    const auto [Failure, Count] = co_await Socket_.async_receive_from(
-        asio::buffer(Received_), Sender, AsTuple);
-    if (Failure) {
-      Pause.expires_after(FailurePause);
-      co_await Pause.async_wait(AsTuple);
-      continue;
-    }
-    base::Error Unreadable;
-    if (const auto Said =
-            decodeTokenMessage({Received_.data(), Count}, Unreadable))
-      take(*Said, Sender);
-  }
+  const std::function<void(std::string_view, const udp::endpoint &)> Take =
+      [this](std::string_view Text, const udp::endpoint &Sender) {
+        base::Error Unreadable;
+        if (const auto Said = decodeTokenMessage(Text, Unreadable))
+          take(*Said, Sender);
+      };
+  co_await receiveDatagrams(Socket_, Received_, Take);
 }
 
 } // namespace lychee::members
--- a/libs/relaying/RelayRole.h
+++ b/libs/relaying/RelayRole.h
@@ -17,11 +17,10 @@
 /// Decides whether this host asks the store or waits for what others tell.
 ///
 /// Load pattern: every change wakes a watch of every host, and each watch is a
-/// call that the store has to answer and that is paid for: at 60 hosts 7,481
-/// calls in 50 s, the largest price of the day. So of the hosts of a region
-/// that are alive and have no trouble with the store, the first few by hash
-/// ask; all hosts that hear each other agree on them without a word. Each other
-/// host asks two of these.
+/// call that the store has to answer and that is paid for. So of the hosts of a
+/// region that are alive and have no trouble with the store, the first few by
+/// hash ask; all hosts that hear each other agree on them without a word. Each
+/// other host asks two of these.
 ///
 /// Failure that the rest guards against: those few are dead, frozen, refused by
 /// the store, or see other hosts than this one does. Symptom without a
@@ -87,10 +86,10 @@
   bool mustAsk(base::TimePoint Now) const noexcept;
 
   /// Load pattern: the store refuses everybody for seconds, so nobody is told
-  /// anything sound and all hosts ask it: 2,385 refused calls of 71 hosts in
-  /// 4.5 s. While others answer, though they have trouble, too, this host tries
-  /// once and then so many times less often that the region asks as often as
-  /// its chosen few do; those tell as soon as one of them is served.
+  /// anything sound and all hosts ask it. While others answer, though they have
+  /// trouble, too, this host tries once and then so many times less often that
+  /// the region asks as often as its chosen few do; those tell as soon as one
+  /// of them is served.
   /// \returns by how much longer to pause.
   double spread(base::TimePoint Now) const noexcept;
 
