--- a/tests/relaying/RelayRegionTest.cpp
+++ b/tests/relaying/RelayRegionTest.cpp
@@ -52,7 +52,7 @@
       View.Alive_ = true;
       View.Ready_ = true;
       Views_.push_back(View);
-      Hosts_.push_back({RelayRole(View.Card_, Pace_), Now_, Now_});
+      Hosts_.emplace_back(RelayRole(View.Card_, Pace_), Now_);
     }
   }
 
@@ -91,13 +91,16 @@
 
 private:
   struct Host {
+    Host(RelayRole Role, base::TimePoint Now)
+        : Role_(std::move(Role)), OwnContact_(Now), Contact_(Now) {}
+
     RelayRole Role_;
     /// The store last answered this host, or one that told it.
     base::TimePoint OwnContact_;
     base::TimePoint Contact_;
-    std::optional<Fault> Fault_{};
+    std::optional<Fault> Fault_;
     /// When the call under way ends, and whether it brings anything.
-    std::optional<base::TimePoint> CallEnds_{};
+    std::optional<base::TimePoint> CallEnds_;
     bool CallComes_ = true;
     bool Watches_ = false;
   };
