--- a/tests/support/LiveFleet.cpp
+++ b/tests/support/LiveFleet.cpp
@@ -6,6 +6,8 @@
 #include <filesystem>
 #include <fstream>
 #include <iterator>
+#include <json/writer.h>
+#include <sstream>
 #include <stdexcept>
 #include <unistd.h>
 
@@ -99,7 +101,8 @@
       "lycheed", std::vector<std::string>{"--settings", Path}, logPath(Index));
 }
 
-void LiveFleet::writeIntent(int Version, const std::string &Key) {
+std::size_t LiveFleet::writeIntent(int Version, const std::string &Key,
+                                   std::size_t MoreRules) {
   Json::Value Made;
   Made["version"] = "r" + std::to_string(Version);
   Made["routes"]["columns"] = listOf({"name", "host", "pathPrefix", "kind",
@@ -108,11 +111,19 @@
       listOf({"r-1", "a.example", "/x/", "idempotent", 2000, 2, "portal"}));
   Made["routes"]["rows"].append(
       listOf({"r-2", "a.example", "/y/", "non_idempotent", 2000, 2, "portal"}));
+  for (std::size_t Each = 0; Each < MoreRules; ++Each) {
+    const std::string Name = "more-" + std::to_string(Each);
+    Made["routes"]["rows"].append(listOf({Name, "a.example", "/" + Name + "/",
+                                          "idempotent", 2000, 2, "portal"}));
+  }
   Made["services"]["columns"] = listOf({"name"});
   Made["services"]["rows"].append(listOf({"portal"}));
   Made["tenants"]["columns"] = listOf({"name", "apiKeys"});
   Made["tenants"]["rows"].append(listOf({"parish", listOf({Key})}));
   Objects_->put("config", "main", Made);
+  Json::StreamWriterBuilder Builder;
+  Builder["indentation"] = "";
+  return Json::writeString(Builder, Made).size();
 }
 
 void LiveFleet::writeEntry(std::size_t Target, const std::string &State,
@@ -153,6 +164,15 @@
   return get(at(Host, 7002), "/metrics").Body_;
 }
 
+std::optional<double> LiveFleet::metric(std::size_t Host,
+                                        const std::string &Series) const {
+  std::istringstream Text(metrics(Host));
+  for (std::string Line; std::getline(Text, Line);)
+    if (Line.starts_with(Series + " "))
+      return std::stod(Line.substr(Series.size() + 1));
+  return std::nullopt;
+}
+
 std::string LiveFleet::log(std::size_t Host) const {
   std::ifstream Log(logPath(Host));
   return {std::istreambuf_iterator<char>(Log),
--- a/tests/support/LiveFleet.h
+++ b/tests/support/LiveFleet.h
@@ -9,6 +9,7 @@
 
 #include <json/value.h>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -57,7 +58,10 @@
   /// Kills a host without a word.
   void killHost(std::size_t Index) { Hosts_[Index].reset(); }
   /// Puts a configuration in force, in which \p Key is the customer's.
-  void writeIntent(int Version, const std::string &Key);
+  /// \param MoreRules  that are there beside those for /x/ and /y/.
+  /// \returns how many bytes it takes as JSON.
+  std::size_t writeIntent(int Version, const std::string &Key,
+                          std::size_t MoreRules = 0);
   /// Writes a target's entry. \p State  "ready" or "draining".
   void writeEntry(std::size_t Target, const std::string &State,
                   int ColdMilliseconds = 0);
@@ -70,6 +74,9 @@
   std::string resolve(std::size_t Host) const;
   std::string log(std::size_t Host) const;
   std::string metrics(std::size_t Host) const;
+  /// \returns the value of a series; nothing where the host does not show it.
+  std::optional<double> metric(std::size_t Host,
+                               const std::string &Series) const;
   /// \returns whether none of a few requests to all hosts reached the target.
   bool getsNothing(std::size_t Target, const std::string &Key);
 
