Large changes are fetched from the store, not copied by the hosts that ask it

Cause: an operator adds 1,400 rules. The two hosts that ask the store for a region put the whole intent into their answer to each other host, encoded anew each time, and are asked again by whoever gave up after 400 ms. Small ones spend all of their processor on copies, and the watch that brings them the next version waits behind: those that should know first know last.

Change: relaying::CopyAllowance decides. Changes up to 32 kB go to everybody; larger ones only to hosts that the store refuses, at 256 kB/s; the others are told that there is a change and list it from the store, once. A gap that another host's news close is closed, so that a refused host does not ask on.

Why it works: what one of these hosts sends for a change no longer grows with the change, and each host reads it over its own link from a store made for it.

--- a/apps/lycheed/LiveFeed.cpp
+++ b/apps/lycheed/LiveFeed.cpp
@@ -112,15 +112,31 @@
                                             .add("reason", Why.Reason_));
 }
 
-relaying::RelayQuestion LiveFeed::question() const {
+relaying::RelayQuestion LiveFeed::question(base::TimePoint Now) const {
   relaying::RelayQuestion Asked;
+  Asked.Refused_ = Parts_.Role_.isInTrouble(Now);
   for (const auto &Each : Followers_)
     Asked.Known_[Each->kind()] = Each->at();
   return Asked;
 }
 
+live::ObjectNews LiveFeed::newsFor(const live::ObjectFollower &Kind,
+                                   std::uint64_t Since, bool Refused,
+                                   base::TimePoint Now) {
+  const std::size_t Bytes = Kind.newsBytesSince(Since);
+  const bool Whole = Copies_.take(Bytes, Refused, Now);
+  if (!Whole)
+    reporting::logLine(LogLevel::Info, KeyValueLine()
+                                           .add("event", "change-left-out")
+                                           .add("kind", Kind.kind())
+                                           .add("since", Since)
+                                           .add("bytes", Bytes)
+                                           .add("refused", Refused ? 1 : 0));
+  return Kind.newsSince(Since, Whole, Now);
+}
+
 relaying::RelayAnswer LiveFeed::answer(const relaying::RelayQuestion &Asked,
-                                       base::TimePoint Now) const {
+                                       base::TimePoint Now) {
   relaying::RelayAnswer Told;
   Told.Sound_ = !Parts_.Role_.isInTrouble(Now);
   if (const auto Trouble = Parts_.Role_.lastTrouble())
@@ -131,7 +147,7 @@
     Told.Sound_ = Told.Sound_ && Each->isSound();
     const auto Known = Asked.Known_.find(Each->kind());
     if (Known != Asked.Known_.end())
-      Told.News_.push_back(Each->newsSince(Known->second, Now));
+      Told.News_.push_back(newsFor(*Each, Known->second, Asked.Refused_, Now));
   }
   return Told;
 }
--- a/apps/lycheed/LiveFeed.h
+++ b/apps/lycheed/LiveFeed.h
@@ -8,6 +8,7 @@
 #include "live/TargetBook.h"
 #include "lycheed/LiveGauges.h"
 #include "members/HostBook.h"
+#include "relaying/CopyAllowance.h"
 #include "relaying/RelayMessages.h"
 #include "relaying/RelayRole.h"
 
@@ -50,9 +51,9 @@
   void expire(base::TimePoint Now);
 
   // What is passed on between hosts.
-  relaying::RelayQuestion question() const;
+  relaying::RelayQuestion question(base::TimePoint Now) const;
   relaying::RelayAnswer answer(const relaying::RelayQuestion &Asked,
-                               base::TimePoint Now) const;
+                               base::TimePoint Now);
   void take(const relaying::RelayAnswer &Told, base::TimePoint AskedAt,
             base::TimePoint Now);
 
@@ -72,6 +73,9 @@
   void takeIntent(std::span<const live::StoredObject> Heard);
   /// Hands an intent that is in force to those who act by it.
   void applyIntent(const std::shared_ptr<const live::Intent> &Fresh);
+  live::ObjectNews newsFor(const live::ObjectFollower &Kind,
+                           std::uint64_t Since, bool Refused,
+                           base::TimePoint Now);
   static live::TargetChange readTarget(const live::StoredObject &Entry);
   void takeTargets(std::span<const live::StoredObject> Heard);
   void takeEvacuations(std::span<const live::StoredObject> Heard);
@@ -81,6 +85,7 @@
   const LiveFeedParts Parts_;
   live::IntentBook &Intents_;
   live::TargetBook Targets_;
+  relaying::CopyAllowance Copies_;
   std::set<base::ZoneId> Evacuated_;
   std::map<std::string, members::ListedHost> Listed_;
   std::atomic<bool> HasTargets_ = false;
--- a/libs/live/ObjectFollower.cpp
+++ b/libs/live/ObjectFollower.cpp
@@ -21,7 +21,7 @@
       Backoff_(Pace.LongestPause_) {}
 
 bool ObjectFollower::mustAsk(base::TimePoint Now) const {
-  return HasGap_ || !Listeners_.MustAsk_ || Listeners_.MustAsk_(Now);
+  return Gap_ || !Listeners_.MustAsk_ || Listeners_.MustAsk_(Now);
 }
 
 asio::awaitable<void> ObjectFollower::run() {
@@ -49,7 +49,7 @@
   const base::Duration Span = Backoff_.next(Random_);
   // What others cannot tell nobody asks for in this host's place: a zone to be
   // kept clear was heard of 4 s late, and sent to 9 ms after its bound of 5 s.
-  const bool Spreads = Listeners_.Spread_ && !HasGap_;
+  const bool Spreads = Listeners_.Spread_ && !Gap_;
   const double Spread =
       Spreads ? Listeners_.Spread_(SystemClock::monotonicNow()) : 1;
   const double Longer =
@@ -102,7 +102,7 @@
   const base::TimePoint Now = SystemClock::monotonicNow();
   succeeded(base::Duration::zero(), Now);
   Listed_ = true;
-  HasGap_ = false;
+  Gap_.reset();
   const bool First = Mirror_.isEmpty();
   const std::vector<StoredObject> News = Mirror_.replaceAll(*All, Now);
   if (First || !News.empty())
@@ -132,7 +132,7 @@
   }
   const base::TimePoint Now = SystemClock::monotonicNow();
   succeeded(Wait, Now);
-  HasGap_ = false;
+  Gap_.reset();
   const bool Ended = !Heard->Objects_.empty();
   const std::vector<StoredObject> News = Mirror_.apply(*Heard, Now);
   if (!News.empty())
@@ -151,36 +151,46 @@
     co_await waitFor(Pace_.Linger_);
 }
 
-ObjectNews ObjectFollower::newsSince(std::uint64_t Since,
+ObjectNews ObjectFollower::newsSince(std::uint64_t Since, bool Whole,
                                      base::TimePoint Now) const {
   ObjectNews Told;
   Told.Kind_ = Kind_;
   Told.Newest_ = Mirror_.newest();
   if (Confirmed_)
     Told.Age_ = Now - *Confirmed_;
-  std::optional<ObjectBatch> Changes = Mirror_.since(Since);
+  std::optional<ObjectBatch> Changes =
+      Whole ? Mirror_.since(Since) : std::nullopt;
   Told.MustList_ = !Changes;
   if (Changes)
     Told.Changes_ = std::move(*Changes);
   return Told;
 }
 
+void ObjectFollower::noteGap(std::uint64_t Revision) {
+  Gap_ = std::max(Gap_.value_or(Revision), Revision);
+}
+
 void ObjectFollower::takeNews(const ObjectNews &Told, bool Sound,
                               base::TimePoint AskedAt, base::TimePoint Now) {
   // Before the first list there is nothing that changes could be added to.
   if (Mirror_.isEmpty())
     return;
   if (Told.MustList_) {
-    HasGap_ = HasGap_ || Sound;
+    // A call that came after the question may have brought what it misses.
+    if (Sound && (!Contact_ || *Contact_ <= AskedAt))
+      noteGap(Told.Newest_);
     return;
   }
   const std::vector<StoredObject> News = Mirror_.apply(Told.Changes_, Now);
   if (!News.empty())
     Listeners_.Changed_(News);
   if (!Mirror_.covers(Told.Newest_)) {
-    HasGap_ = HasGap_ || Sound;
+    if (Sound)
+      noteGap(Told.Newest_);
     return;
   }
+  if (Gap_ && *Gap_ <= Told.Changes_.At_ && Mirror_.covers(*Gap_))
+    Gap_.reset();
   // The answer was given after the question was asked, whatever time either
   // spent on its way; so it is no older than its age before the question.
   if (Told.Age_)
--- a/libs/live/ObjectFollower.h
+++ b/libs/live/ObjectFollower.h
@@ -97,8 +97,16 @@
   /// confirmation it does not allow for a store that goes deaf.
   std::optional<base::TimePoint> contact() const noexcept { return Contact_; }
 
+  /// \returns how long what newsSince() tells is as text.
+  std::size_t newsBytesSince(std::uint64_t Since) const noexcept {
+    return Mirror_.bytesSince(Since);
+  }
+
   /// \returns what to tell a host that knows everything up to \p Since.
-  ObjectNews newsSince(std::uint64_t Since, base::TimePoint Now) const;
+  /// \param Whole  with the changes; else the host is to take them from the
+  /// store.
+  ObjectNews newsSince(std::uint64_t Since, bool Whole,
+                       base::TimePoint Now) const;
 
   /// Takes what another host told in answer to a question of \p AskedAt.
   /// \param Sound  it asks the store itself, with success: what it cannot tell
@@ -116,6 +124,8 @@
   void succeeded(base::Duration Wait, base::TimePoint Now);
   base::Duration patience() const;
   void confirm(base::TimePoint Moment);
+  /// Another host heard of a change up to \p Revision that this one misses.
+  void noteGap(std::uint64_t Revision);
 
   ObjectSource &Source_;
   const std::string Kind_;
@@ -128,10 +138,10 @@
   /// The next call may be a watch; else what is known may have gaps.
   bool Listed_ = false;
   bool InTrouble_ = false;
-  /// Another host could not tell all that changed. A host that has just listed
-  /// watches on from its list, which is one call; a list of some hundred
-  /// objects is several.
-  bool HasGap_ = false;
+  /// Another host heard of changes up to this revision and did not tell them
+  /// all. A host that has just listed watches on from its list, which is one
+  /// call; a list of some hundred objects is several.
+  std::optional<std::uint64_t> Gap_;
   std::optional<base::TimePoint> Confirmed_;
   std::optional<base::TimePoint> Contact_;
   /// What the store took for its last answer, beyond a watch's length.
--- a/libs/live/ObjectMirror.cpp
+++ b/libs/live/ObjectMirror.cpp
@@ -86,6 +86,15 @@
   return News;
 }
 
+std::size_t ObjectMirror::bytesSince(std::uint64_t Since) const noexcept {
+  std::size_t Bytes = 0;
+  for (const Portion &Each : Portions_)
+    if (Each.At_ > Since)
+      for (const StoredObject &Object : Each.Objects_)
+        Bytes += Object.Bytes_;
+  return Bytes;
+}
+
 std::optional<ObjectBatch> ObjectMirror::since(std::uint64_t Since) const {
   if (At_ == 0 || Since < From_)
     return std::nullopt;
--- a/libs/live/ObjectMirror.h
+++ b/libs/live/ObjectMirror.h
@@ -51,6 +51,8 @@
 
   /// \returns what changed after \p Since, or nothing where that is forgotten.
   std::optional<ObjectBatch> since(std::uint64_t Since) const;
+  /// \returns how long the contents of since() are as text.
+  std::size_t bytesSince(std::uint64_t Since) const noexcept;
 
 private:
   struct Portion {
--- a/libs/live/ObjectNews.h
+++ b/libs/live/ObjectNews.h
@@ -17,8 +17,8 @@
   /// The last change that the other host heard of. One that is not among
   /// Changes_ and not known here was kept back by a store that went deaf.
   std::uint64_t Newest_ = 0;
-  /// The other host no longer knows what changed since then, or a change is
-  /// too large to pass on: the store must be asked.
+  /// The other host no longer knows what changed since then, or leaves it out
+  /// since it is large: the store must be asked.
   bool MustList_ = false;
   /// How long before it was told this was the newest; nothing where unknown.
   std::optional<base::Duration> Age_;
--- a/libs/live/ObjectSource.h
+++ b/libs/live/ObjectSource.h
@@ -5,6 +5,7 @@
 #include "base/Time.h"
 
 #include <boost/asio/awaitable.hpp>
+#include <cstddef>
 #include <cstdint>
 #include <json/value.h>
 #include <optional>
@@ -21,8 +22,17 @@
   Json::Value Content_;
   /// The object is gone.
   bool Deleted_ = false;
+  /// Length of Content_ as text.
+  std::size_t Bytes_ = 0;
 };
 
+/// \returns how long a value is in the text that it was parsed from; 0 for one
+/// that was made otherwise.
+inline std::size_t parsedBytes(const Json::Value &Parsed) noexcept {
+  return static_cast<std::size_t>(Parsed.getOffsetLimit() -
+                                  Parsed.getOffsetStart());
+}
+
 /// Objects of a kind, or what changed of them, as of a revision of the store.
 struct ObjectBatch {
   std::vector<StoredObject> Objects_;
--- /dev/null
+++ b/libs/relaying/CopyAllowance.h
@@ -0,0 +1,46 @@
+#ifndef LYCHEE_RELAYING_COPYALLOWANCE_H
+#define LYCHEE_RELAYING_COPYALLOWANCE_H
+
+#include "base/Time.h"
+
+#include <cstddef>
+
+namespace lychee::relaying {
+
+/// Decides whether a host that asks the store tells another a change itself,
+/// or leaves it to fetch the change from the store.
+///
+/// Load pattern: one change of some hundred kilobytes, and every host of the
+/// region asks for it within a few hundred milliseconds. What goes wrong
+/// without a bound: a small host spends its link and processor on copies,
+/// whoever asked gives up and asks again, and what the store tells the host
+/// itself waits behind the copies. The hosts that should know first know last.
+///
+/// Changes up to SmallBytes go to everybody: at most
+/// RelayRole::AskedByEach * RelayRole::HostsPerAsker hosts ask, which makes
+/// 1.6 MB, a second or so of a link of 10 Mbit/s. Larger ones go only to hosts
+/// that the store refuses, which cannot fetch them, and at a bounded rate that
+/// leaves most of such a link to requests. Everybody else has a link of its
+/// own to the store, and fetches the change once.
+///
+/// Of one thread. \see RelayRole
+class CopyAllowance {
+public:
+  static constexpr std::size_t SmallBytes = std::size_t{32} << 10;
+  /// Of large changes, in all.
+  static constexpr double LargeBytesPerSecond = 256 << 10;
+
+  /// \param Bytes  of the change as text. \param Refused  the host that asks
+  /// cannot fetch it from the store.
+  /// \returns whether the change is told; it counts as told then.
+  bool take(std::size_t Bytes, bool Refused, base::TimePoint Now) noexcept;
+
+private:
+  /// By then the large changes that were told have gone out at the bounded
+  /// rate.
+  base::TimePoint FreeAt_{};
+};
+
+} // namespace lychee::relaying
+
+#endif
--- a/libs/relaying/RelayExchange.cpp
+++ b/libs/relaying/RelayExchange.cpp
@@ -60,10 +60,10 @@
   transport::HttpRequest Request;
   Request.Method_ = "POST";
   Request.Target_ = NewsPath;
-  Request.Body_ = encodeQuestion(Others_.Ask_());
+  const base::TimePoint AskedAt = SystemClock::monotonicNow();
+  Request.Body_ = encodeQuestion(Others_.Ask_(AskedAt));
   bool Sent = false;
   base::Error Last;
-  const base::TimePoint AskedAt = SystemClock::monotonicNow();
   const auto Answer = co_await Whom->Client_.exchange(
       std::move(Request), Timeout, "relay.ask", Sent, Last);
   Whom->Pending_ = false;
--- a/libs/relaying/RelayExchange.h
+++ b/libs/relaying/RelayExchange.h
@@ -23,7 +23,7 @@
   static constexpr std::chrono::milliseconds Timeout{400};
 
   struct Parts {
-    std::function<RelayQuestion()> Ask_;
+    std::function<RelayQuestion(base::TimePoint Now)> Ask_;
     std::function<RelayAnswer(const RelayQuestion &, base::TimePoint)> Answer_;
     std::function<void(const RelayAnswer &, base::TimePoint AskedAt,
                        base::TimePoint Now)>
--- a/libs/relaying/RelayMessages.cpp
+++ b/libs/relaying/RelayMessages.cpp
@@ -43,7 +43,7 @@
       !Row[1].isUInt64() || !Row[2].isBool())
     return std::nullopt;
   return StoredObject{Row[0].asString(), Row[1].asUInt64(), Row[3],
-                      Row[2].asBool()};
+                      Row[2].asBool(), live::parsedBytes(Row[3])};
 }
 
 Json::Value newsOf(const ObjectNews &Each) {
@@ -84,6 +84,8 @@
 
 std::string encodeQuestion(const RelayQuestion &Asked) {
   Json::Value Text;
+  if (Asked.Refused_)
+    Text["refused"] = true;
   for (const auto &[Kind, Revision] : Asked.Known_)
     Text["known"][Kind] = Json::UInt64(Revision);
   return textOf(Text);
@@ -112,6 +114,7 @@
     Last = {"relay.question", "host", "known is missing or no object"};
     return std::nullopt;
   }
+  Read.Refused_ = (*Document)["refused"] == Json::Value(true);
   for (const std::string &Kind : Known.getMemberNames())
     if (Known[Kind].isUInt64())
       Read.Known_[Kind] = Known[Kind].asUInt64();
--- a/libs/relaying/RelayMessages.h
+++ b/libs/relaying/RelayMessages.h
@@ -17,6 +17,8 @@
 /// each kind of object.
 struct RelayQuestion {
   std::map<std::string, std::uint64_t> Known_;
+  /// The store does not answer the host that asks.
+  bool Refused_ = false;
 };
 
 /// What the other answers.
--- a/tests/live/ObjectFollowerTest.cpp
+++ b/tests/live/ObjectFollowerTest.cpp
@@ -276,3 +276,61 @@
   play({"list", "watch"});
   CHECK(Source_.Spans_.back().Patience_ >= 60ms);
 }
+
+TEST(ObjectFollower, aChangeThatOthersLeaveOutIsListedOnce) {
+  int Question = 0;
+  MustAsk_ = [&](base::TimePoint Now) {
+    live::ObjectNews LeftOut;
+    LeftOut.MustList_ = true;
+    LeftOut.Newest_ = 9;
+    if (++Question == 2)
+      Follower_->takeNews(LeftOut, true, Now, Now);
+    // Asked before the list that this brought.
+    if (Question == 3)
+      Follower_->takeNews(LeftOut, true, *Follower_->contact() - 1ms, Now);
+    if (Question == 5)
+      Loop_.stop();
+    return Question == 1;
+  };
+  STRCMP_EQUAL("list list ", play({"list", "list", "list"}).c_str());
+}
+
+TEST(ObjectFollower, aHostIsNotSentToTheStoreForWhatAnotherHostToldSince) {
+  int Question = 0;
+  MustAsk_ = [&](base::TimePoint Now) {
+    if (++Question == 2) {
+      live::ObjectNews LeftOut;
+      LeftOut.MustList_ = true;
+      LeftOut.Newest_ = 6;
+      Follower_->takeNews(LeftOut, true, Now, Now);
+      live::ObjectNews Whole;
+      Whole.Changes_ = {{{"one", 6, {}, false}}, 6};
+      Whole.Newest_ = 6;
+      Follower_->takeNews(Whole, true, Now, Now);
+    }
+    if (Question == 4)
+      Loop_.stop();
+    return Question == 1;
+  };
+  STRCMP_EQUAL("list ", play({"list", "list"}).c_str());
+}
+
+TEST(ObjectFollower, newsThatKnowLessThanAnotherHostDoNotCloseAGap) {
+  int Question = 0;
+  MustAsk_ = [&](base::TimePoint Now) {
+    if (++Question == 2) {
+      live::ObjectNews LeftOut;
+      LeftOut.MustList_ = true;
+      LeftOut.Newest_ = 9;
+      Follower_->takeNews(LeftOut, true, Now, Now);
+      live::ObjectNews Older;
+      Older.Changes_ = {{{"one", 6, {}, false}}, 6};
+      Older.Newest_ = 6;
+      Follower_->takeNews(Older, true, Now, Now);
+    }
+    if (Question == 4)
+      Loop_.stop();
+    return Question == 1;
+  };
+  STRCMP_EQUAL("list list ", play({"list", "list"}).c_str());
+}
--- /dev/null
+++ b/tests/relaying/CopyAllowanceTest.cpp
@@ -0,0 +1,52 @@
+#include "relaying/CopyAllowance.h"
+#include "relaying/RelayExchange.h"
+#include "relaying/RelayRole.h"
+
+#include "CppUTest/TestHarness.h"
+
+namespace base = lychee::base;
+using lychee::relaying::CopyAllowance;
+using lychee::relaying::RelayRole;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t LargeBytes = std::size_t{300} << 10;
+constexpr std::size_t MostWhoAsk =
+    RelayRole::AskedByEach * RelayRole::HostsPerAsker;
+
+} // namespace
+
+TEST_GROUP(CopyAllowance) {
+  CopyAllowance Allowance_;
+  base::TimePoint Now_ = base::TimePoint(100s);
+};
+
+TEST(CopyAllowance, smallChangesGoToEverybody) {
+  for (std::size_t Host = 0; Host < MostWhoAsk; ++Host)
+    CHECK(Allowance_.take(CopyAllowance::SmallBytes, false, Now_));
+}
+
+TEST(CopyAllowance, aLargeChangeIsLeftToTheStore) {
+  for (std::size_t Host = 0; Host < MostWhoAsk; ++Host)
+    CHECK_FALSE(Allowance_.take(LargeBytes, false, Now_));
+}
+
+TEST(CopyAllowance, hostsThatTheStoreRefusesDoNotTakeAllOfASmallLink) {
+  constexpr double LinkBytesPerSecond = 10e6 / 8;
+  std::size_t Told = 0;
+  const base::TimePoint End = Now_ + 10s;
+  while (Now_ < End) {
+    for (std::size_t Host = 0; Host < MostWhoAsk; ++Host)
+      Told += Allowance_.take(LargeBytes, true, Now_) ? LargeBytes : 0;
+    Now_ += RelayRole::AskEvery;
+  }
+  CHECK(Told > 0);
+  CHECK(static_cast<double>(Told) < LinkBytesPerSecond * 10 / 3);
+}
+
+TEST(CopyAllowance, aHostThatTheStoreRefusesIsToldHoweverLargeTheChange) {
+  CHECK(Allowance_.take(std::size_t{4} << 20, true, Now_));
+  CHECK_FALSE(Allowance_.take(LargeBytes, true, Now_ + 1s));
+  CHECK(Allowance_.take(LargeBytes, true, Now_ + 20s));
+}
--- a/tests/relaying/RelayMessagesTest.cpp
+++ b/tests/relaying/RelayMessagesTest.cpp
@@ -12,11 +12,13 @@
 TEST(RelayMessages, aQuestionComesBackAsItWas) {
   relaying::RelayQuestion Asked;
   Asked.Known_ = {{"a", 7}, {"b", 0}};
+  Asked.Refused_ = true;
   base::Error Last;
   const auto Read =
       relaying::decodeQuestion(relaying::encodeQuestion(Asked), Last);
   CHECK(Read.has_value());
   CHECK(Read.value_or(relaying::RelayQuestion()).Known_ == Asked.Known_);
+  CHECK(Read.value_or(relaying::RelayQuestion()).Refused_);
 }
 
 TEST(RelayMessages, anAnswerComesBackAndSeemsNoFresher) {
@@ -47,6 +49,8 @@
   CHECK(Back.Age_.value_or(0ns) >= 1500us);
   LONGS_EQUAL(2, Back.Changes_.Objects_.size());
   CHECK(Back.Changes_.Objects_[0].Content_ == Content);
+  LONGS_EQUAL(std::string_view(R"({"slots":3})").size(),
+              Back.Changes_.Objects_[0].Bytes_);
   CHECK(Back.Changes_.Objects_[1].Deleted_);
 }
 
