--- a/apps/lycheed/LiveDaemon.cpp
+++ b/apps/lycheed/LiveDaemon.cpp
@@ -174,6 +174,7 @@
                [this](const std::string &Address, const base::Error &Why) {
                  noteRelayTrouble(Address, Why);
                }}),
+      Reports_({Entry_, Hosts_, Role_, Steering_}),
       Tokens_(Control_.get_executor(), Live.Relays_, Hosts_.self().Start_,
               {[this](const base::CustomerId &Customer, base::TimePoint Now) {
                  const auto Wait = Steering_.giveToken(Customer, Now);
@@ -190,13 +191,13 @@
       Heartbeats_(
           Control_.get_executor(), Hosts_, Live.Heartbeats_,
           {[this](bool Whole, bool WithCard, base::TimePoint Now) {
-             return sayHeartbeat(Whole, WithCard, Now);
+             return Reports_.heartbeat(Whole, WithCard, Now);
            },
-           [this](base::TimePoint Now) { return answerHeartbeat(Now); },
+           [this](base::TimePoint Now) { return Reports_.answer(Now); },
            [this](const members::Heartbeat &Said, bool News,
                   base::TimePoint Now) { hearHeartbeat(Said, News, Now); }}),
       News_(Control_.get_executor(), Hosts_, Live.Heartbeats_,
-            {[this](base::TimePoint Now) { return ownSummary(Now); },
+            {[this](base::TimePoint Now) { return Reports_.summary(Now); },
              [this] { return Entry_.leaving(); },
              [this](const members::RegionNews &Said, base::TimePoint Now) {
                Steering_.mergeEvidence(Said.Told_.Evidence_, Now);
@@ -208,50 +209,6 @@
 
 // Heartbeats.
 
-members::Heartbeat LiveDaemon::ownHeartbeat(base::TimePoint Now) {
-  members::Heartbeat Said;
-  const members::OwnState Own = Entry_.ownState(Now);
-  Said.Ready_ = Own.Ready_;
-  Said.Leaving_ = Own.Leaving_;
-  Said.StoreTrouble_ = Role_.isInTrouble(Now);
-  Said.Loads_ = Steering_.loads(Now);
-  Said.Evidence_ = Steering_.evidence(Now);
-  return Said;
-}
-
-std::vector<std::string> LiveDaemon::hostsHeard(base::TimePoint Now) const {
-  std::vector<std::string> Addresses;
-  for (const members::HostView &Each : Hosts_.others(Now))
-    if (Each.Alive_ && Each.Card_.Region_ == Settings_.Region_)
-      Addresses.push_back(Each.Card_.Address_);
-  return Addresses;
-}
-
-members::Heartbeat LiveDaemon::sayHeartbeat(bool Whole, bool WithCard,
-                                            base::TimePoint Now) {
-  members::Heartbeat Said = ownHeartbeat(Now);
-  members::ToldDemands Told = Demands_.tell(Steering_.demands(Now), Whole);
-  Said.IsWhole_ = Told.IsWhole_;
-  Said.Demands_ = std::move(Told.Demands_);
-  if (WithCard)
-    Said.Hears_ = hostsHeard(Now);
-  return Said;
-}
-
-members::Heartbeat LiveDaemon::answerHeartbeat(base::TimePoint Now) {
-  members::Heartbeat Said = ownHeartbeat(Now);
-  Said.IsWhole_ = true;
-  Said.Demands_ = Steering_.demands(Now);
-  Said.Hears_ = hostsHeard(Now);
-  return Said;
-}
-
-members::OwnSummary LiveDaemon::ownSummary(base::TimePoint Now) {
-  const members::OwnState Own = Entry_.ownState(Now);
-  return {Own.Ready_, Own.Leaving_, Steering_.demands(Now),
-          Steering_.loads(Now), Steering_.evidence(Now)};
-}
-
 void LiveDaemon::hearHeartbeat(const members::Heartbeat &Said, bool News,
                                base::TimePoint Now) {
   if (!Said.Evidence_.empty())
--- a/apps/lycheed/LiveDaemon.h
+++ b/apps/lycheed/LiveDaemon.h
@@ -8,7 +8,7 @@
 #include "lycheed/HostRegistration.h"
 #include "lycheed/LiveEntry.h"
 #include "lycheed/LiveFeed.h"
-#include "members/DemandTeller.h"
+#include "lycheed/LiveReports.h"
 #include "members/HeartbeatExchange.h"
 #include "members/RegionExchange.h"
 #include "members/TokenExchange.h"
@@ -65,13 +65,6 @@
   /// Decides anew whether this host asks the store.
   void takeRole(std::span<const members::HostView> Others, base::TimePoint Now);
   void tellTrouble(base::TimePoint Now);
-  /// Everything but demands and hosts.
-  members::Heartbeat ownHeartbeat(base::TimePoint Now);
-  std::vector<std::string> hostsHeard(base::TimePoint Now) const;
-  members::Heartbeat answerHeartbeat(base::TimePoint Now);
-  members::Heartbeat sayHeartbeat(bool Whole, bool WithCard,
-                                  base::TimePoint Now);
-  members::OwnSummary ownSummary(base::TimePoint Now);
   void hearHeartbeat(const members::Heartbeat &Said, bool News,
                      base::TimePoint Now);
   boost::asio::awaitable<transport::HttpAnswer>
@@ -105,7 +98,7 @@
   relaying::RelayRole Role_;
   LiveFeed Feed_;
   relaying::RelayExchange Relays_;
-  members::DemandTeller Demands_;
+  LiveReports Reports_;
   members::TokenExchange Tokens_;
   members::HeartbeatExchange Heartbeats_;
   members::RegionExchange News_;
--- a/tests/live/ObjectFollowerTest.cpp
+++ b/tests/live/ObjectFollowerTest.cpp
@@ -109,6 +109,22 @@
   std::function<double(base::TimePoint)> Spread_;
   live::FollowerPace Pace_{.Watch_ = 1s, .LongestPause_ = 10ms};
 
+  /// Another host heard of a change and sends this one to the store for it.
+  void takeLeftOut(std::uint64_t Revision, base::TimePoint AskedAt) const {
+    live::ObjectNews News;
+    News.MustList_ = true;
+    News.Newest_ = Revision;
+    Follower_->takeNews(News, true, AskedAt, AskedAt);
+  }
+
+  /// Another host tells a change, and that there is no later one.
+  void takeChange(std::uint64_t Revision, base::TimePoint AskedAt) const {
+    live::ObjectNews News;
+    News.Changes_ = {{{"one", Revision, {}, false}}, Revision};
+    News.Newest_ = Revision;
+    Follower_->takeNews(News, true, AskedAt, AskedAt);
+  }
+
   std::string play(std::deque<std::string> Script) {
     Source_.Script_ = std::move(Script);
     live::FollowerListeners Heard;
@@ -280,14 +296,11 @@
 TEST(ObjectFollower, aChangeThatOthersLeaveOutIsListedOnce) {
   int Question = 0;
   MustAsk_ = [&](base::TimePoint Now) {
-    live::ObjectNews LeftOut;
-    LeftOut.MustList_ = true;
-    LeftOut.Newest_ = 9;
     if (++Question == 2)
-      Follower_->takeNews(LeftOut, true, Now, Now);
+      takeLeftOut(9, Now);
     // Asked before the list that this brought.
     if (Question == 3)
-      Follower_->takeNews(LeftOut, true, *Follower_->contact() - 1ms, Now);
+      takeLeftOut(9, *Follower_->contact() - 1ms);
     if (Question == 5)
       Loop_.stop();
     return Question == 1;
@@ -299,14 +312,8 @@
   int Question = 0;
   MustAsk_ = [&](base::TimePoint Now) {
     if (++Question == 2) {
-      live::ObjectNews LeftOut;
-      LeftOut.MustList_ = true;
-      LeftOut.Newest_ = 6;
-      Follower_->takeNews(LeftOut, true, Now, Now);
-      live::ObjectNews Whole;
-      Whole.Changes_ = {{{"one", 6, {}, false}}, 6};
-      Whole.Newest_ = 6;
-      Follower_->takeNews(Whole, true, Now, Now);
+      takeLeftOut(6, Now);
+      takeChange(6, Now);
     }
     if (Question == 4)
       Loop_.stop();
@@ -319,14 +326,8 @@
   int Question = 0;
   MustAsk_ = [&](base::TimePoint Now) {
     if (++Question == 2) {
-      live::ObjectNews LeftOut;
-      LeftOut.MustList_ = true;
-      LeftOut.Newest_ = 9;
-      Follower_->takeNews(LeftOut, true, Now, Now);
-      live::ObjectNews Older;
-      Older.Changes_ = {{{"one", 6, {}, false}}, 6};
-      Older.Newest_ = 6;
-      Follower_->takeNews(Older, true, Now, Now);
+      takeLeftOut(9, Now);
+      takeChange(6, Now);
     }
     if (Question == 4)
       Loop_.stop();
