A copy that cannot be told does not use up what refused hosts may be told

Found by reading the fix: where a host that the store refuses knows less than is remembered, it is told nothing, yet the bytes of all remembered changes were taken from what such hosts may be told in all, so that others waited. The length of nothing is 0 now. ObjectMirror.whatIsForgottenHasNoLength failed before.

--- a/apps/lycheed/LiveFeed.cpp
+++ b/apps/lycheed/LiveFeed.cpp
@@ -120,19 +120,19 @@
   return Asked;
 }
 
-live::ObjectNews LiveFeed::newsFor(const live::ObjectFollower &Kind,
+live::ObjectNews LiveFeed::newsFor(const live::ObjectFollower &Told,
                                    std::uint64_t Since, bool Refused,
                                    base::TimePoint Now) {
-  const std::size_t Bytes = Kind.newsBytesSince(Since);
+  const std::size_t Bytes = Told.newsBytesSince(Since);
   const bool Whole = Copies_.take(Bytes, Refused, Now);
   if (!Whole)
     reporting::logLine(LogLevel::Info, KeyValueLine()
                                            .add("event", "change-left-out")
-                                           .add("kind", Kind.kind())
+                                           .add("kind", Told.kind())
                                            .add("since", Since)
                                            .add("bytes", Bytes)
                                            .add("refused", Refused ? 1 : 0));
-  return Kind.newsSince(Since, Whole, Now);
+  return Told.newsSince(Since, Whole, Now);
 }
 
 relaying::RelayAnswer LiveFeed::answer(const relaying::RelayQuestion &Asked,
--- a/apps/lycheed/LiveFeed.h
+++ b/apps/lycheed/LiveFeed.h
@@ -73,7 +73,8 @@
   void takeIntent(std::span<const live::StoredObject> Heard);
   /// Hands an intent that is in force to those who act by it.
   void applyIntent(const std::shared_ptr<const live::Intent> &Fresh);
-  live::ObjectNews newsFor(const live::ObjectFollower &Kind,
+  /// \param Refused  the store does not answer the host that asks.
+  live::ObjectNews newsFor(const live::ObjectFollower &Told,
                            std::uint64_t Since, bool Refused,
                            base::TimePoint Now);
   static live::TargetChange readTarget(const live::StoredObject &Entry);
--- a/libs/live/ObjectMirror.cpp
+++ b/libs/live/ObjectMirror.cpp
@@ -88,6 +88,8 @@
 
 std::size_t ObjectMirror::bytesSince(std::uint64_t Since) const noexcept {
   std::size_t Bytes = 0;
+  if (isForgotten(Since))
+    return Bytes;
   for (const Portion &Each : Portions_)
     if (Each.At_ > Since)
       for (const StoredObject &Object : Each.Objects_)
@@ -96,7 +98,7 @@
 }
 
 std::optional<ObjectBatch> ObjectMirror::since(std::uint64_t Since) const {
-  if (At_ == 0 || Since < From_)
+  if (isForgotten(Since))
     return std::nullopt;
   ObjectBatch Found;
   Found.At_ = At_;
--- a/libs/live/ObjectMirror.h
+++ b/libs/live/ObjectMirror.h
@@ -51,7 +51,8 @@
 
   /// \returns what changed after \p Since, or nothing where that is forgotten.
   std::optional<ObjectBatch> since(std::uint64_t Since) const;
-  /// \returns how long the contents of since() are as text.
+  /// \returns how long the contents of since() are as text; 0 where it returns
+  /// nothing.
   std::size_t bytesSince(std::uint64_t Since) const noexcept;
 
 private:
@@ -69,6 +70,10 @@
   };
 
   bool isKnown(const StoredObject &Said) const;
+  /// \returns whether not all that changed after \p Since is remembered.
+  bool isForgotten(std::uint64_t Since) const noexcept {
+    return At_ == 0 || Since < From_;
+  }
   void forget(const std::string &Name, std::uint64_t Revision,
               base::TimePoint Now);
   void remember(std::vector<StoredObject> News, std::uint64_t At,
--- a/libs/relaying/CopyAllowance.h
+++ b/libs/relaying/CopyAllowance.h
@@ -16,12 +16,10 @@
 /// whoever asked gives up and asks again, and what the store tells the host
 /// itself waits behind the copies. The hosts that should know first know last.
 ///
-/// Changes up to SmallBytes go to everybody: at most
-/// RelayRole::AskedByEach * RelayRole::HostsPerAsker hosts ask, which makes
-/// 1.6 MB, a second or so of a link of 10 Mbit/s. Larger ones go only to hosts
+/// So changes up to SmallBytes go to everybody. Larger ones go only to hosts
 /// that the store refuses, which cannot fetch them, and at a bounded rate that
-/// leaves most of such a link to requests. Everybody else has a link of its
-/// own to the store, and fetches the change once.
+/// leaves most of a small link to requests. Everybody else fetches the change
+/// over its own link to the store, once.
 ///
 /// Of one thread. \see RelayRole
 class CopyAllowance {
--- a/tests/live/ObjectMirrorTest.cpp
+++ b/tests/live/ObjectMirrorTest.cpp
@@ -84,6 +84,26 @@
   CHECK_FALSE(Mirror_.since(9).has_value());
 }
 
+TEST(ObjectMirror, theLengthOfWhatIsToldIsKnownBefore) {
+  StoredObject Large = changed("a", 11);
+  Large.Bytes_ = 300;
+  StoredObject Small = changed("b", 12);
+  Small.Bytes_ = 20;
+  Mirror_.apply({{Large}, 11}, Now_);
+  Mirror_.apply({{Small}, 12}, Now_);
+  LONGS_EQUAL(320, Mirror_.bytesSince(10));
+  LONGS_EQUAL(20, Mirror_.bytesSince(11));
+  LONGS_EQUAL(0, Mirror_.bytesSince(12));
+}
+
+TEST(ObjectMirror, whatIsForgottenHasNoLength) {
+  StoredObject Large = changed("a", 11);
+  Large.Bytes_ = 300;
+  Mirror_.apply({{Large}, 11}, Now_);
+  CHECK_FALSE(Mirror_.since(9).has_value());
+  LONGS_EQUAL(0, Mirror_.bytesSince(9));
+}
+
 TEST(ObjectMirror, aListThatIsOlderThanWhatIsKnownChangesNothing) {
   Mirror_.apply({{changed("a", 11)}, 11}, Now_);
   CHECK(Mirror_.replaceAll({{changed("a", 3)}, 9}, Now_).empty());
--- a/tests/relaying/CopyAllowanceTest.cpp
+++ b/tests/relaying/CopyAllowanceTest.cpp
@@ -1,5 +1,4 @@
 #include "relaying/CopyAllowance.h"
-#include "relaying/RelayExchange.h"
 #include "relaying/RelayRole.h"
 
 #include "CppUTest/TestHarness.h"
