--- a/libs/relaying/CopyAllowance.h
+++ b/libs/relaying/CopyAllowance.h
@@ -36,7 +36,7 @@
 private:
   /// By then the large changes that were told have gone out at the bounded
   /// rate.
-  base::TimePoint FreeAt_{};
+  base::TimePoint FreeAt_;
 };
 
 } // namespace lychee::relaying
