Regions count their own demand as late as they hear of the others'

Cause: a region's part of a rate is its demand in that of all. Its own it knows at once, that of the others a second later (heartbeat, next news, the way). Where demand begins or grows everywhere, each takes its own for a larger part meanwhile. Change: RateDivision counts its own region as it was NewsDelay ago, so that all divide by the same figures. Test: RateDivision.regionsThatHearOfEachOtherLateGiveNoMoreThanTheRate failed before (first at a rate of 247), passes since. No part is made smaller by it in the mean, only later; the tests on wrongful refusals pass unchanged.

--- a/libs/dispatch/RateDivision.cpp
+++ b/libs/dispatch/RateDivision.cpp
@@ -123,10 +123,14 @@
   const double Even =
       1.0 / static_cast<double>(std::max<std::size_t>(1, Fleet.Regions_));
   const double Least = std::min(Floor, Of.Rate_ * FloorPart);
-  const double Own = Of.Demand_.perSecond(Now);
-  const double Sum =
-      Own + Others.All_ + Least * static_cast<double>(Fleet.Regions_);
-  Of.Part_ = Sum > 0 ? (Own + Others.Region_ + Least) / Sum : Even;
+  const double OwnNow = Of.Demand_.perSecond(Now);
+  Of.OwnDemand_.set(OwnNow, Now);
+  Of.RegionDemand_.set(OwnNow + Others.Region_, Now);
+  const double Own = Of.OwnDemand_.at(Now - NewsDelay);
+  const double Region = Of.RegionDemand_.at(Now - NewsDelay);
+  const double Sum = Region + Others.All_ - Others.Region_ +
+                     Least * static_cast<double>(Fleet.Regions_);
+  Of.Part_ = Sum > 0 ? (Region + Least) / Sum : Even;
   Of.OwnPart_ = Sum > 0 ? Own / Sum : 0;
   if (Now - Start_ < StartTime)
     Of.Part_ = std::min(Of.Part_, Even * StartPart);
--- a/libs/dispatch/RateDivision.h
+++ b/libs/dispatch/RateDivision.h
@@ -3,6 +3,7 @@
 
 #include "base/Id.h"
 #include "base/Time.h"
+#include "dispatch/DelayedAmount.h"
 #include "dispatch/DemandMeter.h"
 #include "live/Intent.h"
 #include "members/HostBook.h"
@@ -81,6 +82,11 @@
   /// quiet second does not take the region's part away.
   static constexpr double Floor = 0.5;
   static constexpr double FloorPart = 0.04;
+  /// A region's demand reaches the others so much later: the next news, the way
+  /// and a wait for processors. Each region counts its own demand as late, so
+  /// that all divide by the same: where demand grows everywhere, each would
+  /// else take its own for a larger part until it hears of the others.
+  static constexpr base::Duration NewsDelay = std::chrono::seconds(1);
   /// A host that has just started has not heard the others yet; until then its
   /// region takes no more than a part of an even one.
   static constexpr base::Duration StartTime = std::chrono::seconds(3);
@@ -162,6 +168,9 @@
     Bucket Standby_;
     Bucket Alone_;
     DemandMeter Demand_;
+    /// Demand at all hosts of the region, and at this one.
+    DelayedAmount RegionDemand_;
+    DelayedAmount OwnDemand_;
 
     double regionRate() const noexcept { return Rate_ * Part_ * UsedPart; }
   };
--- a/tests/dispatch/RateDivisionTest.cpp
+++ b/tests/dispatch/RateDivisionTest.cpp
@@ -48,6 +48,9 @@
       Tellers_.emplace_back(ByChanges ? 0 : members::DemandTeller::AlwaysWhole);
   }
 
+  /// Other regions hear of a host's demand so much later than its own.
+  void setFarDelay(base::Duration Delay) { FarDelay_ = Delay; }
+
   void tell() {
     const bool Whole = ++Beat_ % members::DemandTeller::WholeEvery == 0;
     for (std::size_t Host = 0; Host < Hosts_.size(); ++Host) {
@@ -63,6 +66,7 @@
         Told_[Host].push_back(Each);
       }
     }
+    Past_.emplace_back(Now_, Told_);
   }
 
   void divide() {
@@ -74,6 +78,8 @@
         if (Other == Host)
           continue;
         Heard.Others_.push_back(viewOf(Other));
+        if (Other % Regions != Host % Regions)
+          Heard.Others_.back().Demands_ = toldBefore(Other);
       }
       Heard.Self_ = cardOf(Host);
       Heard.Holders_ = Hosts_.size();
@@ -179,6 +185,16 @@
     return View;
   }
 
+  /// \returns what the host told FarDelay_ ago.
+  std::vector<members::CustomerDemand> toldBefore(std::size_t Host) const {
+    if (FarDelay_ == base::Duration::zero())
+      return Told_[Host];
+    for (auto Each = Past_.rbegin(); Each != Past_.rend(); ++Each)
+      if (Now_ - Each->first >= FarDelay_)
+        return Each->second[Host];
+    return {};
+  }
+
   live::DeploymentBounds Bounds_;
   live::CustomerRule Rule_;
   std::vector<std::optional<base::TimePoint>> Downs_;
@@ -189,6 +205,10 @@
   std::deque<members::DemandTeller> Tellers_;
   std::uint64_t Beat_ = 0;
   double LateAnswers_ = 0;
+  base::Duration FarDelay_{};
+  std::deque<std::pair<base::TimePoint,
+                       std::vector<std::vector<members::CustomerDemand>>>>
+      Past_;
   std::vector<base::TimePoint> Passed_;
 };
 
@@ -258,6 +278,21 @@
   }
 }
 
+// Guards against regions that each take the first demand, or one that grows
+// everywhere, for theirs alone until they hear the others.
+TEST(RateDivision, regionsThatHearOfEachOtherLateGiveNoMoreThanTheRate) {
+  for (const double Rate : {20.0, 247.0}) {
+    for (const base::Duration Delay : {500ms, 1000ms}) {
+      Fleet Hosts(66, Rate, Rate);
+      Hosts.setFarDelay(Delay);
+      Hosts.play(8.5, std::vector<double>(66, 0));
+      Hosts.play(4, std::vector<double>(66, Rate / 1.6 / 66));
+      Hosts.play(7, std::vector<double>(66, Rate / 1.6 * 7.5 / 66));
+      CHECK(Hosts.mostInWindow() <= allowedInWindow(Rate, Rate));
+    }
+  }
+}
+
 // Hosts end, stay away, come back without a memory, and now and then all
 // restart, while a customer sends several times its rate at some hosts more
 // than at others. Whoever keeps the tokens, no more passes.
