A heartbeat that is too long is cut, and crash evidence is bounded

Cause: 60 targets were replaced. Each lost request is crash evidence, which all hosts tell for 6 s; with some 170 of them a heartbeat is longer than 8 kB, and such a heartbeat was logged and not sent. So hosts took each other for dead: 3,095 lines event=host-silent in 3.5 s, 271 heartbeat-too-long, with no host down. Half of the fleet held itself to be cut off (HostBook::isCutOff) and went by its own part of each rate; keepers changed; look-ups named fewer hosts. Change: at most 48 losses are told at once, suspects first, then the newest; a heartbeat that is still too long leaves out what can wait (evidence, hosts heard, then demands) in place of being unsaid. Tests, both failed before: CrashSuspects.whatIsToldIsBoundedAndSuspectsComeFirst (401 told), Heartbeat.whatIsTooLongIsCutAndNotUnsaid (nothing said).

--- a/libs/members/Heartbeat.cpp
+++ b/libs/members/Heartbeat.cpp
@@ -96,6 +96,21 @@
   return textOf(Text);
 }
 
+std::string encodeHeartbeat(const Heartbeat &Said, std::size_t MostBytes) {
+  std::string Text = encodeHeartbeat(Said);
+  if (Text.size() <= MostBytes)
+    return Text;
+  Heartbeat Shorter = Said;
+  Shorter.Evidence_.clear();
+  Shorter.Hears_.clear();
+  Text = encodeHeartbeat(Shorter);
+  if (Text.size() <= MostBytes)
+    return Text;
+  Shorter.Demands_.clear();
+  Shorter.IsWhole_ = false;
+  return encodeHeartbeat(Shorter);
+}
+
 std::optional<Heartbeat> decodeHeartbeat(std::string_view Text,
                                          base::Error &Last) {
   Last = {"heartbeat.decode", "", "not a heartbeat"};
--- a/libs/members/Heartbeat.h
+++ b/libs/members/Heartbeat.h
@@ -71,6 +71,11 @@
 
 std::string encodeHeartbeat(const Heartbeat &Said);
 
+/// The same within \p MostBytes: what is too long leaves out crash evidence,
+/// hosts that are heard, and then demands. A host that said nothing would
+/// count as dead.
+std::string encodeHeartbeat(const Heartbeat &Said, std::size_t MostBytes);
+
 /// \returns nothing, and \p Last filled, where \p Text is no heartbeat.
 std::optional<Heartbeat> decodeHeartbeat(std::string_view Text,
                                          base::Error &Last);
--- a/libs/members/HeartbeatExchange.cpp
+++ b/libs/members/HeartbeatExchange.cpp
@@ -36,14 +36,16 @@
   Said.From_ = Book_.self();
   Said.HasCard_ = WithCard;
   Said.Sequence_ = ++Sequence_;
-  std::string Text = encodeHeartbeat(Said);
-  if (Text.size() <= MostBytes)
-    return Text;
+  const std::string Whole = encodeHeartbeat(Said);
+  if (Whole.size() <= MostBytes)
+    return Whole;
+  std::string Cut = encodeHeartbeat(Said, MostBytes);
   reporting::logLine(reporting::LogLevel::Warning,
                      base::KeyValueLine()
-                         .add("event", "heartbeat-too-long")
-                         .add("bytes", Text.size()));
-  return {};
+                         .add("event", "heartbeat-cut")
+                         .add("bytes", Whole.size())
+                         .add("sent", Cut.size()));
+  return Cut;
 }
 
 void HeartbeatExchange::send(std::string_view Text,
--- a/libs/members/HeartbeatExchange.h
+++ b/libs/members/HeartbeatExchange.h
@@ -24,7 +24,8 @@
   /// away. A host that starts is told at once, by answer().
   static constexpr std::uint64_t CardEvery = 8;
   static constexpr std::uint64_t FirstBeats = 4;
-  /// A larger datagram would be cut into packets, of which each may be lost.
+  /// A larger datagram would be cut into more packets, of which each may be
+  /// lost.
   static constexpr std::size_t MostBytes = 8UL * 1024;
 
   struct Parts {
@@ -62,7 +63,7 @@
   void answer(const std::string &Address, base::TimePoint Now);
 
 private:
-  /// \returns the text of a heartbeat; empty where it is too long to be sent.
+  /// \returns the text of a heartbeat, cut to what one datagram holds.
   std::string textOf(Heartbeat Said, bool WithCard);
   void send(std::string_view Text, const std::string &Address);
   void take(std::string_view Text, base::TimePoint Now);
--- a/libs/retrying/CrashSuspects.cpp
+++ b/libs/retrying/CrashSuspects.cpp
@@ -36,21 +36,34 @@
   return std::max(Now, Newer + EvidenceAge);
 }
 
+bool CrashSuspects::isSuspect(const Losses &Seen) noexcept {
+  return Seen[0].Target_ != 0 && Seen[1].Target_ != 0;
+}
+
 base::Duration CrashSuspects::toldFor(const Losses &Seen) noexcept {
-  const bool IsSuspect = Seen[0].Target_ != 0 && Seen[1].Target_ != 0;
-  return IsSuspect ? EvidenceAge : ToldFor;
+  return isSuspect(Seen) ? EvidenceAge : ToldFor;
 }
 
 std::vector<CrashEvidence> CrashSuspects::evidence(base::TimePoint Now) const {
-  std::vector<CrashEvidence> All;
+  std::vector<CrashEvidence> Suspects;
+  std::vector<CrashEvidence> Others;
   for (const Shard &Each : Shards_) {
     const std::scoped_lock Guard(Each.Lock_);
     for (const auto &[Fingerprint, Seen] : Each.Known_)
       for (const Loss &One : Seen)
         if (One.Target_ != 0 && Now - One.At_ <= toldFor(Seen))
-          All.push_back({Fingerprint, One.Target_, Now - One.At_});
+          (isSuspect(Seen) ? Suspects : Others)
+              .push_back({Fingerprint, One.Target_, Now - One.At_});
   }
-  return All;
+  const auto IsNewer = [](const CrashEvidence &Left,
+                          const CrashEvidence &Right) {
+    return Left.Age_ < Right.Age_;
+  };
+  std::sort(Suspects.begin(), Suspects.end(), IsNewer);
+  std::sort(Others.begin(), Others.end(), IsNewer);
+  Suspects.insert(Suspects.end(), Others.begin(), Others.end());
+  Suspects.resize(std::min(Suspects.size(), MostTold));
+  return Suspects;
 }
 
 void CrashSuspects::merge(std::span<const CrashEvidence> Told,
--- a/libs/retrying/CrashSuspects.h
+++ b/libs/retrying/CrashSuspects.h
@@ -71,9 +71,13 @@
   /// requests that are suspect.
   static constexpr base::Duration ToldFor = std::chrono::seconds(6);
 
-  /// \returns what this host knows, for its peers: losses of late, and all of
-  /// requests that are suspect. Everything that was lost in the last minute
-  /// would be more than a datagram holds where many targets end at once.
+  /// Losses that are told at once: some 50 bytes each, beside all else in one
+  /// datagram.
+  static constexpr std::size_t MostTold = 48;
+
+  /// \returns what this host knows, for its peers: first losses of requests
+  /// that are suspect, then those of late, the newest first. Where many targets
+  /// end at once the rest is left out: it would fill the datagram.
   std::vector<CrashEvidence> evidence(base::TimePoint Now) const;
 
   /// Takes in what a peer knows.
@@ -94,6 +98,7 @@
     std::unordered_map<std::uint64_t, Losses> Known_;
   };
 
+  static bool isSuspect(const Losses &Seen) noexcept;
   /// \returns how long losses of a request are told.
   static base::Duration toldFor(const Losses &Seen) noexcept;
   Shard &shardOf(std::uint64_t Fingerprint) const noexcept;
--- a/tests/members/HeartbeatTest.cpp
+++ b/tests/members/HeartbeatTest.cpp
@@ -71,6 +71,25 @@
   CHECK(members::encodeHeartbeat(Said).size() < 8192);
 }
 
+// Guards against hosts that take each other for dead since what they have to
+// tell is longer than a datagram: they tell less, and are heard.
+TEST(Heartbeat, whatIsTooLongIsCutAndNotUnsaid) {
+  constexpr std::size_t MostBytes = 8192;
+  members::Heartbeat Said = sample();
+  Said.Evidence_.assign(400, Said.Evidence_[0]);
+  std::string Text = members::encodeHeartbeat(Said, MostBytes);
+  CHECK(Text.size() <= MostBytes);
+  auto Read = members::decodeHeartbeat(Text, Last_);
+  CHECK(Read && Read->Ready_ && Read->Demands_.size() == 1);
+  CHECK(Read && Read->Evidence_.empty());
+  Said.Demands_.assign(1000, Said.Demands_[0]);
+  Text = members::encodeHeartbeat(Said, MostBytes);
+  CHECK(Text.size() <= MostBytes);
+  Read = members::decodeHeartbeat(Text, Last_);
+  CHECK(Read && Read->Ready_ && Read->Loads_.size() == 1);
+  CHECK(Read && Read->Demands_.empty() && !Read->IsWhole_);
+}
+
 // Most heartbeats leave out where the host is. A host that missed the one that
 // told it, or hears a new start, cannot place them and waits for the next.
 TEST(Heartbeat, withoutItsCardItIsPlacedByWhatWasToldBefore) {
--- a/tests/retrying/CrashSuspectsTest.cpp
+++ b/tests/retrying/CrashSuspectsTest.cpp
@@ -90,6 +90,23 @@
   }
 }
 
+// Guards against an outage whose losses fill the datagrams that hosts tell each
+// other, so that a request that crashes targets is not told.
+TEST(CrashSuspects, whatIsToldIsBoundedAndSuspectsComeFirst) {
+  const TargetId First("first");
+  const TargetId Second("second");
+  Suspects_.lost(1, First, Now_);
+  Suspects_.lost(1, Second, Now_);
+  for (std::uint64_t Fingerprint = 2; Fingerprint < 400; ++Fingerprint)
+    Suspects_.lost(Fingerprint, First, Now_ + 100ms);
+  Suspects_.lost(400, Second, Now_ + 200ms);
+  const auto Told = Suspects_.evidence(Now_ + 200ms);
+  LONGS_EQUAL(CrashSuspects::MostTold, Told.size());
+  LONGS_EQUAL(1, Told[0].Fingerprint_);
+  LONGS_EQUAL(1, Told[1].Fingerprint_);
+  LONGS_EQUAL(400, Told[2].Fingerprint_);
+}
+
 // An outage loses thousands of different requests. What is kept stays bounded,
 // and a suspect found after it is still found.
 TEST(CrashSuspects, aFloodOfLossesIsBounded) {
