What goes to all hosts of a region leaves at the pace of a small link

Cause: a burst. From 5 s on, with crash evidence in them, the news of regions grew from 1.4 to 3.5 kB. A speaker passes two of them to 20 hosts at once, beside a heartbeat to as many: over 200 kB into the queue of a 10 Mbit/s link, which drops the rest, always for the hosts that come last. Change: members::PacedSender sends to many hosts in bursts of 16 kB, 800 kB a second, two thirds of the smallest link (DatagramPace, testable without network); at most 24 losses are told at once, 48 before. Test: DatagramPace.whatGoesToManyHostsLeavesInSmallBursts; without the pace 60 datagrams of 3.5 kB left in one step.

--- a/libs/members/HeartbeatExchange.cpp
+++ b/libs/members/HeartbeatExchange.cpp
@@ -24,7 +24,7 @@
                                      HostBook &Book, settings::Endpoint Listen,
                                      Parts Others)
     : Book_(Book), Listen_(std::move(Listen)), Others_(std::move(Others)),
-      Socket_(Executor), Timer_(Executor) {}
+      Socket_(Executor), Timer_(Executor), Sender_(Socket_, Listen_.Port_) {}
 
 bool HeartbeatExchange::open(base::Error &Last) {
   return openDatagramSocket(Socket_, Listen_, "heartbeat.listen", Last);
@@ -48,21 +48,14 @@
   return Cut;
 }
 
-void HeartbeatExchange::send(std::string_view Text,
-                             const std::string &Address) {
-  if (!Text.empty())
-    sendDatagram(Socket_, Text, Address, Listen_.Port_);
-}
-
 void HeartbeatExchange::say(bool Whole, bool WithCard, base::TimePoint Now) {
-  const std::string Text = textOf(Others_.Say_(Whole, WithCard, Now), WithCard);
-  for (const std::string &Each : Book_.recipients(Now))
-    send(Text, Each);
+  Sender_.send(textOf(Others_.Say_(Whole, WithCard, Now), WithCard),
+               Book_.recipients(Now));
 }
 
 void HeartbeatExchange::answer(const std::string &Address,
                                base::TimePoint Now) {
-  send(textOf(Others_.Answer_(Now), true), Address);
+  Sender_.send(textOf(Others_.Answer_(Now), true), std::span(&Address, 1));
 }
 
 asio::awaitable<void> HeartbeatExchange::sendAll() {
--- a/libs/members/HeartbeatExchange.h
+++ b/libs/members/HeartbeatExchange.h
@@ -2,6 +2,7 @@
 #define LYCHEE_MEMBERS_HEARTBEATEXCHANGE_H
 
 #include "members/HostBook.h"
+#include "members/PacedSender.h"
 #include "settings/DaemonSettings.h"
 
 #include <array>
@@ -65,7 +66,6 @@
 private:
   /// \returns the text of a heartbeat, cut to what one datagram holds.
   std::string textOf(Heartbeat Said, bool WithCard);
-  void send(std::string_view Text, const std::string &Address);
   void take(std::string_view Text, base::TimePoint Now);
   void say(bool Whole, bool WithCard, base::TimePoint Now);
 
@@ -74,6 +74,7 @@
   const Parts Others_;
   boost::asio::ip::udp::socket Socket_;
   boost::asio::steady_timer Timer_;
+  PacedSender Sender_;
   std::array<char, MostBytes> Received_{};
   std::uint64_t Sequence_ = 0;
 };
--- a/libs/members/RegionExchange.cpp
+++ b/libs/members/RegionExchange.cpp
@@ -28,19 +28,13 @@
                                const settings::Endpoint &Heartbeats,
                                Parts Others)
     : Book_(Book), Listen_(nextPort(Heartbeats)), Others_(std::move(Others)),
-      Begun_(SystemClock::monotonicNow()), Socket_(Executor), Timer_(Executor) {
-}
+      Begun_(SystemClock::monotonicNow()), Socket_(Executor), Timer_(Executor),
+      Sender_(Socket_, Listen_.Port_) {}
 
 bool RegionExchange::open(base::Error &Last) {
   return openDatagramSocket(Socket_, Listen_, "region-news.listen", Last);
 }
 
-void RegionExchange::send(std::string_view Text,
-                          std::span<const std::string> Receivers) {
-  for (const std::string &Each : Receivers)
-    sendDatagram(Socket_, Text, Each, Listen_.Port_);
-}
-
 void RegionExchange::sayNow(base::TimePoint Now) {
   if (!Book_.isSpeaker(Others_.IsLeaving_(), Now - Begun_, Now))
     return;
@@ -50,7 +44,7 @@
   Said.Start_ = Book_.self().Start_;
   Said.Sequence_ = ++Sequence_;
   Said.Told_ = Teller_.tell(Book_.summary(Others_.Say_(Now), Now));
-  send(encodeRegionNews(Said), Book_.farSpeakers(Now));
+  Sender_.send(encodeRegionNews(Said), Book_.farSpeakers(Now));
 }
 
 asio::awaitable<void> RegionExchange::sendAll() {
@@ -69,7 +63,8 @@
   if (!Said || !Book_.heardNews(*Said, Now))
     return;
   Others_.Hear_(*Said, Now);
-  send(Text, Book_.passOnTo(Sender.to_string(), Others_.IsLeaving_(), Now));
+  Sender_.send(std::string(Text),
+               Book_.passOnTo(Sender.to_string(), Others_.IsLeaving_(), Now));
 }
 
 asio::awaitable<void> RegionExchange::receiveAll() {
--- a/libs/members/RegionExchange.h
+++ b/libs/members/RegionExchange.h
@@ -2,6 +2,7 @@
 #define LYCHEE_MEMBERS_REGIONEXCHANGE_H
 
 #include "members/HostBook.h"
+#include "members/PacedSender.h"
 #include "members/RegionTeller.h"
 #include "settings/DaemonSettings.h"
 
@@ -51,7 +52,6 @@
 private:
   void take(std::string_view Text, const boost::asio::ip::address &Sender,
             base::TimePoint Now);
-  void send(std::string_view Text, std::span<const std::string> Receivers);
 
   HostBook &Book_;
   const settings::Endpoint Listen_;
@@ -59,6 +59,7 @@
   const base::TimePoint Begun_;
   boost::asio::ip::udp::socket Socket_;
   boost::asio::steady_timer Timer_;
+  PacedSender Sender_;
   RegionTeller Teller_;
   std::array<char, MostBytes> Received_{};
   std::uint64_t Sequence_ = 0;
--- a/libs/retrying/CrashSuspects.h
+++ b/libs/retrying/CrashSuspects.h
@@ -71,9 +71,9 @@
   /// requests that are suspect.
   static constexpr base::Duration ToldFor = std::chrono::seconds(6);
 
-  /// Losses that are told at once: some 50 bytes each, beside all else in one
-  /// datagram.
-  static constexpr std::size_t MostTold = 48;
+  /// Losses that are told at once: some 50 bytes each, in every datagram to
+  /// every host.
+  static constexpr std::size_t MostTold = 24;
 
   /// \returns what this host knows, for its peers: first losses of requests
   /// that are suspect, then those of late, the newest first. Where many targets
