Loads, run times and places of objects where a host hears little of each target

Tests: LargeDispatchPlay (nearly full targets and replaced ones failed before; the third guards the fading), LoadEstimate, RegionLoads, WorkTimes, TargetChooser.anObjectThatLostItsPlaceStaysAmongItsNext.

--- a/apps/lycheed/LiveDaemon.cpp
+++ b/apps/lycheed/LiveDaemon.cpp
@@ -213,6 +213,8 @@
                                base::TimePoint Now) {
   if (!Said.Evidence_.empty())
     Steering_.mergeEvidence(Said.Evidence_, Now);
+  if (!Said.Times_.empty())
+    Steering_.mergeWorkTimes(Said.Times_);
   if (!News)
     return;
   // Callers of other regions may be sent there, too.
--- a/apps/lycheed/LiveReports.cpp
+++ b/apps/lycheed/LiveReports.cpp
@@ -38,6 +38,7 @@
   members::Heartbeat Said = ownState(Now);
   Said.IsWhole_ = true;
   Said.Demands_ = Others_.Steering_.demands(Now);
+  Said.Times_ = Others_.Steering_.workTimes();
   Said.Hears_ = hostsHeard(Now);
   return Said;
 }
--- a/libs/dispatch/DispatchSteering.cpp
+++ b/libs/dispatch/DispatchSteering.cpp
@@ -13,27 +13,16 @@
 
 namespace {
 
-/// Weight of one answer in the slowness of a target: the last five count.
-constexpr double SlownessWeight = 0.2;
-/// Shorter runs, in seconds, are within what clocks and links add.
-constexpr double LeastRun = 0.001;
 /// Where a request would wait, part of the time between its objective and its
 /// deadline by which it must be answered, else it is refused at once: all of it
 /// in a calm, and none of it once MostPressure of the requests would be late.
 /// Load pattern: targets that are full for long. What waits until its deadline
 /// is late, and so is all that waits behind it; in a short burst, though, late
-/// is better than refused. Of callers who ask for twice what the targets can do
-/// 39 in 100 are answered in time, 17 where half of that time may always be
-/// waited (DispatchPlay, five seeds). Mean worth of days with trouble, three
-/// seeds a day, at 1 and 0.5: 0.608, 0.608; 0.574, 0.569; 0.561, 0.560.
+/// is better than refused.
 constexpr double WaitingPart = 1;
 /// The last fifty requests make up the pressure.
 constexpr double PressureWeight = 0.02;
 constexpr double MostPressure = 0.3;
-/// Bounds of a target's slowness, so that one strange answer neither shuts a
-/// target out nor draws everything to it.
-constexpr double LeastSlowness = 0.5;
-constexpr double MostSlowness = 10;
 /// Silence for so many times the wait, which is an estimate, and the run is no
 /// chance: the work of one request spreads by a sixth around its mean. The run
 /// may be a cold one, whatever was expected; counted as a warm one, sends were
@@ -46,13 +35,6 @@
 constexpr std::uint32_t MostMisses = 3;
 /// Callers that come back sooner would find the same queue.
 constexpr base::Duration LeastRetryAfter = std::chrono::milliseconds(100);
-/// A target that takes no connection this soon after it lost a request was
-/// down, and the request may be why.
-constexpr base::Duration DownAfterLoss = std::chrono::seconds(2);
-constexpr std::size_t MostLosses = 256;
-
-constexpr int FirstServerFailure = 500;
-
 } // namespace
 
 DispatchSteering::DispatchSteering(const DispatchSettings &Settings,
@@ -73,6 +55,7 @@
                             SendBudget(Bounds.RetryRatio_, Bounds.RetrySlack_),
                             RegionSplit(Settings_.Region_),
                             {},
+                            {},
                             0,
                             0,
                             {}})
@@ -90,7 +73,8 @@
 }
 
 WorkTimes &DispatchSteering::workOf(const Flight &Request) {
-  return Works_[Request.Rule_];
+  return Works_.try_emplace(Request.Rule_, Request.StatedObjective_)
+      .first->second;
 }
 
 Decision DispatchSteering::refuse(Refusal Why, base::Duration RetryAfter,
@@ -120,6 +104,7 @@
   Request.Objective_ = Arrived.Objective_ > base::Duration::zero()
                            ? Arrived.Arrived_ + Arrived.Objective_
                            : Arrived.Deadline_;
+  Request.StatedObjective_ = Arrived.Objective_;
   Request.Idempotent_ = Arrived.Idempotent_;
   Request.MaximumSends_ = std::max(1U, Arrived.MaximumSends_);
   if (Arrived.Customer_.empty())
@@ -165,6 +150,7 @@
   Asked.Region_ = Service.Split_.regionFor(Request.Object_, Request.BodyBytes_,
                                            Asked.Homes_);
   Asked.Work_ = workOf(Request);
+  Asked.Loads_ = &Service.Loads_;
   const auto MaySound = [&](TargetState &Each) {
     return Parts_.PickedFor_(Each.Hash_) &&
            Each.Cold_.take(Service.ColdRate_, Now);
@@ -182,23 +168,33 @@
                                     std::max(Expected, Cold) * RunPatience));
 }
 
-base::TimePoint DispatchSteering::latestFor(const Flight &Request,
-                                            const Choice &Chosen,
-                                            base::TimePoint Now) {
+void DispatchSteering::notePressure(const Flight &Request, const Choice &Chosen,
+                                    base::TimePoint Now) {
   if (Request.Objective_ >= Request.Deadline_)
-    return Request.Deadline_;
+    return;
   double &Pressure = serviceAt(Request.Service_).Pressure_;
   const bool Waits = Chosen.Waiting_ > base::Duration::zero();
   const bool IsLate = Waits && Now + Chosen.Expected_ > Request.Objective_;
   Pressure += PressureWeight * ((IsLate ? 1 : 0) - Pressure);
-  if (!Waits)
+}
+
+base::TimePoint DispatchSteering::latestFor(const Flight &Request,
+                                            const Choice &Chosen) {
+  const bool Waits = Chosen.Waiting_ > base::Duration::zero();
+  if (Request.Objective_ >= Request.Deadline_ || !Waits)
     return Request.Deadline_;
+  const double Pressure = serviceAt(Request.Service_).Pressure_;
   const double Part = WaitingPart * std::max(0.0, 1 - Pressure / MostPressure);
   const double Longest =
       base::toSeconds(Request.Deadline_ - Request.Objective_) * Part;
   return Request.Objective_ + base::fromSeconds(Longest);
 }
 
+bool DispatchSteering::canEnd(const Flight &Request, const Choice &Chosen,
+                              base::TimePoint Now) {
+  return Now + Chosen.Expected_ < latestFor(Request, Chosen);
+}
+
 Decision DispatchSteering::send(std::uint64_t Ticket, Flight &Request,
                                 base::TimePoint Now) {
   const auto Chosen = choose(Request, Now);
@@ -208,9 +204,10 @@
   // can, and its caller learns nothing by waiting.
   TargetState &Target = *Chosen->Target_;
   const steering::ChoiceInputs Inputs{static_cast<std::uint32_t>(Chosen->Rank_),
-                                      Chosen->Expected_, Target.Load_.at(Now),
+                                      Chosen->Expected_, Chosen->Load_,
                                       Target.Load_.age(Now)};
-  if (Now + Chosen->Expected_ >= latestFor(Request, *Chosen, Now)) {
+  notePressure(Request, *Chosen, Now);
+  if (!canEnd(Request, *Chosen, Now)) {
     Decision Refused =
         endFailed(Ticket, false, std::max(Chosen->Waiting_, LeastRetryAfter));
     Refused.Inputs_ = Inputs;
@@ -280,92 +277,6 @@
   return refuse(Refusal::NoHeadroom, RetryAfter, false);
 }
 
-void DispatchSteering::learnTime(const Flight &Request, TargetState &Target,
-                                 const SendReport &Report) {
-  WorkTimes &Work = workOf(Request);
-  const double Seen = std::max(LeastRun, base::toSeconds(Report.Took_));
-  const double Waited = base::toSeconds(Request.Waiting_);
-  const double Run = Work.wasWarm(Seen, Request.KnownWarm_)
-                         ? Work.warmSeconds()
-                         : Work.coldSeconds();
-  const double Ratio =
-      std::clamp(Seen / (Run + Waited), LeastSlowness, MostSlowness);
-  Target.Slowness_ += SlownessWeight * (Ratio - Target.Slowness_);
-  // Where others wait this one most likely did, too; how long is an estimate,
-  // so it takes no more than half of what was seen away.
-  const bool Queued = Report.Load_ && Report.Load_->Waiting_ > 0;
-  Work.seen(Queued ? std::max(Seen - Waited, Seen / 2) : Seen,
-            Request.KnownWarm_);
-}
-
-void DispatchSteering::learn(const Flight &Request, TargetState *Target,
-                             const SendReport &Report, base::TimePoint Now) {
-  if (Target == nullptr)
-    return;
-  Target->Load_.ended();
-  if (Report.Load_)
-    Target->Load_.reported(*Report.Load_, Now);
-  switch (Report.End_) {
-  case SendEnd::Answered:
-    if (Report.Status_ >= FirstServerFailure)
-      Target->Trust_.failed(Now);
-    else
-      Target->Trust_.answered(Now);
-    if (Report.Status_ < FirstServerFailure)
-      learnTime(Request, *Target, Report);
-    if (Report.Status_ < FirstServerFailure)
-      Target->Warm_.handled(Request.Object_, Now);
-    Suspects_.answered(Request.Fingerprint_);
-    break;
-  case SendEnd::Shed:
-    Target->AddressTaken_ = Target->AddressTaken_ || Report.WrongTarget_;
-    // One that refuses with slots free is ill, not full.
-    if (Report.Load_ && Report.Load_->Running_ < Report.Load_->Slots_)
-      Target->Trust_.refused();
-    else
-      Target->Load_.refused(Target->Record_.Slots_, Now);
-    break;
-  case SendEnd::ConnectFailed:
-    Target->Trust_.unreachable(Now);
-    noteDown(Target->Record_.Id_, Now);
-    break;
-  case SendEnd::ClosedUnwritten:
-  case SendEnd::CancelledUnwritten:
-  case SendEnd::Cancelled:
-    break;
-  case SendEnd::LostPartlyWritten:
-  case SendEnd::LostUnanswered:
-    Target->Trust_.failed(Now);
-    if (!Report.Silent_)
-      noteLoss(Request, Target->Record_.Id_, Now);
-    break;
-  case SendEnd::AnswerCut:
-  case SendEnd::AnswerUnusable:
-    Target->Trust_.failed(Now);
-    break;
-  }
-}
-
-void DispatchSteering::noteLoss(const Flight &Request,
-                                const base::TargetId &Target,
-                                base::TimePoint Now) {
-  if (Losses_.size() >= MostLosses)
-    Losses_.erase(Losses_.begin());
-  Losses_.push_back({Request.Fingerprint_, Target, Now});
-}
-
-/// A lost answer alone does not speak against its request: answers get lost.
-/// Only where the target is found down right after did something end it.
-void DispatchSteering::noteDown(const base::TargetId &Target,
-                                base::TimePoint Now) {
-  for (const Loss &Each : Losses_)
-    if (Each.Target_ == Target && Now - Each.At_ < DownAfterLoss)
-      Suspects_.lost(Each.Fingerprint_, Target, Now);
-  std::erase_if(Losses_, [&](const Loss &Each) {
-    return Each.Target_ == Target || Now - Each.At_ >= DownAfterLoss;
-  });
-}
-
 bool DispatchSteering::mayResend(const Flight &Request,
                                  const SendReport &Report) {
   const bool OwnFailure =
--- a/libs/dispatch/DispatchSteering.h
+++ b/libs/dispatch/DispatchSteering.h
@@ -48,7 +48,7 @@
 ///
 /// Thread-safe: one lock, held for microseconds. DispatchUpkeep.cpp holds what
 /// is told between requests, DispatchTokens.cpp how a request waits for a
-/// token.
+/// token, DispatchLearning.cpp what the end of a send teaches.
 /// \see steering::FleetSteering, which steers by the operators' own tree
 class DispatchSteering final : public steering::Steering {
 public:
@@ -74,6 +74,9 @@
   // What is told to other hosts.
   std::vector<members::CustomerDemand> demands(base::TimePoint Now);
   std::vector<members::ServiceDemand> loads(base::TimePoint Now);
+  /// What was learned of how long rules' requests run.
+  std::vector<members::RuleTimes> workTimes() const;
+  void mergeWorkTimes(std::span<const members::RuleTimes> Told);
   std::vector<retrying::CrashEvidence> evidence(base::TimePoint Now) const {
     return Suspects_.evidence(Now);
   }
@@ -103,6 +106,9 @@
   void tick(base::TimePoint Now, std::vector<steering::Wakeup> &Woken) override;
 
 private:
+  /// Statuses from here on are failures of the target itself.
+  static constexpr int FirstServerFailure = 500;
+
   /// A request from its arrival to its end.
   struct Flight {
     base::ServiceId Service_;
@@ -114,6 +120,8 @@
     base::TimePoint Deadline_;
     /// Until when an answer is worth most; the deadline where none is stated.
     base::TimePoint Objective_;
+    /// The same as the rule states it; zero: it states none.
+    base::Duration StatedObjective_{};
     bool Idempotent_ = false;
     std::uint32_t MaximumSends_ = 1;
     std::uint32_t Sends_ = 0;
@@ -134,6 +142,7 @@
     std::vector<TargetState> Targets_;
     SendBudget Budget_;
     RegionSplit Split_;
+    RegionLoads Loads_;
     /// Slots that this host's callers keep busy, by the region that they are
     /// bound to; empty: by those that are free.
     std::map<base::RegionId, DemandMeter> Demands_;
@@ -189,8 +198,12 @@
   void learnTime(const Flight &Request, TargetState &Target,
                  const steering::SendReport &Report);
   base::Duration patienceFor(const Flight &Request, const Choice &Chosen);
-  base::TimePoint latestFor(const Flight &Request, const Choice &Chosen,
-                            base::TimePoint Now);
+  /// Counts how many requests would be late since they wait.
+  void notePressure(const Flight &Request, const Choice &Chosen,
+                    base::TimePoint Now);
+  /// \returns by when a request must be answered, else it is refused at once.
+  base::TimePoint latestFor(const Flight &Request, const Choice &Chosen);
+  bool canEnd(const Flight &Request, const Choice &Chosen, base::TimePoint Now);
   bool mayResend(const Flight &Request, const steering::SendReport &Report);
   /// Adds what callers of each region ask of a service.
   void countDemands(const base::ServiceId &Id, ServiceState &Service,
--- a/libs/dispatch/DispatchUpkeep.cpp
+++ b/libs/dispatch/DispatchUpkeep.cpp
@@ -118,6 +118,25 @@
   return All;
 }
 
+std::vector<members::RuleTimes> DispatchSteering::workTimes() const {
+  const std::lock_guard Guard(Lock_);
+  std::vector<members::RuleTimes> All;
+  for (const auto &[Rule, Work] : Works_)
+    if (Work.isKnown() && All.size() < members::MostRuleTimes)
+      All.push_back(
+          {Rule, Work.warmSeconds(), Work.coldSeconds(), Work.usualSeconds()});
+  return All;
+}
+
+void DispatchSteering::mergeWorkTimes(
+    std::span<const members::RuleTimes> Told) {
+  const std::lock_guard Guard(Lock_);
+  for (const members::RuleTimes &Each : Told)
+    if (Each.WarmSeconds_ > 0)
+      Works_[Each.Rule_].adopt(Each.WarmSeconds_, Each.ColdSeconds_,
+                               Each.UsualSeconds_);
+}
+
 std::vector<members::CustomerDemand>
 DispatchSteering::demands(base::TimePoint Now) {
   const std::lock_guard Guard(Lock_);
--- a/libs/dispatch/LoadEstimate.cpp
+++ b/libs/dispatch/LoadEstimate.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-/// Weight of a new report in the mean of reports: ten reports make it up.
-constexpr double MeanWeight = 0.1;
+/// Shorter runs, in seconds, are within what clocks and links add.
+constexpr double LeastRunSeconds = 0.001;
 
 } // namespace
 
@@ -16,20 +16,26 @@
                             base::TimePoint Now) noexcept {
   const double All = static_cast<double>(Told.Running_) + Told.Waiting_;
   Others_ = std::max(0.0, All - Own_);
-  Mean_ += MeanWeight * (Others_ - Mean_);
+  Slots_ = std::max(1U, Told.Slots_);
   Reported_ = Now;
 }
 
 void LoadEstimate::refused(std::uint32_t Slots, base::TimePoint Now) noexcept {
   // Its queue is some slots long; how long exactly, it does not say.
   Others_ = std::max(Others_, 2.0 * Slots);
+  Slots_ = std::max(1U, Slots);
   Reported_ = Now;
 }
 
-double LoadEstimate::at(base::TimePoint Now) const noexcept {
+double LoadEstimate::at(const UsualLoad &Usual,
+                        base::TimePoint Now) const noexcept {
+  if (Reported_ == base::TimePoint())
+    return Own_ + Usual.Others_;
+  const double Run = std::max(Usual.RunSeconds_, LeastRunSeconds);
+  const double WorkedOff = std::max(1.0, othersPerSlot()) * Run;
   const double Age = base::toSeconds(Now - Reported_);
-  const double Fresh = std::exp2(-Age / base::toSeconds(FadeTime));
-  return Own_ + Mean_ + (Others_ - Mean_) * Fresh;
+  const double Fresh = std::exp2(-Age / WorkedOff);
+  return Own_ + Usual.Others_ + (Others_ - Usual.Others_) * Fresh;
 }
 
 } // namespace lychee::dispatch
--- a/libs/dispatch/LoadEstimate.h
+++ b/libs/dispatch/LoadEstimate.h
@@ -9,21 +9,30 @@
 
 namespace lychee::dispatch {
 
+/// What a host expects of a target that it has not heard of lately.
+struct UsualLoad {
+  /// Requests of other hosts at the target.
+  double Others_ = 0;
+  /// How long one of them runs, in seconds.
+  double RunSeconds_ = 0;
+};
+
 /// How many requests a target works on or holds, as far as one of many hosts
 /// can tell.
 ///
-/// Load pattern: targets with 3 or 4 slots, used by a dozen hosts, each of
-/// which sends to it less than once a second. A host's own count says next to
-/// nothing; what the target reported with its last answer is exact, but old
-/// after a few times the work of one request. So the others' part is what was
-/// reported, fading to the mean of reports; the own part is counted.
+/// Load pattern: hundreds of targets with a few slots each, used by dozens of
+/// hosts, each of which sends to one of them once in many seconds. A host's own
+/// count says next to nothing; what the target reported with its last answer is
+/// exact, but holds only until the target has worked that off. So the own part
+/// is counted, and the others' is what was reported, which gives way to what is
+/// usual in the region as fast as the target can work it off: a long queue is
+/// believed for longer than a short one.
+///
+/// Without the usual load, a target that was not heard of counts as idle, and
+/// requests that cannot be answered in time wait in its queue.
+/// \see RegionLoads
 class LoadEstimate {
 public:
-  /// A report is half forgotten after this: about the mean work of a request
-  /// (150 to 200 ms where the target is warm), after which others' requests
-  /// have been replaced by new ones.
-  static constexpr base::Duration FadeTime = std::chrono::milliseconds(200);
-
   void sent() noexcept { ++Own_; }
   void ended() noexcept { Own_ -= Own_ > 0 ? 1 : 0; }
 
@@ -35,7 +44,7 @@
   void refused(std::uint32_t Slots, base::TimePoint Now) noexcept;
 
   /// \returns the requests at the target now.
-  double at(base::TimePoint Now) const noexcept;
+  double at(const UsualLoad &Usual, base::TimePoint Now) const noexcept;
 
   /// \returns the age of the target's last word on its load, where it said any.
   std::optional<base::Duration> age(base::TimePoint Now) const noexcept {
@@ -45,11 +54,13 @@
   }
 
   std::uint32_t own() const noexcept { return Own_; }
+  /// \returns requests of others for each slot, as last reported.
+  double othersPerSlot() const noexcept { return Others_ / Slots_; }
 
 private:
   std::uint32_t Own_ = 0;
   double Others_ = 0;
-  double Mean_ = 0;
+  double Slots_ = 1;
   base::TimePoint Reported_;
 };
 
--- a/libs/dispatch/TargetChooser.cpp
+++ b/libs/dispatch/TargetChooser.cpp
@@ -82,12 +82,24 @@
   return Each.Rank_ == 0 ? 0 : SecondPlaceCold;
 }
 
+double TargetChooser::loadAt(const ChoiceQuery &Asked,
+                             const TargetState &Target, base::TimePoint Now) {
+  UsualLoad Usual;
+  Usual.RunSeconds_ = Asked.Work_.usualSeconds();
+  if (Asked.Loads_ != nullptr)
+    Usual.Others_ =
+        Asked.Loads_->othersPerSlot(Target.Region_, Usual.RunSeconds_, Now) *
+        Target.Record_.Slots_;
+  return Target.Load_.at(Usual, Now);
+}
+
 Choice TargetChooser::reckon(const ChoiceQuery &Asked, const Candidate &Each,
                              base::TimePoint Now) const {
   const TargetState &Target = *Each.Target_;
   const double Usual = Asked.Work_.usualSeconds();
   const double Slots = std::max(1U, Target.Record_.Slots_);
-  const double Ahead = std::max(0.0, Target.Load_.at(Now) + 1 - Slots);
+  const double Load = loadAt(Asked, Target, Now);
+  const double Ahead = std::max(0.0, Load + 1 - Slots);
   const double Waiting = Ahead / Slots * Usual * Target.Slowness_;
   const double Gain = Asked.Work_.coldSeconds() - Asked.Work_.warmSeconds();
   const double Longer = coldShare(Asked, Each, Now) * Gain;
@@ -111,7 +123,8 @@
           base::fromSeconds(Time + Price),
           base::fromSeconds(Waiting),
           Each.Rank_,
-          Each.Rank_ < WarmPlaces ? "object-order" : "spill"};
+          Each.Rank_ < WarmPlaces ? "object-order" : "spill",
+          Load};
 }
 
 std::optional<Choice>
@@ -125,7 +138,21 @@
             [](const Choice &Left, const Choice &Right) {
               return Left.Cost_ < Right.Cost_;
             });
-  for (const Choice &Each : Reckoned)
+  const auto Rest = std::stable_partition(
+      Reckoned.begin(), Reckoned.end(),
+      [](const Choice &Each) { return Each.Rank_ < OwnPlaces; });
+  const std::span<const Choice> All(Reckoned);
+  const auto Own = static_cast<std::size_t>(Rest - Reckoned.begin());
+  if (const auto Chosen = firstUsable(All.first(Own), MaySound, Now))
+    return Chosen;
+  return firstUsable(All.subspan(Own), MaySound, Now);
+}
+
+std::optional<Choice>
+TargetChooser::firstUsable(std::span<const Choice> Ordered,
+                           const std::function<bool(TargetState &)> &MaySound,
+                           base::TimePoint Now) {
+  for (const Choice &Each : Ordered)
     if (!needsSounding(*Each.Target_, Now) || MaySound(*Each.Target_))
       return Each;
   return std::nullopt;
--- a/libs/dispatch/TargetChooser.h
+++ b/libs/dispatch/TargetChooser.h
@@ -1,6 +1,7 @@
 #ifndef LYCHEE_DISPATCH_TARGETCHOOSER_H
 #define LYCHEE_DISPATCH_TARGETCHOOSER_H
 
+#include "dispatch/RegionLoads.h"
 #include "dispatch/TargetState.h"
 #include "dispatch/WorkTimes.h"
 
@@ -24,6 +25,8 @@
   std::span<const base::TargetId> Tried_;
   /// How long requests of its rule run.
   WorkTimes Work_;
+  /// How busy targets of its service are; null: nothing is known.
+  const RegionLoads *Loads_ = nullptr;
 };
 
 /// A target and the time within which it should answer.
@@ -38,6 +41,8 @@
   /// Place in the object's order, within its region.
   std::size_t Rank_ = 0;
   std::string_view Reason_;
+  /// Requests that are reckoned to be at the target.
+  double Load_ = 0;
 };
 
 /// Chooses the target that costs callers least, among the first few of the
@@ -60,15 +65,16 @@
   /// two, so that one that is full has a second. More would push objects out
   /// where a region has ten objects for each that a target keeps.
   static constexpr std::size_t WarmPlaces = 2;
-  /// Price of a cold run, in parts of what it takes longer than a warm one.
-  /// Mean worth of days with trouble on a deployment with 50 targets, three
-  /// seeds a day: 0.451 without a price (five seeds), 0.536 at 1, 0.552 at 2,
-  /// 0.565 at 4, 0.571 at 8, 0.574 at 16: flat from 4 on, and at a price
-  /// without bound an object would starve beside free targets.
+  /// Places in an object's order, in its region, that are tried before all
+  /// others: where each host takes the target that seems best to it, an object
+  /// that lost its place runs cold at as many targets as there are hosts.
+  static constexpr std::size_t OwnPlaces = 4;
+  /// Price of a cold run, in parts of what it takes longer than a warm one: it
+  /// keeps a slot from warm runs and pushes another object out. Without bound
+  /// an object would starve beside free targets.
   static constexpr double ColdRunPrice = 8;
   /// How likely an object is cold at its second place where this host does not
-  /// know: other hosts may have warmed it. 0.565 at 0.43, 0.570 at 0.8, 0.569
-  /// at 1 (as above, at a price of 4).
+  /// know: other hosts may have warmed it.
   static constexpr double SecondPlaceCold = 0.8;
   /// There and back between regions, 20 ms each way (deployments' own figure).
   static constexpr base::Duration RegionTrip = std::chrono::milliseconds(40);
@@ -97,11 +103,18 @@
     std::size_t Rank_ = 0;
   };
 
+  /// \returns the first that may be sent to.
+  static std::optional<Choice>
+  firstUsable(std::span<const Choice> Ordered,
+              const std::function<bool(TargetState &)> &MaySound,
+              base::TimePoint Now);
   std::vector<Candidate> rank(const ChoiceQuery &Asked,
                               std::span<TargetState> Targets,
                               base::TimePoint Now) const;
   double coldShare(const ChoiceQuery &Asked, const Candidate &Each,
                    base::TimePoint Now) const;
+  static double loadAt(const ChoiceQuery &Asked, const TargetState &Target,
+                       base::TimePoint Now);
   Choice reckon(const ChoiceQuery &Asked, const Candidate &Each,
                 base::TimePoint Now) const;
 
--- a/libs/dispatch/WorkTimes.cpp
+++ b/libs/dispatch/WorkTimes.cpp
@@ -22,6 +22,23 @@
   Seconds_ += std::max(LeastWeight, 1.0 / Count_) * (Bounded - Seconds_);
 }
 
+WorkTimes::WorkTimes(base::Duration Objective) noexcept {
+  const double Warm = base::toSeconds(Objective) * GuessedPart;
+  if (Warm <= 0)
+    return;
+  Warm_.Seconds_ = Warm;
+  Usual_.Seconds_ = Warm;
+  Cold_.Seconds_ = Warm * AssumedRatio;
+}
+
+void WorkTimes::adopt(double Warm, double Cold, double Usual) noexcept {
+  if (isKnown() || Warm <= 0)
+    return;
+  Warm_ = {Warm, EnoughRuns};
+  Cold_ = {Cold, EnoughRuns};
+  Usual_ = {Usual, EnoughRuns};
+}
+
 double WorkTimes::coldSeconds() const noexcept {
   return std::max(Warm_.Seconds_, Cold_.Seconds_);
 }
--- a/libs/dispatch/WorkTimes.h
+++ b/libs/dispatch/WorkTimes.h
@@ -14,14 +14,25 @@
 /// they run cold again. Where runs do not differ both times become the same.
 class WorkTimes {
 public:
-  /// Before anything was answered: a guess that the first answer replaces.
+  /// Before anything was answered, of rules that state no objective.
   static constexpr base::Duration FirstGuess = std::chrono::milliseconds(150);
-  /// Cold against warm before a warm run was seen (measured on deployments
-  /// whose targets keep objects: 3.3).
+  /// The same, as a part of the objective: operators state one that a warm run
+  /// meets with room to spare.
+  static constexpr double GuessedPart = 0.5;
+  /// Cold against warm before a warm run was seen.
   static constexpr double AssumedRatio = 3.3;
   /// Weight of one run once some were seen: the last twenty count.
   static constexpr double LeastWeight = 0.05;
 
+  /// \param Objective  within which an answer of the rule is worth most; zero:
+  /// none is stated.
+  explicit WorkTimes(base::Duration Objective = {}) noexcept;
+
+  /// \returns whether a run was seen here, or told of.
+  bool isKnown() const noexcept { return Usual_.Count_ > 0; }
+  /// Takes what another host learned, in seconds, where nothing is known here.
+  void adopt(double Warm, double Cold, double Usual) noexcept;
+
   double warmSeconds() const noexcept { return Warm_.Seconds_; }
   /// Never less than a warm run.
   double coldSeconds() const noexcept;
--- a/libs/members/Heartbeat.cpp
+++ b/libs/members/Heartbeat.cpp
@@ -25,6 +25,7 @@
 constexpr const char *LoadsName = "l";
 constexpr const char *EvidenceName = "c";
 constexpr const char *HearsName = "o";
+constexpr const char *TimesName = "w";
 constexpr const char *RegionName = "region";
 constexpr const char *ZoneName = "zone";
 constexpr const char *AddressName = "at";
@@ -91,6 +92,8 @@
     addLoads(Said.Loads_, Text[LoadsName]);
   if (!Said.Evidence_.empty())
     addEvidence(Said.Evidence_, Text[EvidenceName]);
+  if (!Said.Times_.empty())
+    addTimes(Said.Times_, Text[TimesName]);
   for (const std::string &Each : Said.Hears_)
     Text[HearsName].append(Each);
   return textOf(Text);
@@ -102,6 +105,7 @@
     return Text;
   Heartbeat Shorter = Said;
   Shorter.Evidence_.clear();
+  Shorter.Times_.clear();
   Shorter.Hears_.clear();
   Text = encodeHeartbeat(Shorter);
   if (Text.size() <= MostBytes)
@@ -125,6 +129,7 @@
       !readDemands(Said[DemandsName], Read.Demands_) ||
       !readLoads(Said[LoadsName], Read.Loads_) ||
       !readEvidence(Said[EvidenceName], Read.Evidence_) ||
+      !readTimes(Said[TimesName], Read.Times_) ||
       !readHears(Said[HearsName], Read))
     return std::nullopt;
   Read.Sequence_ = Said[SequenceName].asUInt64();
--- a/libs/members/Heartbeat.h
+++ b/libs/members/Heartbeat.h
@@ -28,6 +28,18 @@
   base::RegionId BoundTo_;
 };
 
+/// How long requests of a rule run, as a host learned.
+struct RuleTimes {
+  std::string Rule_;
+  double WarmSeconds_ = 0;
+  double ColdSeconds_ = 0;
+  /// The mean of all runs.
+  double UsualSeconds_ = 0;
+};
+
+/// So many rules are told of: some 30 bytes each, in one datagram.
+inline constexpr std::size_t MostRuleTimes = 64;
+
 /// Who a host is, and where callers and other hosts reach it.
 struct HostCard {
   base::HostId Host_;
@@ -64,6 +76,8 @@
   std::vector<CustomerDemand> Demands_;
   std::vector<ServiceDemand> Loads_;
   std::vector<retrying::CrashEvidence> Evidence_;
+  /// Told to hosts that have just started.
+  std::vector<RuleTimes> Times_;
   /// Addresses of hosts that it hears, so that hosts find each other while the
   /// store is away.
   std::vector<std::string> Hears_;
--- a/libs/members/MessageRows.cpp
+++ b/libs/members/MessageRows.cpp
@@ -9,6 +9,7 @@
 
 /// Rates are told in hundredths: enough for shares, and short.
 constexpr double Hundredths = 100;
+constexpr double Milliseconds = 1000;
 
 Json::Value hundredthsOf(const std::string &Name, double Amount) {
   Json::Value Row(Json::arrayValue);
@@ -97,4 +98,32 @@
   return true;
 }
 
+void addTimes(std::span<const RuleTimes> All, Json::Value &Into) {
+  for (const RuleTimes &Each : All) {
+    Json::Value Row(Json::arrayValue);
+    Row.append(Each.Rule_);
+    for (const double Seconds :
+         {Each.WarmSeconds_, Each.ColdSeconds_, Each.UsualSeconds_})
+      Row.append(Json::Int64(Seconds * Milliseconds));
+    Into.append(Row);
+  }
+}
+
+bool readTimes(const Json::Value &Rows, std::vector<RuleTimes> &Into) {
+  for (const Json::Value &Row : Rows) {
+    if (!Row.isArray() || Row.size() != 4 || !Row[0].isString())
+      return false;
+    RuleTimes Read;
+    Read.Rule_ = Row[0].asString();
+    for (Json::ArrayIndex Column = 1; Column < 4; ++Column)
+      if (!Row[Column].isInt64())
+        return false;
+    Read.WarmSeconds_ = double(Row[1].asInt64()) / Milliseconds;
+    Read.ColdSeconds_ = double(Row[2].asInt64()) / Milliseconds;
+    Read.UsualSeconds_ = double(Row[3].asInt64()) / Milliseconds;
+    Into.push_back(std::move(Read));
+  }
+  return true;
+}
+
 } // namespace lychee::members
--- a/tests/dispatch/DispatchPlayTest.cpp
+++ b/tests/dispatch/DispatchPlayTest.cpp
@@ -62,24 +62,41 @@
     auto Intent = std::make_shared<live::Intent>();
     Intent->Version_ = 1;
     Intent->Services_[base::ServiceId("s")].Id_ = base::ServiceId("s");
-    std::vector<live::KnownTarget> Known;
-    for (std::size_t Each = 0; Each < Load.Targets_; ++Each) {
-      live::KnownTarget Made;
-      Made.Record_.Id_ = base::TargetId("t" + std::to_string(Each));
-      Made.Record_.Service_ = base::ServiceId("s");
-      Made.Record_.Zone_ = base::ZoneId("z");
-      Made.Record_.Slots_ = Load.Slots_;
-      Known.push_back(Made);
-    }
+    for (std::size_t Each = 0; Each < Load.Targets_; ++Each)
+      Known_.push_back(newTarget(Each));
+    Intent_ = Intent;
     for (std::size_t Each = 0; Each < Load.Hosts_; ++Each) {
-      Hosts_.push_back(std::make_unique<dispatch::DispatchSteering>(
-          dispatch::DispatchSettings{
-              base::RegionId("r"), base::ZoneId("z"), {}, Each + 1},
-          dispatch::DispatchParts{[](std::uint64_t) { return true; }}, Now_));
-      Hosts_.back()->setIntent(Intent, Now_);
-      Hosts_.back()->setTargets(
-          Known, {{base::ZoneId("z"), base::RegionId("r")}}, Now_);
+      Hosts_.push_back(newHost(Each));
+      setTargets(*Hosts_.back());
+    }
+  }
+
+  /// All hosts start anew and know nothing of before.
+  void restartHosts() {
+    for (std::size_t Each = 0; Each < Hosts_.size(); ++Each) {
+      // Requests of before still end at the old ones.
+      Ended_.push_back(std::move(Hosts_[Each]));
+      Hosts_[Each] = newHost(Each);
+      setTargets(*Hosts_[Each]);
+    }
+  }
+
+  /// Every so many'th target works so many times as slowly.
+  void setSlow(std::size_t Every, double Times) {
+    for (std::size_t Each = 0; Each < Targets_.size(); Each += Every)
+      Targets_[Each].Slow_ = Times;
+  }
+
+  /// Every so many'th target leaves, and another one comes, cold for 3 s.
+  void replaceTargets(std::size_t Every) {
+    const std::size_t Count = Targets_.size();
+    for (std::size_t Each = 0; Each < Count; Each += Every) {
+      Targets_.emplace_back();
+      Known_[Each] = newTarget(Targets_.size() - 1);
+      Known_[Each].ColdUntil_ = Now_ + 3s;
     }
+    for (auto &Each : Hosts_)
+      setTargets(*Each);
   }
 
   void setPerSecond(double PerSecond) { Load_.PerSecond_ = PerSecond; }
@@ -100,8 +117,31 @@
   }
 
 private:
+  live::KnownTarget newTarget(std::size_t Number) const {
+    live::KnownTarget Made;
+    Made.Record_.Id_ = base::TargetId("t" + std::to_string(Number));
+    Made.Record_.Service_ = base::ServiceId("s");
+    Made.Record_.Zone_ = base::ZoneId("z");
+    Made.Record_.Slots_ = Load_.Slots_;
+    return Made;
+  }
+  std::unique_ptr<dispatch::DispatchSteering> newHost(std::size_t Number) {
+    auto Made = std::make_unique<dispatch::DispatchSteering>(
+        dispatch::DispatchSettings{
+            base::RegionId("r"), base::ZoneId("z"), {}, Number + 1},
+        dispatch::DispatchParts{[this, Number](std::uint64_t Matter) {
+          return Matter % Load_.Hosts_ == Number || Load_.Hosts_ < 10;
+        }},
+        Now_);
+    Made->setIntent(Intent_, Now_);
+    return Made;
+  }
+  void setTargets(dispatch::DispatchSteering &Host) {
+    Host.setTargets(Known_, {{base::ZoneId("z"), base::RegionId("r")}}, Now_);
+  }
+
   struct Request {
-    std::size_t Host_ = 0;
+    dispatch::DispatchSteering *Host_ = nullptr;
     std::uint64_t Object_ = 0;
     base::TimePoint Arrived_;
     base::TimePoint Sent_;
@@ -110,6 +150,7 @@
   };
   using Shared = std::shared_ptr<Request>;
   struct Target {
+    double Slow_ = 1;
     std::uint32_t Running_ = 0;
     std::deque<Shared> Waiting_;
     std::deque<std::uint64_t> Kept_;
@@ -131,7 +172,7 @@
   void arrive() {
     ++Result_.Asked_;
     auto Made = std::make_shared<Request>();
-    Made->Host_ = base::drawBelow(Random_, Hosts_.size());
+    Made->Host_ = Hosts_[base::drawBelow(Random_, Hosts_.size())].get();
     Made->Object_ = 1 + base::drawBelow(Random_, Load_.Objects_);
     Made->Arrived_ = Now_;
     steering::Request Asked;
@@ -142,7 +183,7 @@
     Asked.Objective_ = Load_.Objective_;
     Asked.MaximumSends_ = 2;
     Asked.ObjectHash_ = Made->Object_ * 7919;
-    Made->Decision_ = Hosts_[Made->Host_]->arrive(Asked, Now_);
+    Made->Decision_ = Made->Host_->arrive(Asked, Now_);
     follow(Made);
   }
 
@@ -172,7 +213,8 @@
         continue;
       ++At.Running_;
       const double Spread = 0.85 + 0.3 * base::drawUnit(Random_);
-      const double Work = touch(At, One->Object_) ? Load_.Warm_ : Load_.Cold_;
+      const double Work =
+          (touch(At, One->Object_) ? Load_.Warm_ : Load_.Cold_) * At.Slow_;
       at(Now_ + base::fromSeconds(Work * Spread), [this, One, &At] {
         --At.Running_;
         if (One->GivenUp_)
@@ -214,7 +256,7 @@
         Load_.Slots_};
     std::vector<steering::Wakeup> Woken;
     const Decision After =
-        Hosts_[One->Host_]->finish(One->Decision_.Ticket_, Report, Now_, Woken);
+        One->Host_->finish(One->Decision_.Ticket_, Report, Now_, Woken);
     if (How == SendEnd::Shed) {
       One->Decision_ = After;
       follow(One);
@@ -229,8 +271,11 @@
   PlayLoad Load_;
   base::TimePoint Now_ = base::TimePoint(100s);
   base::Random Random_;
+  std::shared_ptr<live::Intent> Intent_;
+  std::vector<live::KnownTarget> Known_;
   std::vector<std::unique_ptr<dispatch::DispatchSteering>> Hosts_;
-  std::vector<Target> Targets_;
+  std::vector<std::unique_ptr<dispatch::DispatchSteering>> Ended_;
+  std::deque<Target> Targets_;
   std::multimap<base::TimePoint, std::function<void()>> Events_;
   PlayResult Result_;
 };
@@ -323,3 +368,61 @@
     CHECK(Play.play(40).inTime() > 0.9);
   }
 }
+
+/// A third of a large deployment: each host hears of a target every third
+/// second, and runs take half a second warm.
+TEST_GROUP(LargeDispatchPlay){static PlayLoad large(){PlayLoad Made;
+Made.Hosts_ = 21;
+Made.Targets_ = 93;
+Made.Slots_ = 9;
+Made.Objects_ = 350;
+Made.PerSecond_ = 700;
+Made.Kept_ = 18;
+Made.Warm_ = 0.55;
+Made.Cold_ = 1.84;
+Made.Objective_ = 1100ms;
+Made.Deadline_ = 3s;
+return Made;
+}
+}
+;
+
+// Guards against hosts that take targets for idle which they did not hear of:
+// at nine tenths of what the targets can do, requests wait in vain at the full
+// ones.
+TEST(LargeDispatchPlay, nearlyFullTargetsAnswerMostInTime) {
+  for (std::uint64_t Seed = 1; Seed <= 2; ++Seed) {
+    DispatchPlay Play(large(), Seed);
+    Play.play(10);
+    Play.setPerSecond(1400);
+    CHECK(Play.play(6).inTime() > 0.65);
+  }
+}
+
+// Guards against hosts that go on refusing since nothing that they send tells
+// them that the targets are idle again.
+TEST(LargeDispatchPlay, afterAnOverloadTheTargetsAreUsedAgain) {
+  for (std::uint64_t Seed = 1; Seed <= 2; ++Seed) {
+    DispatchPlay Play(large(), Seed);
+    Play.play(10);
+    Play.setPerSecond(2200);
+    Play.play(6);
+    Play.setPerSecond(700);
+    CHECK(Play.play(4).inTime() > 0.5);
+    CHECK(Play.play(6).inTime() > 0.95);
+  }
+}
+
+// Guards against objects that run cold wherever each host finds a target quick,
+// while the new target of their place is cold: one other place and the new one,
+// and a tenth more for chance.
+TEST(LargeDispatchPlay, objectsOfReplacedTargetsRunColdTwiceAtMost) {
+  constexpr std::size_t Every = 4;
+  for (std::uint64_t Seed = 1; Seed <= 2; ++Seed) {
+    DispatchPlay Play(large(), Seed);
+    Play.play(10);
+    Play.replaceTargets(Every);
+    const double Moved = double(large().Objects_) / Every;
+    CHECK(Play.play(4).ColdRuns_ <= 2 * Moved * 1.1);
+  }
+}
--- a/tests/dispatch/SmallDecisionsTest.cpp
+++ b/tests/dispatch/SmallDecisionsTest.cpp
@@ -1,5 +1,6 @@
 #include "dispatch/ColdAllowance.h"
 #include "dispatch/LoadEstimate.h"
+#include "dispatch/RegionLoads.h"
 #include "dispatch/SendBudget.h"
 #include "dispatch/TargetTrust.h"
 
@@ -124,20 +125,62 @@
 TEST(LoadEstimate, ownRequestsCountExactly) {
   Load_.sent();
   Load_.sent();
-  DOUBLES_EQUAL(2, Load_.at(Now_), 0.001);
+  DOUBLES_EQUAL(2, Load_.at({}, Now_), 0.001);
   Load_.ended();
-  DOUBLES_EQUAL(1, Load_.at(Now_), 0.001);
+  DOUBLES_EQUAL(1, Load_.at({}, Now_), 0.001);
 }
 
 // A target said that it was full; a second later other hosts' requests are done
 // and nobody has told so. Believed for longer, the target would stay unused.
 TEST(LoadEstimate, aReportFades) {
+  const dispatch::UsualLoad Usual{0, 0.15};
   Load_.reported({3, 4, 3}, Now_);
-  DOUBLES_EQUAL(7, Load_.at(Now_), 0.001);
-  CHECK(Load_.at(Now_ + 1s) < 1.5);
+  DOUBLES_EQUAL(7, Load_.at(Usual, Now_), 0.001);
+  CHECK(Load_.at(Usual, Now_ + 1s) < 1.5);
+}
+
+// Guards against a long queue that is forgotten before it is worked off.
+TEST(LoadEstimate, aLongQueueIsBelievedUntilItIsWorkedOff) {
+  const dispatch::UsualLoad Usual{0, 0.6};
+  Load_.reported({9, 27, 9}, Now_);
+  CHECK(Load_.at(Usual, Now_ + 1s) > 24);
+  CHECK(Load_.at(Usual, Now_ + 12s) < 2);
+}
+
+// Guards against targets that count as idle since this host did not hear of
+// them.
+TEST(LoadEstimate, aTargetNotHeardOfIsAsBusyAsItsRegion) {
+  const dispatch::UsualLoad Usual{7, 0.6};
+  DOUBLES_EQUAL(7, Load_.at(Usual, Now_), 0.001);
+  Load_.reported({1, 0, 9}, Now_);
+  DOUBLES_EQUAL(1, Load_.at(Usual, Now_), 0.001);
+  CHECK(Load_.at(Usual, Now_ + 3s) > 6);
+}
+
+TEST_GROUP(RegionLoads) {
+  dispatch::RegionLoads Loads_;
+  const base::RegionId North_ = base::RegionId("north");
+  base::TimePoint Now_ = base::TimePoint(100s);
+};
+
+TEST(RegionLoads, eachRegionHasTheMeanOfItsReports) {
+  Loads_.reported(North_, 0.5, Now_);
+  Loads_.reported(North_, 1.5, Now_);
+  Loads_.reported(base::RegionId("south"), 4, Now_);
+  DOUBLES_EQUAL(1, Loads_.othersPerSlot(North_, 0.6, Now_), 0.001);
+  DOUBLES_EQUAL(0, Loads_.othersPerSlot(base::RegionId("west"), 0.6, Now_),
+                0.001);
+}
+
+// Guards against a region that is refused for good since the last that was
+// heard of it was an overload.
+TEST(RegionLoads, whereNothingIsSentLoadIsWorkedOff) {
+  Loads_.reported(North_, 4, Now_);
+  CHECK(Loads_.othersPerSlot(North_, 0.6, Now_ + 1s) > 2.5);
+  CHECK(Loads_.othersPerSlot(North_, 0.6, Now_ + 8s) < 0.5);
 }
 
 TEST(LoadEstimate, aRefusalCountsAsFull) {
   Load_.refused(3, Now_);
-  CHECK(Load_.at(Now_) >= 6);
+  CHECK(Load_.at({}, Now_) >= 6);
 }
--- a/tests/dispatch/TargetChooserTest.cpp
+++ b/tests/dispatch/TargetChooserTest.cpp
@@ -121,6 +121,22 @@
   CHECK(choose(queryFor(42)).Target_ == First.Target_);
 }
 
+// Guards against hosts that each send an object which lost its place to the
+// target that they found quick: it then runs cold at many.
+TEST(TargetChooser, anObjectThatLostItsPlaceStaysAmongItsNext) {
+  const auto First = choose(queryFor(42));
+  First.Target_->Record_.Leaving_ = true;
+  const auto Second = choose(queryFor(42));
+  Second.Target_->Record_.Leaving_ = true;
+  std::set<std::string> Used;
+  for (TargetState &Quick : Targets_) {
+    Quick.Slowness_ = 0.5;
+    Used.insert(chosen(queryFor(42)));
+    Quick.Slowness_ = 1;
+  }
+  CHECK(Used.size() <= TargetChooser::OwnPlaces);
+}
+
 // Two of five requests are refused by a target with slots free. A refusal costs
 // the caller a round trip, a cold run elsewhere costs three runs: it keeps its
 // objects. One that refuses all but a few loses them.
--- a/tests/dispatch/WorkTimesTest.cpp
+++ b/tests/dispatch/WorkTimesTest.cpp
@@ -3,6 +3,7 @@
 #include "CppUTest/TestHarness.h"
 
 using lychee::dispatch::WorkTimes;
+using namespace std::chrono_literals;
 
 TEST_GROUP(WorkTimes) { WorkTimes Work_; };
 
@@ -48,3 +49,25 @@
 TEST(WorkTimes, beforeAnythingWasSeenColdTakesLonger) {
   CHECK(Work_.coldSeconds() > 3 * Work_.warmSeconds());
 }
+
+// Guards against requests that are sent where they cannot end in time, since a
+// host that has just started takes each run for a short one.
+TEST(WorkTimes, aStatedObjectiveIsTheFirstGuess) {
+  const WorkTimes Long(1200ms);
+  DOUBLES_EQUAL(0.6, Long.warmSeconds(), 0.001);
+  DOUBLES_EQUAL(0.6, Long.usualSeconds(), 0.001);
+  CHECK(Long.coldSeconds() > 1.2);
+  CHECK_FALSE(Long.isKnown());
+}
+
+// Guards against the same after a restart beside hosts that know.
+TEST(WorkTimes, whatOthersLearnedHoldsUntilARunIsSeen) {
+  WorkTimes Started(1200ms);
+  Started.adopt(0.4, 1.3, 0.5);
+  DOUBLES_EQUAL(0.4, Started.warmSeconds(), 0.001);
+  DOUBLES_EQUAL(1.3, Started.coldSeconds(), 0.001);
+  DOUBLES_EQUAL(0.5, Started.usualSeconds(), 0.001);
+  Work_.seen(0.2, true);
+  Work_.adopt(0.4, 1.3, 0.5);
+  DOUBLES_EQUAL(0.2, Work_.warmSeconds(), 0.001);
+}
--- a/tests/members/HeartbeatTest.cpp
+++ b/tests/members/HeartbeatTest.cpp
@@ -23,6 +23,7 @@
     Said.Demands_ = {{base::CustomerId("parish"), 2.5}};
     Said.Loads_ = {{base::ServiceId("portal"), 11.25, base::RegionId("north")}};
     Said.Evidence_ = {{0xffffffffffffffffULL, 7, 1500ms}};
+    Said.Times_ = {{"rule", 0.25, 0.9, 0.4}};
     Said.Hears_ = {"127.0.0.3"};
     return Said;
   }
@@ -42,6 +43,10 @@
   DOUBLES_EQUAL(11.25, Read.Loads_[0].Slots_, 0.01);
   STRCMP_EQUAL("north", Read.Loads_[0].BoundTo_.name().c_str());
   CHECK(Read.Evidence_[0] == Said.Evidence_[0]);
+  STRCMP_EQUAL("rule", Read.Times_[0].Rule_.c_str());
+  DOUBLES_EQUAL(0.25, Read.Times_[0].WarmSeconds_, 0.001);
+  DOUBLES_EQUAL(0.9, Read.Times_[0].ColdSeconds_, 0.001);
+  DOUBLES_EQUAL(0.4, Read.Times_[0].UsualSeconds_, 0.001);
   STRCMP_EQUAL("127.0.0.3", Read.Hears_[0].c_str());
 }
 
