--- a/libs/dispatch/RateDivision.h
+++ b/libs/dispatch/RateDivision.h
@@ -98,8 +98,7 @@
   /// Part of what is allowed beyond rate and burst that is used for bursts:
   /// requests come by chance, and a small customer's burst is one or two at
   /// each region. The rest is for keepers that change while a customer sends
-  /// many times its rate; at 0.8 one of 8 days with such troubles gave 647 of
-  /// 640 in 5 s.
+  /// many times its rate.
   static constexpr double UsedSlack = 0.6;
 
   /// A host that is asked in the keeper's place gives so much of the region's
--- a/libs/dispatch/TargetTrust.h
+++ b/libs/dispatch/TargetTrust.h
@@ -40,9 +40,9 @@
   /// A target that fails this part of its requests is left: second sends are
   /// bounded to a fifth of all requests.
   static constexpr double KeptFailures = 0.25;
-  /// One that refuses this part though it has room is left. At a quarter, as
-  /// for failures, the objects of targets that refuse 45 of 100 ran cold
-  /// elsewhere: mean worth of such days 0.584 in place of 0.661.
+  /// One that refuses this part though it has room is left. It is more than for
+  /// failures: a refused request is sent again at once, while all objects of a
+  /// target that is left run cold elsewhere.
   static constexpr double KeptRefusals = 0.6;
   /// A restarted target is cold for about this long.
   static constexpr base::Duration Probation = std::chrono::seconds(3);
--- a/libs/members/DemandTeller.h
+++ b/libs/members/DemandTeller.h
@@ -31,8 +31,6 @@
 public:
   /// Changes smaller than this, in requests a second plus a part of what was
   /// told, are chance: one request more weighs 0.5 in the demand's average.
-  /// With a fifth in place of a twentieth, a customer that grew at all hosts at
-  /// once got 12 requests more than its rate and slack in 5 s.
   static constexpr double Noise = 0.5;
   static constexpr double NoisePart = 0.05;
   /// Every so many heartbeats tell all demands.
--- a/libs/members/HeartbeatExchange.cpp
+++ b/libs/members/HeartbeatExchange.cpp
@@ -36,7 +36,7 @@
   Said.From_ = Book_.self();
   Said.HasCard_ = WithCard;
   Said.Sequence_ = ++Sequence_;
-  const std::string Whole = encodeHeartbeat(Said);
+  std::string Whole = encodeHeartbeat(Said);
   if (Whole.size() <= MostBytes)
     return Whole;
   std::string Cut = encodeHeartbeat(Said, MostBytes);
