--- a/libs/dispatch/DispatchLearning.cpp
+++ b/libs/dispatch/DispatchLearning.cpp
@@ -13,8 +13,6 @@
 
 /// Weight of one answer in the slowness of a target: the last five count.
 constexpr double SlownessWeight = 0.2;
-/// Shorter runs, in seconds, are within what clocks and links add.
-constexpr double LeastRun = 0.001;
 /// Bounds of a target's slowness, so that one strange answer neither shuts a
 /// target out nor draws everything to it.
 constexpr double LeastSlowness = 0.5;
@@ -29,7 +27,8 @@
 void DispatchSteering::learnTime(const Flight &Request, TargetState &Target,
                                  const SendReport &Report) {
   WorkTimes &Work = workOf(Request);
-  const double Seen = std::max(LeastRun, base::toSeconds(Report.Took_));
+  const double Seen =
+      std::max(WorkTimes::LeastRunSeconds, base::toSeconds(Report.Took_));
   const double Waited = base::toSeconds(Request.Waiting_);
   const double Run = Work.wasWarm(Seen, Request.KnownWarm_)
                          ? Work.warmSeconds()
@@ -56,15 +55,14 @@
   }
   switch (Report.End_) {
   case SendEnd::Answered:
-    if (Report.Status_ >= FirstServerFailure)
-      Target->Trust_.failed(Now);
-    else
-      Target->Trust_.answered(Now);
-    if (Report.Status_ < FirstServerFailure)
-      learnTime(Request, *Target, Report);
-    if (Report.Status_ < FirstServerFailure)
-      Target->Warm_.handled(Request.Object_, Now);
     Suspects_.answered(Request.Fingerprint_);
+    if (Report.Status_ >= FirstServerFailure) {
+      Target->Trust_.failed(Now);
+      break;
+    }
+    Target->Trust_.answered(Now);
+    learnTime(Request, *Target, Report);
+    Target->Warm_.handled(Request.Object_, Now);
     break;
   case SendEnd::Shed:
     Target->AddressTaken_ = Target->AddressTaken_ || Report.WrongTarget_;
--- a/libs/dispatch/LoadEstimate.cpp
+++ b/libs/dispatch/LoadEstimate.cpp
@@ -1,17 +1,12 @@
 #include "dispatch/LoadEstimate.h"
 
+#include "dispatch/WorkTimes.h"
+
 #include <algorithm>
 #include <cmath>
 
 namespace lychee::dispatch {
 
-namespace {
-
-/// Shorter runs, in seconds, are within what clocks and links add.
-constexpr double LeastRunSeconds = 0.001;
-
-} // namespace
-
 void LoadEstimate::reported(const steering::TargetLoad &Told,
                             base::TimePoint Now) noexcept {
   const double All = static_cast<double>(Told.Running_) + Told.Waiting_;
@@ -31,7 +26,7 @@
                         base::TimePoint Now) const noexcept {
   if (Reported_ == base::TimePoint())
     return Own_ + Usual.Others_;
-  const double Run = std::max(Usual.RunSeconds_, LeastRunSeconds);
+  const double Run = std::max(Usual.RunSeconds_, WorkTimes::LeastRunSeconds);
   const double WorkedOff = std::max(1.0, othersPerSlot()) * Run;
   const double Age = base::toSeconds(Now - Reported_);
   const double Fresh = std::exp2(-Age / WorkedOff);
--- a/libs/dispatch/RegionLoads.cpp
+++ b/libs/dispatch/RegionLoads.cpp
@@ -1,17 +1,12 @@
 #include "dispatch/RegionLoads.h"
 
+#include "dispatch/WorkTimes.h"
+
 #include <algorithm>
 #include <cmath>
 
 namespace lychee::dispatch {
 
-namespace {
-
-/// Shorter runs, in seconds, are within what clocks and links add.
-constexpr double LeastRunSeconds = 0.001;
-
-} // namespace
-
 void RegionLoads::reported(const base::RegionId &Region, double OthersPerSlot,
                            base::TimePoint Now) {
   Sums &Of = Regions_[Region];
@@ -28,8 +23,8 @@
   if (Found == Regions_.end())
     return 0;
   const Sums &Of = Found->second;
-  const double WorkedOff =
-      std::max(1.0, Of.Mean_) * std::max(RunSeconds, LeastRunSeconds);
+  const double WorkedOff = std::max(1.0, Of.Mean_) *
+                           std::max(RunSeconds, WorkTimes::LeastRunSeconds);
   const double Age = base::toSeconds(Now - Of.Reported_);
   return Of.Mean_ * std::exp2(-Age / WorkedOff);
 }
--- a/libs/dispatch/WorkTimes.h
+++ b/libs/dispatch/WorkTimes.h
@@ -21,6 +21,8 @@
   static constexpr double GuessedPart = 0.5;
   /// Cold against warm before a warm run was seen.
   static constexpr double AssumedRatio = 3.3;
+  /// Shorter runs are within what clocks and links add.
+  static constexpr double LeastRunSeconds = 0.001;
   /// Weight of one run once some were seen: the last twenty count.
   static constexpr double LeastWeight = 0.05;
 
