Log and count the rates that targets state

The hosts' logs could not tell whether a host had been told the rate: the header was read by nobody and named nowhere.

What cannot be read as a decimal number is logged as unreadable, not taken for no statement. No decision changes.

--- a/apps/lycheed/DecisionReporter.cpp
+++ b/apps/lycheed/DecisionReporter.cpp
@@ -2,6 +2,8 @@
 
 #include "base/SystemClock.h"
 
+#include <array>
+#include <charconv>
 #include <vector>
 
 namespace lychee::daemon {
@@ -21,6 +23,15 @@
   return Record;
 }
 
+std::string describe(const steering::StatedRate &Stated) {
+  if (!Stated.PerSecond_)
+    return Stated.Unreadable_ ? "unreadable" : "";
+  std::array<char, 32> Digits{};
+  const auto Written = std::to_chars(
+      Digits.data(), Digits.data() + Digits.size(), *Stated.PerSecond_);
+  return {Digits.data(), Written.ptr};
+}
+
 } // namespace
 
 DecisionReporter::DecisionReporter(reporting::DecisionLog &Log,
@@ -34,6 +45,9 @@
                                "Answers of targets passed to callers")),
       Failures_(Metrics.counter("lychee_send_failures_total",
                                 "Sends that ended without a whole answer")),
+      StatedRates_(Metrics.counter(
+          "lychee_stated_rates_total",
+          "Answers in which a target stated the rate that it takes")),
       TargetSeconds_(Metrics.histogram("lychee_target_seconds",
                                        "Time of a send at its target")) {}
 
@@ -91,6 +105,9 @@
   Record.Target_ = Sent.Target_;
   Record.Reason_ = retrying::nameOf(Report.Outcome_);
   Record.Status_ = Report.Status_;
+  Record.StatedRate_ = describe(Report.StatedRate_);
+  if (!Record.StatedRate_.empty())
+    StatedRates_.add();
   Record.SettingsVersion_ = Sent.SettingsVersion_;
   Log_.record(Record, base::SystemClock::wallNow());
 }
--- a/apps/lycheed/DecisionReporter.h
+++ b/apps/lycheed/DecisionReporter.h
@@ -33,6 +33,7 @@
   reporting::Counter Refusals_;
   reporting::Counter Answers_;
   reporting::Counter Failures_;
+  reporting::Counter StatedRates_;
   reporting::Histogram TargetSeconds_;
 };
 
--- a/libs/gateway/HeaderPolicy.cpp
+++ b/libs/gateway/HeaderPolicy.cpp
@@ -5,6 +5,7 @@
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 #include <charconv>
+#include <cmath>
 
 namespace lychee::gateway {
 
@@ -191,4 +192,22 @@
   return Read;
 }
 
+steering::StatedRate statedRateOf(const AnswerReader::Message &Head,
+                                  const Vocabulary &Names) {
+  const auto Named = std::find_if(
+      Names.TargetRate_.begin(), Names.TargetRate_.end(),
+      [&Head](const std::string &Name) { return Head.count(Name) > 0; });
+  if (Named == Names.TargetRate_.end())
+    return {};
+  const std::string_view Text = viewOf(Head[*Named]);
+  double PerSecond = 0;
+  const auto [End, Error] =
+      std::from_chars(Text.data(), Text.data() + Text.size(), PerSecond,
+                      std::chars_format::fixed);
+  if (Error != std::errc() || End != Text.data() + Text.size() ||
+      !std::isfinite(PerSecond) || PerSecond < 0)
+    return {std::nullopt, true};
+  return {PerSecond, false};
+}
+
 } // namespace lychee::gateway
--- a/libs/gateway/HeaderPolicy.h
+++ b/libs/gateway/HeaderPolicy.h
@@ -67,6 +67,10 @@
 std::optional<steering::TargetLoad> loadOf(const AnswerReader::Message &Head,
                                            const Vocabulary &Names);
 
+/// \returns what the answer says of the rate that its target takes.
+steering::StatedRate statedRateOf(const AnswerReader::Message &Head,
+                                  const Vocabulary &Names);
+
 } // namespace lychee::gateway
 
 #endif
--- a/libs/gateway/Vocabulary.h
+++ b/libs/gateway/Vocabulary.h
@@ -3,6 +3,7 @@
 
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace lychee::gateway {
 
@@ -23,6 +24,9 @@
   /// Running, waiting and slots of a target, separated by commas; empty: not
   /// told in answers.
   std::string TargetLoad_;
+  /// Headers in which a target states the requests per second that it takes
+  /// from all hosts together; the first one present counts.
+  std::vector<std::string> TargetRate_;
   /// Cookie that names the object a request is about; empty: there is none.
   std::string ObjectCookie_;
   /// No caller or target may set a header whose name begins so; empty: only
--- a/libs/reporting/DecisionLog.cpp
+++ b/libs/reporting/DecisionLog.cpp
@@ -63,6 +63,7 @@
     Line.add("took_ms", Taken.TookMs_);
   if (Taken.Status_ != 0)
     Line.add("status", Taken.Status_);
+  addUnlessEmpty(Line, "stated_rate", Taken.StatedRate_);
   addUnlessEmpty(Line, "ran", Taken.Ran_);
   Line.add("settings", Taken.SettingsVersion_);
   return maskSecrets(Line.text());
--- a/libs/reporting/DecisionLog.h
+++ b/libs/reporting/DecisionLog.h
@@ -57,6 +57,9 @@
   std::int64_t TookMs_ = -1;
   /// The answer's status, where the decision ends the request; else 0.
   int Status_ = 0;
+  /// The rate per second that the target stated in its answer, "unreadable"
+  /// where it is no number; else empty.
+  std::string StatedRate_;
   /// "no" or "maybe" where the request is refused; else empty.
   std::string_view Ran_;
 };
--- a/libs/steering/Steering.h
+++ b/libs/steering/Steering.h
@@ -20,6 +20,14 @@
   std::uint32_t Slots_ = 0;
 };
 
+/// What an answer says of the rate that its target takes.
+struct StatedRate {
+  /// Requests per second from all hosts together; empty where none is stated.
+  std::optional<double> PerSecond_;
+  /// A rate is stated that cannot be read.
+  bool Unreadable_ = false;
+};
+
 /// A caller's request on arrival, after its key was checked.
 struct Request {
   base::RequestId Id_;
@@ -162,6 +170,7 @@
   /// Another target than the expected one answered at the address.
   bool WrongTarget_ = false;
   std::optional<TargetLoad> Load_ = std::nullopt;
+  StatedRate StatedRate_ = {};
 };
 
 /// The decisions on a request, in the order in which they are made: the
