--- a/standins/target/Faults.cpp
+++ b/standins/target/Faults.cpp
@@ -36,6 +36,8 @@
     Set.Late_ = Span;
   else if (Name == "duplicate")
     Set.Duplicate_ = Number != 0;
+  else if (Name == "rate")
+    Set.StatedRate_ = Value;
   else
     return false;
   return true;
--- a/standins/target/Faults.h
+++ b/standins/target/Faults.h
@@ -32,6 +32,9 @@
   base::Duration Late_{};
   /// Each answer is sent twice.
   bool Duplicate_ = false;
+  /// Answers to work state this rate, in requests per second, in the header
+  /// TargetSettings::RateHeader_; empty: none.
+  std::string StatedRate_;
 };
 
 /// Reads faults from a query such as "slow_ms=50&shed=1"; what is not named is
--- a/standins/target/RunCounts.cpp
+++ b/standins/target/RunCounts.cpp
@@ -31,6 +31,17 @@
     ++Keys_[IdempotencyKey];
 }
 
+void RunCounts::recordArrival(base::TimePoint Now) {
+  const std::lock_guard Guard(Lock_);
+  if (Arrivals_.size() < MaximumNames)
+    Arrivals_.push_back(Now);
+}
+
+std::vector<base::TimePoint> RunCounts::arrivals() const {
+  const std::lock_guard Guard(Lock_);
+  return Arrivals_;
+}
+
 std::uint64_t RunCounts::total() const {
   const std::lock_guard Guard(Lock_);
   return Total_;
--- a/standins/target/RunCounts.h
+++ b/standins/target/RunCounts.h
@@ -1,10 +1,13 @@
 #ifndef LYCHEE_STANDINS_TARGET_RUNCOUNTS_H
 #define LYCHEE_STANDINS_TARGET_RUNCOUNTS_H
 
+#include "base/Time.h"
+
 #include <cstdint>
 #include <map>
 #include <mutex>
 #include <string>
+#include <vector>
 
 namespace lychee::standins::target {
 
@@ -21,6 +24,12 @@
   void countRun(const std::string &RequestId,
                 const std::string &IdempotencyKey);
 
+  /// Records that a request for work arrived, whether or not it runs then.
+  void recordArrival(base::TimePoint Now);
+
+  /// \returns when requests arrived, in order: the first MaximumNames.
+  std::vector<base::TimePoint> arrivals() const;
+
   std::uint64_t total() const;
   std::uint64_t runsOfRequest(const std::string &RequestId) const;
   std::uint64_t runsOfKey(const std::string &IdempotencyKey) const;
@@ -36,6 +45,7 @@
   std::uint64_t Total_ = 0;
   std::map<std::string, std::uint64_t> Requests_;
   std::map<std::string, std::uint64_t> Keys_;
+  std::vector<base::TimePoint> Arrivals_;
 };
 
 } // namespace lychee::standins::target
--- a/standins/target/TargetServer.h
+++ b/standins/target/TargetServer.h
@@ -28,6 +28,8 @@
   /// Requests that may wait for a slot; more are shed.
   std::uint32_t QueueLimit_ = 1000;
   base::Duration Work_{};
+  /// Header in which it states a rate. \see Faults::StatedRate_
+  std::string RateHeader_ = "Lychee-Target-Rate";
 };
 
 class TargetSession;
--- a/standins/target/TargetSession.cpp
+++ b/standins/target/TargetSession.cpp
@@ -1,6 +1,7 @@
 #include "standins/target/TargetSession.h"
 
 #include "base/Hash.h"
+#include "base/SystemClock.h"
 
 #include <array>
 #include <boost/asio/as_tuple.hpp>
@@ -124,6 +125,7 @@
 asio::awaitable<bool> TargetSession::work(Parser &Reader,
                                           std::string_view Query) {
   const Faults Set = Server_.faults();
+  Server_.Counts_.recordArrival(base::SystemClock::monotonicNow());
   if (Set.Down_)
     co_return false;
   bool Taken = false;
@@ -178,6 +180,10 @@
                      textOf(Phrase) + "\r\nContent-Type: application/json\r\n" +
                      Extra + "Content-Length: " + std::to_string(Body.size()) +
                      "\r\n\r\n";
+  if (IsWork && !Set.StatedRate_.empty())
+    Text.insert(Text.find("Content-Length"), Server_.Settings_.RateHeader_ +
+                                                 ": " + Set.StatedRate_ +
+                                                 "\r\n");
   const bool Cut = IsWork && Set.Cut_;
   if (!IsHead_)
     Text += Cut ? Body.substr(0, Body.size() / 2) : Body;
--- a/tests/support/LiveFleet.cpp
+++ b/tests/support/LiveFleet.cpp
@@ -42,6 +42,7 @@
   for (std::size_t Each = 0; Each < Size_.Targets_; ++Each) {
     standins::target::TargetSettings Settings;
     Settings.Name_ = "t" + std::to_string(Each);
+    Settings.RateHeader_ = platform::vocabulary().TargetRate_.front();
     Targets_.push_back(
         std::make_unique<standins::target::TargetServer>(Settings));
     Targets_.back()->start();
