Known red: hosts together send a target more than it states

The bounds are the rule's own: one and a half times the rate, + 5, in 4 s, from 3 s after the first statement.

--- /dev/null
+++ b/tests/dispatch/StatedRateSimulation.cpp
@@ -0,0 +1,363 @@
+#include "dispatch/StatedRateSimulation.h"
+
+#include "base/Hash.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace lychee::tests {
+
+using namespace std::chrono_literals;
+using steering::Decision;
+
+namespace {
+
+constexpr base::Duration HeartbeatDelay = 500ms;
+constexpr base::Duration UpdateInterval = 200ms;
+constexpr base::Duration TickInterval = 10ms;
+constexpr base::Duration RunTime = 150ms;
+constexpr base::Duration RequestDeadline = 1s;
+constexpr std::uint32_t Slots = 3;
+
+base::RegionId regionOf(std::size_t Number, std::size_t Regions) {
+  return base::RegionId("region-" + std::to_string(Number % Regions));
+}
+
+} // namespace
+
+StatedRateSimulation::StatedRateSimulation(const StatedRateFleet &Size,
+                                           std::uint64_t Seed)
+    : Size_(Size), Random_(Seed), Hosts_(Size.Hosts_), Targets_(Size.Targets_) {
+  auto Intent = std::make_shared<live::Intent>();
+  Intent->Version_ = 1;
+  Intent->Services_[base::ServiceId("s")].Id_ = base::ServiceId("s");
+  Intent_ = Intent;
+  for (std::size_t Index = 0; Index < Size.Targets_; ++Index) {
+    live::KnownTarget Made;
+    Made.Record_.Id_ = base::TargetId("t" + std::to_string(Index));
+    Made.Record_.Service_ = base::ServiceId("s");
+    Made.Record_.Zone_ =
+        base::ZoneId(regionOf(Index, Size.Regions_).name() + "-a");
+    Made.Record_.Slots_ = Slots;
+    Made.Record_.Started_ = 1;
+    Zones_[Made.Record_.Zone_] = regionOf(Index, Size.Regions_);
+    Known_.push_back(Made);
+  }
+  for (std::size_t Index = 0; Index < Size.Hosts_; ++Index) {
+    members::HostDescriptor &Own = Hosts_[Index].Descriptor_;
+    Own.Host_ = base::HostId("host-" + std::to_string(Index));
+    Own.Region_ = regionOf(Index, Size.Regions_);
+    Own.Zone_ = base::ZoneId(Own.Region_.name() + "-a");
+    Own.Address_ = std::to_string(Index);
+    start(Index);
+    // They have been up for long.
+    Hosts_[Index].UpSince_ = Now_ - 60s;
+    update(Index);
+  }
+  tickAll();
+}
+
+void StatedRateSimulation::start(std::size_t Number) {
+  Host &Self = Hosts_[Number];
+  ++Self.Start_;
+  Self.UpSince_ = Now_;
+  Self.Frozen_ = false;
+  dispatch::DispatchCallbacks Callbacks;
+  Callbacks.IsElectedFor_ = [this, Number](std::uint64_t Hash) {
+    const auto Rank = [Hash](const members::HostDescriptor &Of) {
+      return base::stableHash(Of.Host_.name(), Hash);
+    };
+    const Host &Own = Hosts_[Number];
+    return std::none_of(Hosts_.begin(), Hosts_.end(), [&](const Host &Other) {
+      return &Other != &Own && hears(Own, Other) &&
+             Rank(Other.Descriptor_) > Rank(Own.Descriptor_);
+    });
+  };
+  Callbacks.RequestToken_ = [this, Number](const std::string &Owner,
+                                           std::uint64_t Ticket,
+                                           const auto &Wanted) {
+    requestToken(Number, Owner, Ticket, Wanted);
+  };
+  Self.Steering_ = std::make_shared<Steering>(
+      dispatch::DispatchSettings{
+          Self.Descriptor_.Region_, Self.Descriptor_.Zone_, {}, Number + 1},
+      std::move(Callbacks), Now_);
+  Self.Steering_->setIntent(Intent_, Now_);
+  Self.Steering_->setTargets(Known_, Zones_, Now_);
+  const int Start = Self.Start_;
+  // Hosts are not in step with each other.
+  const base::Duration First = base::fromSeconds(
+      base::toSeconds(UpdateInterval) * base::drawUnit(Random_));
+  schedule(First, [this, Number, Start] {
+    if (Hosts_[Number].Start_ == Start)
+      update(Number);
+  });
+}
+
+// Hosts and what they know of each other.
+
+bool StatedRateSimulation::hears(const Host &Listener,
+                                 const Host &Speaker) const {
+  if (Listener.CutOff_)
+    return Now_ - *Listener.SilentSince_ < members::HostTable::AliveFor;
+  if (Now_ - Listener.UpSince_ < HeartbeatDelay ||
+      Now_ - Speaker.UpSince_ < HeartbeatDelay)
+    return false;
+  return !Speaker.SilentSince_ ||
+         Now_ - *Speaker.SilentSince_ < members::HostTable::AliveFor;
+}
+
+dispatch::FleetDemand StatedRateSimulation::viewOf(std::size_t Number) const {
+  const Host &Self = Hosts_[Number];
+  dispatch::FleetDemand Result;
+  Result.Self_ = Self.Descriptor_;
+  Result.RegionCount_ = Size_.Regions_;
+  Result.HostCount_ = Size_.Hosts_;
+  std::size_t Alive = 0;
+  for (const Host &Other : Hosts_) {
+    if (&Other == &Self)
+      continue;
+    members::HostView View;
+    View.Descriptor_ = Other.Descriptor_;
+    View.Ready_ = true;
+    View.Alive_ = hears(Self, Other);
+    View.HoldsShare_ = View.Alive_;
+    Alive += View.Alive_ ? 1 : 0;
+    Result.OtherHosts_.push_back(std::move(View));
+  }
+  Result.IsCutOff_ = Self.CutOff_ && Alive == 0;
+  return Result;
+}
+
+void StatedRateSimulation::update(std::size_t Number) {
+  Host &Self = Hosts_[Number];
+  if (!Self.Frozen_)
+    Self.Steering_->updateFleetDemand(viewOf(Number), Now_);
+  const int Start = Self.Start_;
+  schedule(UpdateInterval, [this, Number, Start] {
+    if (Hosts_[Number].Start_ == Start)
+      update(Number);
+  });
+}
+
+void StatedRateSimulation::restart(std::size_t Number) { start(Number); }
+
+void StatedRateSimulation::wake(std::size_t Number) {
+  Hosts_[Number].Frozen_ = false;
+}
+
+void StatedRateSimulation::cutOff(std::size_t Number) {
+  Hosts_[Number].CutOff_ = true;
+  Hosts_[Number].SilentSince_ = Now_;
+}
+
+void StatedRateSimulation::reconnect(std::size_t Number) {
+  Hosts_[Number].CutOff_ = false;
+  Hosts_[Number].SilentSince_.reset();
+}
+
+void StatedRateSimulation::state(std::size_t Index,
+                                 std::optional<double> PerSecond) {
+  Targets_[Index].Statements_.push_back({Now_, PerSecond});
+}
+
+// Time.
+
+void StatedRateSimulation::schedule(base::Duration After,
+                                    std::function<void()> Action) {
+  Events_.emplace(Now_ + After, std::move(Action));
+}
+
+void StatedRateSimulation::runUntil(base::TimePoint Moment) {
+  while (!Events_.empty() && Events_.begin()->first <= Moment) {
+    Now_ = Events_.begin()->first;
+    const auto Action = std::move(Events_.begin()->second);
+    Events_.erase(Events_.begin());
+    Action();
+  }
+  Now_ = Moment;
+}
+
+void StatedRateSimulation::run(double Seconds) {
+  const base::TimePoint End = Now_ + base::fromSeconds(Seconds);
+  base::TimePoint Next = Now_;
+  while (Next < End) {
+    runUntil(Next);
+    arrive();
+    Next += base::fromSeconds(-std::log(1 - base::drawUnit(Random_)) /
+                              Size_.PerSecond_);
+  }
+  runUntil(End);
+}
+
+void StatedRateSimulation::tickAll() {
+  std::set<std::size_t> Due;
+  for (const auto &[Number, Ticket] : Waiting_)
+    Due.insert(Number);
+  for (const std::size_t Number : Due) {
+    if (Hosts_[Number].Frozen_)
+      continue;
+    std::vector<steering::Wakeup> Woken;
+    Hosts_[Number].Steering_->tick(Now_, Woken);
+    for (const steering::Wakeup &Each : Woken) {
+      Waiting_.erase({Number, Each.Ticket_});
+      apply(Number, Each.Decision_);
+    }
+  }
+  schedule(TickInterval, [this] { tickAll(); });
+}
+
+// Requests.
+
+void StatedRateSimulation::arrive() {
+  const std::size_t Number = base::drawBelow(Random_, Hosts_.size());
+  if (Hosts_[Number].Frozen_)
+    return;
+  ++Sent_;
+  steering::Request Incoming;
+  Incoming.Service_ = base::ServiceId("s");
+  Incoming.Rule_ = "rule";
+  Incoming.ArrivedAt_ = Now_;
+  Incoming.Deadline_ = Now_ + RequestDeadline;
+  Incoming.Idempotent_ = true;
+  Incoming.MaxSends_ = 2;
+  Incoming.ObjectHash_ =
+      base::stableHash("object", base::drawBelow(Random_, Size_.Objects_)) | 1U;
+  apply(Number, Hosts_[Number].Steering_->arrive(Incoming, Now_));
+}
+
+void StatedRateSimulation::apply(std::size_t Number, const Decision &Made) {
+  if (Made.Action_ == Decision::Action::Wait) {
+    Waiting_.insert({Number, Made.Ticket_});
+    return;
+  }
+  if (Made.Action_ == Decision::Action::Refuse) {
+    ++Refused_;
+    return;
+  }
+  const std::size_t Where = std::stoul(Made.Target_.name().substr(1));
+  Target &Server = Targets_[Where];
+  const int Start = Hosts_[Number].Start_;
+  const auto Told = Server.ToldAt_.find({Number, Start});
+  Server.Arrivals_.push_back({Now_, Told != Server.ToldAt_.end() &&
+                                        Told->second + HearingTime <= Now_});
+  ++Server.Running_;
+  schedule(RunTime,
+           [this, Number, Start, Ticket = Made.Ticket_, Where, SentAt = Now_] {
+             answer(Number, Start, Ticket, Where, SentAt);
+           });
+}
+
+void StatedRateSimulation::answer(std::size_t Number, int Start,
+                                  std::uint64_t Ticket, std::size_t Where,
+                                  base::TimePoint SentAt) {
+  Target &Server = Targets_[Where];
+  --Server.Running_;
+  steering::SendReport Report;
+  Report.Outcome_ = steering::SendOutcome::Answered;
+  Report.Status_ = 200;
+  Report.Took_ = Now_ - SentAt;
+  Report.Load_ = steering::TargetLoad{Server.Running_, 0, Slots};
+  if (!Server.Statements_.empty())
+    Report.StatedRate_.PerSecond_ = Server.Statements_.back().PerSecond_;
+  if (Hosts_[Number].Start_ != Start)
+    return;
+  if (Report.StatedRate_.PerSecond_) {
+    Server.ToldAt_.try_emplace({Number, Start}, Now_);
+    if (!Server.FirstStated_)
+      Server.FirstStated_ = Now_;
+  }
+  std::vector<steering::Wakeup> Woken;
+  Hosts_[Number].Steering_->finish(Ticket, Report, Now_, Woken);
+}
+
+// Tokens.
+
+base::Duration StatedRateSimulation::delay(const Host &From,
+                                           const Host &To) const {
+  return From.Descriptor_.Region_ == To.Descriptor_.Region_ ? 1ms : 20ms;
+}
+
+bool StatedRateSimulation::isReachable(const Host &Either, int Start) const {
+  return !Either.CutOff_ && !Either.Frozen_ && Either.Start_ == Start;
+}
+
+template <typename Wanted>
+void StatedRateSimulation::requestToken(std::size_t Asker,
+                                        const std::string &Owner,
+                                        std::uint64_t Ticket,
+                                        const Wanted &Token) {
+  const std::size_t Asked = std::stoul(Owner);
+  const int AskerStart = Hosts_[Asker].Start_;
+  const int OwnerStart = Hosts_[Asked].Start_;
+  const base::Duration Way = delay(Hosts_[Asker], Hosts_[Asked]);
+  if (!isReachable(Hosts_[Asker], AskerStart))
+    return;
+  schedule(Way, [=, this] {
+    if (!isReachable(Hosts_[Asked], OwnerStart))
+      return;
+    const auto Wait = Hosts_[Asked].Steering_->grantToken(Token, Now_);
+    schedule(Way, [=, this] {
+      if (!isReachable(Hosts_[Asker], AskerStart))
+        return;
+      std::vector<steering::Wakeup> Woken;
+      Hosts_[Asker].Steering_->handleTokenResponse(Ticket, Wait, Now_, Woken);
+      for (const steering::Wakeup &Each : Woken) {
+        Waiting_.erase({Asker, Each.Ticket_});
+        apply(Asker, Each.Decision_);
+      }
+    });
+  });
+}
+
+// What was seen.
+
+/// The highest rate stated around a window counts: what was sent before a
+/// change may arrive after it.
+double StatedRateSimulation::allowedAt(const Target &Subject,
+                                       base::TimePoint Moment) const {
+  double Highest = 0;
+  for (std::size_t Index = 0; Index < Subject.Statements_.size(); ++Index) {
+    const bool Last = Index + 1 == Subject.Statements_.size();
+    const bool Applies = Subject.Statements_[Index].Since_ <= Moment &&
+                         (Last || Subject.Statements_[Index + 1].Since_ >=
+                                      Moment - Window - HearingTime);
+    if (Applies)
+      Highest = std::max(
+          Highest, Subject.Statements_[Index].PerSecond_.value_or(HUGE_VAL));
+  }
+  return AllowedRatio * Highest * base::toSeconds(Window) + AllowedMore;
+}
+
+double StatedRateSimulation::worstExcess(std::size_t Index,
+                                         bool OnlyTold) const {
+  const auto &Subject = Targets_[Index];
+  double Worst = -HUGE_VAL;
+  if (!Subject.FirstStated_)
+    return Worst;
+  const base::TimePoint First = *Subject.FirstStated_ + SettlingTime;
+  for (const Arrival &Last : Subject.Arrivals_) {
+    if (Last.At_ < First + Window)
+      continue;
+    const auto Count =
+        std::count_if(Subject.Arrivals_.begin(), Subject.Arrivals_.end(),
+                      [&](const Arrival &Each) {
+                        return Each.At_ > Last.At_ - Window &&
+                               Each.At_ <= Last.At_ &&
+                               (Each.Told_ || !OnlyTold);
+                      });
+    Worst = std::max(Worst, double(Count) - allowedAt(Subject, Last.At_));
+  }
+  return Worst;
+}
+
+double StatedRateSimulation::rateAt(std::size_t Index, double Seconds) const {
+  const base::TimePoint Begin = Now_ - base::fromSeconds(Seconds);
+  const auto &Arrivals = Targets_[Index].Arrivals_;
+  return double(std::count_if(
+             Arrivals.begin(), Arrivals.end(),
+             [Begin](const Arrival &Each) { return Each.At_ > Begin; })) /
+         Seconds;
+}
+
+} // namespace lychee::tests
--- /dev/null
+++ b/tests/dispatch/StatedRateSimulation.h
@@ -0,0 +1,139 @@
+#ifndef LYCHEE_TESTS_DISPATCH_STATEDRATESIMULATION_H
+#define LYCHEE_TESTS_DISPATCH_STATEDRATESIMULATION_H
+
+#include "base/Random.h"
+#include "dispatch/DispatchSteering.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace lychee::tests {
+
+/// A fleet whose hosts send one service's requests to targets, some of which
+/// state the rate that they take.
+struct StatedRateFleet {
+  std::size_t Hosts_ = 12;
+  std::size_t Regions_ = 3;
+  std::size_t Targets_ = 30;
+  /// Requests per second of all callers.
+  double PerSecond_ = 210;
+  std::uint64_t Objects_ = 60;
+};
+
+/// Plays such a fleet in virtual time, from a seed. Hosts hear of each other as
+/// late as heartbeats tell them, and exchange tokens by messages that take time
+/// and get lost where a host is down or cut off. Targets answer everything.
+class StatedRateSimulation {
+public:
+  /// Time from the first answer that states a rate until all hosts keep it.
+  static constexpr base::Duration SettlingTime = std::chrono::seconds(3);
+  /// A host keeps a rate from this long after it was told.
+  static constexpr base::Duration HearingTime = std::chrono::milliseconds(500);
+  /// Length of the sliding window in which requests are counted, and what is
+  /// allowed there: a multiple of the rate, and some more.
+  static constexpr base::Duration Window = std::chrono::seconds(4);
+  static constexpr double AllowedRatio = 1.5;
+  static constexpr double AllowedMore = 5;
+
+  StatedRateSimulation(const StatedRateFleet &Size, std::uint64_t Seed);
+  StatedRateSimulation(const StatedRateSimulation &) = delete;
+  StatedRateSimulation &operator=(const StatedRateSimulation &) = delete;
+
+  void run(double Seconds);
+
+  /// From now on the target states \p PerSecond; nothing: no rate.
+  void state(std::size_t Index, std::optional<double> PerSecond);
+
+  // Troubles of hosts.
+  void restart(std::size_t Number);
+  /// The host does nothing until wake().
+  void freeze(std::size_t Number) { Hosts_[Number].Frozen_ = true; }
+  void wake(std::size_t Number);
+  /// The host and the others do not hear each other until reconnect().
+  void cutOff(std::size_t Number);
+  void reconnect(std::size_t Number);
+
+  // What targets saw and callers got.
+
+  /// \returns by how many requests the fullest window of a target lies beyond
+  /// what its rate allows; at most 0 where it is kept.
+  /// \param OnlyTold  counts requests of hosts only that had been told.
+  double worstExcess(std::size_t Index, bool OnlyTold) const;
+  /// \returns the requests per second that a target got in the last
+  /// \p Seconds.
+  double rateAt(std::size_t Index, double Seconds) const;
+  int sent() const noexcept { return Sent_; }
+  int refused() const noexcept { return Refused_; }
+
+private:
+  using Steering = dispatch::DispatchSteering;
+
+  struct Host {
+    members::HostDescriptor Descriptor_;
+    std::shared_ptr<Steering> Steering_;
+    base::TimePoint UpSince_;
+    /// Since when the others do not hear it.
+    std::optional<base::TimePoint> SilentSince_;
+    bool CutOff_ = false;
+    bool Frozen_ = false;
+    /// Number of the start, so that messages to an earlier one get lost.
+    int Start_ = 0;
+  };
+  struct Arrival {
+    base::TimePoint At_;
+    /// The sending host was told of a rate HearingTime before.
+    bool Told_ = false;
+  };
+  struct Statement {
+    base::TimePoint Since_;
+    std::optional<double> PerSecond_;
+  };
+  struct Target {
+    std::vector<Statement> Statements_;
+    std::optional<base::TimePoint> FirstStated_;
+    std::vector<Arrival> Arrivals_;
+    /// When a host, by number and start, had its first answer with a rate.
+    std::map<std::pair<std::size_t, int>, base::TimePoint> ToldAt_;
+    std::uint32_t Running_ = 0;
+  };
+
+  void schedule(base::Duration After, std::function<void()> Action);
+  void runUntil(base::TimePoint Moment);
+  void start(std::size_t Number);
+  bool hears(const Host &Listener, const Host &Speaker) const;
+  dispatch::FleetDemand viewOf(std::size_t Number) const;
+  void update(std::size_t Number);
+  void tickAll();
+  void arrive();
+  void apply(std::size_t Number, const steering::Decision &Made);
+  void answer(std::size_t Number, int Start, std::uint64_t Ticket,
+              std::size_t Where, base::TimePoint SentAt);
+  template <typename Wanted>
+  void requestToken(std::size_t Asker, const std::string &Owner,
+                    std::uint64_t Ticket, const Wanted &Token);
+  base::Duration delay(const Host &From, const Host &To) const;
+  bool isReachable(const Host &Either, int Start) const;
+  double allowedAt(const Target &Subject, base::TimePoint Moment) const;
+
+  const StatedRateFleet Size_;
+  base::Random Random_;
+  base::TimePoint Now_ = base::TimePoint(std::chrono::seconds(100));
+  std::shared_ptr<live::Intent> Intent_;
+  std::vector<live::KnownTarget> Known_;
+  std::map<base::ZoneId, base::RegionId> Zones_;
+  std::vector<Host> Hosts_;
+  std::vector<Target> Targets_;
+  std::multimap<base::TimePoint, std::function<void()>> Events_;
+  std::set<std::pair<std::size_t, std::uint64_t>> Waiting_;
+  int Sent_ = 0;
+  int Refused_ = 0;
+};
+
+} // namespace lychee::tests
+
+#endif
