Gateway: a decision after a second wait is not lost

No caller has seen it yet: until now no decision that woke a request told it to wait once more. With tokens of targets' rates it does, and the second decision may come, from another thread, before the request's coroutine has taken the first: leave() then erased it, and the request hung until WaitUntil_ + 1 s. leave() now returns the newest decision under the room's lock.

--- a/libs/gateway/Forwarding.cpp
+++ b/libs/gateway/Forwarding.cpp
@@ -190,9 +190,8 @@
   Caller_.watch().neverExpire();
   Caller_.watch().watchHangUp(-1);
   const base::TimePoint Now = base::SystemClock::monotonicNow();
-  if (const auto &Made = Turn->decision()) {
-    Shared.Waiting_.leave(Ticket);
-    Decision_ = *Made;
+  if (Turn->decision()) {
+    Decision_ = Shared.Waiting_.leave(Ticket);
     noteDecision(Now);
     co_return true;
   }
--- a/libs/gateway/WaitingRoom.cpp
+++ b/libs/gateway/WaitingRoom.cpp
@@ -36,11 +36,15 @@
   return Made;
 }
 
-void WaitingRoom::leave(std::uint64_t Ticket) {
+steering::Decision WaitingRoom::leave(std::uint64_t Ticket) {
   Shard &Home = shardOf(Ticket);
   const std::lock_guard Guard(Home.Lock_);
-  Home.Entries_.erase(Ticket);
   Size_.fetch_sub(1);
+  const auto Found = Home.Entries_.find(Ticket);
+  steering::Decision Made =
+      std::move(Found->second.Early_).value_or(steering::Decision());
+  Home.Entries_.erase(Found);
+  return Made;
 }
 
 std::optional<steering::Decision> WaitingRoom::abandon(std::uint64_t Ticket,
--- a/libs/gateway/WaitingRoom.h
+++ b/libs/gateway/WaitingRoom.h
@@ -55,8 +55,10 @@
   /// Begins to wait for \p Ticket.
   std::shared_ptr<Waiter> enter(std::uint64_t Ticket, const Executor &Home);
 
-  /// Ends the wait for a ticket whose decision has been taken.
-  void leave(std::uint64_t Ticket);
+  /// Ends the wait for a ticket whose decision has come.
+  /// \returns the newest decision: where it is to wait once more, the next one
+  /// may have come already.
+  steering::Decision leave(std::uint64_t Ticket);
 
   /// Ends the wait for a ticket that nobody wants any more.
   /// \returns the decision where one was made in the meantime.
