--- a/libs/dispatch/CustomerRateLimiter.cpp
+++ b/libs/dispatch/CustomerRateLimiter.cpp
@@ -9,9 +9,6 @@
 
 namespace {
 
-/// Rate assumed for the computation of waits where the actual one is close to
-/// zero, so that waits stay in the range of seconds.
-constexpr double MinRatePerSecond = 0.1;
 /// Half of the burst capacity is divided evenly between regions, since bursts
 /// are random; a region gets at most this multiple of its share of the rate
 /// from it.
@@ -32,31 +29,14 @@
 
 } // namespace
 
-void CustomerRateLimiter::TokenBucket::refill(double PerSecond, double Capacity,
-                                              base::TimePoint Now) noexcept {
-  Tokens_ = std::min(Tokens_ + base::toSeconds(Now - RefilledAt_) * PerSecond,
-                     Capacity);
-  RefilledAt_ = Now;
-}
-
-std::optional<base::Duration>
-CustomerRateLimiter::TokenBucket::take(double PerSecond) noexcept {
-  if (Tokens_ >= 1) {
-    Tokens_ -= 1;
-    return std::nullopt;
-  }
-  return base::fromSeconds((1 - Tokens_) /
-                           std::max(MinRatePerSecond, PerSecond));
-}
-
 void CustomerRateLimiter::setCustomers(
     std::span<const live::CustomerRule> Customers, base::TimePoint Now) {
   std::map<base::CustomerId, CustomerState> Next;
   for (const live::CustomerRule &Rule : Customers) {
     CustomerState State;
-    State.RegionBucket_.RefilledAt_ = Now;
-    State.BackupBucket_.RefilledAt_ = Now;
-    State.FallbackBucket_.RefilledAt_ = Now;
+    State.RegionBucket_ = RateBucket(Now);
+    State.BackupBucket_ = RateBucket(Now);
+    State.FallbackBucket_ = RateBucket(Now);
     if (const auto Old = Customers_.find(Rule.Id_); Old != Customers_.end())
       State = std::move(Old->second);
     if (State.Owner_.empty())
@@ -183,7 +163,7 @@
                 Fleet.Self_.Address_);
     // Tokens that another host owns now are no longer this one's to grant.
     if (!State.Owner_.empty())
-      State.RegionBucket_ = {0, Now};
+      State.RegionBucket_ = RateBucket(Now);
   }
 }
 
@@ -215,7 +195,7 @@
   CustomerState &State = Found->second;
   const bool IsOwner = State.Owner_.empty();
   const double PerSecond = State.regionRate() * (IsOwner ? 1 : BackupShare);
-  TokenBucket &Bucket = IsOwner ? State.RegionBucket_ : State.BackupBucket_;
+  RateBucket &Bucket = IsOwner ? State.RegionBucket_ : State.BackupBucket_;
   Bucket.refill(PerSecond, IsOwner ? State.MaxRegionTokens_ : MaxBackupTokens,
                 Now);
   return Bucket.take(PerSecond);
@@ -228,8 +208,8 @@
   if (Found == Customers_.end())
     return std::nullopt;
   CustomerState &State = Found->second;
-  if (Now - State.FallbackBucket_.RefilledAt_ > FallbackResetTime)
-    State.FallbackBucket_ = {0, Now};
+  if (Now - State.FallbackBucket_.refilledAt() > FallbackResetTime)
+    State.FallbackBucket_ = RateBucket(Now);
   const double PerSecond = State.Rate_ * State.HostShare_ * FallbackShare;
   State.FallbackBucket_.refill(PerSecond, MaxFallbackTokens, Now);
   return State.FallbackBucket_.take(PerSecond);
--- a/libs/dispatch/CustomerRateLimiter.h
+++ b/libs/dispatch/CustomerRateLimiter.h
@@ -4,9 +4,10 @@
 #include "base/Id.h"
 #include "base/Time.h"
 #include "dispatch/DecayingRate.h"
+#include "dispatch/FleetDemand.h"
+#include "dispatch/RateBucket.h"
 #include "dispatch/SampleHistory.h"
 #include "live/Intent.h"
-#include "members/HostTable.h"
 
 #include <map>
 #include <optional>
@@ -16,22 +17,6 @@
 
 namespace lychee::dispatch {
 
-/// Demand and state of the other hosts, as far as the rate limits need them.
-struct FleetDemand {
-  std::vector<members::HostView> OtherHosts_;
-  /// Other regions, whose demand is known as one total per region.
-  std::vector<members::RegionView> OtherRegions_;
-  members::HostDescriptor Self_;
-  /// This host accepts callers' requests, as others do.
-  bool IsServing_ = true;
-  /// Hosts that hold a share, including this one.
-  std::size_t HostCount_ = 1;
-  /// Number of regions in the fleet.
-  std::size_t RegionCount_ = 1;
-  /// Most other hosts fell silent at once: this host is cut off.
-  bool IsCutOff_ = false;
-};
-
 /// Decision on one request by its customer's rate limit.
 struct RateLimitDecision {
   enum class Kind {
@@ -152,17 +137,6 @@
   std::vector<members::CustomerDemand> demands(base::TimePoint Now);
 
 private:
-  struct TokenBucket {
-    /// A bucket starts empty: a fleet that restarts must not grant each
-    /// customer a second burst.
-    double Tokens_ = 0;
-    base::TimePoint RefilledAt_;
-
-    void refill(double PerSecond, double Capacity,
-                base::TimePoint Now) noexcept;
-    std::optional<base::Duration> take(double PerSecond) noexcept;
-  };
-
   struct CustomerState {
     double Rate_ = 0;
     double Burst_ = 0;
@@ -174,9 +148,11 @@
     /// Address of the owner of the region's tokens; empty: this host.
     std::string Owner_;
     std::string BackupOwner_;
-    TokenBucket RegionBucket_;
-    TokenBucket BackupBucket_;
-    TokenBucket FallbackBucket_;
+    /// They start empty: a fleet that restarts must not grant each customer a
+    /// second burst.
+    RateBucket RegionBucket_;
+    RateBucket BackupBucket_;
+    RateBucket FallbackBucket_;
     DecayingRate Demand_;
     /// Demand at all hosts of the region, and at this one.
     SampleHistory RegionDemand_;
