A rate that a target states is kept by all hosts together

Cause: a rate that belongs to all hosts together, of which each host sees only its own part.

Change: the way of the customers' rates, not a third one. One host owns a target's rate, elected by hash among the hosts of the target's region, and grants each request a token, its own and those of other hosts, by the same datagrams. A request without a token goes to another target, or is refused at once with the time until the next token. Statements carry when they were heard; the newest holds; changes are announced in heartbeats and region updates, but a host that misses them learns from its own answers. Second sends on silent connections need a token, too.

Why it works: at any time at most one host that hears the others grants tokens, whatever the other hosts know, and a host that has been told sends nothing without a token.

--- a/apps/lycheed/DecisionReporter.cpp
+++ b/apps/lycheed/DecisionReporter.cpp
@@ -26,14 +26,18 @@
 std::string describe(const steering::StatedRate &Stated) {
   if (!Stated.PerSecond_)
     return Stated.Unreadable_ ? "unreadable" : "";
-  std::array<char, 32> Digits{};
-  const auto Written = std::to_chars(
-      Digits.data(), Digits.data() + Digits.size(), *Stated.PerSecond_);
-  return {Digits.data(), Written.ptr};
+  return describeRate(*Stated.PerSecond_);
 }
 
 } // namespace
 
+std::string describeRate(double PerSecond) {
+  std::array<char, 32> Digits{};
+  const auto Written =
+      std::to_chars(Digits.data(), Digits.data() + Digits.size(), PerSecond);
+  return {Digits.data(), Written.ptr};
+}
+
 DecisionReporter::DecisionReporter(reporting::DecisionLog &Log,
                                    reporting::Metrics &Metrics)
     : Log_(Log),
--- a/apps/lycheed/DecisionReporter.h
+++ b/apps/lycheed/DecisionReporter.h
@@ -8,9 +8,14 @@
 #include <array>
 #include <atomic>
 #include <cstdint>
+#include <string>
 
 namespace lychee::daemon {
 
+/// \returns a rate in requests per second as the log shows it: in the fewest
+/// digits that tell it exactly.
+std::string describeRate(double PerSecond);
+
 /// Hands each decision on a request to the log, to the memory of the explain
 /// command and to the metrics. \see reporting::DecisionLog
 class DecisionReporter final : public gateway::DecisionListener {
--- a/apps/lycheed/LiveDaemon.cpp
+++ b/apps/lycheed/LiveDaemon.cpp
@@ -87,6 +87,17 @@
   return Regions.size();
 }
 
+void logTargetRate(const dispatch::TargetRateChange &Change) {
+  KeyValueLine Line;
+  Line.add("event", Change.PerSecond_ ? "target-rate" : "target-rate-ended")
+      .add("target", Change.Target_.name());
+  if (Change.PerSecond_)
+    Line.add("stated_rate", describeRate(*Change.PerSecond_));
+  reporting::logLine(LogLevel::Info,
+                     Line.add("from", Change.IsReported_ ? "host" : "answer")
+                         .add("age_ms", base::toMilliseconds(Change.Age_)));
+}
+
 void spawnLogged(asio::io_context &Where, asio::awaitable<void> What,
                  const char *Event) {
   asio::co_spawn(Where, std::move(What),
@@ -134,13 +145,14 @@
                    return Hosts_.isElectedFor(Matter,
                                               SystemClock::monotonicNow());
                  },
-                 [this](const std::string &Holder, std::uint64_t Ticket,
-                        const base::CustomerId &Customer) {
-                   asio::post(Control_, [this, Holder, Ticket, Customer] {
+                 [this](const std::string &Owner, std::uint64_t Number,
+                        const members::TokenRequest &Wanted) {
+                   asio::post(Control_, [this, Owner, Number, Wanted] {
                      Gauges_.countTokenAsked();
-                     Tokens_.ask(Holder, Ticket, Customer);
+                     Tokens_.ask(Owner, Number, Wanted);
                    });
-                 }},
+                 },
+                 logTargetRate},
                 SystemClock::monotonicNow()),
       Registration_(Objects_, Hosts_.self()),
       Entry_({Hosts_, Intents_, [this] { return Feed_.knowsAll(); },
@@ -176,19 +188,20 @@
                  noteRelayTrouble(Address, Why);
                }}),
       Reports_({Entry_, Hosts_, Role_, Steering_}),
-      Tokens_(Control_.get_executor(), Live.Relays_, Hosts_.self().Incarnation_,
-              {[this](const base::CustomerId &Customer, base::TimePoint Now) {
-                 const auto Wait = Steering_.grantToken(Customer, Now);
-                 Gauges_.countTokenGiven(!Wait);
-                 return Wait;
-               },
-               [this](std::uint64_t Ticket, std::optional<base::Duration> Wait,
-                      base::TimePoint Now) {
-                 Gauges_.countTokenHeard(!Wait);
-                 std::vector<steering::Wakeup> Woken;
-                 Steering_.handleTokenResponse(Ticket, Wait, Now, Woken);
-                 Gateway_.deliver(Woken, Now);
-               }}),
+      Tokens_(
+          Control_.get_executor(), Live.Relays_, Hosts_.self().Incarnation_,
+          {[this](const members::TokenRequest &Wanted, base::TimePoint Now) {
+             const auto Wait = Steering_.grantToken(Wanted, Now);
+             Gauges_.countTokenGiven(!Wait);
+             return Wait;
+           },
+           [this](std::uint64_t Number, std::optional<base::Duration> Wait,
+                  base::TimePoint Now) {
+             Gauges_.countTokenHeard(!Wait);
+             std::vector<steering::Wakeup> Woken;
+             Steering_.handleTokenResponse(Number, Wait, Now, Woken);
+             Gateway_.deliver(Woken, Now);
+           }}),
       Heartbeats_(
           Control_.get_executor(), Hosts_, Live.Heartbeats_,
           {[this](bool Whole, bool WithCard, base::TimePoint Now) {
@@ -202,6 +215,8 @@
              [this] { return Entry_.leaving(); },
              [this](const members::RegionUpdate &Said, base::TimePoint Now) {
                Steering_.mergeCrashEvidence(Said.Summary_.Evidence_, Now);
+               Steering_.mergeTargetRates(Said.Summary_.TargetRates_, false,
+                                          Now);
              }}) {
   Hosts_.addSeeds(Live_.SeedAddresses_);
 }
@@ -214,6 +229,8 @@
                                base::TimePoint Now) {
   if (!Said.Evidence_.empty())
     Steering_.mergeCrashEvidence(Said.Evidence_, Now);
+  if (!Said.TargetRates_.empty())
+    Steering_.mergeTargetRates(Said.TargetRates_, true, Now);
   if (!Said.Times_.empty())
     Steering_.mergeExecutionTimes(Said.Times_);
   if (!News)
@@ -370,7 +387,7 @@
   const auto Intent = Intents_.current();
   Gauges_.set({Intent ? Intent->Version_ : 0, Intents_.age(Now), Trusted_,
                Asking_, Heard_.size(), Feed_.targetCount(),
-               Feed_.evacuatedCount()});
+               Feed_.evacuatedCount(), Steering_.limitedTargetCount()});
 }
 
 void LiveDaemon::noteLosses(std::span<const members::HostView> Others,
--- a/apps/lycheed/LiveGauges.cpp
+++ b/apps/lycheed/LiveGauges.cpp
@@ -18,8 +18,8 @@
                                 std::string_view End) {
   const std::array<reporting::Label, 1> Labels = {{{"end", End}}};
   return Metrics.counter("lychee_rate_tokens_total",
-                         "Tokens of customers' rates asked of other hosts, "
-                         "and by them",
+                         "Tokens of customers' and targets' rates asked of "
+                         "other hosts, and by them",
                          Labels);
 }
 
@@ -42,6 +42,9 @@
           Metrics.gauge("lychee_targets_known", "Targets that may be used")),
       ZonesEvacuated_(Metrics.gauge("lychee_zones_evacuated",
                                     "Zones whose targets get nothing")),
+      TargetsLimited_(
+          Metrics.gauge("lychee_targets_rate_limited",
+                        "Targets that state the rate that they take")),
       RelaySound_(relayCounter(Metrics, "sound")),
       RelayUnsound_(relayCounter(Metrics, "unsound")),
       RelayFailed_(relayCounter(Metrics, "failed")),
@@ -64,6 +67,7 @@
   HostsAlive_.set(static_cast<double>(Read.HostsAlive_));
   TargetsKnown_.set(static_cast<double>(Read.TargetsKnown_));
   ZonesEvacuated_.set(static_cast<double>(Read.ZonesEvacuated_));
+  TargetsLimited_.set(static_cast<double>(Read.TargetsLimited_));
 }
 
 void LiveGauges::countStoreCall(const std::string &Kind, bool Came) {
--- a/apps/lycheed/LiveGauges.h
+++ b/apps/lycheed/LiveGauges.h
@@ -24,6 +24,8 @@
   std::size_t HostsAlive_ = 0;
   std::size_t TargetsKnown_ = 0;
   std::size_t ZonesEvacuated_ = 0;
+  /// Targets that state a rate.
+  std::size_t TargetsLimited_ = 0;
 };
 
 /// The metrics of such a host beside those of its requests.
@@ -56,6 +58,7 @@
   const reporting::Gauge HostsAlive_;
   const reporting::Gauge TargetsKnown_;
   const reporting::Gauge ZonesEvacuated_;
+  const reporting::Gauge TargetsLimited_;
   const reporting::Counter RelaySound_;
   const reporting::Counter RelayUnsound_;
   const reporting::Counter RelayFailed_;
--- a/apps/lycheed/LiveReports.cpp
+++ b/apps/lycheed/LiveReports.cpp
@@ -10,6 +10,7 @@
   Said.StoreTrouble_ = Others_.Role_.isInTrouble(Now);
   Said.Loads_ = Others_.Steering_.serviceDemands(Now);
   Said.Evidence_ = Others_.Steering_.crashEvidence(Now);
+  Said.TargetRates_ = Others_.Steering_.announcedRates(Now);
   return Said;
 }
 
@@ -45,9 +46,12 @@
 
 members::LocalHostSummary LiveReports::summary(base::TimePoint Now) const {
   const members::LocalHostState Own = Others_.Entry_.ownState(Now);
-  return {Own.Ready_, Own.Leaving_, Others_.Steering_.customerDemands(Now),
+  return {Own.Ready_,
+          Own.Leaving_,
+          Others_.Steering_.customerDemands(Now),
           Others_.Steering_.serviceDemands(Now),
-          Others_.Steering_.crashEvidence(Now)};
+          Others_.Steering_.crashEvidence(Now),
+          Others_.Steering_.relayedRates(Now)};
 }
 
 } // namespace lychee::daemon
--- a/libs/dispatch/DispatchLearning.cpp
+++ b/libs/dispatch/DispatchLearning.cpp
@@ -52,6 +52,7 @@
   if (Target == nullptr)
     return;
   Target->Load_.recordEnd();
+  recordStatedRate(*Target, Report, Now);
   if (Report.Load_) {
     Target->Load_.recordReport(*Report.Load_, Now);
     serviceState(Request.Service_)
--- a/libs/dispatch/DispatchSteering.cpp
+++ b/libs/dispatch/DispatchSteering.cpp
@@ -118,9 +118,7 @@
   case RateLimitDecision::Kind::Denied:
     return refuseRateLimited(Ticket, Verdict.RetryAfter_);
   case RateLimitDecision::Kind::AskOwner:
-    return awaitToken(Ticket,
-                      {Arrived.Customer_, Verdict.BackupOwner_, {}, false, {}},
-                      Verdict.Owner_, Now);
+    return awaitToken(Ticket, Arrived.Customer_, Verdict, Now);
   case RateLimitDecision::Kind::Allowed:
     break;
   }
@@ -140,12 +138,12 @@
   const bool IsBound = Request.Homes_ && Request.Homes_->size() == 1;
   Service.Demands_[IsBound ? Request.Homes_->front() : base::RegionId()].add(
       executionTimesOf(Request).meanSeconds(), Now);
-  return send(Ticket, Request, Now);
+  return send(Ticket, Request, TokenSource::AnyHost, Now);
 }
 
-std::optional<Choice>
+DispatchSteering::Selection
 DispatchSteering::chooseTarget(const InFlightRequest &Request,
-                               base::TimePoint Now) {
+                               TokenSource Source, base::TimePoint Now) {
   ServiceState &Service = serviceState(Request.Service_);
   ChoiceQuery Query;
   Query.Object_ = Request.Object_;
@@ -156,11 +154,12 @@
       Request.Object_, Request.BodyBytes_, Query.Homes_);
   Query.ExecutionTimes_ = executionTimesOf(Request);
   Query.RegionLoads_ = &Service.RegionLoads_;
-  const auto MayProbe = [&](TargetState &Target) {
-    return Callbacks_.IsElectedFor_(Target.Hash_) &&
-           Target.ColdLimiter_.tryAcquire(Service.ColdRatePerSecond_, Now);
+  Selection Result;
+  const auto MayUse = [&](TargetState &Target) {
+    return mayUse(Service, Target, Request, Source, Result, Now);
   };
-  return Chooser_.choose(Query, Service.Targets_, MayProbe, Now);
+  Result.Choice_ = Chooser_.choose(Query, Service.Targets_, MayUse, Now);
+  return Result;
 }
 
 base::Duration DispatchSteering::responseTimeout(const InFlightRequest &Request,
@@ -208,11 +207,22 @@
   return Now + Chosen.ExpectedResponseTime_ < latestAnswerTime(Request, Chosen);
 }
 
+Decision DispatchSteering::refuseUnplaced(std::uint64_t Ticket,
+                                          const Selection &Selected) {
+  Decision Refused = endRequest(
+      Ticket, false,
+      std::max(Selected.NextToken_.value_or(MinRetryAfter), MinRetryAfter));
+  if (Selected.NextToken_ && Refused.Refusal_ == Refusal::NoHeadroom)
+    Refused.Refusal_ = Refusal::TargetRatesUsedUp;
+  return Refused;
+}
+
 Decision DispatchSteering::send(std::uint64_t Ticket, InFlightRequest &Request,
-                                base::TimePoint Now) {
-  const auto Chosen = chooseTarget(Request, Now);
+                                TokenSource Source, base::TimePoint Now) {
+  const Selection Selected = chooseTarget(Request, Source, Now);
+  const std::optional<Choice> &Chosen = Selected.Choice_;
   if (!Chosen)
-    return endRequest(Ticket, false, MinRetryAfter);
+    return refuseUnplaced(Ticket, Selected);
   // A request that cannot be answered in time is not sent: it would take a slot
   // from one that can, and its caller gains nothing by waiting.
   TargetState &Target = *Chosen->Target_;
@@ -221,13 +231,18 @@
       Chosen->Load_, Target.Load_.reportAge(Now)};
   recordLateness(Request, *Chosen, Now);
   if (!canAnswerInTime(Request, *Chosen, Now)) {
+    if (Selected.TookToken_)
+      Target.StatedRate_.refund();
     Decision Refused = endRequest(
         Ticket, false, std::max(Chosen->ExpectedWait_, MinRetryAfter));
     Refused.Inputs_ = Inputs;
     return Refused;
   }
+  if (!Selected.TokenOwner_.empty())
+    return awaitTargetToken(Ticket, Request, Target, Selected.TokenOwner_, Now);
   Decision Result;
   Result.Inputs_ = Inputs;
+  Request.GrantedTarget_ = {};
   Target.Load_.recordSend();
   Request.KnownWarm_ = Target.RecentObjects_.contains(Request.Object_, Now);
   Request.ExpectedWait_ = Chosen->ExpectedWait_;
@@ -253,7 +268,7 @@
   if (Found == InFlight_.end())
     return false;
   InFlightRequest &Request = Found->second;
-  const auto Other = chooseTarget(Request, Now);
+  const auto Other = chooseTarget(Request, TokenSource::Nowhere, Now).Choice_;
   if (!Other || Now + Other->ExpectedResponseTime_ >= Request.Deadline_)
     return false;
   Request.RetryReserved_ =
@@ -262,20 +277,24 @@
 }
 
 /// Checks that the target still accepts work, and takes a token of the retry
-/// budget. Failure without the check: a target announced that it leaves while
-/// the first send was running there, and the second one reached it after all
-/// work had to be finished. Failure without the token: second sends on dead
-/// connections were in no budget.
-bool DispatchSteering::mayHedge(std::uint64_t Ticket, base::TimePoint /*Now*/) {
+/// budget and of the rates that the target shares between hosts. Failure
+/// without the check: a target announced that it leaves while the first send
+/// was running there, and the second one reached it after all work had to be
+/// finished. Failure without the tokens: second sends on dead connections were
+/// in no budget.
+bool DispatchSteering::mayHedge(std::uint64_t Ticket, base::TimePoint Now) {
   const std::lock_guard Guard(Lock_);
   const auto Found = InFlight_.find(Ticket);
   if (Found == InFlight_.end() || Found->second.TriedTargets_.empty())
     return false;
   ServiceState &Service = serviceState(Found->second.Service_);
-  const TargetState *Target =
-      findTarget(Service, Found->second.TriedTargets_.back());
-  return Target != nullptr && !Target->Record_.Leaving_ &&
-         !Target->Evacuated_ && !Target->AddressReused_ &&
+  TargetState *Target = findTarget(Service, Found->second.TriedTargets_.back());
+  if (Target == nullptr || Target->Record_.Leaving_ || Target->Evacuated_ ||
+      Target->AddressReused_ || !Service.RetryBudget_.hasToken())
+    return false;
+  Selection Unused;
+  return mayUse(Service, *Target, Found->second, TokenSource::ThisHost, Unused,
+                Now) &&
          Service.RetryBudget_.trySpend();
 }
 
@@ -343,8 +362,12 @@
     Retries = Service.RetryBudget_.trySpend();
   else if (Retries && Reached)
     Request.RetryReserved_ = false;
+  // An answer that is there, though a failure, is not held back for a token.
   if (Retries)
-    return send(Ticket, Request, Now);
+    return send(Ticket, Request,
+                Report.Outcome_ == SendOutcome::Answered ? TokenSource::ThisHost
+                                                         : TokenSource::AnyHost,
+                Now);
   const bool Ended = Report.Outcome_ == SendOutcome::Answered ||
                      Report.Outcome_ == SendOutcome::Cancelled ||
                      Report.Outcome_ == SendOutcome::CancelledBeforeWrite;
--- a/libs/dispatch/DispatchSteering.h
+++ b/libs/dispatch/DispatchSteering.h
@@ -5,10 +5,12 @@
 #include "dispatch/CustomerRateLimiter.h"
 #include "dispatch/DecayingRate.h"
 #include "dispatch/RegionSplit.h"
+#include "dispatch/SharedRateOwners.h"
 #include "dispatch/SharedRetryBudget.h"
 #include "dispatch/TargetChooser.h"
 #include "live/Intent.h"
 #include "live/TargetRegistry.h"
+#include "members/TokenMessages.h"
 #include "retrying/CrashSuspects.h"
 #include "steering/Steering.h"
 
@@ -28,16 +30,30 @@
   std::uint64_t Seed_ = 0;
 };
 
+/// A change of the rate that is known to be stated by a target.
+struct TargetRateChange {
+  base::TargetId Target_;
+  /// Requests per second; nothing: none is stated any more.
+  std::optional<double> PerSecond_;
+  /// Another host told; otherwise an answer to this one.
+  bool IsReported_ = false;
+  /// Time since the target's answer.
+  base::Duration Age_{};
+};
+
 /// Functions of the host that a DispatchSteering calls, with its lock held.
 struct DispatchCallbacks {
   /// \returns whether this host is elected for \p Hash, of all hosts that are
   /// alive. \see members::HostTable::isElectedFor
   std::function<bool(std::uint64_t Hash)> IsElectedFor_;
   /// Requests a token from the host at \p Owner; handleTokenResponse() is
-  /// called with its response. \see CustomerRateLimiter
-  std::function<void(const std::string &Owner, std::uint64_t Ticket,
-                     const base::CustomerId &Customer)>
+  /// called with its response and the same \p Number. \see
+  /// CustomerRateLimiter, StatedRateLimiter
+  std::function<void(const std::string &Owner, std::uint64_t Number,
+                     const members::TokenRequest &Wanted)>
       RequestToken_ = [](const auto &, auto, const auto &) {};
+  std::function<void(const TargetRateChange &Change)> OnTargetRate_ =
+      [](const auto &) {};
 };
 
 /// Steers requests where targets register themselves: checks the customer's
@@ -46,12 +62,14 @@
 ///
 /// Requests are not queued here: targets queue a few, and what no target can
 /// answer in time is refused at once. A request only waits, for some
-/// milliseconds, for the response of the host that owns the customer's tokens.
+/// milliseconds, for the response of the host that owns the tokens of the
+/// customer's or a target's rate.
 ///
 /// Thread-safe: one lock, held for microseconds. DispatchUpdates.cpp holds what
 /// happens between requests (configuration, targets, other hosts),
-/// DispatchTokens.cpp how a request waits for a token, DispatchLearning.cpp
-/// what is learned from the outcome of a send.
+/// DispatchTokens.cpp how a request waits for a token, DispatchTargetRates.cpp
+/// the rates that targets share between all hosts, DispatchLearning.cpp what is
+/// learned from the outcome of a send.
 /// \see steering::FleetSteering, which steers by the tree that operators
 /// configure
 class DispatchSteering final : public steering::Steering {
@@ -60,6 +78,8 @@
   /// asked. Within a region a datagram and its response take 1 to 2 ms where
   /// neither host waits for its processor.
   static constexpr base::Duration TokenTimeout = std::chrono::milliseconds(60);
+  /// Targets for whose tokens a request waits, one after the other.
+  static constexpr std::uint32_t MaxTokenRequests = 2;
 
   DispatchSteering(const DispatchSettings &Settings,
                    DispatchCallbacks Callbacks, base::TimePoint Now);
@@ -93,15 +113,26 @@
     CrashSuspects_.merge(Announced, Now);
   }
 
-  // Tokens of the customers' rate limits.
+  /// \returns the targets' rates to announce to the hosts of the region.
+  std::vector<members::TargetRate> announcedRates(base::TimePoint Now) const;
+  /// \returns the targets' rates to tell other regions.
+  std::vector<members::TargetRate> relayedRates(base::TimePoint Now) const;
+  /// \param FromOwnRegion  other regions are to be told, too.
+  void mergeTargetRates(std::span<const members::TargetRate> Announced,
+                        bool FromOwnRegion, base::TimePoint Now);
+  /// \returns the number of targets that state a rate.
+  std::size_t limitedTargetCount() const;
+
+  // Tokens of the customers' and the targets' rates.
   /// Takes a token for a request of another host.
   /// \returns nothing: a token was taken; else the time until there is one.
-  std::optional<base::Duration> grantToken(const base::CustomerId &Customer,
+  std::optional<base::Duration> grantToken(const members::TokenRequest &Wanted,
                                            base::TimePoint Now);
   /// Handles an owner's response for a request that waits.
+  /// \param Number  as passed to DispatchCallbacks::RequestToken_.
   /// \param Wait  time until there is a token; nothing: it was granted.
   /// \param Woken  gains the decision on the request.
-  void handleTokenResponse(std::uint64_t Ticket,
+  void handleTokenResponse(std::uint64_t Number,
                            std::optional<base::Duration> Wait,
                            base::TimePoint Now,
                            std::vector<steering::Wakeup> &Woken);
@@ -146,6 +177,10 @@
     /// A token of the retry budget was spent ahead, for the send that follows
     /// an abandoned one.
     bool RetryReserved_ = false;
+    /// Number of targets for whose tokens it waited.
+    std::uint32_t TokenRequests_ = 0;
+    /// The target for which it was granted a token; empty: none.
+    base::TargetId GrantedTarget_;
     bool MayHaveRun_ = false;
     /// Of the last send: whether the target had handled the object recently,
     /// and the expected wait for a slot.
@@ -168,9 +203,35 @@
     base::Duration ColdTime_{};
   };
 
+  /// Where tokens of a target's stated rate may come from.
+  enum class TokenSource {
+    /// The request is not sent yet: no token is taken.
+    Nowhere,
+    /// Only from this host, as the request cannot wait.
+    ThisHost,
+    AnyHost,
+  };
+
+  /// Result of the choice of a target.
+  struct Selection {
+    /// Nothing where no target may take the request.
+    std::optional<Choice> Choice_;
+    /// Address of the host to request a token from first; empty: none.
+    std::string TokenOwner_;
+    /// This host's own token was taken.
+    bool TookToken_ = false;
+    /// Time until a target that was passed over has a token; nothing: none was
+    /// passed over.
+    std::optional<base::Duration> NextToken_;
+  };
+
   /// A request that waits for a token.
   struct TokenWait {
     base::CustomerId Customer_;
+    /// The target whose token it waits for; empty: the customer's.
+    base::TargetId Target_;
+    /// As passed to DispatchCallbacks::RequestToken_.
+    std::uint64_t Number_ = 0;
     /// Address of the host to ask next; empty: none.
     std::string BackupOwner_;
     base::TimePoint TimeoutAt_;
@@ -191,13 +252,38 @@
   ServiceState &serviceState(const base::ServiceId &Service);
   TargetState *findTarget(ServiceState &Service, const base::TargetId &Target);
   ExecutionTimes &executionTimesOf(const InFlightRequest &Request);
-  std::optional<Choice> chooseTarget(const InFlightRequest &Request,
-                                     base::TimePoint Now);
+  Selection chooseTarget(const InFlightRequest &Request, TokenSource Source,
+                         base::TimePoint Now);
+  /// Takes what a request needs of the rates that all hosts share for the
+  /// target, or notes in \p Result which host to ask for it.
+  bool mayUse(ServiceState &Service, TargetState &Target,
+              const InFlightRequest &Request, TokenSource Source,
+              Selection &Result, base::TimePoint Now);
+  bool mayTakeToken(TargetState &Target, const InFlightRequest &Request,
+                    TokenSource Source, Selection &Result, base::TimePoint Now);
+  TargetState *findTargetByStart(std::uint64_t StartKey);
+  std::optional<base::Duration>
+  grantTargetToken(const members::TargetRate &Known, base::TimePoint Now);
+  void recordStatedRate(TargetState &Target, const steering::SendReport &Report,
+                        base::TimePoint Now);
   /// Decides on a request that passed its customer's rate limit.
   steering::Decision admit(std::uint64_t Ticket, InFlightRequest &Request,
                            base::TimePoint Now);
-  steering::Decision awaitToken(std::uint64_t Ticket, TokenWait Pending,
-                                const std::string &Owner, base::TimePoint Now);
+  /// Holds a request until the owner of its customer's tokens responds.
+  steering::Decision awaitToken(std::uint64_t Ticket,
+                                const base::CustomerId &Customer,
+                                const RateLimitDecision &Verdict,
+                                base::TimePoint Now);
+  /// Holds a request until \p Owner responds on a token of the target's rate.
+  steering::Decision awaitTargetToken(std::uint64_t Ticket,
+                                      InFlightRequest &Request,
+                                      const TargetState &Target,
+                                      const std::string &Owner,
+                                      base::TimePoint Now);
+  /// \param DeniedFor  time until there is a token; nothing: there is one.
+  steering::Decision endTargetTokenWait(std::uint64_t Ticket,
+                                        std::optional<base::Duration> DeniedFor,
+                                        base::TimePoint Now);
   /// \param Wait  time until there is a token; nothing: there is one.
   steering::Decision endTokenWait(std::uint64_t Ticket,
                                   std::optional<base::Duration> Wait,
@@ -205,7 +291,10 @@
   steering::Decision refuseRateLimited(std::uint64_t Ticket,
                                        base::Duration Wait);
   steering::Decision send(std::uint64_t Ticket, InFlightRequest &Request,
-                          base::TimePoint Now);
+                          TokenSource Source, base::TimePoint Now);
+  /// Refuses a request that no target may take now.
+  steering::Decision refuseUnplaced(std::uint64_t Ticket,
+                                    const Selection &Selected);
   steering::Decision refuse(steering::Refusal Why, base::Duration RetryAfter,
                             bool MayHaveRun) const;
   steering::Decision endRequest(std::uint64_t Ticket, bool ByTarget,
@@ -249,6 +338,7 @@
   std::map<std::uint64_t, TokenWait> TokenWaits_;
   std::uint64_t LastTicket_ = 0;
   CustomerRateLimiter RateLimiter_;
+  SharedRateOwners RateOwners_;
   std::size_t HostCount_ = 1;
   retrying::CrashSuspects CrashSuspects_;
   std::vector<LostRequest> LostRequests_;
--- a/libs/dispatch/DispatchUpdates.cpp
+++ b/libs/dispatch/DispatchUpdates.cpp
@@ -37,6 +37,8 @@
     State.Record_ = Record;
     State.ColdUntil_ = std::max(State.ColdUntil_, Known.ColdUntil_);
     State.Hash_ = base::stableHash(Record.Id_.name());
+    State.StartKey_ = base::stableHash(
+        Record.Id_.name(), static_cast<std::uint64_t>(Record.Started_));
     if (const auto Region = Regions.find(Record.Zone_); Region != Regions.end())
       State.Region_ = Region->second;
     State.Evacuated_ = EvacuatedZones_.contains(Record.Zone_);
@@ -65,6 +67,7 @@
                                          base::TimePoint Now) {
   const std::lock_guard Guard(Lock_);
   HostCount_ = Fleet.HostCount_;
+  RateOwners_.update(Fleet, Now);
   RateLimiter_.redistribute(Fleet, Now);
   updateRegionSplits(Fleet, Now);
 }
--- a/libs/dispatch/TargetChooser.cpp
+++ b/libs/dispatch/TargetChooser.cpp
@@ -42,12 +42,18 @@
                    Target.Region_) != Query.Homes_->end();
 }
 
-bool needsProbe(const TargetState &Target, base::TimePoint Now) {
-  return Now < Target.ColdUntil_ || Target.Health_.isOnProbation(Now);
+bool isRestricted(const TargetState &Target, base::TimePoint Now) {
+  return TargetChooser::needsProbe(Target, Now) ||
+         Target.StatedRate_.perSecond().has_value();
 }
 
 } // namespace
 
+bool TargetChooser::needsProbe(const TargetState &Target,
+                               base::TimePoint Now) noexcept {
+  return Now < Target.ColdUntil_ || Target.Health_.isOnProbation(Now);
+}
+
 std::vector<TargetChooser::Candidate>
 TargetChooser::rank(const ChoiceQuery &Query, std::span<TargetState> Targets,
                     base::TimePoint Now) const {
@@ -144,7 +150,7 @@
 
 std::optional<Choice>
 TargetChooser::choose(const ChoiceQuery &Query, std::span<TargetState> Targets,
-                      const std::function<bool(TargetState &)> &MayProbe,
+                      const std::function<bool(TargetState &)> &MayUse,
                       base::TimePoint Now) const {
   std::vector<Choice> Choices;
   for (const Candidate &Option : rank(Query, Targets, Now))
@@ -158,17 +164,17 @@
       [](const Choice &Option) { return Option.Rank_ < PreferredRanks; });
   const std::span<const Choice> All(Choices);
   const auto Preferred = static_cast<std::size_t>(Rest - Choices.begin());
-  if (const auto Chosen = firstUsable(All.first(Preferred), MayProbe, Now))
+  if (const auto Chosen = firstUsable(All.first(Preferred), MayUse, Now))
     return Chosen;
-  return firstUsable(All.subspan(Preferred), MayProbe, Now);
+  return firstUsable(All.subspan(Preferred), MayUse, Now);
 }
 
 std::optional<Choice>
 TargetChooser::firstUsable(std::span<const Choice> Ordered,
-                           const std::function<bool(TargetState &)> &MayProbe,
+                           const std::function<bool(TargetState &)> &MayUse,
                            base::TimePoint Now) {
   for (const Choice &Option : Ordered)
-    if (!needsProbe(*Option.Target_, Now) || MayProbe(*Option.Target_))
+    if (!isRestricted(*Option.Target_, Now) || MayUse(*Option.Target_))
       return Option;
   return std::nullopt;
 }
--- a/libs/dispatch/TargetChooser.h
+++ b/libs/dispatch/TargetChooser.h
@@ -93,13 +93,18 @@
   TargetChooser(base::RegionId Region, base::ZoneId Zone)
       : Region_(std::move(Region)), Zone_(std::move(Zone)) {}
 
-  /// \param MayProbe  whether this host is the one that sends to a target that
-  /// is cold or may have restarted; called only for such targets.
+  /// \returns whether only a few requests may be sent to the target, since it
+  /// is cold or may have restarted.
+  static bool needsProbe(const TargetState &Target,
+                         base::TimePoint Now) noexcept;
+
+  /// \param MayUse  whether a request may be sent now to a target that needs
+  /// probing or states a rate; called only for such targets.
   /// \returns nothing where no target may take the request.
-  std::optional<Choice>
-  choose(const ChoiceQuery &Query, std::span<TargetState> Targets,
-         const std::function<bool(TargetState &)> &MayProbe,
-         base::TimePoint Now) const;
+  std::optional<Choice> choose(const ChoiceQuery &Query,
+                               std::span<TargetState> Targets,
+                               const std::function<bool(TargetState &)> &MayUse,
+                               base::TimePoint Now) const;
 
 private:
   struct Candidate {
@@ -111,7 +116,7 @@
   /// \returns the first target that may be sent to.
   static std::optional<Choice>
   firstUsable(std::span<const Choice> Ordered,
-              const std::function<bool(TargetState &)> &MayProbe,
+              const std::function<bool(TargetState &)> &MayUse,
               base::TimePoint Now);
   std::vector<Candidate> rank(const ChoiceQuery &Query,
                               std::span<TargetState> Targets,
--- a/libs/dispatch/TargetState.h
+++ b/libs/dispatch/TargetState.h
@@ -4,6 +4,7 @@
 #include "dispatch/ColdTargetRateLimiter.h"
 #include "dispatch/LoadEstimate.h"
 #include "dispatch/RecentObjects.h"
+#include "dispatch/StatedRateLimiter.h"
 #include "dispatch/TargetHealth.h"
 #include "live/TargetRecord.h"
 
@@ -22,6 +23,9 @@
   LoadEstimate Load_;
   TargetHealth Health_;
   ColdTargetRateLimiter ColdLimiter_;
+  /// Identifies the target and its start between hosts.
+  std::uint64_t StartKey_ = 0;
+  StatedRateLimiter StatedRate_;
   RecentObjects RecentObjects_;
   /// Its response time, as a multiple of what is usual for the request's rule.
   double Slowness_ = 1;
--- a/libs/gateway/ProblemDocument.cpp
+++ b/libs/gateway/ProblemDocument.cpp
@@ -57,6 +57,8 @@
     return "No target of the service is healthy.";
   case Refusal::NoHeadroom:
     return "No region has room for the request.";
+  case Refusal::TargetRatesUsedUp:
+    return "The rates that the service's targets state are used up.";
   case Refusal::CrashSuspect:
     return "Targets were lost while they ran requests like this one.";
   case Refusal::ClaimHeldElsewhere:
@@ -100,6 +102,7 @@
   case Refusal::QueueFull:
   case Refusal::NoHealthyTarget:
   case Refusal::NoHeadroom:
+  case Refusal::TargetRatesUsedUp:
   case Refusal::CrashSuspect:
   case Refusal::ClaimStoreDown:
   case Refusal::Stopping:
--- a/libs/members/Heartbeat.cpp
+++ b/libs/members/Heartbeat.cpp
@@ -26,6 +26,7 @@
 constexpr const char *EvidenceName = "c";
 constexpr const char *LivePeersName = "o";
 constexpr const char *TimesName = "w";
+constexpr const char *TargetRatesName = "r";
 constexpr const char *RegionName = "region";
 constexpr const char *ZoneName = "zone";
 constexpr const char *AddressName = "at";
@@ -94,6 +95,8 @@
     addLoads(Message.Loads_, Document[LoadsName]);
   if (!Message.Evidence_.empty())
     addEvidence(Message.Evidence_, Document[EvidenceName]);
+  if (!Message.TargetRates_.empty())
+    addTargetRates(Message.TargetRates_, Document[TargetRatesName]);
   if (!Message.Times_.empty())
     addTimes(Message.Times_, Document[TimesName]);
   for (const std::string &Address : Message.LivePeers_)
@@ -107,6 +110,7 @@
     return Text;
   Heartbeat Shorter = Message;
   Shorter.Evidence_.clear();
+  Shorter.TargetRates_.clear();
   Shorter.Times_.clear();
   Shorter.LivePeers_.clear();
   Text = encodeHeartbeat(Shorter);
@@ -131,6 +135,7 @@
       !readDemands(Document[DemandsName], Result.Demands_) ||
       !readLoads(Document[LoadsName], Result.Loads_) ||
       !readEvidence(Document[EvidenceName], Result.Evidence_) ||
+      !readTargetRates(Document[TargetRatesName], Result.TargetRates_) ||
       !readTimes(Document[TimesName], Result.Times_) ||
       !readLivePeers(Document[LivePeersName], Result))
     return std::nullopt;
--- a/libs/members/Heartbeat.h
+++ b/libs/members/Heartbeat.h
@@ -38,6 +38,23 @@
   double UsualSeconds_ = 0;
 };
 
+/// Rate that a target states, as known to a host.
+struct TargetRate {
+  /// Key of the target and its start.
+  std::uint64_t Target_ = 0;
+  /// Requests per second that it takes from all hosts together; nothing: it
+  /// states no rate any more.
+  std::optional<double> PerSecond_;
+  /// Time since the target's answer.
+  base::Duration Age_{};
+
+  bool operator==(const TargetRate &) const = default;
+};
+
+/// Largest number of targets in a heartbeat or region update: about 35 bytes
+/// each.
+inline constexpr std::size_t MaxTargetRates = 32;
+
 /// Largest number of rules in a heartbeat: about 30 bytes each, all in one
 /// datagram.
 inline constexpr std::size_t MaxRuleExecutionTimes = 64;
@@ -79,6 +96,8 @@
   std::vector<CustomerDemand> Demands_;
   std::vector<ServiceDemand> Loads_;
   std::vector<retrying::CrashEvidence> Evidence_;
+  /// Changes, and now and then those that hold.
+  std::vector<TargetRate> TargetRates_;
   /// Sent only to hosts that have just started.
   std::vector<RuleExecutionTimes> Times_;
   /// Addresses of the hosts whose heartbeats the sender receives. Hosts
@@ -89,7 +108,8 @@
 std::string encodeHeartbeat(const Heartbeat &Message);
 
 /// Encodes a heartbeat in at most \p MaxBytes. If it is too long, crash
-/// evidence, execution times and live peers are omitted, and then demands. A
+/// evidence, targets' rates, execution times and live peers are omitted, and
+/// then demands. A
 /// host that sent nothing would be considered dead.
 std::string encodeHeartbeat(const Heartbeat &Message, std::size_t MaxBytes);
 
--- a/libs/members/HostTable.cpp
+++ b/libs/members/HostTable.cpp
@@ -289,6 +289,7 @@
   for (const auto &[Key, Slots] : Loads)
     Result.Loads_.push_back({Key.first, Slots, Key.second});
   Result.Evidence_ = Local.Evidence_;
+  Result.TargetRates_ = Local.TargetRates_;
   return Result;
 }
 
--- a/libs/members/MessageRows.cpp
+++ b/libs/members/MessageRows.cpp
@@ -100,6 +100,43 @@
   return true;
 }
 
+/// The rate is sent in full: rounded, it would differ from what answers state,
+/// and hosts would see a change each time.
+Json::Value rowOf(const TargetRate &Entry) {
+  Json::Value Row(Json::arrayValue);
+  Row.append(Json::UInt64(Entry.Target_));
+  Row.append(Entry.PerSecond_ ? Json::Value(*Entry.PerSecond_) : Json::Value());
+  Row.append(Json::Int64(base::toMilliseconds(Entry.Age_)));
+  return Row;
+}
+
+std::optional<TargetRate> readTargetRate(const Json::Value &Row) {
+  if (!Row.isArray() || Row.size() != 3 || !Row[0].isUInt64() ||
+      !(Row[1].isNull() || Row[1].isNumeric()) || !Row[2].isInt64())
+    return std::nullopt;
+  TargetRate Result;
+  Result.Target_ = Row[0].asUInt64();
+  if (!Row[1].isNull())
+    Result.PerSecond_ = Row[1].asDouble();
+  Result.Age_ = std::chrono::milliseconds(Row[2].asInt64());
+  return Result;
+}
+
+void addTargetRates(std::span<const TargetRate> All, Json::Value &Into) {
+  for (const TargetRate &Entry : All)
+    Into.append(rowOf(Entry));
+}
+
+bool readTargetRates(const Json::Value &Rows, std::vector<TargetRate> &Into) {
+  for (const Json::Value &Row : Rows) {
+    const std::optional<TargetRate> Entry = readTargetRate(Row);
+    if (!Entry)
+      return false;
+    Into.push_back(*Entry);
+  }
+  return true;
+}
+
 void addTimes(std::span<const RuleExecutionTimes> All, Json::Value &Into) {
   for (const RuleExecutionTimes &Entry : All) {
     Json::Value Row(Json::arrayValue);
--- a/libs/members/MessageRows.h
+++ b/libs/members/MessageRows.h
@@ -26,6 +26,11 @@
 bool readLoads(const Json::Value &Rows, std::vector<ServiceDemand> &Into);
 void addTimes(std::span<const RuleExecutionTimes> All, Json::Value &Into);
 bool readTimes(const Json::Value &Rows, std::vector<RuleExecutionTimes> &Into);
+void addTargetRates(std::span<const TargetRate> All, Json::Value &Into);
+bool readTargetRates(const Json::Value &Rows, std::vector<TargetRate> &Into);
+Json::Value rowOf(const TargetRate &Entry);
+/// \returns nothing if \p Row has another form.
+std::optional<TargetRate> readTargetRate(const Json::Value &Row);
 bool readEvidence(const Json::Value &Rows,
                   std::vector<retrying::CrashEvidence> &Into);
 
--- a/libs/members/RegionAnnouncer.cpp
+++ b/libs/members/RegionAnnouncer.cpp
@@ -21,6 +21,7 @@
   // These are few, and changes to them must arrive immediately.
   Result.Loads_ = Known.Loads_;
   Result.Evidence_ = Known.Evidence_;
+  Result.TargetRates_ = Known.TargetRates_;
   return Result;
 }
 
--- a/libs/members/RegionUpdate.cpp
+++ b/libs/members/RegionUpdate.cpp
@@ -64,6 +64,8 @@
     addLoads(Update.Summary_.Loads_, Document["loads"]);
   if (!Update.Summary_.Evidence_.empty())
     addEvidence(Update.Summary_.Evidence_, Document["crashes"]);
+  if (!Update.Summary_.TargetRates_.empty())
+    addTargetRates(Update.Summary_.TargetRates_, Document["rates"]);
   return writeJson(Document);
 }
 
@@ -86,7 +88,8 @@
   if (!readHosts(Document["hosts"], Result.Region_, Result.Summary_.Hosts_) ||
       !readDemands(Document["demands"], Result.Summary_.Demands_) ||
       !readLoads(Document["loads"], Result.Summary_.Loads_) ||
-      !readEvidence(Document["crashes"], Result.Summary_.Evidence_))
+      !readEvidence(Document["crashes"], Result.Summary_.Evidence_) ||
+      !readTargetRates(Document["rates"], Result.Summary_.TargetRates_))
     return std::nullopt;
   return Result;
 }
--- a/libs/members/RegionUpdate.h
+++ b/libs/members/RegionUpdate.h
@@ -24,6 +24,7 @@
   /// Sums over all live hosts.
   std::vector<ServiceDemand> Loads_;
   std::vector<retrying::CrashEvidence> Evidence_;
+  std::vector<TargetRate> TargetRates_;
 };
 
 /// What a representative sends to other regions: changes, and the unchanged
--- a/libs/members/TokenExchange.cpp
+++ b/libs/members/TokenExchange.cpp
@@ -28,22 +28,22 @@
 }
 
 void TokenExchange::ask(const std::string &Address, std::uint64_t Ticket,
-                        const base::CustomerId &Customer) {
+                        const TokenRequest &Wanted) {
   boost::system::error_code Failure;
   const auto Receiver = asio::ip::make_address(Address, Failure);
   if (!Failure)
-    send({Incarnation_, Ticket, Customer, std::nullopt},
+    send({Incarnation_, Ticket, Wanted, std::nullopt},
          {Receiver, Listen_.Port_});
 }
 
 void TokenExchange::handle(const TokenMessage &Message,
                            const udp::endpoint &Sender) {
   const base::TimePoint Now = SystemClock::monotonicNow();
-  if (!Message.Customer_.empty())
+  if (!Message.Wanted_.empty())
     send({Message.Incarnation_,
           Message.Ticket_,
           {},
-          Callbacks_.TakeToken_(Message.Customer_, Now)},
+          Callbacks_.TakeToken_(Message.Wanted_, Now)},
          Sender);
   else if (Message.Incarnation_ == Incarnation_)
     Callbacks_.OnAnswer_(Message.Ticket_, Message.Wait_, Now);
--- a/libs/members/TokenExchange.h
+++ b/libs/members/TokenExchange.h
@@ -11,16 +11,17 @@
 
 namespace lychee::members {
 
-/// Requests tokens of customers' rates from other hosts of the region, and
+/// Requests tokens of customers' and targets' rates from other hosts, and
 /// answers such requests: one datagram of about 60 bytes each way. A lost
 /// datagram means a request that is not answered in time, or a token that
-/// nobody spends. \see dispatch::CustomerRateLimiter
+/// nobody spends. \see dispatch::CustomerRateLimiter,
+/// dispatch::StatedRateLimiter
 class TokenExchange {
 public:
   struct Callbacks {
     /// Takes a token for another host.
     /// \returns nothing if there was one, or the time until there will be one.
-    std::function<std::optional<base::Duration>(const base::CustomerId &,
+    std::function<std::optional<base::Duration>(const TokenRequest &,
                                                 base::TimePoint)>
         TakeToken_;
     /// Called with the answer to a request of this host.
@@ -43,7 +44,7 @@
   /// Requests a token from the host at \p Address. To be called on the
   /// executor's thread.
   void ask(const std::string &Address, std::uint64_t Ticket,
-           const base::CustomerId &Customer);
+           const TokenRequest &Wanted);
 
   /// Runs until the executor ends.
   boost::asio::awaitable<void> receiveAll();
--- a/libs/members/TokenMessages.cpp
+++ b/libs/members/TokenMessages.cpp
@@ -1,5 +1,7 @@
 #include "members/TokenMessages.h"
 
+#include "members/MessageRows.h"
+
 #include <json/json.h>
 #include <memory>
 
@@ -9,8 +11,10 @@
   Json::Value Document;
   Document["start"] = Json::UInt64(Message.Incarnation_);
   Document["ticket"] = Json::UInt64(Message.Ticket_);
-  if (!Message.Customer_.empty())
-    Document["customer"] = Message.Customer_.name();
+  if (!Message.Wanted_.Customer_.empty())
+    Document["customer"] = Message.Wanted_.Customer_.name();
+  if (Message.Wanted_.Target_)
+    Document["target"] = rowOf(*Message.Wanted_.Target_);
   if (Message.Wait_)
     Document["wait_ms"] = Json::Int64(base::toMilliseconds(*Message.Wait_));
   Json::StreamWriterBuilder Builder;
@@ -33,7 +37,9 @@
   Result.Incarnation_ = Document["start"].asUInt64();
   Result.Ticket_ = Document["ticket"].asUInt64();
   if (Document["customer"].isString())
-    Result.Customer_ = base::CustomerId(Document["customer"].asString());
+    Result.Wanted_.Customer_ =
+        base::CustomerId(Document["customer"].asString());
+  Result.Wanted_.Target_ = readTargetRate(Document["target"]);
   if (Document["wait_ms"].isInt64())
     Result.Wait_ = std::chrono::milliseconds(Document["wait_ms"].asInt64());
   return Result;
--- a/libs/members/TokenMessages.h
+++ b/libs/members/TokenMessages.h
@@ -4,6 +4,7 @@
 #include "base/Error.h"
 #include "base/Id.h"
 #include "base/Time.h"
+#include "members/Heartbeat.h"
 
 #include <cstdint>
 #include <optional>
@@ -12,15 +13,26 @@
 
 namespace lychee::members {
 
-/// A request to another host for a token of a customer's rate, or the answer to
+/// The rate of which a token is requested: a customer's, or the one that a
+/// target states.
+struct TokenRequest {
+  /// Empty: Target_ says which.
+  base::CustomerId Customer_;
+  /// The target, and what the requesting host knows of its rate.
+  std::optional<TargetRate> Target_ = std::nullopt;
+
+  bool empty() const noexcept { return Customer_.empty() && !Target_; }
+};
+
+/// A request to another host for a token of a shared rate, or the answer to
 /// one.
 struct TokenMessage {
   /// Incarnation of the requesting host, so that answers to an earlier one are
   /// ignored; Ticket_ identifies the request there.
   std::uint64_t Incarnation_ = 0;
   std::uint64_t Ticket_ = 0;
-  /// The customer in a request; empty in an answer.
-  base::CustomerId Customer_;
+  /// Empty in an answer.
+  TokenRequest Wanted_;
   /// In an answer: time until a token is available; nothing: a token was
   /// granted.
   std::optional<base::Duration> Wait_;
--- a/libs/steering/Steering.cpp
+++ b/libs/steering/Steering.cpp
@@ -24,6 +24,8 @@
     return "no-healthy-target";
   case Refusal::NoHeadroom:
     return "no-headroom";
+  case Refusal::TargetRatesUsedUp:
+    return "target-rates-used-up";
   case Refusal::CrashSuspect:
     return "crash-suspect";
   case Refusal::ClaimHeldElsewhere:
--- a/libs/steering/Steering.h
+++ b/libs/steering/Steering.h
@@ -79,6 +79,8 @@
   QueueFull,
   NoHealthyTarget,
   NoHeadroom,
+  /// The targets that are left state rates, which are used up.
+  TargetRatesUsedUp,
   CrashSuspect,
   ClaimHeldElsewhere,
   ClaimStoreDown,
--- a/tests/dispatch/DispatchSteeringTest.cpp
+++ b/tests/dispatch/DispatchSteeringTest.cpp
@@ -269,7 +269,9 @@
       {base::RegionId("north"), base::ZoneId("north-a"), {}, 1},
       {[](std::uint64_t) { return true; },
        [this](const std::string &Owner, std::uint64_t,
-              const base::CustomerId &) { RequestedFrom_.push_back(Owner); }},
+              const lychee::members::TokenRequest &) {
+         RequestedFrom_.push_back(Owner);
+       }},
       base::TimePoint(100s)};
   std::vector<lychee::steering::Wakeup> Woken_;
 
--- a/tests/dispatch/StatedRateSimulation.cpp
+++ b/tests/dispatch/StatedRateSimulation.cpp
@@ -13,6 +13,9 @@
 namespace {
 
 constexpr base::Duration HeartbeatDelay = 500ms;
+/// Time until what representatives tell reaches all hosts of another region.
+constexpr base::Duration RegionUpdateDelay = 600ms;
+constexpr base::Duration AnnounceInterval = 500ms;
 constexpr base::Duration UpdateInterval = 200ms;
 constexpr base::Duration TickInterval = 10ms;
 constexpr base::Duration RunTime = 150ms;
@@ -55,6 +58,7 @@
     update(Index);
   }
   tickAll();
+  announceAll();
 }
 
 void StatedRateSimulation::start(std::size_t Number) {
@@ -161,6 +165,40 @@
   Targets_[Index].Statements_.push_back({Now_, PerSecond});
 }
 
+// Announcements.
+
+void StatedRateSimulation::tell(std::size_t Number,
+                                const std::vector<members::TargetRate> &Rates,
+                                bool OwnRegion, base::Duration Delay) {
+  const int Start = Hosts_[Number].Start_;
+  schedule(Delay, [this, Number, Start, Rates, OwnRegion] {
+    if (isReachable(Hosts_[Number], Start))
+      Hosts_[Number].Steering_->mergeTargetRates(Rates, OwnRegion, Now_);
+  });
+}
+
+void StatedRateSimulation::announceAll() {
+  std::set<base::RegionId> Told;
+  for (const Host &Speaker : Hosts_) {
+    if (Speaker.CutOff_ || Speaker.Frozen_)
+      continue;
+    const base::RegionId &Region = Speaker.Descriptor_.Region_;
+    const auto Own = Speaker.Steering_->announcedRates(Now_);
+    // The first host of a region that is heard represents it.
+    const auto Relayed = Told.insert(Region).second
+                             ? Speaker.Steering_->relayedRates(Now_)
+                             : std::vector<members::TargetRate>();
+    for (std::size_t Number = 0; Number < Hosts_.size(); ++Number) {
+      const bool Same = Hosts_[Number].Descriptor_.Region_ == Region;
+      if (Same && !Own.empty())
+        tell(Number, Own, true, 1ms);
+      if (!Same && !Relayed.empty())
+        tell(Number, Relayed, false, RegionUpdateDelay);
+    }
+  }
+  schedule(AnnounceInterval, [this] { announceAll(); });
+}
+
 // Time.
 
 void StatedRateSimulation::schedule(base::Duration After,
--- a/tests/dispatch/StatedRateSimulation.h
+++ b/tests/dispatch/StatedRateSimulation.h
@@ -108,6 +108,9 @@
   bool hears(const Host &Listener, const Host &Speaker) const;
   dispatch::FleetDemand viewOf(std::size_t Number) const;
   void update(std::size_t Number);
+  void announceAll();
+  void tell(std::size_t Number, const std::vector<members::TargetRate> &Rates,
+            bool OwnRegion, base::Duration Delay);
   void tickAll();
   void arrive();
   void apply(std::size_t Number, const steering::Decision &Made);
--- a/tests/members/RegionUpdateTest.cpp
+++ b/tests/members/RegionUpdateTest.cpp
@@ -62,6 +62,7 @@
   Update.Summary_.Demands_ = {{base::CustomerId("a"), 2.5}};
   Update.Summary_.Loads_ = {{base::ServiceId("s"), 3, base::RegionId("north")}};
   Update.Summary_.Evidence_ = {{1, 2, 3s}};
+  Update.Summary_.TargetRates_ = {{4, 2.1, 1s}};
   base::Error Last;
   const auto Read =
       members::decodeRegionUpdate(members::encodeRegionUpdate(Update), Last);
@@ -75,6 +76,7 @@
   DOUBLES_EQUAL(2.5, Decoded.Summary_.Demands_.at(0).RequestsPerSecond_, 0.01);
   CHECK(Decoded.Summary_.Loads_.at(0).BoundTo_ == base::RegionId("north"));
   CHECK(Decoded.Summary_.Evidence_ == Update.Summary_.Evidence_);
+  CHECK(Decoded.Summary_.TargetRates_ == Update.Summary_.TargetRates_);
 }
 
 TEST(RegionUpdate, otherTextsAreRejectedWithAReason) {
--- a/tests/members/TokenExchangeTest.cpp
+++ b/tests/members/TokenExchangeTest.cpp
@@ -31,17 +31,29 @@
 
 TEST(TokenMessages, decodingRestoresRequestsAndAnswers) {
   const TokenMessage Request =
-      read({7, 42, base::CustomerId("parish"), std::nullopt});
+      read({7, 42, {base::CustomerId("parish")}, std::nullopt});
   LONGS_EQUAL(7, Request.Incarnation_);
   LONGS_EQUAL(42, Request.Ticket_);
-  STRCMP_EQUAL("parish", Request.Customer_.name().c_str());
+  STRCMP_EQUAL("parish", Request.Wanted_.Customer_.name().c_str());
   const TokenMessage Granted = read({7, 42, {}, std::nullopt});
-  CHECK(Granted.Customer_.empty());
+  CHECK(Granted.Wanted_.empty());
   CHECK_FALSE(Granted.Wait_.has_value());
   const TokenMessage Refused = read({7, 42, {}, 250ms});
   CHECK(Refused.Wait_ == base::Duration(250ms));
 }
 
+TEST(TokenMessages, decodingRestoresARequestForATargetsToken) {
+  const TokenMessage Request =
+      read({7, 42, {{}, members::TargetRate{99, 2.123456, 40ms}}, {}});
+  CHECK(Request.Wanted_.Customer_.empty());
+  CHECK(Request.Wanted_.Target_.has_value());
+  const members::TargetRate Target =
+      Request.Wanted_.Target_.value_or(members::TargetRate());
+  LONGS_EQUAL(99, Target.Target_);
+  DOUBLES_EQUAL(2.123456, Target.PerSecond_.value_or(0), 0);
+  CHECK(Target.Age_ == base::Duration(40ms));
+}
+
 TEST(TokenMessages, otherTextsAreRejected) {
   for (const char *Text : {"", "[]", "{}", "x", R"({"start":"7","ticket":1})",
                            R"({"start":7})", R"({"start":7,"ticket":-1})"})
@@ -56,7 +68,7 @@
   TokenExchange Owner_{Loop_.get_executor(),
                        {"127.0.71.1", 7471},
                        1,
-                       {[this](const base::CustomerId &, base::TimePoint) {
+                       {[this](const members::TokenRequest &, base::TimePoint) {
                           return Tokens_-- > 0 ? std::optional<base::Duration>()
                                                : base::Duration(300ms);
                         },
@@ -65,7 +77,7 @@
       Loop_.get_executor(),
       {"127.0.71.2", 7471},
       2,
-      {[](const base::CustomerId &, base::TimePoint) {
+      {[](const members::TokenRequest &, base::TimePoint) {
          return std::optional<base::Duration>();
        },
        [this](std::uint64_t Ticket, std::optional<base::Duration> Wait,
@@ -88,7 +100,7 @@
 
 TEST(TokenExchange, tokensAreGrantedWhileAvailable) {
   for (std::uint64_t Ticket = 1; Ticket <= 3; ++Ticket)
-    Requester_.ask("127.0.71.1", Ticket, base::CustomerId("parish"));
+    Requester_.ask("127.0.71.1", Ticket, {base::CustomerId("parish")});
   runUntilAnswered(3);
   CHECK_FALSE(Answers_[1].has_value());
   CHECK_FALSE(Answers_[2].has_value());
