Cold targets: a host that does not hear the others takes over nothing

What callers saw: nothing reported.

Change: cold targets ask SharedRateOwners, as stated rates do; DispatchCallbacks::IsElectedFor_ and HostTable::isElectedFor go. Hosts of the target's own region go first. HostTable.exactlyOneHostIsElectedForEachTask goes with what it tested; as strict is SharedRateOwners.exactlyOneHostOwnsEachRateAndAllAgree (six hosts in place of two, and all must name the same one). The simulation of dispatch elected each of up to nine hosts at once; it now tells hosts of each other as the daemon does.

Checked, no change: retries (each host earns tokens by its own requests, so fractions add up whatever a host knows; only what it may save up follows the number of hosts) and customers' rates (a new owner starts with no tokens, and StartupShare bounds what it may count on; that two owners overlap until one hears the other is inside the overage).

--- a/apps/lycheed/LiveDaemon.cpp
+++ b/apps/lycheed/LiveDaemon.cpp
@@ -141,11 +141,7 @@
       Intents_(Bounds.KeyWithdrawal_ - KeyMargin),
       Hosts_(cardOf(Settings, Live)),
       Steering_(dispatchSettings(Settings, Bounds),
-                {[this](std::uint64_t Matter) {
-                   return Hosts_.isElectedFor(Matter,
-                                              SystemClock::monotonicNow());
-                 },
-                 [this](const std::string &Owner, std::uint64_t Number,
+                {[this](const std::string &Owner, std::uint64_t Number,
                         const members::TokenRequest &Wanted) {
                    asio::post(Control_, [this, Owner, Number, Wanted] {
                      Gauges_.countTokenAsked();
--- a/libs/dispatch/DispatchSteering.h
+++ b/libs/dispatch/DispatchSteering.h
@@ -43,9 +43,6 @@
 
 /// Functions of the host that a DispatchSteering calls, with its lock held.
 struct DispatchCallbacks {
-  /// \returns whether this host is elected for \p Hash, of all hosts that are
-  /// alive. \see members::HostTable::isElectedFor
-  std::function<bool(std::uint64_t Hash)> IsElectedFor_;
   /// Requests a token from the host at \p Owner; handleTokenResponse() is
   /// called with its response and the same \p Number. \see
   /// CustomerRateLimiter, StatedRateLimiter
--- a/libs/dispatch/DispatchTargetRates.cpp
+++ b/libs/dispatch/DispatchTargetRates.cpp
@@ -36,7 +36,8 @@
                               base::TimePoint Now) {
   const bool MayProbe =
       !TargetChooser::needsProbe(Target, Now) ||
-      (Callbacks_.IsElectedFor_(Target.Hash_) &&
+      (RateOwners_.ownerOf(Target.Hash_, Target.Region_, Now).Kind_ ==
+           RateOwner::Kind::Self &&
        Target.ColdLimiter_.tryAcquire(Service.ColdRatePerSecond_, Now));
   return MayProbe && (!Target.StatedRate_.perSecond() ||
                       mayTakeToken(Target, Request, Source, Result, Now));
--- a/libs/members/HostTable.cpp
+++ b/libs/members/HostTable.cpp
@@ -146,15 +146,6 @@
   return Holders;
 }
 
-bool HostTable::isElectedFor(std::uint64_t Task, base::TimePoint Now) const {
-  const std::uint64_t Local = base::stableHash(Self_.Host_.name(), Task);
-  const std::vector<HostView> All = others(Now);
-  return std::none_of(All.begin(), All.end(), [&](const HostView &Entry) {
-    return Entry.Alive_ && Entry.Ready_ && !Entry.Leaving_ &&
-           base::stableHash(Entry.Descriptor_.Host_.name(), Task) > Local;
-  });
-}
-
 // Representing the region.
 
 bool HostTable::receiveUpdate(const RegionUpdate &Message,
--- a/libs/members/HostTable.h
+++ b/libs/members/HostTable.h
@@ -143,11 +143,6 @@
   /// silent ones until ReservedFor has passed.
   std::size_t shareHolders(base::TimePoint Now) const;
 
-  /// \returns whether all hosts elect this one for \p Task: the highest hash
-  /// among the hosts that are alive, ready and not leaving (rendezvous
-  /// hashing).
-  bool isElectedFor(std::uint64_t Task, base::TimePoint Now) const;
-
   const HostDescriptor &self() const noexcept { return Self_; }
 
 private:
--- a/tests/dispatch/DispatchSimulationTest.cpp
+++ b/tests/dispatch/DispatchSimulationTest.cpp
@@ -69,6 +69,7 @@
       Hosts_.push_back(newHost(Index));
       setTargets(*Hosts_.back());
     }
+    updateHosts();
   }
 
   /// Restarts all hosts, without their state.
@@ -129,13 +130,30 @@
     auto Result = std::make_unique<dispatch::DispatchSteering>(
         dispatch::DispatchSettings{
             base::RegionId("r"), base::ZoneId("z"), {}, Number + 1},
-        dispatch::DispatchCallbacks{[this, Number](std::uint64_t Hash) {
-          return Hash % Load_.Hosts_ == Number || Load_.Hosts_ < 10;
-        }},
-        Now_);
+        dispatch::DispatchCallbacks{}, Now_);
     Result->setIntent(Intent_, Now_);
     return Result;
   }
+  static lychee::members::HostDescriptor descriptorOf(std::size_t Number) {
+    lychee::members::HostDescriptor Result;
+    Result.Host_ = base::HostId("host-" + std::to_string(Number));
+    Result.Region_ = base::RegionId("r");
+    Result.Address_ = std::to_string(Number);
+    return Result;
+  }
+  /// Tells each host of the others, now and from then on.
+  void updateHosts() {
+    for (std::size_t Number = 0; Number < Hosts_.size(); ++Number) {
+      dispatch::FleetDemand Fleet;
+      Fleet.Self_ = descriptorOf(Number);
+      for (std::size_t Other = 0; Other < Hosts_.size(); ++Other)
+        if (Other != Number)
+          Fleet.OtherHosts_.push_back(
+              {descriptorOf(Other), true, false, true, true, false, {}, {}});
+      Hosts_[Number]->updateFleetDemand(Fleet, Now_);
+    }
+    schedule(Now_ + 250ms, [this] { updateHosts(); });
+  }
   void setTargets(dispatch::DispatchSteering &Host) {
     Host.setTargets(Known_, {{base::ZoneId("z"), base::RegionId("r")}}, Now_);
   }
--- a/tests/dispatch/DispatchSteeringTest.cpp
+++ b/tests/dispatch/DispatchSteeringTest.cpp
@@ -17,10 +17,9 @@
 
 TEST_GROUP(DispatchSteering) {
   base::TimePoint Now_ = base::TimePoint(100s);
-  bool IsElected_ = true;
   dispatch::DispatchSteering Steering_{
       {base::RegionId("north"), base::ZoneId("north-a"), {}, 1},
-      {[this](std::uint64_t) { return IsElected_; }},
+      {},
       base::TimePoint(100s)};
   std::vector<live::KnownTarget> Targets_;
   std::vector<lychee::steering::Wakeup> Woken_;
@@ -37,6 +36,14 @@
     for (int Index = 1; Index <= 4; ++Index)
       addTarget("t" + std::to_string(Index));
     applyTargets();
+    serve(true);
+  }
+  /// The only host serves long enough to own all rates; or another one does.
+  void serve(bool Serves) {
+    dispatch::FleetDemand Fleet;
+    Fleet.IsServing_ = Serves;
+    for (base::Duration Ago = 3s; Ago >= 0s; Ago -= 500ms)
+      Steering_.updateFleetDemand(Fleet, Now_ - Ago);
   }
   void addTarget(const std::string &Name) {
     live::KnownTarget Result;
@@ -243,9 +250,9 @@
   Steering_.setEvacuated({base::ZoneId("north-a")}, Now_);
   CHECK(arrive(requestOf(true)).Action_ == Decision::Action::Refuse);
   Steering_.setEvacuated({}, Now_);
-  IsElected_ = false;
+  serve(false);
   CHECK(arrive(requestOf(true)).Action_ == Decision::Action::Refuse);
-  IsElected_ = true;
+  serve(true);
   CHECK(arrive(requestOf(true)).Action_ == Decision::Action::Send);
 }
 
@@ -267,11 +274,10 @@
   std::vector<std::string> RequestedFrom_;
   dispatch::DispatchSteering Steering_{
       {base::RegionId("north"), base::ZoneId("north-a"), {}, 1},
-      {[](std::uint64_t) { return true; },
-       [this](const std::string &Owner, std::uint64_t,
+      {[this](const std::string &Owner, std::uint64_t,
               const lychee::members::TokenRequest &) {
-         RequestedFrom_.push_back(Owner);
-       }},
+        RequestedFrom_.push_back(Owner);
+      }},
       base::TimePoint(100s)};
   std::vector<lychee::steering::Wakeup> Woken_;
 
--- a/tests/dispatch/StatedRateSimulation.cpp
+++ b/tests/dispatch/StatedRateSimulation.cpp
@@ -33,7 +33,9 @@
     : Size_(Size), Random_(Seed), Hosts_(Size.Hosts_), Targets_(Size.Targets_) {
   auto Intent = std::make_shared<live::Intent>();
   Intent->Version_ = 1;
-  Intent->Services_[base::ServiceId("s")].Id_ = base::ServiceId("s");
+  live::ServiceRule &Rule = Intent->Services_[base::ServiceId("s")];
+  Rule.Id_ = base::ServiceId("s");
+  Rule.ColdRatePerSecond_ = ColdPerSecond;
   Intent_ = Intent;
   for (std::size_t Index = 0; Index < Size.Targets_; ++Index) {
     live::KnownTarget Made;
@@ -67,16 +69,6 @@
   Self.UpSince_ = Now_;
   Self.Frozen_ = false;
   dispatch::DispatchCallbacks Callbacks;
-  Callbacks.IsElectedFor_ = [this, Number](std::uint64_t Hash) {
-    const auto Rank = [Hash](const members::HostDescriptor &Of) {
-      return base::stableHash(Of.Host_.name(), Hash);
-    };
-    const Host &Own = Hosts_[Number];
-    return std::none_of(Hosts_.begin(), Hosts_.end(), [&](const Host &Other) {
-      return &Other != &Own && hears(Own, Other) &&
-             Rank(Other.Descriptor_) > Rank(Own.Descriptor_);
-    });
-  };
   Callbacks.RequestToken_ = [this, Number](const std::string &Owner,
                                            std::uint64_t Ticket,
                                            const auto &Wanted) {
@@ -165,6 +157,13 @@
   Targets_[Index].Statements_.push_back({Now_, PerSecond});
 }
 
+void StatedRateSimulation::makeCold(double Seconds) {
+  for (live::KnownTarget &Known : Known_)
+    Known.ColdUntil_ = Now_ + base::fromSeconds(Seconds);
+  for (const Host &Each : Hosts_)
+    Each.Steering_->setTargets(Known_, Zones_, Now_);
+}
+
 // Announcements.
 
 void StatedRateSimulation::tell(std::size_t Number,
@@ -398,4 +397,20 @@
          Seconds;
 }
 
+int StatedRateSimulation::mostInASecond(std::size_t Index,
+                                        double Seconds) const {
+  const base::TimePoint Begin = Now_ - base::fromSeconds(Seconds);
+  const auto &Arrivals = Targets_[Index].Arrivals_;
+  std::ptrdiff_t Most = 0;
+  for (const Arrival &Last : Arrivals)
+    if (Last.At_ > Begin)
+      Most = std::max(Most, std::count_if(Arrivals.begin(), Arrivals.end(),
+                                          [&](const Arrival &Each) {
+                                            return Each.At_ > Begin &&
+                                                   Each.At_ > Last.At_ - 1s &&
+                                                   Each.At_ <= Last.At_;
+                                          }));
+  return static_cast<int>(Most);
+}
+
 } // namespace lychee::tests
--- a/tests/dispatch/StatedRateSimulation.h
+++ b/tests/dispatch/StatedRateSimulation.h
@@ -49,6 +49,11 @@
   /// From now on the target states \p PerSecond; nothing: no rate.
   void state(std::size_t Index, std::optional<double> PerSecond);
 
+  /// From now on all targets are cold for \p Seconds, and withstand
+  /// ColdPerSecond requests a second.
+  void makeCold(double Seconds);
+  static constexpr double ColdPerSecond = 5;
+
   // Troubles of hosts.
   void restart(std::size_t Number);
   /// The host does nothing until wake().
@@ -67,6 +72,9 @@
   /// \returns the requests per second that a target got in the last
   /// \p Seconds.
   double rateAt(std::size_t Index, double Seconds) const;
+  /// \returns the most requests that a target got within a second, since \p
+  /// Seconds ago.
+  int mostInASecond(std::size_t Index, double Seconds) const;
   int sent() const noexcept { return Sent_; }
   int refused() const noexcept { return Refused_; }
 
--- a/tests/dispatch/StatedRateTest.cpp
+++ b/tests/dispatch/StatedRateTest.cpp
@@ -153,3 +153,57 @@
       CHECK(Fleet.worstExcess(Target, false) <= 0);
   }
 }
+
+/// Cold targets, whose rate applies to all hosts together.
+TEST_GROUP(ColdRate) {
+  /// One and a half times the rate, and 5 more.
+  static constexpr int Allowed = 12;
+
+  static StatedRateFleet busyFleet() {
+    StatedRateFleet Size;
+    Size.Targets_ = 6;
+    return Size;
+  }
+};
+
+// Guards against hosts that each take themselves for the one that sends to cold
+// targets, as they have not heard each other yet.
+TEST(ColdRate, itIsKeptWhereAllHostsRestart) {
+  for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+    StatedRateSimulation Fleet(busyFleet(), Seed);
+    Fleet.run(4);
+    for (std::size_t Host = 0; Host < 12; ++Host)
+      Fleet.restart(Host);
+    Fleet.makeCold(6);
+    Fleet.run(6);
+    for (std::size_t Target = 0; Target < 6; ++Target)
+      CHECK(Fleet.mostInASecond(Target, 6) <= Allowed);
+  }
+}
+
+// The same where they no longer hear each other.
+TEST(ColdRate, itIsKeptWhileHostsAreCutOff) {
+  for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+    StatedRateSimulation Fleet(busyFleet(), Seed);
+    Fleet.run(4);
+    for (std::size_t Host = 0; Host < 12; Host += 2)
+      Fleet.cutOff(Host);
+    Fleet.run(3);
+    Fleet.makeCold(6);
+    Fleet.run(6);
+    for (std::size_t Target = 0; Target < 6; ++Target)
+      CHECK(Fleet.mostInASecond(Target, 6) <= Allowed);
+  }
+}
+
+// Guards against cold targets that get nothing.
+TEST(ColdRate, coldTargetsAreUsed) {
+  for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+    StatedRateSimulation Fleet(busyFleet(), Seed);
+    Fleet.run(4);
+    Fleet.makeCold(6);
+    Fleet.run(6);
+    for (std::size_t Target = 0; Target < 6; ++Target)
+      CHECK(Fleet.rateAt(Target, 5) >= StatedRateSimulation::ColdPerSecond / 2);
+  }
+}
--- a/tests/members/HostTableTest.cpp
+++ b/tests/members/HostTableTest.cpp
@@ -105,18 +105,6 @@
   CHECK_FALSE(Hosts_.isCutOff(Now_));
 }
 
-TEST(HostTable, exactlyOneHostIsElectedForEachTask) {
-  HostTable Other(descriptorOf("h1", "north"));
-  receive("h1");
-  members::Heartbeat Message;
-  Message.Sender_ = Hosts_.self();
-  Message.Sequence_ = 1;
-  Message.Ready_ = true;
-  Other.receive(Message, Now_);
-  for (std::uint64_t Task = 0; Task < 50; ++Task)
-    CHECK(Hosts_.isElectedFor(Task, Now_) != Other.isElectedFor(Task, Now_));
-}
-
 // Between full heartbeats only changes are sent. The other demands stay as they
 // are, unless the host has restarted since.
 TEST(HostTable, deltaIsMergedIntoKnownDemands) {
