--- a/tests/dispatch/StatedRateSimulation.cpp
+++ b/tests/dispatch/StatedRateSimulation.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/StatedRateSimulation.h"
 
 #include "base/Hash.h"
+#include "support/RateWindows.h"
 
 #include <algorithm>
 #include <cmath>
@@ -358,12 +359,12 @@
     const bool Last = Index + 1 == Subject.Statements_.size();
     const bool Applies = Subject.Statements_[Index].Since_ <= Moment &&
                          (Last || Subject.Statements_[Index + 1].Since_ >=
-                                      Moment - Window - HearingTime);
+                                      Moment - RateWindow - HearingTime);
     if (Applies)
       Highest = std::max(
           Highest, Subject.Statements_[Index].PerSecond_.value_or(HUGE_VAL));
   }
-  return AllowedRatio * Highest * base::toSeconds(Window) + AllowedMore;
+  return allowedInWindow(Highest);
 }
 
 double StatedRateSimulation::worstExcess(std::size_t Index,
@@ -372,14 +373,14 @@
   double Worst = -HUGE_VAL;
   if (!Subject.FirstStated_)
     return Worst;
-  const base::TimePoint First = *Subject.FirstStated_ + SettlingTime;
+  const base::TimePoint First = *Subject.FirstStated_ + RateSettlingTime;
   for (const Arrival &Last : Subject.Arrivals_) {
-    if (Last.At_ < First + Window)
+    if (Last.At_ < First + RateWindow)
       continue;
     const auto Count =
         std::count_if(Subject.Arrivals_.begin(), Subject.Arrivals_.end(),
                       [&](const Arrival &Each) {
-                        return Each.At_ > Last.At_ - Window &&
+                        return Each.At_ > Last.At_ - RateWindow &&
                                Each.At_ <= Last.At_ &&
                                (Each.Told_ || !OnlyTold);
                       });
--- a/tests/dispatch/StatedRateSimulation.h
+++ b/tests/dispatch/StatedRateSimulation.h
@@ -30,15 +30,8 @@
 /// and get lost where a host is down or cut off. Targets answer everything.
 class StatedRateSimulation {
 public:
-  /// Time from the first answer that states a rate until all hosts keep it.
-  static constexpr base::Duration SettlingTime = std::chrono::seconds(3);
   /// A host keeps a rate from this long after it was told.
   static constexpr base::Duration HearingTime = std::chrono::milliseconds(500);
-  /// Length of the sliding window in which requests are counted, and what is
-  /// allowed there: a multiple of the rate, and some more.
-  static constexpr base::Duration Window = std::chrono::seconds(4);
-  static constexpr double AllowedRatio = 1.5;
-  static constexpr double AllowedMore = 5;
 
   StatedRateSimulation(const StatedRateFleet &Size, std::uint64_t Seed);
   StatedRateSimulation(const StatedRateSimulation &) = delete;
@@ -66,7 +59,7 @@
   // What targets saw and callers got.
 
   /// \returns by how many requests the fullest window of a target lies beyond
-  /// what its rate allows; at most 0 where it is kept.
+  /// what its rate allows; at most 0 where it is kept. \see RateWindows.h
   /// \param OnlyTold  counts requests of hosts only that had been told.
   double worstExcess(std::size_t Index, bool OnlyTold) const;
   /// \returns the requests per second that a target got in the last
--- a/tests/soak/Ledger.cpp
+++ b/tests/soak/Ledger.cpp
@@ -24,6 +24,16 @@
   Withdrawn_.emplace(Key, At);
 }
 
+void Ledger::recordHostStart(base::TimePoint At) {
+  const std::lock_guard Guard(Lock_);
+  HostStarts_.push_back(At);
+}
+
+std::vector<base::TimePoint> Ledger::hostStarts() const {
+  const std::lock_guard Guard(Lock_);
+  return HostStarts_;
+}
+
 std::vector<std::string> Ledger::broken(
     const std::function<std::uint64_t(const std::string &Id)> &RunsOf) const {
   const std::lock_guard Guard(Lock_);
--- a/tests/soak/Ledger.h
+++ b/tests/soak/Ledger.h
@@ -38,6 +38,10 @@
 
   void add(Attempt Made);
   void withdraw(const std::string &Key, base::TimePoint At);
+  void recordHostStart(base::TimePoint At);
+
+  /// \returns when hosts started again.
+  std::vector<base::TimePoint> hostStarts() const;
 
   /// \param RunsOf  how often all targets together ran a request.
   /// \returns a line for each promise that was broken.
@@ -51,6 +55,7 @@
   mutable std::mutex Lock_;
   std::vector<Attempt> Attempts_;
   std::map<std::string, base::TimePoint> Withdrawn_;
+  std::vector<base::TimePoint> HostStarts_;
 };
 
 } // namespace lychee::soak
--- a/tests/soak/Main.cpp
+++ b/tests/soak/Main.cpp
@@ -7,6 +7,7 @@
 DEFINE_uint64(first, 1, "first seed");
 DEFINE_uint64(seeds, 2, "how many seeds to play, one after the other");
 DEFINE_double(seconds, 8, "how long troubles come and go, for each seed");
+DEFINE_bool(rates, true, "one more target states a rate, which changes");
 DEFINE_string(logs, "", "folder for the logs of seeds that break a promise");
 
 int main(int ArgumentCount, char **Arguments) {
@@ -16,7 +17,7 @@
   for (std::uint64_t Each = 0; Each < FLAGS_seeds; ++Each) {
     const std::uint64_t Seed = FLAGS_first + Each;
     const lychee::soak::SoakResult Result =
-        lychee::soak::runSoak(Seed, FLAGS_seconds);
+        lychee::soak::runSoak({Seed, FLAGS_seconds, FLAGS_rates});
     std::cout << "seed=" << Seed << ' ' << Result.Summary_
               << (Result.Broken_.empty() ? " kept" : " BROKEN") << std::endl;
     if (Result.Broken_.empty())
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -4,6 +4,7 @@
 #include "base/SystemClock.h"
 #include "platform/Names.h"
 #include "soak/Ledger.h"
+#include "soak/RatedTarget.h"
 #include "soak/Troubles.h"
 #include "support/LiveFleet.h"
 #include "support/TestFleet.h"
@@ -101,22 +102,27 @@
 
 } // namespace
 
-SoakResult runSoak(std::uint64_t Seed, double Seconds) {
+SoakResult runSoak(const SoakSettings &Settings) {
+  const std::uint64_t Seed = Settings.Seed_;
   // Seeds that run beside each other have addresses of their own.
   const int Number = static_cast<int>(getpid()) % 200;
-  LiveFleet Fleet(
-      {"127.92." + std::to_string(Number) + ".", HostCount, TargetCount, true});
+  LiveFleet Fleet({"127.92." + std::to_string(Number) + ".", HostCount,
+                   TargetCount + (Settings.HasRatedTarget_ ? 1 : 0), true});
   Ledger Book;
-  Troubles Trouble(Fleet, Book, Seed);
+  Troubles Trouble(Fleet, Book, TargetCount, Seed);
+  std::optional<RatedTarget> Rated;
   SoakResult Result;
   const auto Check = [&](const char *What) {
     if (!TestFleet::waitFor([&] { return allServe(Fleet, Trouble.key()); }))
       Result.Broken_.emplace_back(What);
   };
   Check("not-served-at-the-start");
+  if (Settings.HasRatedTarget_)
+    Rated.emplace(Fleet, TargetCount, Seed);
   {
     const Callers All(Fleet, Trouble, Book, Seed);
-    Trouble.play(SystemClock::monotonicNow() + base::fromSeconds(Seconds));
+    Trouble.play(SystemClock::monotonicNow() +
+                 base::fromSeconds(Settings.Seconds_));
     Check("not-served-after-the-troubles");
   }
   std::this_thread::sleep_for(Aftermath);
@@ -128,6 +134,9 @@
   };
   for (std::string &Each : Book.broken(RunsOf))
     Result.Broken_.push_back(std::move(Each));
+  if (Rated)
+    for (std::string &Each : Rated->broken(Book.hostStarts(), CallerCount))
+      Result.Broken_.push_back(std::move(Each));
   Result.Summary_ = Book.summary();
   Result.History_ = Trouble.history();
   if (!Result.Broken_.empty())
--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -18,9 +18,18 @@
   std::string Logs_;
 };
 
+/// What is played.
+struct SoakSettings {
+  std::uint64_t Seed_ = 1;
+  /// How long troubles come and go.
+  double Seconds_ = 8;
+  /// One more target states a rate, which changes.
+  bool HasRatedTarget_ = true;
+};
+
 /// Plays one seed: a fleet starts, callers use it while troubles come and go,
 /// then all is well again and the fleet must serve.
-SoakResult runSoak(std::uint64_t Seed, double Seconds);
+SoakResult runSoak(const SoakSettings &Settings);
 
 } // namespace lychee::soak
 
--- a/tests/soak/Troubles.cpp
+++ b/tests/soak/Troubles.cpp
@@ -28,8 +28,9 @@
 
 } // namespace
 
-Troubles::Troubles(tests::LiveFleet &Fleet, Ledger &Book, std::uint64_t Seed)
-    : Fleet_(Fleet), Book_(Book), Random_(Seed),
+Troubles::Troubles(tests::LiveFleet &Fleet, Ledger &Book, std::size_t Targets,
+                   std::uint64_t Seed)
+    : Fleet_(Fleet), Book_(Book), Targets_(Targets), Random_(Seed),
       Start_(SystemClock::monotonicNow()) {}
 
 const std::vector<Troubles::Kind> &Troubles::kinds() {
@@ -90,7 +91,7 @@
   const bool OfHost = Drawn.Victim_ == Kind::Victim::Host;
   const bool OfTarget = Drawn.Victim_ == Kind::Victim::Target;
   const std::size_t Count = OfHost     ? Fleet_.hostCount()
-                            : OfTarget ? Fleet_.targetCount()
+                            : OfTarget ? Targets_
                                        : 1;
   const std::size_t Spared = OfHost     ? SparedHosts
                              : OfTarget ? SparedTargets
@@ -118,16 +119,21 @@
 
 // Hosts.
 
+void Troubles::startHost(std::size_t Host) {
+  Book_.recordHostStart(SystemClock::monotonicNow());
+  Fleet_.startHost(Host);
+}
+
 std::function<void()> Troubles::killHost(std::size_t Host) {
   Fleet_.killHost(Host);
-  return [this, Host] { Fleet_.startHost(Host); };
+  return [this, Host] { startHost(Host); };
 }
 
 std::function<void()> Troubles::stopHost(std::size_t Host) {
   Fleet_.host(Host).signal(SIGTERM);
   return [this, Host] {
     Fleet_.host(Host).wait();
-    Fleet_.startHost(Host);
+    startHost(Host);
   };
 }
 
--- a/tests/soak/Troubles.h
+++ b/tests/soak/Troubles.h
@@ -17,7 +17,10 @@
 class Troubles {
 public:
   /// \param Fleet,Book  outlive this.
-  Troubles(tests::LiveFleet &Fleet, Ledger &Book, std::uint64_t Seed);
+  /// \param Targets  how many of the fleet's targets, from the first on, may
+  /// have troubles.
+  Troubles(tests::LiveFleet &Fleet, Ledger &Book, std::size_t Targets,
+           std::uint64_t Seed);
   Troubles(const Troubles &) = delete;
   Troubles &operator=(const Troubles &) = delete;
 
@@ -48,6 +51,7 @@
 
   static const std::vector<Kind> &kinds();
   void beginOne(base::TimePoint Now);
+  void startHost(std::size_t Host);
   void endDue(base::TimePoint Now);
 
   std::function<void()> killHost(std::size_t Host);
@@ -80,6 +84,7 @@
 
   tests::LiveFleet &Fleet_;
   Ledger &Book_;
+  const std::size_t Targets_;
   base::Random Random_;
   base::TimePoint Start_;
   std::vector<Running> Running_;
