--- a/tests/soak/Main.cpp
+++ b/tests/soak/Main.cpp
@@ -6,7 +6,7 @@
 
 DEFINE_uint64(first, 1, "first seed");
 DEFINE_uint64(seeds, 2, "how many seeds to play, one after the other");
-DEFINE_double(seconds, 8, "how long troubles come and go, for each seed");
+DEFINE_double(seconds, 12, "how long troubles come and go, for each seed");
 DEFINE_bool(rates, true, "one more target states a rate, which changes");
 DEFINE_string(logs, "", "folder for the logs of seeds that break a promise");
 
