dispatch: a short pause costs a host none of the rates that it owns

A host that waits for its processor for over a second lost its rates for 2 s, although the others count it as alive for 2 s after its last heartbeat and nobody takes over. The bound is now 1.5 s: what the others wait, less a heartbeat's interval. Two findings of the linter in the code of the stated rates are mended as well.

--- a/libs/dispatch/SharedRateOwners.h
+++ b/libs/dispatch/SharedRateOwners.h
@@ -39,9 +39,11 @@
   /// Time for which a host serves before it owns a rate: two heartbeats reach
   /// the hosts of its region within it, and an update those of other regions.
   static constexpr base::Duration TakeoverDelay = std::chrono::seconds(2);
-  /// Without an update for this long the host was paused: others have taken
-  /// over, and it has not heard of it.
-  static constexpr base::Duration MaxUpdateAge = std::chrono::seconds(1);
+  /// Without an update for this long the host was paused, and others may have
+  /// taken over: they count it as dead 2 s after its last heartbeat, which may
+  /// be 500 ms older than its last update.
+  static constexpr base::Duration MaxUpdateAge =
+      std::chrono::milliseconds(1500);
 
   /// Sets the hosts. To be called every 250 ms.
   void update(const FleetDemand &Fleet, base::TimePoint Now);
--- a/libs/dispatch/StatedRateLimiter.cpp
+++ b/libs/dispatch/StatedRateLimiter.cpp
@@ -11,7 +11,7 @@
   if (Changed)
     DeniedUntil_ = Now;
   if (Changed && PerSecond_)
-    refill(Now);
+    refill(*PerSecond_, Now);
   else if (Changed)
     Tokens_ = RateBucket(Now);
   PerSecond_ = PerSecond;
@@ -58,11 +58,11 @@
 StatedRateLimiter::take(base::TimePoint Now) noexcept {
   if (!PerSecond_)
     return std::nullopt;
-  return Tokens_.take(refill(Now));
+  return Tokens_.take(refill(*PerSecond_, Now));
 }
 
-double StatedRateLimiter::refill(base::TimePoint Now) noexcept {
-  const double PerSecond = std::max(*PerSecond_ * OwnerShare, MinPerSecond);
+double StatedRateLimiter::refill(double Stated, base::TimePoint Now) noexcept {
+  const double PerSecond = std::max(Stated * OwnerShare, MinPerSecond);
   Tokens_.refill(PerSecond, MaxTokens, Now);
   return PerSecond;
 }
--- a/libs/dispatch/StatedRateLimiter.h
+++ b/libs/dispatch/StatedRateLimiter.h
@@ -85,8 +85,8 @@
   bool setRate(std::optional<double> PerSecond, base::TimePoint HeardAt,
                base::TimePoint Now) noexcept;
   /// Adds the tokens since the last refill.
-  /// \returns how many are added per second.
-  double refill(base::TimePoint Now) noexcept;
+  /// \returns how many are added per second at the rate \p Stated.
+  double refill(double Stated, base::TimePoint Now) noexcept;
 
   std::optional<double> PerSecond_;
   base::TimePoint HeardAt_;
--- a/libs/members/HostTable.h
+++ b/libs/members/HostTable.h
@@ -44,7 +44,7 @@
   std::vector<CustomerDemand> Demands_;
   std::vector<ServiceDemand> Loads_;
   std::vector<retrying::CrashEvidence> Evidence_;
-  std::vector<TargetRate> TargetRates_ = {};
+  std::vector<TargetRate> TargetRates_;
 };
 
 /// Tracks the other hosts of the region by their heartbeats, with two
