--- a/libs/dispatch/DispatchSteering.h
+++ b/libs/dispatch/DispatchSteering.h
@@ -14,6 +14,7 @@
 #include "retrying/CrashSuspects.h"
 #include "steering/Steering.h"
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -220,6 +221,10 @@
     /// Time until a target that was passed over has a token; nothing: none was
     /// passed over.
     std::optional<base::Duration> NextToken_;
+
+    void passOver(base::Duration Wait) noexcept {
+      NextToken_ = std::min(NextToken_.value_or(Wait), Wait);
+    }
   };
 
   /// A request that waits for a token.
--- a/libs/dispatch/DispatchTargetRates.cpp
+++ b/libs/dispatch/DispatchTargetRates.cpp
@@ -13,8 +13,6 @@
 /// Wait told to a host that takes this one for the owner of a rate: until then
 /// they agree on who it is.
 constexpr base::Duration WrongOwnerWait = std::chrono::milliseconds(500);
-/// Lowest status of an answer that need not come from where rates are stated.
-constexpr int MinServerError = 500;
 
 /// \returns the newest MaxTargetRates.
 std::vector<members::TargetRate>
@@ -52,28 +50,29 @@
   if (Source == TokenSource::Nowhere)
     return false;
   StatedRateLimiter &Limiter = Target.StatedRate_;
-  if (Now >= Limiter.deniedUntil()) {
-    const RateOwner Owner =
-        RateOwners_.ownerOf(Target.Hash_, Target.Region_, Now);
-    if (Owner.Kind_ == RateOwner::Kind::Other &&
-        Source == TokenSource::AnyHost &&
-        Request.TokenRequests_ < MaxTokenRequests) {
-      Result.TokenOwner_ = Owner.Address_;
-      return true;
-    }
-    const std::optional<base::Duration> Wait =
-        Owner.Kind_ == RateOwner::Kind::Self ? Limiter.take(Now)
-                                             : std::optional(WrongOwnerWait);
+  if (Now < Limiter.deniedUntil()) {
+    Result.passOver(Limiter.deniedUntil() - Now);
+    return false;
+  }
+  const RateOwner Owner =
+      RateOwners_.ownerOf(Target.Hash_, Target.Region_, Now);
+  if (Owner.Kind_ == RateOwner::Kind::Self) {
+    const std::optional<base::Duration> Wait = Limiter.take(Now);
     Result.TookToken_ = !Wait;
     if (!Wait)
       return true;
-    if (Owner.Kind_ == RateOwner::Kind::Self)
-      Limiter.recordDenial(Now + *Wait);
+    Limiter.recordDenial(Now + *Wait);
+    Result.passOver(*Wait);
+    return false;
   }
-  const base::Duration Wait =
-      std::max(Limiter.deniedUntil() - Now, base::Duration::zero());
-  Result.NextToken_ = std::min(Result.NextToken_.value_or(Wait), Wait);
-  return false;
+  const bool MayAsk = Owner.Kind_ == RateOwner::Kind::Other &&
+                      Source == TokenSource::AnyHost &&
+                      Request.TokenRequests_ < MaxTokenRequests;
+  if (MayAsk)
+    Result.TokenOwner_ = Owner.Address_;
+  else
+    Result.passOver(base::Duration::zero());
+  return MayAsk;
 }
 
 TargetState *DispatchSteering::findTargetByStart(std::uint64_t StartKey) {
