A host that the store refuses at its start lists until it has a state

What callers saw: a host that started while the store was busy refused every request with keys-stale for good, although the store was back and its neighbors served.

Cause: its first lists failed (status 503). Then other hosts answered it, with news as fresh as the store's, so RelayRole no longer asked this host to read the store (event=store-asked-by-others confirmed_ms_ago=-1, the last of its lines). What they send are changes, which need a first list to apply to; nothing ever made one. Not of this incident: the code is as old as the relays.

Change: a follower without a first list reads the store whatever others do; its pauses stay. ObjectFollower. listsUntilItHasAStateWhateverOthersRead failed before (expected "list list ", was ""), and passes; 40 tests of live pass.

--- a/libs/live/ObjectFollower.cpp
+++ b/libs/live/ObjectFollower.cpp
@@ -21,8 +21,9 @@
       Backoff_(Timings.MaxBackoff_) {}
 
 bool ObjectFollower::mustReadStore(base::TimePoint Now) const {
+  // Other hosts send changes, which need a first list to apply to.
   return MissingRevision_ || !Callbacks_.MustReadStore_ ||
-         Callbacks_.MustReadStore_(Now);
+         Callbacks_.MustReadStore_(Now) || Mirror_.isEmpty();
 }
 
 asio::awaitable<void> ObjectFollower::run() {
--- a/tests/live/ObjectFollowerTest.cpp
+++ b/tests/live/ObjectFollowerTest.cpp
@@ -248,6 +248,18 @@
   CHECK(Changed_ >= 2);
 }
 
+// Guards against a host that never serves because the store refused it when it
+// started, and other hosts answered it by then.
+TEST(ObjectFollower, listsUntilItHasAStateWhateverOthersRead) {
+  int Checks = 0;
+  MustReadStore_ = [&](base::TimePoint) {
+    if (++Checks == 3)
+      Loop_.stop();
+    return false;
+  };
+  STRCMP_EQUAL("list list ", play({"trouble", "list"}).c_str());
+}
+
 // Another host knows of a change that it can no longer send. Its age does not
 // confirm the state here, and the store must be read although other hosts read
 // it, too.
