--- a/tests/dispatch/StatedRateSimulation.cpp
+++ b/tests/dispatch/StatedRateSimulation.cpp
@@ -95,13 +95,16 @@
 
 bool StatedRateSimulation::hears(const Host &Listener,
                                  const Host &Speaker) const {
+  const auto IsStillHeard = [this](const Host &Each) {
+    return Now_ - Each.SilentSince_.value_or(Now_) <
+           members::HostTable::AliveFor;
+  };
   if (Listener.CutOff_)
-    return Now_ - *Listener.SilentSince_ < members::HostTable::AliveFor;
+    return IsStillHeard(Listener);
   if (Now_ - Listener.UpSince_ < HeartbeatDelay ||
       Now_ - Speaker.UpSince_ < HeartbeatDelay)
     return false;
-  return !Speaker.SilentSince_ ||
-         Now_ - *Speaker.SilentSince_ < members::HostTable::AliveFor;
+  return IsStillHeard(Speaker);
 }
 
 dispatch::FleetDemand StatedRateSimulation::viewOf(std::size_t Number) const {
