Answers' lines tell the rest that a target asks for, and that it leaves

The hosts' lines say reason=shed status=503 and nothing of the rest, so that "nobody reads it", "it is read in one place only" and "it is kept for too short a time" cannot be told apart.

Lines of answers carry rest_ms and stated_leaving; two counters. No decision uses either. The rates' part of an answer moves into steering::TargetStatement beside them; Steering::recordAnswerHead, which does nothing yet, is where the steering will hear it; the simulation of stated rates can play targets that rest and leave.

--- a/apps/lycheed/DecisionReporter.cpp
+++ b/apps/lycheed/DecisionReporter.cpp
@@ -29,6 +29,12 @@
   return describeRate(*Stated.PerSecond_);
 }
 
+std::string describe(const steering::StatedRest &Stated) {
+  if (!Stated.For_)
+    return Stated.Unreadable_ ? "unreadable" : "";
+  return std::to_string(base::toMilliseconds(*Stated.For_));
+}
+
 } // namespace
 
 std::string describeRate(double PerSecond) {
@@ -52,6 +58,12 @@
       StatedRates_(Metrics.counter(
           "lychee_stated_rates_total",
           "Answers in which a target stated the rate that it takes")),
+      StatedRests_(Metrics.counter(
+          "lychee_stated_rests_total",
+          "Answers in which a target asked this host for a rest")),
+      StatedLeavings_(
+          Metrics.counter("lychee_stated_leavings_total",
+                          "Answers in which a target said that it leaves")),
       TargetSeconds_(Metrics.histogram("lychee_target_seconds",
                                        "Time of a send at its target")) {}
 
@@ -109,9 +121,15 @@
   Record.Target_ = Sent.Target_;
   Record.Reason_ = retrying::nameOf(Report.Outcome_);
   Record.Status_ = Report.Status_;
-  Record.StatedRate_ = describe(Report.StatedRate_);
+  Record.StatedRate_ = describe(Report.Statement_.Rate_);
   if (!Record.StatedRate_.empty())
     StatedRates_.add();
+  Record.StatedRest_ = describe(Report.Statement_.Rest_);
+  if (!Record.StatedRest_.empty())
+    StatedRests_.add();
+  Record.StatedLeaving_ = Report.Statement_.Leaving_;
+  if (Record.StatedLeaving_)
+    StatedLeavings_.add();
   Record.SettingsVersion_ = Sent.SettingsVersion_;
   Log_.record(Record, base::SystemClock::wallNow());
 }
--- a/apps/lycheed/DecisionReporter.h
+++ b/apps/lycheed/DecisionReporter.h
@@ -39,6 +39,8 @@
   reporting::Counter Answers_;
   reporting::Counter Failures_;
   reporting::Counter StatedRates_;
+  reporting::Counter StatedRests_;
+  reporting::Counter StatedLeavings_;
   reporting::Histogram TargetSeconds_;
 };
 
--- a/libs/dispatch/DispatchTargetRates.cpp
+++ b/libs/dispatch/DispatchTargetRates.cpp
@@ -105,7 +105,7 @@
     return;
   const bool EndsRate = Report.Outcome_ == SendOutcome::Answered &&
                         Report.Status_ < MinServerError;
-  if (Target.StatedRate_.recordAnswer(Report.StatedRate_, EndsRate,
+  if (Target.StatedRate_.recordAnswer(Report.Statement_.Rate_, EndsRate,
                                       Now - Report.Took_, Now))
     Callbacks_.OnTargetRate_(
         {Target.Record_.Id_, Target.StatedRate_.perSecond(), false, {}});
--- a/libs/gateway/HeaderPolicy.cpp
+++ b/libs/gateway/HeaderPolicy.cpp
@@ -1,5 +1,7 @@
 #include "gateway/HeaderPolicy.h"
 
+#include "gateway/RetryAfter.h"
+
 #include <algorithm>
 #include <array>
 #include <boost/beast/core/string.hpp>
@@ -98,6 +100,16 @@
     appendField(Text, "Content-Length", std::to_string(*Body.Length_));
 }
 
+/// \returns the value of the first of \p Fields that is present.
+std::optional<std::string_view>
+firstValueOf(const AnswerReader::Message &Head,
+             const std::vector<std::string> &Fields) {
+  for (const std::string &Name : Fields)
+    if (Head.count(Name) > 0)
+      return viewOf(Head[Name]);
+  return std::nullopt;
+}
+
 /// Room for a usual head without a second allocation.
 constexpr std::size_t UsualHeadBytes = 512;
 
@@ -194,20 +206,39 @@
 
 steering::StatedRate statedRateOf(const AnswerReader::Message &Head,
                                   const Vocabulary &Names) {
-  const auto Named = std::find_if(
-      Names.TargetRate_.begin(), Names.TargetRate_.end(),
-      [&Head](const std::string &Name) { return Head.count(Name) > 0; });
-  if (Named == Names.TargetRate_.end())
+  const std::optional<std::string_view> Text =
+      firstValueOf(Head, Names.TargetRate_);
+  if (!Text)
     return {};
-  const std::string_view Text = viewOf(Head[*Named]);
   double PerSecond = 0;
   const auto [End, Error] =
-      std::from_chars(Text.data(), Text.data() + Text.size(), PerSecond,
+      std::from_chars(Text->data(), Text->data() + Text->size(), PerSecond,
                       std::chars_format::fixed);
-  if (Error != std::errc() || End != Text.data() + Text.size() ||
+  if (Error != std::errc() || End != Text->data() + Text->size() ||
       !std::isfinite(PerSecond) || PerSecond < 0)
     return {std::nullopt, true};
   return {PerSecond, false};
 }
 
+steering::StatedRest statedRestOf(const AnswerReader::Message &Head,
+                                  base::WallPoint Now) {
+  if (Head.result() != http::status::service_unavailable ||
+      Head.count(http::field::retry_after) == 0)
+    return {};
+  const std::optional<base::Duration> Read =
+      parseRetryAfter(viewOf(Head[http::field::retry_after]), Now);
+  return {Read, !Read};
+}
+
+bool statesLeaving(const AnswerReader::Message &Head, const Vocabulary &Names) {
+  return firstValueOf(Head, Names.TargetLeaving_) == "1";
+}
+
+steering::TargetStatement statementOf(const AnswerReader::Message &Head,
+                                      const Vocabulary &Names,
+                                      base::WallPoint Now) {
+  return {statedRateOf(Head, Names), statedRestOf(Head, Now),
+          statesLeaving(Head, Names)};
+}
+
 } // namespace lychee::gateway
--- a/libs/gateway/HeaderPolicy.h
+++ b/libs/gateway/HeaderPolicy.h
@@ -71,6 +71,19 @@
 steering::StatedRate statedRateOf(const AnswerReader::Message &Head,
                                   const Vocabulary &Names);
 
+/// \returns the rest that its target asks for: in Retry-After, together with a
+/// status that turns the request away for the target's load.
+steering::StatedRest statedRestOf(const AnswerReader::Message &Head,
+                                  base::WallPoint Now);
+
+/// \returns whether the answer says that its target leaves.
+bool statesLeaving(const AnswerReader::Message &Head, const Vocabulary &Names);
+
+/// \returns all that the answer states of the requests that its target takes.
+steering::TargetStatement statementOf(const AnswerReader::Message &Head,
+                                      const Vocabulary &Names,
+                                      base::WallPoint Now);
+
 } // namespace lychee::gateway
 
 #endif
--- a/libs/gateway/TargetSend.cpp
+++ b/libs/gateway/TargetSend.cpp
@@ -333,7 +333,8 @@
   if (Reader_ && AnswerSeen_) {
     const Vocabulary &Names = Home_.shared().Settings_.Names_;
     Made.Load_ = loadOf(Reader_->message(), Names);
-    Made.StatedRate_ = statedRateOf(Reader_->message(), Names);
+    Made.Statement_ =
+        statementOf(Reader_->message(), Names, base::SystemClock::wallNow());
     Made.WrongTarget_ = !Names.ExpectedTarget_.empty() &&
                         Reader_->message().result() ==
                             boost::beast::http::status::misdirected_request;
--- a/libs/gateway/Vocabulary.h
+++ b/libs/gateway/Vocabulary.h
@@ -27,6 +27,9 @@
   /// Headers in which a target states the requests per second that it takes
   /// from all hosts together; the first one present counts.
   std::vector<std::string> TargetRate_;
+  /// Headers by which a target says that it leaves; the first one present
+  /// counts.
+  std::vector<std::string> TargetLeaving_;
   /// Cookie that names the object a request is about; empty: there is none.
   std::string ObjectCookie_;
   /// No caller or target may set a header whose name begins so; empty: only
--- a/libs/reporting/DecisionLog.cpp
+++ b/libs/reporting/DecisionLog.cpp
@@ -64,6 +64,9 @@
   if (Taken.Status_ != 0)
     Line.add("status", Taken.Status_);
   addUnlessEmpty(Line, "stated_rate", Taken.StatedRate_);
+  addUnlessEmpty(Line, "rest_ms", Taken.StatedRest_);
+  if (Taken.StatedLeaving_)
+    Line.add("stated_leaving", 1);
   addUnlessEmpty(Line, "ran", Taken.Ran_);
   Line.add("settings", Taken.SettingsVersion_);
   return maskSecrets(Line.text());
--- a/libs/reporting/DecisionLog.h
+++ b/libs/reporting/DecisionLog.h
@@ -60,6 +60,11 @@
   /// The rate per second that the target stated in its answer, "unreadable"
   /// where it is no number; else empty.
   std::string StatedRate_;
+  /// The rest in milliseconds that the target asked for in its answer,
+  /// "unreadable" where it is neither a number nor a date; else empty.
+  std::string StatedRest_;
+  /// The target said in its answer that it leaves.
+  bool StatedLeaving_ = false;
   /// "no" or "maybe" where the request is refused; else empty.
   std::string_view Ran_;
 };
--- a/libs/steering/Steering.h
+++ b/libs/steering/Steering.h
@@ -28,6 +28,35 @@
   bool Unreadable_ = false;
 };
 
+/// What an answer says of a rest that its target wants from this host.
+struct StatedRest {
+  /// Time from the answer on; empty where none is asked for.
+  std::optional<base::Duration> For_;
+  /// A rest is asked for whose length cannot be read.
+  bool Unreadable_ = false;
+};
+
+/// What a target states in the head of an answer about the requests that it
+/// takes.
+struct TargetStatement {
+  StatedRate Rate_;
+  StatedRest Rest_;
+  /// It ends soon and takes no more requests.
+  bool Leaving_ = false;
+};
+
+/// The head of a target's answer.
+struct AnswerHead {
+  int Status_ = 0;
+  /// The target says that it did not run the request.
+  bool NotRun_ = false;
+  /// Another target than the expected one answered.
+  bool WrongTarget_ = false;
+  /// Time since the first byte of the request was written.
+  base::Duration Took_{};
+  TargetStatement Statement_;
+};
+
 /// A caller's request on arrival, after its key was checked.
 struct Request {
   base::RequestId Id_;
@@ -172,7 +201,7 @@
   /// Another target than the expected one answered at the address.
   bool WrongTarget_ = false;
   std::optional<TargetLoad> Load_ = std::nullopt;
-  StatedRate StatedRate_ = {};
+  TargetStatement Statement_ = {};
 };
 
 /// The decisions on a request, in the order in which they are made: the
@@ -193,6 +222,15 @@
   /// Decides on a new request.
   virtual Decision arrive(const Request &NewRequest, base::TimePoint Now) = 0;
 
+  /// Reports the head of an answer as soon as it is read, whatever becomes of
+  /// the rest of the answer; finish() follows.
+  virtual void recordAnswerHead(std::uint64_t Ticket, const AnswerHead &Head,
+                                base::TimePoint Now) {
+    (void)Ticket;
+    (void)Head;
+    (void)Now;
+  }
+
   /// Reports the end of a send.
   /// \returns Send to retry the request, also where the target answered with a
   /// failure of its own; after a response any other decision lets that response
--- a/tests/dispatch/StatedRateSimulation.cpp
+++ b/tests/dispatch/StatedRateSimulation.cpp
@@ -20,6 +20,7 @@
 constexpr base::Duration UpdateInterval = 200ms;
 constexpr base::Duration TickInterval = 10ms;
 constexpr base::Duration RunTime = 150ms;
+constexpr base::Duration TurnAwayTime = 5ms;
 constexpr base::Duration RequestDeadline = 1s;
 constexpr std::uint32_t Slots = 3;
 
@@ -168,6 +169,23 @@
     Each.Steering_->setTargets(Known_, Zones_, Now_);
 }
 
+void StatedRateSimulation::startTarget(std::size_t Index) {
+  Targets_[Index].Leaving_ = false;
+  Targets_[Index].LeavingToldAt_.clear();
+  ++Known_[Index].Record_.Started_;
+  restoreEntries();
+}
+
+void StatedRateSimulation::dropEntries() {
+  for (const Host &Each : Hosts_)
+    Each.Steering_->setTargets({}, Zones_, Now_);
+}
+
+void StatedRateSimulation::restoreEntries() {
+  for (const Host &Each : Hosts_)
+    Each.Steering_->setTargets(Known_, Zones_, Now_);
+}
+
 // Announcements.
 
 void StatedRateSimulation::tell(std::size_t Number,
@@ -274,42 +292,70 @@
   }
   if (Made.Action_ == Decision::Action::Refuse) {
     ++Refused_;
+    RetryAfters_.push_back(base::toSeconds(Made.RetryAfter_));
     return;
   }
   const std::size_t Where = std::stoul(Made.Target_.name().substr(1));
   Target &Server = Targets_[Where];
   const int Start = Hosts_[Number].Start_;
   const auto Told = Server.ToldAt_.find({Number, Start});
-  Server.Arrivals_.push_back({Now_, Told != Server.ToldAt_.end() &&
-                                        Told->second + HearingTime <= Now_});
+  Server.Arrivals_.push_back(
+      {Now_,
+       Told != Server.ToldAt_.end() && Told->second + HearingTime <= Now_,
+       {Number, Start}});
   ++Server.Running_;
-  schedule(RunTime,
+  schedule(Server.RestSeconds_ ? TurnAwayTime : RunTime,
            [this, Number, Start, Ticket = Made.Ticket_, Where, SentAt = Now_] {
              answer(Number, Start, Ticket, Where, SentAt);
            });
 }
 
+steering::TargetStatement
+StatedRateSimulation::statementTo(std::pair<std::size_t, int> Asker,
+                                  Target &Server) {
+  steering::TargetStatement Said;
+  if (!Server.Statements_.empty())
+    Said.Rate_.PerSecond_ = Server.Statements_.back().PerSecond_;
+  if (Said.Rate_.PerSecond_) {
+    Server.ToldAt_.try_emplace(Asker, Now_);
+    if (!Server.FirstStated_)
+      Server.FirstStated_ = Now_;
+  }
+  if (Server.RestSeconds_) {
+    Said.Rest_.For_ = base::fromSeconds(*Server.RestSeconds_);
+    Server.Rests_.push_back({Asker, Now_, Now_ + *Said.Rest_.For_});
+  }
+  Said.Leaving_ = Server.Leaving_;
+  if (Said.Leaving_)
+    Server.LeavingToldAt_.try_emplace(Asker, Now_);
+  return Said;
+}
+
 void StatedRateSimulation::answer(std::size_t Number, int Start,
                                   std::uint64_t Ticket, std::size_t Where,
                                   base::TimePoint SentAt) {
   Target &Server = Targets_[Where];
   --Server.Running_;
-  steering::SendReport Report;
-  Report.Outcome_ = steering::SendOutcome::Answered;
-  Report.Status_ = 200;
-  Report.Took_ = Now_ - SentAt;
-  Report.Load_ = steering::TargetLoad{Server.Running_, 0, Slots};
-  if (!Server.Statements_.empty())
-    Report.StatedRate_.PerSecond_ = Server.Statements_.back().PerSecond_;
   if (Hosts_[Number].Start_ != Start)
     return;
-  if (Report.StatedRate_.PerSecond_) {
-    Server.ToldAt_.try_emplace({Number, Start}, Now_);
-    if (!Server.FirstStated_)
-      Server.FirstStated_ = Now_;
-  }
+  steering::AnswerHead Head;
+  Head.NotRun_ = Server.RestSeconds_.has_value();
+  Head.Status_ = Head.NotRun_ ? 503 : 200;
+  Head.Took_ = Now_ - SentAt;
+  Head.Statement_ = statementTo({Number, Start}, Server);
+  Hosts_[Number].Steering_->recordAnswerHead(Ticket, Head, Now_);
+  steering::SendReport Report;
+  Report.Outcome_ = Head.NotRun_ ? steering::SendOutcome::Shed
+                                 : steering::SendOutcome::Answered;
+  Report.Status_ = Head.Status_;
+  Report.Took_ = Head.Took_;
+  Report.Load_ = steering::TargetLoad{Server.Running_, 0, Slots};
+  Report.Statement_ = Head.Statement_;
   std::vector<steering::Wakeup> Woken;
-  Hosts_[Number].Steering_->finish(Ticket, Report, Now_, Woken);
+  const Decision Next =
+      Hosts_[Number].Steering_->finish(Ticket, Report, Now_, Woken);
+  if (Head.NotRun_)
+    apply(Number, Next);
 }
 
 // Tokens.
@@ -401,6 +447,38 @@
          Seconds;
 }
 
+int StatedRateSimulation::mostInARest(std::size_t Index) const {
+  const Target &Subject = Targets_[Index];
+  std::ptrdiff_t Most = 0;
+  for (const Rest &Asked : Subject.Rests_)
+    Most = std::max(
+        Most, std::count_if(Subject.Arrivals_.begin(), Subject.Arrivals_.end(),
+                            [&Asked](const Arrival &Each) {
+                              return Each.Host_ == Asked.Host_ &&
+                                     Each.At_ >
+                                         Asked.Since_ + RestHearingTime &&
+                                     Each.At_ < Asked.Until_;
+                            }));
+  return static_cast<int>(Most);
+}
+
+int StatedRateSimulation::sentToLeaving(std::size_t Index, double Seconds,
+                                        bool SameHost) const {
+  const Target &Subject = Targets_[Index];
+  base::TimePoint First = base::TimePoint::max();
+  for (const auto &[Asker, At] : Subject.LeavingToldAt_)
+    First = std::min(First, At);
+  const auto IsLate = [&](const Arrival &Each) {
+    const auto Told = Subject.LeavingToldAt_.find(Each.Host_);
+    if (SameHost && Told == Subject.LeavingToldAt_.end())
+      return false;
+    return Each.At_ - (SameHost ? Told->second : First) >
+           base::fromSeconds(Seconds);
+  };
+  return static_cast<int>(std::count_if(Subject.Arrivals_.begin(),
+                                        Subject.Arrivals_.end(), IsLate));
+}
+
 int StatedRateSimulation::mostInASecond(std::size_t Index,
                                         double Seconds) const {
   const base::TimePoint Begin = Now_ - base::fromSeconds(Seconds);
--- a/tests/dispatch/StatedRateSimulation.h
+++ b/tests/dispatch/StatedRateSimulation.h
@@ -15,7 +15,7 @@
 namespace lychee::tests {
 
 /// A fleet whose hosts send one service's requests to targets, some of which
-/// state the rate that they take.
+/// state the rate that they take, ask for a rest or say that they leave.
 struct StatedRateFleet {
   std::size_t Hosts_ = 12;
   std::size_t Regions_ = 3;
@@ -27,7 +27,8 @@
 
 /// Plays such a fleet in virtual time, from a seed. Hosts hear of each other as
 /// late as heartbeats tell them, and exchange tokens by messages that take time
-/// and get lost where a host is down or cut off. Targets answer everything.
+/// and get lost where a host is down or cut off. Targets answer everything but
+/// what they turn away to rest.
 class StatedRateSimulation {
 public:
   /// A host keeps a rate from this long after it was told.
@@ -47,6 +48,19 @@
   void makeCold(double Seconds);
   static constexpr double ColdPerSecond = 5;
 
+  /// From now on the target turns requests away and asks for a rest of
+  /// \p Seconds each time; nothing: it answers again.
+  void rest(std::size_t Index, std::optional<double> Seconds) {
+    Targets_[Index].RestSeconds_ = Seconds;
+  }
+  /// From now on the target's answers say that it leaves.
+  void leave(std::size_t Index) { Targets_[Index].Leaving_ = true; }
+  /// The target starts anew, and its entry says so.
+  void startTarget(std::size_t Index);
+  /// The targets' entries are gone at all hosts, and there again later.
+  void dropEntries();
+  void restoreEntries();
+
   // Troubles of hosts.
   void restart(std::size_t Number);
   /// The host does nothing until wake().
@@ -68,6 +82,20 @@
   /// \returns the most requests that a target got within a second, since \p
   /// Seconds ago.
   int mostInASecond(std::size_t Index, double Seconds) const;
+  /// \returns the most requests that the target got from a host in a rest that
+  /// it had asked this start of the host for, from RestHearingTime on.
+  int mostInARest(std::size_t Index) const;
+  static constexpr base::Duration RestHearingTime =
+      std::chrono::milliseconds(500);
+  /// \returns the number of requests that the target got later than \p Seconds
+  /// after the first of its answers that said that it leaves.
+  /// \param SameHost  counts for each host from the first answer to it.
+  int sentToLeaving(std::size_t Index, double Seconds, bool SameHost) const;
+  /// \returns the times after which refused callers were told to come back,
+  /// in seconds.
+  const std::vector<double> &retryAfters() const noexcept {
+    return RetryAfters_;
+  }
   int sent() const noexcept { return Sent_; }
   int refused() const noexcept { return Refused_; }
 
@@ -89,6 +117,13 @@
     base::TimePoint At_;
     /// The sending host was told of a rate HearingTime before.
     bool Told_ = false;
+    /// The sending host, by number and start.
+    std::pair<std::size_t, int> Host_;
+  };
+  struct Rest {
+    std::pair<std::size_t, int> Host_;
+    base::TimePoint Since_;
+    base::TimePoint Until_;
   };
   struct Statement {
     base::TimePoint Since_;
@@ -101,6 +136,11 @@
     /// When a host, by number and start, had its first answer with a rate.
     std::map<std::pair<std::size_t, int>, base::TimePoint> ToldAt_;
     std::uint32_t Running_ = 0;
+    std::optional<double> RestSeconds_;
+    std::vector<Rest> Rests_;
+    bool Leaving_ = false;
+    /// When a host had its first answer that said that the target leaves.
+    std::map<std::pair<std::size_t, int>, base::TimePoint> LeavingToldAt_;
   };
 
   void schedule(base::Duration After, std::function<void()> Action);
@@ -117,6 +157,8 @@
   void apply(std::size_t Number, const steering::Decision &Made);
   void answer(std::size_t Number, int Start, std::uint64_t Ticket,
               std::size_t Where, base::TimePoint SentAt);
+  steering::TargetStatement statementTo(std::pair<std::size_t, int> Asker,
+                                        Target &Server);
   template <typename Wanted>
   void requestToken(std::size_t Asker, const std::string &Owner,
                     std::uint64_t Ticket, const Wanted &Token);
@@ -136,6 +178,7 @@
   std::set<std::pair<std::size_t, std::uint64_t>> Waiting_;
   int Sent_ = 0;
   int Refused_ = 0;
+  std::vector<double> RetryAfters_;
 };
 
 } // namespace lychee::tests
