Known red: hosts send to targets that rest, and that say in answers that they leave

What is allowed is the rule's: two requests between half a second after the 503 and the end of the rest, and none later than the drain bound after the leaving.

The stand-in target rests (503 with any Retry-After) and leaves, counts arrivals by request, and says "not run" in the header of the users' platform where it stands in for one of theirs. A GCC 12 fault met on the way: a conditional expression in an awaited call's arguments freed a string twice; the refusal is now a function of its own.

--- a/standins/target/Faults.cpp
+++ b/standins/target/Faults.cpp
@@ -22,6 +22,10 @@
     Set.Down_ = Number != 0;
   else if (Name == "shed")
     Set.Shed_ = Number != 0;
+  else if (Name == "rest")
+    Set.Rest_ = Value;
+  else if (Name == "leaving")
+    Set.Leaving_ = Number != 0;
   else if (Name == "crash_on")
     Set.CrashOn_ = Value;
   else if (Name == "refuse_ms")
--- a/standins/target/Faults.h
+++ b/standins/target/Faults.h
@@ -18,6 +18,12 @@
   bool Down_ = false;
   /// Work is refused with 503 and the mark that it was not run.
   bool Shed_ = false;
+  /// Work is refused in the same way, with this as Retry-After; empty: it is
+  /// not.
+  std::string Rest_;
+  /// Answers to work say that the target leaves, in the header
+  /// TargetSettings::LeavingHeader_.
+  bool Leaving_ = false;
   /// A request whose path, query or body holds this crashes the target: every
   /// connection is closed at once and none is accepted for RefuseFor_.
   std::string CrashOn_;
--- a/standins/target/RunCounts.cpp
+++ b/standins/target/RunCounts.cpp
@@ -31,13 +31,23 @@
     ++Keys_[IdempotencyKey];
 }
 
-void RunCounts::recordArrival(base::TimePoint Now) {
+void RunCounts::recordArrival(const std::string &RequestId,
+                              const std::string &Rest, base::TimePoint Now) {
   const std::lock_guard Guard(Lock_);
   if (Arrivals_.size() < MaximumNames)
-    Arrivals_.push_back(Now);
+    Arrivals_.push_back({Now, RequestId, Rest});
 }
 
 std::vector<base::TimePoint> RunCounts::arrivals() const {
+  const std::lock_guard Guard(Lock_);
+  std::vector<base::TimePoint> Moments;
+  Moments.reserve(Arrivals_.size());
+  for (const Arrival &Each : Arrivals_)
+    Moments.push_back(Each.At_);
+  return Moments;
+}
+
+std::vector<RunCounts::Arrival> RunCounts::arrivedRequests() const {
   const std::lock_guard Guard(Lock_);
   return Arrivals_;
 }
--- a/standins/target/RunCounts.h
+++ b/standins/target/RunCounts.h
@@ -24,11 +24,21 @@
   void countRun(const std::string &RequestId,
                 const std::string &IdempotencyKey);
 
-  /// Records that a request for work arrived, whether or not it runs then.
-  void recordArrival(base::TimePoint Now);
+  /// A request for work that arrived, whether or not it ran then.
+  struct Arrival {
+    base::TimePoint At_;
+    std::string RequestId_;
+    /// What it was turned away with as Retry-After; empty: it was not.
+    std::string Rest_;
+  };
+
+  void recordArrival(const std::string &RequestId, const std::string &Rest,
+                     base::TimePoint Now);
 
   /// \returns when requests arrived, in order: the first MaximumNames.
   std::vector<base::TimePoint> arrivals() const;
+  /// \returns which requests arrived, in order: the first MaximumNames.
+  std::vector<Arrival> arrivedRequests() const;
 
   std::uint64_t total() const;
   std::uint64_t runsOfRequest(const std::string &RequestId) const;
@@ -45,7 +55,7 @@
   std::uint64_t Total_ = 0;
   std::map<std::string, std::uint64_t> Requests_;
   std::map<std::string, std::uint64_t> Keys_;
-  std::vector<base::TimePoint> Arrivals_;
+  std::vector<Arrival> Arrivals_;
 };
 
 } // namespace lychee::standins::target
--- a/standins/target/TargetServer.h
+++ b/standins/target/TargetServer.h
@@ -30,6 +30,10 @@
   base::Duration Work_{};
   /// Header in which it states a rate. \see Faults::StatedRate_
   std::string RateHeader_ = "Lychee-Target-Rate";
+  /// Header in which it says that it leaves. \see Faults::Leaving_
+  std::string LeavingHeader_ = "Lychee-Target-Leaving";
+  /// Line of the header that says that a request was not run.
+  std::string NotRunLine_ = "Lychee-Ran: no";
 };
 
 class TargetSession;
--- a/standins/target/TargetSession.cpp
+++ b/standins/target/TargetSession.cpp
@@ -125,15 +125,15 @@
 asio::awaitable<bool> TargetSession::work(Parser &Reader,
                                           std::string_view Query) {
   const Faults Set = Server_.faults();
-  Server_.Counts_.recordArrival(base::SystemClock::monotonicNow());
+  Server_.Counts_.recordArrival(textOf(Reader.get()["Lychee-Request-Id"]),
+                                Set.Rest_, base::SystemClock::monotonicNow());
   if (Set.Down_)
     co_return false;
   bool Taken = false;
-  if (!Set.Shed_)
+  if (!Set.Shed_ && Set.Rest_.empty())
     Taken = co_await Server_.takeSlot();
   if (!Taken)
-    co_return co_await answer(503, "{\"shed\":true}\n", false,
-                              "Lychee-Ran: no\r\nRetry-After: 1\r\n");
+    co_return co_await turnAway(Set.Rest_);
   Server_.Counts_.countRun(textOf(Reader.get()["Lychee-Request-Id"]),
                            textOf(Reader.get()["Idempotency-Key"]));
   if (crashes(Reader, Set)) {
@@ -157,6 +157,13 @@
   co_return co_await answer(Status, std::move(Body), true);
 }
 
+asio::awaitable<bool> TargetSession::turnAway(const std::string &Rest) {
+  std::string Extra = Server_.Settings_.NotRunLine_ + "\r\nRetry-After: ";
+  Extra += Rest.empty() ? "1" : Rest;
+  Extra += "\r\n";
+  co_return co_await answer(503, "{\"shed\":true}\n", true, std::move(Extra));
+}
+
 std::string TargetSession::describe(Parser &Reader) const {
   Json::Value Made;
   const auto &Head = Reader.get();
@@ -184,6 +191,9 @@
     Text.insert(Text.find("Content-Length"), Server_.Settings_.RateHeader_ +
                                                  ": " + Set.StatedRate_ +
                                                  "\r\n");
+  if (IsWork && Set.Leaving_)
+    Text.insert(Text.find("Content-Length"),
+                Server_.Settings_.LeavingHeader_ + ": 1\r\n");
   const bool Cut = IsWork && Set.Cut_;
   if (!IsHead_)
     Text += Cut ? Body.substr(0, Body.size() / 2) : Body;
--- a/standins/target/TargetSession.h
+++ b/standins/target/TargetSession.h
@@ -31,6 +31,8 @@
   boost::asio::awaitable<bool> readBody(Parser &Reader);
   boost::asio::awaitable<bool> serve(Parser &Reader);
   boost::asio::awaitable<bool> work(Parser &Reader, std::string_view Query);
+  /// Refuses work. \param Rest  as Retry-After; empty: a second.
+  boost::asio::awaitable<bool> turnAway(const std::string &Rest);
   boost::asio::awaitable<bool> answer(int Status, std::string Body, bool IsWork,
                                       std::string Extra = {});
   boost::asio::awaitable<bool> hang();
--- a/tests/support/LiveFleet.cpp
+++ b/tests/support/LiveFleet.cpp
@@ -42,7 +42,10 @@
   for (std::size_t Each = 0; Each < Size_.Targets_; ++Each) {
     standins::target::TargetSettings Settings;
     Settings.Name_ = "t" + std::to_string(Each);
-    Settings.RateHeader_ = platform::vocabulary().TargetRate_.front();
+    const gateway::Vocabulary Names = platform::vocabulary();
+    Settings.RateHeader_ = Names.TargetRate_.front();
+    Settings.LeavingHeader_ = Names.TargetLeaving_.front();
+    Settings.NotRunLine_ = Names.NotRun_ + ": 1";
     Targets_.push_back(
         std::make_unique<standins::target::TargetServer>(Settings));
     Targets_.back()->start();
@@ -128,7 +131,7 @@
 }
 
 void LiveFleet::writeEntry(std::size_t Target, const std::string &State,
-                           int ColdMilliseconds) {
+                           int ColdMilliseconds, std::int64_t Start) {
   Json::Value Made;
   Made["service"] = "portal";
   Made["address"] =
@@ -138,7 +141,7 @@
   Made["zone"] = "near-1";
   Made["slots"] = 3;
   Made["state"] = State;
-  Made["born"] = Json::Int64(1);
+  Made["born"] = Json::Int64(Start);
   if (ColdMilliseconds > 0)
     Made["coldRemainingMs"] = ColdMilliseconds;
   Objects_->put("servers", Targets_[Target]->settings().Name_, Made);
@@ -148,12 +151,15 @@
   return get(at(Host, 7004), "/readyz").Status_ == 200;
 }
 
-CallerAnswer LiveFleet::ask(std::size_t Host, const std::string &Key) const {
+CallerAnswer LiveFleet::ask(std::size_t Host, const std::string &Key,
+                            const std::string &Id) const {
   CallerRequest Request;
   Request.Target_ = "/x/1";
   Request.Headers_ = {{"Host", "a.example"},
                       {"Authorization", "Bearer " + Key},
-                      {platform::vocabulary().RequestId_, "r1"}};
+                      {platform::vocabulary().RequestId_, Id},
+                      // The stand-in counts by this one.
+                      {"Lychee-Request-Id", Id}};
   return call(callers(Host), Request);
 }
 
--- a/tests/support/LiveFleet.h
+++ b/tests/support/LiveFleet.h
@@ -63,14 +63,17 @@
   std::size_t writeIntent(int Version, const std::string &Key,
                           std::size_t MoreRules = 0);
   /// Writes a target's entry. \p State  "ready" or "draining".
+  /// \param Start  Unix millisecond of the target's start.
   void writeEntry(std::size_t Target, const std::string &State,
-                  int ColdMilliseconds = 0);
+                  int ColdMilliseconds = 0, std::int64_t Start = 1);
 
   // What is seen from outside.
 
   std::string callers(std::size_t Host) const { return at(Host, 7001); }
   bool isReady(std::size_t Host) const;
-  CallerAnswer ask(std::size_t Host, const std::string &Key) const;
+  /// \param Id  of the request; targets count arrivals by it.
+  CallerAnswer ask(std::size_t Host, const std::string &Key,
+                   const std::string &Id = "r1") const;
   std::string resolve(std::size_t Host) const;
   std::string log(std::size_t Host) const;
   std::string metrics(std::size_t Host) const;
