--- a/apps/lycheed/LiveDaemon.cpp
+++ b/apps/lycheed/LiveDaemon.cpp
@@ -87,12 +87,26 @@
   return Regions.size();
 }
 
-void logTargetRate(const dispatch::TargetRateChange &Change) {
+std::string_view eventOf(const dispatch::TargetStatementChange &Change) {
+  using Kind = dispatch::TargetStatementChange::Kind;
+  switch (Change.Kind_) {
+  case Kind::Rest:
+    return "target-rest";
+  case Kind::Leaving:
+    return "target-says-leaving";
+  case Kind::Rate:
+    break;
+  }
+  return Change.PerSecond_ ? "target-rate" : "target-rate-ended";
+}
+
+void logStatement(const dispatch::TargetStatementChange &Change) {
   KeyValueLine Line;
-  Line.add("event", Change.PerSecond_ ? "target-rate" : "target-rate-ended")
-      .add("target", Change.Target_.name());
+  Line.add("event", eventOf(Change)).add("target", Change.Target_.name());
   if (Change.PerSecond_)
     Line.add("stated_rate", describeRate(*Change.PerSecond_));
+  if (Change.Kind_ == dispatch::TargetStatementChange::Kind::Rest)
+    Line.add("rest_ms", base::toMilliseconds(Change.Rest_));
   reporting::logLine(LogLevel::Info,
                      Line.add("from", Change.IsReported_ ? "host" : "answer")
                          .add("age_ms", base::toMilliseconds(Change.Age_)));
@@ -148,7 +162,7 @@
                      Tokens_.ask(Owner, Number, Wanted);
                    });
                  },
-                 logTargetRate},
+                 logStatement},
                 SystemClock::monotonicNow()),
       Registration_(Objects_, Hosts_.self()),
       Entry_({Hosts_, Intents_, [this] { return Feed_.knowsAll(); },
@@ -213,6 +227,8 @@
                Steering_.mergeCrashEvidence(Said.Summary_.Evidence_, Now);
                Steering_.mergeTargetRates(Said.Summary_.TargetRates_, false,
                                           Now);
+               Steering_.mergeTargetLeavings(Said.Summary_.TargetLeavings_,
+                                             false, Now);
              }}) {
   Hosts_.addSeeds(Live_.SeedAddresses_);
 }
@@ -227,6 +243,8 @@
     Steering_.mergeCrashEvidence(Said.Evidence_, Now);
   if (!Said.TargetRates_.empty())
     Steering_.mergeTargetRates(Said.TargetRates_, true, Now);
+  if (!Said.TargetLeavings_.empty())
+    Steering_.mergeTargetLeavings(Said.TargetLeavings_, true, Now);
   if (!Said.Times_.empty())
     Steering_.mergeExecutionTimes(Said.Times_);
   if (!News)
@@ -383,7 +401,8 @@
   const auto Intent = Intents_.current();
   Gauges_.set({Intent ? Intent->Version_ : 0, Intents_.age(Now), Trusted_,
                Asking_, Heard_.size(), Feed_.targetCount(),
-               Feed_.evacuatedCount(), Steering_.limitedTargetCount()});
+               Feed_.evacuatedCount(), Steering_.limitedTargetCount(),
+               Steering_.restingTargetCount(Now)});
 }
 
 void LiveDaemon::noteLosses(std::span<const members::HostView> Others,
--- a/apps/lycheed/LiveGauges.cpp
+++ b/apps/lycheed/LiveGauges.cpp
@@ -45,6 +45,9 @@
       TargetsLimited_(
           Metrics.gauge("lychee_targets_rate_limited",
                         "Targets that state the rate that they take")),
+      TargetsResting_(Metrics.gauge(
+          "lychee_targets_resting",
+          "Targets that want nothing from this host for a while")),
       RelaySound_(relayCounter(Metrics, "sound")),
       RelayUnsound_(relayCounter(Metrics, "unsound")),
       RelayFailed_(relayCounter(Metrics, "failed")),
@@ -68,6 +71,7 @@
   TargetsKnown_.set(static_cast<double>(Read.TargetsKnown_));
   ZonesEvacuated_.set(static_cast<double>(Read.ZonesEvacuated_));
   TargetsLimited_.set(static_cast<double>(Read.TargetsLimited_));
+  TargetsResting_.set(static_cast<double>(Read.TargetsResting_));
 }
 
 void LiveGauges::countStoreCall(const std::string &Kind, bool Came) {
--- a/apps/lycheed/LiveGauges.h
+++ b/apps/lycheed/LiveGauges.h
@@ -26,6 +26,7 @@
   std::size_t ZonesEvacuated_ = 0;
   /// Targets that state a rate.
   std::size_t TargetsLimited_ = 0;
+  std::size_t TargetsResting_ = 0;
 };
 
 /// The metrics of such a host beside those of its requests.
@@ -59,6 +60,7 @@
   const reporting::Gauge TargetsKnown_;
   const reporting::Gauge ZonesEvacuated_;
   const reporting::Gauge TargetsLimited_;
+  const reporting::Gauge TargetsResting_;
   const reporting::Counter RelaySound_;
   const reporting::Counter RelayUnsound_;
   const reporting::Counter RelayFailed_;
--- a/apps/lycheed/LiveReports.cpp
+++ b/apps/lycheed/LiveReports.cpp
@@ -11,6 +11,7 @@
   Said.Loads_ = Others_.Steering_.serviceDemands(Now);
   Said.Evidence_ = Others_.Steering_.crashEvidence(Now);
   Said.TargetRates_ = Others_.Steering_.announcedRates(Now);
+  Said.TargetLeavings_ = Others_.Steering_.announcedLeavings(Now);
   return Said;
 }
 
@@ -51,7 +52,8 @@
           Others_.Steering_.customerDemands(Now),
           Others_.Steering_.serviceDemands(Now),
           Others_.Steering_.crashEvidence(Now),
-          Others_.Steering_.relayedRates(Now)};
+          Others_.Steering_.relayedRates(Now),
+          Others_.Steering_.relayedLeavings(Now)};
 }
 
 } // namespace lychee::daemon
--- a/apps/lycheed/LoadReporter.cpp
+++ b/apps/lycheed/LoadReporter.cpp
@@ -9,4 +9,9 @@
                                Seen.Running_ + Seen.Waiting_, Now);
 }
 
+bool LoadReporter::mayPoll(const gateway::TargetEntry &Entry,
+                           base::TimePoint Now) {
+  return !Steering_.isResting(Entry.Service_, Entry.Target_, Now);
+}
+
 } // namespace lychee::daemon
--- a/apps/lycheed/LoadReporter.h
+++ b/apps/lycheed/LoadReporter.h
@@ -6,7 +6,8 @@
 
 namespace lychee::daemon {
 
-/// Hands what targets report of their load to steering, which ages it.
+/// Hands what targets report of their load to steering, which ages it, and
+/// spares targets polls while they rest.
 class LoadReporter final : public gateway::TargetObserver {
 public:
   explicit LoadReporter(steering::FleetSteering &Steering)
@@ -14,6 +15,7 @@
 
   void observed(const gateway::TargetObservation &Seen,
                 base::TimePoint Now) override;
+  bool mayPoll(const gateway::TargetEntry &Entry, base::TimePoint Now) override;
 
 private:
   steering::FleetSteering &Steering_;
--- a/libs/dispatch/DispatchLearning.cpp
+++ b/libs/dispatch/DispatchLearning.cpp
@@ -52,7 +52,6 @@
   if (Target == nullptr)
     return;
   Target->Load_.recordEnd();
-  recordStatedRate(*Target, Report, Now);
   if (Report.Load_) {
     Target->Load_.recordReport(*Report.Load_, Now);
     serviceState(Request.Service_)
@@ -83,6 +82,7 @@
     recordTargetDown(Target->Record_.Id_, Now);
     break;
   case SendOutcome::ClosedBeforeWrite:
+  case SendOutcome::Withheld:
   case SendOutcome::CancelledBeforeWrite:
   case SendOutcome::Cancelled:
     break;
--- a/libs/dispatch/DispatchSteering.cpp
+++ b/libs/dispatch/DispatchSteering.cpp
@@ -208,10 +208,12 @@
 }
 
 Decision DispatchSteering::refuseUnplaced(std::uint64_t Ticket,
-                                          const Selection &Selected) {
+                                          const Selection &Selected,
+                                          base::TimePoint Now) {
   Decision Refused = endRequest(
       Ticket, false,
-      std::max(Selected.NextToken_.value_or(MinRetryAfter), MinRetryAfter));
+      std::max(Selected.NextToken_.value_or(MinRetryAfter), MinRetryAfter),
+      Now);
   if (Selected.NextToken_ && Refused.Refusal_ == Refusal::NoHeadroom)
     Refused.Refusal_ = Refusal::TargetRatesUsedUp;
   return Refused;
@@ -222,7 +224,7 @@
   const Selection Selected = chooseTarget(Request, Source, Now);
   const std::optional<Choice> &Chosen = Selected.Choice_;
   if (!Chosen)
-    return refuseUnplaced(Ticket, Selected);
+    return refuseUnplaced(Ticket, Selected, Now);
   // A request that cannot be answered in time is not sent: it would take a slot
   // from one that can, and its caller gains nothing by waiting.
   TargetState &Target = *Chosen->Target_;
@@ -232,9 +234,9 @@
   recordLateness(Request, *Chosen, Now);
   if (!canAnswerInTime(Request, *Chosen, Now)) {
     if (Selected.TookToken_)
-      Target.StatedRate_.refund();
+      Target.Stated_->rate().refund();
     Decision Refused = endRequest(
-        Ticket, false, std::max(Chosen->ExpectedWait_, MinRetryAfter));
+        Ticket, false, std::max(Chosen->ExpectedWait_, MinRetryAfter), Now);
     Refused.Inputs_ = Inputs;
     return Refused;
   }
@@ -248,6 +250,7 @@
   Request.ExpectedWait_ = Chosen->ExpectedWait_;
   ++Request.Sends_;
   Request.TriedTargets_.push_back(Target.Record_.Id_);
+  Request.SentTo_ = Target.Stated_;
   Result.Action_ = Decision::Action::Send;
   Result.Ticket_ = Ticket;
   Result.Target_ = Target.Record_.Id_;
@@ -255,6 +258,8 @@
   Result.ExpectedTarget_ = Target.Record_.Id_.name();
   Result.Region_ = Target.Region_;
   Result.Reason_ = Chosen->Reason_;
+  Result.PassedOverTargets_ = TargetChooser::passedOverForStatements(
+      Request.Object_, serviceState(Request.Service_).Targets_, Target, Now);
   Result.SettingsVersion_ = Intent_ ? Intent_->Version_ : 0;
   if (Request.Idempotent_ && Request.Sends_ < Request.MaxSends_)
     Result.ResponseDeadline_ = Now + responseTimeout(Request, *Chosen);
@@ -276,6 +281,17 @@
   return Request.RetryReserved_;
 }
 
+TargetState *DispatchSteering::lastTargetInUse(const InFlightRequest &Request,
+                                               base::TimePoint Now) {
+  if (Request.TriedTargets_.empty())
+    return nullptr;
+  TargetState *Target =
+      findTarget(serviceState(Request.Service_), Request.TriedTargets_.back());
+  return Target != nullptr && TargetChooser::acceptsRequests(*Target, Now)
+             ? Target
+             : nullptr;
+}
+
 /// Checks that the target still accepts work, and takes a token of the retry
 /// budget and of the rates that the target shares between hosts. Failure
 /// without the check: a target announced that it leaves while the first send
@@ -285,12 +301,11 @@
 bool DispatchSteering::mayHedge(std::uint64_t Ticket, base::TimePoint Now) {
   const std::lock_guard Guard(Lock_);
   const auto Found = InFlight_.find(Ticket);
-  if (Found == InFlight_.end() || Found->second.TriedTargets_.empty())
+  if (Found == InFlight_.end())
     return false;
   ServiceState &Service = serviceState(Found->second.Service_);
-  TargetState *Target = findTarget(Service, Found->second.TriedTargets_.back());
-  if (Target == nullptr || Target->Record_.Leaving_ || Target->Evacuated_ ||
-      Target->AddressReused_ || !Service.RetryBudget_.hasToken())
+  TargetState *Target = lastTargetInUse(Found->second, Now);
+  if (Target == nullptr || !Service.RetryBudget_.hasToken())
     return false;
   Selection Unused;
   return mayUse(Service, *Target, Found->second, TokenSource::ThisHost, Unused,
@@ -298,20 +313,33 @@
          Service.RetryBudget_.trySpend();
 }
 
+bool DispatchSteering::mayWrite(std::uint64_t Ticket, base::TimePoint Now) {
+  const std::lock_guard Guard(Lock_);
+  const auto Found = InFlight_.find(Ticket);
+  return Found != InFlight_.end() &&
+         lastTargetInUse(Found->second, Now) != nullptr;
+}
+
 /// Ends a request that is not sent again, and returns its refusal. A request
 /// that may have run is never refused with an answer that states that it did
 /// not.
 Decision DispatchSteering::endRequest(std::uint64_t Ticket, bool ByTarget,
-                                      base::Duration RetryAfter) {
+                                      base::Duration RetryAfter,
+                                      base::TimePoint Now) {
   const auto Found = InFlight_.find(Ticket);
   const bool MayHaveRun = Found->second.MayHaveRun_;
+  const std::optional<base::Duration> AfterRest =
+      returnAfterRest(Found->second, Now);
   if (Found->second.RetryReserved_)
     serviceState(Found->second.Service_).RetryBudget_.refund();
   InFlight_.erase(Found);
   if (MayHaveRun || ByTarget)
     return refuse(MayHaveRun ? Refusal::TargetFailed : Refusal::NoHealthyTarget,
-                  MayHaveRun ? base::Duration::zero() : RetryAfter, MayHaveRun);
-  return refuse(Refusal::NoHeadroom, RetryAfter, false);
+                  MayHaveRun ? base::Duration::zero()
+                             : AfterRest.value_or(RetryAfter),
+                  MayHaveRun);
+  return refuse(AfterRest ? Refusal::TargetsRest : Refusal::NoHeadroom,
+                AfterRest.value_or(RetryAfter), false);
 }
 
 bool DispatchSteering::mayRetry(const InFlightRequest &Request,
@@ -339,7 +367,8 @@
                             : findTarget(Service, Request.TriedTargets_.back());
   recordOutcome(Request, Target, Report, Now);
   const bool Reached = Report.Outcome_ != SendOutcome::ConnectFailed &&
-                       Report.Outcome_ != SendOutcome::ClosedBeforeWrite;
+                       Report.Outcome_ != SendOutcome::ClosedBeforeWrite &&
+                       Report.Outcome_ != SendOutcome::Withheld;
   if (!Reached) {
     --Request.Sends_;
     ++Request.UndeliveredSends_;
@@ -371,8 +400,9 @@
   const bool Ended = Report.Outcome_ == SendOutcome::Answered ||
                      Report.Outcome_ == SendOutcome::Cancelled ||
                      Report.Outcome_ == SendOutcome::CancelledBeforeWrite;
-  Decision Result =
-      endRequest(Ticket, Report.Outcome_ != SendOutcome::Shed, MinRetryAfter);
+  const bool TurnedAway = Report.Outcome_ == SendOutcome::Shed ||
+                          Report.Outcome_ == SendOutcome::Withheld;
+  Decision Result = endRequest(Ticket, !TurnedAway, MinRetryAfter, Now);
   return Ended ? Decision() : Result;
 }
 
--- a/libs/dispatch/DispatchSteering.h
+++ b/libs/dispatch/DispatchSteering.h
@@ -7,6 +7,7 @@
 #include "dispatch/RegionSplit.h"
 #include "dispatch/SharedRateOwners.h"
 #include "dispatch/SharedRetryBudget.h"
+#include "dispatch/StatementTable.h"
 #include "dispatch/TargetChooser.h"
 #include "live/Intent.h"
 #include "live/TargetRegistry.h"
@@ -31,11 +32,16 @@
   std::uint64_t Seed_ = 0;
 };
 
-/// A change of the rate that is known to be stated by a target.
-struct TargetRateChange {
+/// A change of what a target is known to state.
+struct TargetStatementChange {
+  enum class Kind { Rate, Rest, Leaving };
+
+  Kind Kind_ = Kind::Rate;
   base::TargetId Target_;
-  /// Requests per second; nothing: none is stated any more.
+  /// Of a rate: requests per second; nothing: none is stated any more.
   std::optional<double> PerSecond_;
+  /// Of a rest: its time from now on.
+  base::Duration Rest_{};
   /// Another host told; otherwise an answer to this one.
   bool IsReported_ = false;
   /// Time since the target's answer.
@@ -50,7 +56,7 @@
   std::function<void(const std::string &Owner, std::uint64_t Number,
                      const members::TokenRequest &Wanted)>
       RequestToken_ = [](const auto &, auto, const auto &) {};
-  std::function<void(const TargetRateChange &Change)> OnTargetRate_ =
+  std::function<void(const TargetStatementChange &Change)> OnStatement_ =
       [](const auto &) {};
 };
 
@@ -66,8 +72,9 @@
 /// Thread-safe: one lock, held for microseconds. DispatchUpdates.cpp holds what
 /// happens between requests (configuration, targets, other hosts),
 /// DispatchTokens.cpp how a request waits for a token, DispatchTargetRates.cpp
-/// the rates that targets share between all hosts, DispatchLearning.cpp what is
-/// learned from the outcome of a send.
+/// the rates that targets share between all hosts, DispatchStatements.cpp what
+/// targets state in their answers, DispatchLearning.cpp what is learned from
+/// the outcome of a send.
 /// \see steering::FleetSteering, which steers by the tree that operators
 /// configure
 class DispatchSteering final : public steering::Steering {
@@ -118,8 +125,19 @@
   /// \param FromOwnRegion  other regions are to be told, too.
   void mergeTargetRates(std::span<const members::TargetRate> Announced,
                         bool FromOwnRegion, base::TimePoint Now);
+  /// \returns the leaving targets to announce to the hosts of the region.
+  std::vector<members::TargetLeaving>
+  announcedLeavings(base::TimePoint Now) const;
+  /// \returns the leaving targets to tell other regions.
+  std::vector<members::TargetLeaving>
+  relayedLeavings(base::TimePoint Now) const;
+  /// \param FromOwnRegion  other regions are to be told, too.
+  void mergeTargetLeavings(std::span<const members::TargetLeaving> Announced,
+                           bool FromOwnRegion, base::TimePoint Now);
   /// \returns the number of targets that state a rate.
   std::size_t limitedTargetCount() const;
+  /// \returns the number of targets that rest from this host.
+  std::size_t restingTargetCount(base::TimePoint Now) const;
 
   // Tokens of the customers' and the targets' rates.
   /// Takes a token for a request of another host.
@@ -144,6 +162,9 @@
                             std::vector<steering::Wakeup> &Woken) override;
   bool mayAbandonSend(std::uint64_t Ticket, base::TimePoint Now) override;
   bool mayHedge(std::uint64_t Ticket, base::TimePoint Now) override;
+  bool mayWrite(std::uint64_t Ticket, base::TimePoint Now) override;
+  void recordAnswerHead(std::uint64_t Ticket, const steering::AnswerHead &Head,
+                        base::TimePoint Now) override;
   void cancel(std::uint64_t Ticket, base::TimePoint Now) override;
   void tick(base::TimePoint Now, std::vector<steering::Wakeup> &Woken) override;
 
@@ -172,6 +193,8 @@
     /// takes time, so they are bounded as well.
     std::uint32_t UndeliveredSends_ = 0;
     std::vector<base::TargetId> TriedTargets_;
+    /// Statements of the target, and its start, that it was sent to last.
+    std::shared_ptr<TargetStatements> SentTo_;
     /// A token of the retry budget was spent ahead, for the send that follows
     /// an abandoned one.
     bool RetryReserved_ = false;
@@ -266,8 +289,17 @@
   TargetState *findTargetByStart(std::uint64_t StartKey);
   std::optional<base::Duration>
   grantTargetToken(const members::TargetRate &Known, base::TimePoint Now);
-  void recordStatedRate(TargetState &Target, const steering::SendReport &Report,
-                        base::TimePoint Now);
+  void mergeRate(TargetState &Target, const members::TargetRate &Known,
+                 bool FromOwnRegion, base::TimePoint Now);
+  /// \returns the target of the last send, where it accepts requests now.
+  TargetState *lastTargetInUse(const InFlightRequest &Request,
+                               base::TimePoint Now);
+  std::size_t countTargets(
+      const std::function<bool(const TargetStatements &)> &Selected) const;
+  /// \returns where all targets rest, the time after which a refused caller
+  /// should come back: a while after the first of them ends its rest.
+  std::optional<base::Duration> returnAfterRest(const InFlightRequest &Request,
+                                                base::TimePoint Now);
   /// Decides on a request that passed its customer's rate limit.
   steering::Decision admit(std::uint64_t Ticket, InFlightRequest &Request,
                            base::TimePoint Now);
@@ -296,11 +328,12 @@
                           TokenSource Source, base::TimePoint Now);
   /// Refuses a request that no target may take now.
   steering::Decision refuseUnplaced(std::uint64_t Ticket,
-                                    const Selection &Selected);
+                                    const Selection &Selected,
+                                    base::TimePoint Now);
   steering::Decision refuse(steering::Refusal Why, base::Duration RetryAfter,
                             bool MayHaveRun) const;
   steering::Decision endRequest(std::uint64_t Ticket, bool ByTarget,
-                                base::Duration RetryAfter);
+                                base::Duration RetryAfter, base::TimePoint Now);
   void recordOutcome(const InFlightRequest &Request, TargetState *Target,
                      const steering::SendReport &Report, base::TimePoint Now);
   void recordExecutionTime(const InFlightRequest &Request, TargetState &Target,
@@ -341,6 +374,7 @@
   std::uint64_t LastTicket_ = 0;
   CustomerRateLimiter RateLimiter_;
   SharedRateOwners RateOwners_;
+  StatementTable Statements_;
   std::size_t HostCount_ = 1;
   retrying::CrashSuspects CrashSuspects_;
   std::vector<LostRequest> LostRequests_;
--- a/libs/dispatch/DispatchTokens.cpp
+++ b/libs/dispatch/DispatchTokens.cpp
@@ -82,7 +82,7 @@
   Pending.TimeoutAt_ = Now + TokenTimeout;
   Callbacks_.RequestToken_(
       Owner, Pending.Number_,
-      {{}, Target.StatedRate_.report(Target.StartKey_, Now)});
+      {{}, Target.Stated_->rate().report(Target.StartKey_, Now)});
   Decision Result;
   Result.Action_ = Decision::Action::Wait;
   Result.Ticket_ = Ticket;
@@ -109,7 +109,7 @@
   if (!DeniedFor)
     Request.GrantedTarget_ = Awaited;
   else if (Target != nullptr)
-    Target->StatedRate_.recordDenial(Now + *DeniedFor);
+    Target->Stated_->rate().recordDenial(Now + *DeniedFor);
   return send(Ticket, Request, TokenSource::AnyHost, Now);
 }
 
--- a/libs/dispatch/StatedRateLimiter.cpp
+++ b/libs/dispatch/StatedRateLimiter.cpp
@@ -30,8 +30,7 @@
     return false;
   const bool Changed = setRate(Stated.PerSecond_, Now, Now);
   if (Changed || Now - LastAnnounced_ >= RefreshInterval) {
-    AnnouncedUntil_ = Now + AnnouncePeriod;
-    RelayedUntil_ = Now + AnnouncePeriod;
+    Announcement_.begin(Now);
     LastAnnounced_ = Now;
   }
   return Changed;
@@ -45,7 +44,7 @@
     return false;
   const bool Changed = setRate(Known.PerSecond_, HeardAt, Now);
   if (Relays)
-    RelayedUntil_ = Now + AnnouncePeriod;
+    Announcement_.relay(Now);
   return Changed;
 }
 
--- a/libs/dispatch/StatedRateLimiter.h
+++ b/libs/dispatch/StatedRateLimiter.h
@@ -1,6 +1,7 @@
 #ifndef LYCHEE_DISPATCH_STATEDRATELIMITER_H
 #define LYCHEE_DISPATCH_STATEDRATELIMITER_H
 
+#include "dispatch/Announcement.h"
 #include "dispatch/RateBucket.h"
 #include "members/Heartbeat.h"
 #include "steering/Steering.h"
@@ -30,10 +31,6 @@
   /// A target that takes nothing gets a request now and then, as only its
   /// answers tell when that ends.
   static constexpr double MinPerSecond = 0.2;
-  /// A change is announced for this long: in three heartbeats or region
-  /// updates.
-  static constexpr base::Duration AnnouncePeriod =
-      std::chrono::milliseconds(1600);
   /// A rate that does not change is announced again at this interval, by the
   /// host that hears it next, for hosts that have started since.
   static constexpr base::Duration RefreshInterval = std::chrono::seconds(4);
@@ -58,14 +55,8 @@
   /// \returns what is known. \param Target  key of the target and its start.
   members::TargetRate report(std::uint64_t Target, base::TimePoint Now) const;
 
-  /// \returns whether to announce it to the hosts of the region now.
-  bool isAnnounced(base::TimePoint Now) const noexcept {
-    return Now < AnnouncedUntil_;
-  }
-  /// \returns whether a representative tells other regions of it now.
-  bool isRelayed(base::TimePoint Now) const noexcept {
-    return Now < RelayedUntil_;
-  }
+  /// \returns when it is announced.
+  const Announcement &announcement() const noexcept { return Announcement_; }
 
   // Tokens, at the owner.
 
@@ -90,8 +81,7 @@
 
   std::optional<double> PerSecond_;
   base::TimePoint HeardAt_;
-  base::TimePoint AnnouncedUntil_;
-  base::TimePoint RelayedUntil_;
+  Announcement Announcement_;
   /// When any host announced it last.
   base::TimePoint LastAnnounced_;
   RateBucket Tokens_;
--- a/libs/dispatch/TargetChooser.cpp
+++ b/libs/dispatch/TargetChooser.cpp
@@ -31,24 +31,72 @@
   return std::find(Targets.begin(), Targets.end(), Target) != Targets.end();
 }
 
+bool isInHomes(const std::vector<base::RegionId> *Homes,
+               const TargetState &Target) {
+  return Homes == nullptr || std::find(Homes->begin(), Homes->end(),
+                                       Target.Region_) != Homes->end();
+}
+
 bool mayServe(const ChoiceQuery &Query, const TargetState &Target,
               base::TimePoint Now) {
-  if (Target.Record_.Leaving_ || Target.Evacuated_ || Target.AddressReused_ ||
-      Target.Health_.isEjected(Now) ||
-      contains(Query.TriedTargets_, Target.Record_.Id_))
-    return false;
-  return Query.Homes_ == nullptr ||
-         std::find(Query.Homes_->begin(), Query.Homes_->end(),
-                   Target.Region_) != Query.Homes_->end();
+  return TargetChooser::acceptsRequests(Target, Now) &&
+         !Target.Health_.isEjected(Now) &&
+         !contains(Query.TriedTargets_, Target.Record_.Id_) &&
+         isInHomes(Query.Homes_, Target);
 }
 
 bool isRestricted(const TargetState &Target, base::TimePoint Now) {
   return TargetChooser::needsProbe(Target, Now) ||
-         Target.StatedRate_.perSecond().has_value();
+         Target.Stated_->rate().perSecond().has_value();
 }
 
 } // namespace
 
+bool TargetChooser::isInUse(const TargetState &Target) noexcept {
+  return !Target.Record_.Leaving_ && !Target.Stated_->isLeaving() &&
+         !Target.Evacuated_ && !Target.AddressReused_;
+}
+
+bool TargetChooser::acceptsRequests(const TargetState &Target,
+                                    base::TimePoint Now) noexcept {
+  return isInUse(Target) && !Target.Stated_->isResting(Now);
+}
+
+std::optional<base::Duration>
+TargetChooser::firstRestEnd(const std::vector<base::RegionId> *Homes,
+                            std::span<const TargetState> Targets,
+                            base::TimePoint Now) {
+  std::optional<base::Duration> First;
+  for (const TargetState &Target : Targets) {
+    if (!isInUse(Target) || !isInHomes(Homes, Target))
+      continue;
+    const base::Duration Left = Target.Stated_->restUntil() - Now;
+    if (Left <= base::Duration::zero())
+      return std::nullopt;
+    First = std::min(First.value_or(Left), Left);
+  }
+  return First;
+}
+
+std::vector<steering::PassedOverTarget> TargetChooser::passedOverForStatements(
+    std::uint64_t Object, std::span<const TargetState> Targets,
+    const TargetState &Chosen, base::TimePoint Now) {
+  std::vector<steering::PassedOverTarget> Result;
+  const auto Score = [Object](const TargetState &Target) {
+    return rendezvousScore(Object, Target.Hash_, Target.Record_.Slots_);
+  };
+  for (const TargetState &Target : Targets) {
+    if (Target.Stated_->acceptsRequests(Now) ||
+        Target.Region_ != Chosen.Region_ || Score(Target) < Score(Chosen))
+      continue;
+    Result.push_back({Target.Record_.Id_,
+                      Target.Stated_->isLeaving() ? "says-leaving" : "rests"});
+    if (Result.size() == MaxPassedOver)
+      break;
+  }
+  return Result;
+}
+
 bool TargetChooser::needsProbe(const TargetState &Target,
                                base::TimePoint Now) noexcept {
   return Now < Target.ColdUntil_ || Target.Health_.isOnProbation(Now);
--- a/libs/dispatch/TargetChooser.h
+++ b/libs/dispatch/TargetChooser.h
@@ -93,6 +93,30 @@
   TargetChooser(base::RegionId Region, base::ZoneId Zone)
       : Region_(std::move(Region)), Zone_(std::move(Zone)) {}
 
+  /// \returns whether the target is one that requests are sent to at all: it
+  /// does not leave, its zone is not evacuated, and it is at its address.
+  static bool isInUse(const TargetState &Target) noexcept;
+
+  /// \returns whether the target is in use and does not rest.
+  static bool acceptsRequests(const TargetState &Target,
+                              base::TimePoint Now) noexcept;
+
+  /// \returns the time until the first of the targets that may serve the
+  /// request ends its rest; nothing where one of them does not rest.
+  /// \param Homes  regions in which it may be served; null: any.
+  static std::optional<base::Duration>
+  firstRestEnd(const std::vector<base::RegionId> *Homes,
+               std::span<const TargetState> Targets, base::TimePoint Now);
+
+  /// \returns the targets that come before \p Chosen in the object's order, in
+  /// its region, and were passed over for what they state: MaxPassedOver at
+  /// most.
+  static std::vector<steering::PassedOverTarget>
+  passedOverForStatements(std::uint64_t Object,
+                          std::span<const TargetState> Targets,
+                          const TargetState &Chosen, base::TimePoint Now);
+  static constexpr std::size_t MaxPassedOver = 4;
+
   /// \returns whether only a few requests may be sent to the target, since it
   /// is cold or may have restarted.
   static bool needsProbe(const TargetState &Target,
--- a/libs/dispatch/TargetState.h
+++ b/libs/dispatch/TargetState.h
@@ -4,10 +4,12 @@
 #include "dispatch/ColdTargetRateLimiter.h"
 #include "dispatch/LoadEstimate.h"
 #include "dispatch/RecentObjects.h"
-#include "dispatch/StatedRateLimiter.h"
 #include "dispatch/TargetHealth.h"
+#include "dispatch/TargetStatements.h"
 #include "live/TargetRecord.h"
 
+#include <memory>
+
 namespace lychee::dispatch {
 
 /// State of one target: its registration, and what this host observed.
@@ -25,7 +27,10 @@
   ColdTargetRateLimiter ColdLimiter_;
   /// Identifies the target and its start between hosts.
   std::uint64_t StartKey_ = 0;
-  StatedRateLimiter StatedRate_;
+  /// Shared with the table that keeps it while the target has no entry. \see
+  /// StatementTable
+  std::shared_ptr<TargetStatements> Stated_ =
+      std::make_shared<TargetStatements>();
   RecentObjects RecentObjects_;
   /// Its response time, as a multiple of what is usual for the request's rule.
   double Slowness_ = 1;
--- a/libs/gateway/Forwarding.cpp
+++ b/libs/gateway/Forwarding.cpp
@@ -46,7 +46,8 @@
 
 bool provesNotRun(SendOutcome End) noexcept {
   return End == SendOutcome::ConnectFailed ||
-         End == SendOutcome::ClosedBeforeWrite || End == SendOutcome::Shed;
+         End == SendOutcome::ClosedBeforeWrite ||
+         End == SendOutcome::Withheld || End == SendOutcome::Shed;
 }
 
 } // namespace
@@ -253,9 +254,15 @@
     return Home_.shared().Others_.Steering_.mayHedge(
         Decision_.Ticket_, base::SystemClock::monotonicNow());
   });
+  Send.onAnswerHead([this](const steering::AnswerHead &Head) {
+    Home_.shared().Others_.Steering_.recordAnswerHead(
+        Decision_.Ticket_, Head, base::SystemClock::monotonicNow());
+  });
   if (Reader_.isWhole())
     Caller_.watch().watchHangUp(Caller_.socket().native_handle());
   TargetSend::Failure Failed = co_await Send.open(Request_.Idempotent_);
+  if (!Failed)
+    Failed = withhold(Send);
   if (!Failed)
     Failed = co_await writeRequest(Send);
   if (!Failed)
@@ -274,6 +281,8 @@
 Task<TargetSend::Failure> Forwarding::hedge(TargetSend &Send) {
   Caller_.watch().rearm();
   TargetSend::Failure Failed = co_await Send.reopen();
+  if (!Failed)
+    Failed = withhold(Send);
   if (!Failed)
     Failed = co_await writeRequest(Send);
   if (!Failed)
@@ -286,6 +295,16 @@
   co_return Failed;
 }
 
+/// Between the decision and the first byte lie a claim, a wait or a connect, in
+/// which the target may have asked for a rest.
+TargetSend::Failure Forwarding::withhold(TargetSend &Send) const {
+  if (Home_.shared().Others_.Steering_.mayWrite(
+          Decision_.Ticket_, base::SystemClock::monotonicNow()))
+    return std::nullopt;
+  Send.releaseUnused();
+  return SendOutcome::Withheld;
+}
+
 Task<TargetSend::Failure> Forwarding::writeRequest(TargetSend &Send) {
   ForwardedRequest Added;
   Added.RequestId_ = Request_.Id_.name();
--- a/libs/gateway/Forwarding.h
+++ b/libs/gateway/Forwarding.h
@@ -37,6 +37,8 @@
   Task<Ending> send(bool &Again);
   /// Sends an idempotent request once more, on a new connection.
   Task<TargetSend::Failure> hedge(TargetSend &Send);
+  /// \returns a failure where the target no longer takes the request.
+  TargetSend::Failure withhold(TargetSend &Send) const;
   Task<TargetSend::Failure> writeRequest(TargetSend &Send);
   Task<TargetSend::Failure> streamBody(TargetSend &Send);
   Task<Ending> answer(TargetSend &Send, bool &Again);
--- a/libs/gateway/ProblemDocument.cpp
+++ b/libs/gateway/ProblemDocument.cpp
@@ -59,6 +59,8 @@
     return "No region has room for the request.";
   case Refusal::TargetRatesUsedUp:
     return "The rates that the service's targets state are used up.";
+  case Refusal::TargetsRest:
+    return "The service's targets have asked for a rest.";
   case Refusal::CrashSuspect:
     return "Targets were lost while they ran requests like this one.";
   case Refusal::ClaimHeldElsewhere:
@@ -103,6 +105,7 @@
   case Refusal::NoHealthyTarget:
   case Refusal::NoHeadroom:
   case Refusal::TargetRatesUsedUp:
+  case Refusal::TargetsRest:
   case Refusal::CrashSuspect:
   case Refusal::ClaimStoreDown:
   case Refusal::Stopping:
--- a/libs/gateway/TargetObserver.h
+++ b/libs/gateway/TargetObserver.h
@@ -35,7 +35,8 @@
   std::string Reason_;
 };
 
-/// Hears the result of each poll; called from one thread. \see TargetPoller
+/// Hears the result of each poll, and says which targets may be polled; called
+/// from one thread. \see TargetPoller
 class TargetObserver {
 public:
   TargetObserver() = default;
@@ -44,6 +45,14 @@
   virtual ~TargetObserver() = default;
 
   virtual void observed(const TargetObservation &Seen, base::TimePoint Now) = 0;
+
+  /// \returns whether the target may be polled now; a target that rests from
+  /// this host wants no polls either.
+  virtual bool mayPoll(const TargetEntry &Entry, base::TimePoint Now) {
+    (void)Entry;
+    (void)Now;
+    return true;
+  }
 };
 
 } // namespace lychee::gateway
--- a/libs/gateway/TargetPoller.cpp
+++ b/libs/gateway/TargetPoller.cpp
@@ -33,13 +33,15 @@
   Pause.expires_after(std::chrono::duration_cast<Timer::duration>(Offset));
   co_await Pause.async_wait(Await);
   TargetPoll Poll(Home, Entry);
+  TargetObserver &Observer = Home.shared().Others_.Observer_;
   while (Current->load()) {
-    const TargetObservation Seen = co_await Poll.poll();
-    // A target that was taken out while it was asked is not reported on.
-    if (!Current->load())
-      break;
-    Home.shared().Others_.Observer_.observed(Seen,
-                                             base::SystemClock::monotonicNow());
+    if (Observer.mayPoll(Entry, base::SystemClock::monotonicNow())) {
+      const TargetObservation Seen = co_await Poll.poll();
+      // A target that was taken out while it was asked is not reported on.
+      if (!Current->load())
+        break;
+      Observer.observed(Seen, base::SystemClock::monotonicNow());
+    }
     Pause.expires_after(std::chrono::duration_cast<Timer::duration>(Interval));
     co_await Pause.async_wait(Await);
   }
--- a/libs/gateway/TargetSend.cpp
+++ b/libs/gateway/TargetSend.cpp
@@ -184,6 +184,8 @@
   std::array<char, 4096> Unwanted{};
   for (int Foreign = 0; Foreign <= MaximumForeignAnswers; ++Foreign) {
     const bool Came = co_await skipInterim(End, WithoutBody);
+    if (Came && Heard_)
+      Heard_(answerHead());
     if (!Came || !isForeign())
       co_return Came;
     if (Reader_->endsWithConnection())
@@ -319,6 +321,25 @@
   Connection_.reset();
 }
 
+void TargetSend::releaseUnused() {
+  if (Connection_)
+    Pool_->giveBack(std::move(Connection_));
+}
+
+steering::AnswerHead TargetSend::answerHead() const {
+  const Vocabulary &Names = Home_.shared().Settings_.Names_;
+  const AnswerReader::Message &Head = Reader_->message();
+  steering::AnswerHead Made;
+  Made.Status_ = static_cast<int>(Head.result_int());
+  Made.NotRun_ = saysNotRun();
+  Made.WrongTarget_ =
+      !Names.ExpectedTarget_.empty() &&
+      Head.result() == boost::beast::http::status::misdirected_request;
+  Made.Took_ = LastRead_ - FirstWrite_;
+  Made.Statement_ = statementOf(Head, Names, base::SystemClock::wallNow());
+  return Made;
+}
+
 steering::SendReport TargetSend::report(steering::SendOutcome End) const {
   steering::SendReport Made;
   Made.Outcome_ = End;
@@ -333,11 +354,9 @@
   if (Reader_ && AnswerSeen_) {
     const Vocabulary &Names = Home_.shared().Settings_.Names_;
     Made.Load_ = loadOf(Reader_->message(), Names);
-    Made.Statement_ =
-        statementOf(Reader_->message(), Names, base::SystemClock::wallNow());
-    Made.WrongTarget_ = !Names.ExpectedTarget_.empty() &&
-                        Reader_->message().result() ==
-                            boost::beast::http::status::misdirected_request;
+    const steering::AnswerHead Head = answerHead();
+    Made.Statement_ = Head.Statement_;
+    Made.WrongTarget_ = Head.WrongTarget_;
   }
   return Made;
 }
--- a/libs/gateway/TargetSend.h
+++ b/libs/gateway/TargetSend.h
@@ -48,6 +48,12 @@
     MayRepeat_ = std::move(MayRepeat);
   }
 
+  /// \param Heard  is passed what the head of each answer states, as soon as it
+  /// is read, of late answers to earlier requests, too.
+  void onAnswerHead(std::function<void(const steering::AnswerHead &)> Heard) {
+    Heard_ = std::move(Heard);
+  }
+
   /// Takes an idle connection or opens one. \param Idempotent  a request that
   /// is not goes only on one that is new or has just shown life.
   Task<Failure> open(bool Idempotent);
@@ -82,6 +88,9 @@
   /// Gives the connection back after a whole answer, or closes it.
   void release();
 
+  /// Gives the connection back, on which nothing was written.
+  void releaseUnused();
+
   /// \returns how it went, for the steering.
   steering::SendReport report(steering::SendOutcome End) const;
 
@@ -91,6 +100,7 @@
 private:
   Task<Failure> connect();
   Task<bool> skipInterim(ReadEnd &End, bool WithoutBody);
+  steering::AnswerHead answerHead() const;
   Task<bool> skipForeign(ReadEnd &End, bool WithoutBody);
   bool isForeign() const;
   Task<bool> writeWhileSilent(std::string_view Body);
@@ -107,6 +117,7 @@
   base::TimePoint Patience_ = base::TimePoint::max();
   std::function<bool()> MayAbandon_;
   std::function<bool()> MayRepeat_;
+  std::function<void(const steering::AnswerHead &)> Heard_;
   std::unique_ptr<TargetConnection> Connection_;
   std::unique_ptr<AnswerReader> Reader_;
   std::string Held_;
--- a/libs/members/Heartbeat.cpp
+++ b/libs/members/Heartbeat.cpp
@@ -27,6 +27,7 @@
 constexpr const char *LivePeersName = "o";
 constexpr const char *TimesName = "w";
 constexpr const char *TargetRatesName = "r";
+constexpr const char *TargetLeavingsName = "g";
 constexpr const char *RegionName = "region";
 constexpr const char *ZoneName = "zone";
 constexpr const char *AddressName = "at";
@@ -97,6 +98,8 @@
     addEvidence(Message.Evidence_, Document[EvidenceName]);
   if (!Message.TargetRates_.empty())
     addTargetRates(Message.TargetRates_, Document[TargetRatesName]);
+  if (!Message.TargetLeavings_.empty())
+    addTargetLeavings(Message.TargetLeavings_, Document[TargetLeavingsName]);
   if (!Message.Times_.empty())
     addTimes(Message.Times_, Document[TimesName]);
   for (const std::string &Address : Message.LivePeers_)
@@ -111,6 +114,7 @@
   Heartbeat Shorter = Message;
   Shorter.Evidence_.clear();
   Shorter.TargetRates_.clear();
+  Shorter.TargetLeavings_.clear();
   Shorter.Times_.clear();
   Shorter.LivePeers_.clear();
   Text = encodeHeartbeat(Shorter);
@@ -136,6 +140,8 @@
       !readLoads(Document[LoadsName], Result.Loads_) ||
       !readEvidence(Document[EvidenceName], Result.Evidence_) ||
       !readTargetRates(Document[TargetRatesName], Result.TargetRates_) ||
+      !readTargetLeavings(Document[TargetLeavingsName],
+                          Result.TargetLeavings_) ||
       !readTimes(Document[TimesName], Result.Times_) ||
       !readLivePeers(Document[LivePeersName], Result))
     return std::nullopt;
--- a/libs/members/Heartbeat.h
+++ b/libs/members/Heartbeat.h
@@ -55,6 +55,20 @@
 /// each.
 inline constexpr std::size_t MaxTargetRates = 32;
 
+/// A target that said that it leaves, as known to a host.
+struct TargetLeaving {
+  /// Key of the target and its start.
+  std::uint64_t Target_ = 0;
+  /// Time since the target's answer.
+  base::Duration Age_{};
+
+  bool operator==(const TargetLeaving &) const = default;
+};
+
+/// Largest number of leaving targets in a heartbeat or region update: about 30
+/// bytes each.
+inline constexpr std::size_t MaxTargetLeavings = 32;
+
 /// Largest number of rules in a heartbeat: about 30 bytes each, all in one
 /// datagram.
 inline constexpr std::size_t MaxRuleExecutionTimes = 64;
@@ -98,6 +112,7 @@
   std::vector<retrying::CrashEvidence> Evidence_;
   /// Changes, and now and then those that hold.
   std::vector<TargetRate> TargetRates_;
+  std::vector<TargetLeaving> TargetLeavings_;
   /// Sent only to hosts that have just started.
   std::vector<RuleExecutionTimes> Times_;
   /// Addresses of the hosts whose heartbeats the sender receives. Hosts
@@ -108,9 +123,8 @@
 std::string encodeHeartbeat(const Heartbeat &Message);
 
 /// Encodes a heartbeat in at most \p MaxBytes. If it is too long, crash
-/// evidence, targets' rates, execution times and live peers are omitted, and
-/// then demands. A
-/// host that sent nothing would be considered dead.
+/// evidence, targets' statements, execution times and live peers are omitted,
+/// and then demands. A host that sent nothing would be considered dead.
 std::string encodeHeartbeat(const Heartbeat &Message, std::size_t MaxBytes);
 
 /// \returns nothing and fills \p Last if \p Text is not a heartbeat.
--- a/libs/members/HostTable.cpp
+++ b/libs/members/HostTable.cpp
@@ -281,6 +281,7 @@
     Result.Loads_.push_back({Key.first, Slots, Key.second});
   Result.Evidence_ = Local.Evidence_;
   Result.TargetRates_ = Local.TargetRates_;
+  Result.TargetLeavings_ = Local.TargetLeavings_;
   return Result;
 }
 
--- a/libs/members/HostTable.h
+++ b/libs/members/HostTable.h
@@ -45,6 +45,7 @@
   std::vector<ServiceDemand> Loads_;
   std::vector<retrying::CrashEvidence> Evidence_;
   std::vector<TargetRate> TargetRates_;
+  std::vector<TargetLeaving> TargetLeavings_;
 };
 
 /// Tracks the other hosts of the region by their heartbeats, with two
--- a/libs/members/MessageRows.cpp
+++ b/libs/members/MessageRows.cpp
@@ -137,6 +137,27 @@
   return true;
 }
 
+void addTargetLeavings(std::span<const TargetLeaving> All, Json::Value &Into) {
+  for (const TargetLeaving &Entry : All) {
+    Json::Value Row(Json::arrayValue);
+    Row.append(Json::UInt64(Entry.Target_));
+    Row.append(Json::Int64(base::toMilliseconds(Entry.Age_)));
+    Into.append(Row);
+  }
+}
+
+bool readTargetLeavings(const Json::Value &Rows,
+                        std::vector<TargetLeaving> &Into) {
+  for (const Json::Value &Row : Rows) {
+    if (!Row.isArray() || Row.size() != 2 || !Row[0].isUInt64() ||
+        !Row[1].isInt64())
+      return false;
+    Into.push_back(
+        {Row[0].asUInt64(), std::chrono::milliseconds(Row[1].asInt64())});
+  }
+  return true;
+}
+
 void addTimes(std::span<const RuleExecutionTimes> All, Json::Value &Into) {
   for (const RuleExecutionTimes &Entry : All) {
     Json::Value Row(Json::arrayValue);
--- a/libs/members/MessageRows.h
+++ b/libs/members/MessageRows.h
@@ -28,6 +28,9 @@
 bool readTimes(const Json::Value &Rows, std::vector<RuleExecutionTimes> &Into);
 void addTargetRates(std::span<const TargetRate> All, Json::Value &Into);
 bool readTargetRates(const Json::Value &Rows, std::vector<TargetRate> &Into);
+void addTargetLeavings(std::span<const TargetLeaving> All, Json::Value &Into);
+bool readTargetLeavings(const Json::Value &Rows,
+                        std::vector<TargetLeaving> &Into);
 Json::Value rowOf(const TargetRate &Entry);
 /// \returns nothing if \p Row has another form.
 std::optional<TargetRate> readTargetRate(const Json::Value &Row);
--- a/libs/members/RegionAnnouncer.cpp
+++ b/libs/members/RegionAnnouncer.cpp
@@ -22,6 +22,7 @@
   Result.Loads_ = Known.Loads_;
   Result.Evidence_ = Known.Evidence_;
   Result.TargetRates_ = Known.TargetRates_;
+  Result.TargetLeavings_ = Known.TargetLeavings_;
   return Result;
 }
 
--- a/libs/members/RegionUpdate.cpp
+++ b/libs/members/RegionUpdate.cpp
@@ -66,6 +66,8 @@
     addEvidence(Update.Summary_.Evidence_, Document["crashes"]);
   if (!Update.Summary_.TargetRates_.empty())
     addTargetRates(Update.Summary_.TargetRates_, Document["rates"]);
+  if (!Update.Summary_.TargetLeavings_.empty())
+    addTargetLeavings(Update.Summary_.TargetLeavings_, Document["leavings"]);
   return writeJson(Document);
 }
 
@@ -89,7 +91,9 @@
       !readDemands(Document["demands"], Result.Summary_.Demands_) ||
       !readLoads(Document["loads"], Result.Summary_.Loads_) ||
       !readEvidence(Document["crashes"], Result.Summary_.Evidence_) ||
-      !readTargetRates(Document["rates"], Result.Summary_.TargetRates_))
+      !readTargetRates(Document["rates"], Result.Summary_.TargetRates_) ||
+      !readTargetLeavings(Document["leavings"],
+                          Result.Summary_.TargetLeavings_))
     return std::nullopt;
   return Result;
 }
--- a/libs/members/RegionUpdate.h
+++ b/libs/members/RegionUpdate.h
@@ -25,6 +25,7 @@
   std::vector<ServiceDemand> Loads_;
   std::vector<retrying::CrashEvidence> Evidence_;
   std::vector<TargetRate> TargetRates_;
+  std::vector<TargetLeaving> TargetLeavings_;
 };
 
 /// What a representative sends to other regions: changes, and the unchanged
--- a/libs/placement/TargetPool.cpp
+++ b/libs/placement/TargetPool.cpp
@@ -60,6 +60,10 @@
     addPassedOver(Choice, Target, "just-tried");
     return false;
   }
+  if (isResting(Target, Now)) {
+    addPassedOver(Choice, Target, "resting");
+    return false;
+  }
   if (Now >= SuspectUntil_ && Targets_[Target].Health_.isEjected(Now)) {
     addPassedOver(Choice, Target, "ejected");
     return false;
@@ -89,7 +93,8 @@
 std::uint32_t TargetPool::freeSlots(TargetIndex Target,
                                     base::TimePoint Now) const noexcept {
   const TargetState &State = Targets_[Target];
-  if (State.Health_.isEjected(Now) || Now < State.AssumedFullUntil_)
+  if (State.Health_.isEjected(Now) || isResting(Target, Now) ||
+      Now < State.AssumedFullUntil_)
     return 0;
   const std::uint32_t OwnSlots =
       State.SlotShare_ ? State.Health_.usableShare(*State.SlotShare_,
@@ -191,7 +196,8 @@
     const TargetState &State = Targets_[Target];
     // A probe needs a slot like any request: when the pool recovers, the probes
     // of all hosts and the first requests meet there.
-    if (State.OwnInFlight_ >= State.SlotShare_.value_or(State.Slots_))
+    if (State.OwnInFlight_ >= State.SlotShare_.value_or(State.Slots_) ||
+        isResting(Target, Now))
       continue;
     LastProbe_ = Now;
     setTarget(Choice, Target, "probe");
@@ -235,6 +241,12 @@
   updateEjection(Target, Now);
 }
 
+void TargetPool::recordRest(TargetIndex Target,
+                            base::TimePoint Until) noexcept {
+  TargetState &State = Targets_[Target];
+  State.RestUntil_ = std::max(State.RestUntil_, Until);
+}
+
 void TargetPool::recordReport(TargetIndex Target, std::uint32_t Load,
                               base::TimePoint MeasuredAt) noexcept {
   TargetState &State = Targets_[Target];
--- a/libs/placement/TargetPool.h
+++ b/libs/placement/TargetPool.h
@@ -161,6 +161,18 @@
   void recordReport(TargetIndex Target, std::uint32_t Load,
                     base::TimePoint MeasuredAt) noexcept;
 
+  /// Records that a target asked this host for a rest: it gets nothing, probes
+  /// included, until the last rest that it asked for ends.
+  void recordRest(TargetIndex Target, base::TimePoint Until) noexcept;
+
+  bool isResting(TargetIndex Target, base::TimePoint Now) const noexcept {
+    return Now < Targets_[Target].RestUntil_;
+  }
+
+  /// \returns the time until the first target ends its rest; nothing where one
+  /// of them does not rest.
+  std::optional<base::Duration> firstRestEnd(base::TimePoint Now) const;
+
   /// Records the requests that a peer has in flight.
   void recordPeerLoads(const base::HostId &Peer,
                        std::span<const InFlight> Counts, base::TimePoint Now) {
@@ -214,6 +226,8 @@
     LoadReport Report_;
     /// Assumed to be full until then, after it shed a request.
     base::TimePoint AssumedFullUntil_;
+    /// Wants nothing from this host until then.
+    base::TimePoint RestUntil_;
     TargetHealth Health_;
   };
 
--- a/libs/placement/TargetPoolUpkeep.cpp
+++ b/libs/placement/TargetPoolUpkeep.cpp
@@ -161,7 +161,8 @@
     return Result;
   for (const TargetIndex Index : Active_) {
     const TargetState &State = Targets_[Index];
-    if (Result.Trust_ == Trust::Trusted && State.Health_.isEjected(Now))
+    if (isResting(Index, Now) ||
+        (Result.Trust_ == Trust::Trusted && State.Health_.isEjected(Now)))
       continue;
     ++Result.UsableTargets_;
     Result.Slots_ += State.Health_.usableSlots(State.Slots_, Now);
@@ -170,6 +171,18 @@
   return Result;
 }
 
+std::optional<base::Duration>
+TargetPool::firstRestEnd(base::TimePoint Now) const {
+  std::optional<base::Duration> First;
+  for (const TargetIndex Index : Active_) {
+    const base::Duration Left = Targets_[Index].RestUntil_ - Now;
+    if (Left <= base::Duration::zero())
+      return std::nullopt;
+    First = std::min(First.value_or(Left), Left);
+  }
+  return First;
+}
+
 std::vector<InFlight> TargetPool::ownInFlight() const {
   std::vector<InFlight> Counts;
   for (TargetIndex Index = 0; Index < Targets_.size(); ++Index)
--- a/libs/retrying/RetryVerdict.cpp
+++ b/libs/retrying/RetryVerdict.cpp
@@ -18,6 +18,7 @@
     {"shed", Ran::No, false},
     {"connect-failed", Ran::No, false},
     {"closed-unwritten", Ran::No, false},
+    {"withheld", Ran::No, false},
     {"lost-partly-written", Ran::Maybe, false},
     {"lost-unanswered", Ran::Maybe, false},
     {"answer-cut", Ran::Maybe, false},
--- a/libs/retrying/RetryVerdict.h
+++ b/libs/retrying/RetryVerdict.h
@@ -15,6 +15,9 @@
   ConnectFailed,
   /// The connection closed before any byte of the request was written.
   ClosedBeforeWrite,
+  /// The target asked for a rest, or left, before any byte of the request was
+  /// written.
+  Withheld,
   /// The connection closed or timed out after part of the request was written.
   LostAfterPartialWrite,
   /// The connection closed or timed out after the whole request was written
@@ -34,7 +37,7 @@
 };
 
 /// Number of values of SendOutcome, for tables and tests.
-inline constexpr std::uint8_t SendOutcomeCount = 10;
+inline constexpr std::uint8_t SendOutcomeCount = 11;
 
 /// Whether a request ran at the target it was sent to.
 enum class Ran : std::uint8_t { No, Maybe, Yes };
--- a/libs/steering/FleetSteering.cpp
+++ b/libs/steering/FleetSteering.cpp
@@ -150,6 +150,13 @@
     Service->acceptSlots(Grant, Now, Wakeups);
 }
 
+bool FleetSteering::isResting(const base::ServiceId &Service,
+                              const base::TargetId &Target,
+                              base::TimePoint Now) const {
+  const ServicePointer Known = find(Service);
+  return Known && Known->isResting(Target, Now);
+}
+
 void FleetSteering::reportTargetLoad(const base::ServiceId &Service,
                                      const base::TargetId &Target,
                                      std::uint32_t Load,
@@ -210,6 +217,18 @@
   return Service ? Service->finish(Ticket, Report, Now, Wakeups) : Decision{};
 }
 
+bool FleetSteering::mayWrite(std::uint64_t Ticket, base::TimePoint Now) {
+  const ServicePointer Service = find(Ticket);
+  return !Service || Service->mayWrite(Ticket, Now);
+}
+
+void FleetSteering::recordAnswerHead(std::uint64_t Ticket,
+                                     const AnswerHead &Head,
+                                     base::TimePoint Now) {
+  if (const ServicePointer Service = find(Ticket))
+    Service->recordAnswerHead(Ticket, Head, Now);
+}
+
 void FleetSteering::cancel(std::uint64_t Ticket, base::TimePoint Now) {
   if (const ServicePointer Service = find(Ticket))
     Service->cancel(Ticket, Now);
--- a/libs/steering/FleetSteering.h
+++ b/libs/steering/FleetSteering.h
@@ -92,6 +92,9 @@
                    std::vector<Wakeup> &Wakeups);
 
   /// Records a target's own load report: the requests that it runs or queues.
+  /// \returns whether the target wants nothing from this host now.
+  bool isResting(const base::ServiceId &Service, const base::TargetId &Target,
+                 base::TimePoint Now) const;
   void reportTargetLoad(const base::ServiceId &Service,
                         const base::TargetId &Target, std::uint32_t Load,
                         base::TimePoint MeasuredAt);
@@ -102,6 +105,9 @@
   Decision arrive(const Request &NewRequest, base::TimePoint Now) override;
   Decision finish(std::uint64_t Ticket, const SendReport &Report,
                   base::TimePoint Now, std::vector<Wakeup> &Wakeups) override;
+  bool mayWrite(std::uint64_t Ticket, base::TimePoint Now) override;
+  void recordAnswerHead(std::uint64_t Ticket, const AnswerHead &Head,
+                        base::TimePoint Now) override;
   void cancel(std::uint64_t Ticket, base::TimePoint Now) override;
   void tick(base::TimePoint Now, std::vector<Wakeup> &Wakeups) override;
 
--- a/libs/steering/ServicePeers.cpp
+++ b/libs/steering/ServicePeers.cpp
@@ -101,6 +101,15 @@
   spillWaiting(Now, Wakeups);
 }
 
+bool ServiceSteering::isResting(const base::TargetId &Target,
+                                base::TimePoint Now) const {
+  const std::scoped_lock Guard(Lock_);
+  for (const auto &[Region, Pool] : Pools_)
+    if (const auto Index = Pool->targets().indexOf(Target))
+      return Pool->targets().isResting(*Index, Now);
+  return false;
+}
+
 void ServiceSteering::reportTargetLoad(const base::TargetId &Target,
                                        std::uint32_t Load,
                                        base::TimePoint MeasuredAt) {
--- a/libs/steering/ServiceSteering.cpp
+++ b/libs/steering/ServiceSteering.cpp
@@ -1,5 +1,7 @@
 #include "steering/ServiceSteering.h"
 
+#include "steering/ReturnTime.h"
+
 #include <algorithm>
 #include <cassert>
 #include <limits>
@@ -63,6 +65,7 @@
                ? placement::Outcome::Faulty
                : placement::Outcome::Cancelled;
   case SendOutcome::ClosedBeforeWrite:
+  case SendOutcome::Withheld:
   case SendOutcome::CancelledBeforeWrite:
     // A target may close an idle connection at any time.
     return placement::Outcome::Cancelled;
@@ -152,7 +155,7 @@
   const auto Customer =
       Home ? Home->customerIndex(Pending.Request_.Customer_) : std::nullopt;
   if (!Customer)
-    return refuse(Refusal::NoHealthyTarget, ranOf(Pending.MayHaveRun_));
+    return refuseUnplaced(Pending, Now);
   Pending.Customer_ = *Customer;
   admission::AdmissionRequest Arrival;
   Arrival.Ticket_ = Ticket;
@@ -285,6 +288,26 @@
   return Result;
 }
 
+Decision ServiceSteering::refuseUnplaced(const PendingRequest &Pending,
+                                         base::TimePoint Now) {
+  std::optional<base::Duration> First;
+  bool AllRest = true;
+  for (const base::RegionId &Region : Pending.Request_.PreferredRegions_) {
+    const RegionPool *Pool = poolOf(Region);
+    if (!Pool || Pool->targets().active().empty())
+      continue;
+    const auto Left = Pool->targets().firstRestEnd(Now);
+    AllRest = AllRest && Left.has_value();
+    if (Left)
+      First = std::min(First.value_or(*Left), *Left);
+  }
+  if (!First || !AllRest)
+    return refuse(Refusal::NoHealthyTarget, ranOf(Pending.MayHaveRun_));
+  Decision Result = refuse(Refusal::TargetsRest, ranOf(Pending.MayHaveRun_));
+  Result.RetryAfter_ = returnAfterRest(*First, Random_);
+  return Result;
+}
+
 Decision
 ServiceSteering::refuse(const PendingRequest &Pending,
                         const admission::AdmissionDecision &Verdict) const {
@@ -310,6 +333,25 @@
   return Next;
 }
 
+bool ServiceSteering::mayWrite(std::uint64_t Ticket, base::TimePoint Now) {
+  const std::scoped_lock Guard(Lock_);
+  const auto Known = Pending_.find(Ticket);
+  return Known == Pending_.end() || Known->second.IsWaiting_ ||
+         !Known->second.Pool_->targets().isResting(Known->second.SentTo_, Now);
+}
+
+void ServiceSteering::recordAnswerHead(std::uint64_t Ticket,
+                                       const AnswerHead &Head,
+                                       base::TimePoint Now) {
+  const std::scoped_lock Guard(Lock_);
+  const auto Known = Pending_.find(Ticket);
+  const std::optional<base::Duration> &Rest = Head.Statement_.Rest_.For_;
+  if (Known == Pending_.end() || Known->second.IsWaiting_ || !Rest ||
+      Head.WrongTarget_)
+    return;
+  Known->second.Pool_->targets().recordRest(Known->second.SentTo_, Now + *Rest);
+}
+
 void ServiceSteering::release(PendingRequest &Ended, const SendReport &Report,
                               base::TimePoint Now) {
   RegionPool &Pool = *Ended.Pool_;
--- a/libs/steering/ServiceSteering.h
+++ b/libs/steering/ServiceSteering.h
@@ -78,6 +78,7 @@
   void acceptSlots(const SlotGrant &Grant, base::TimePoint Now,
                    std::vector<Wakeup> &Wakeups);
 
+  bool isResting(const base::TargetId &Target, base::TimePoint Now) const;
   void reportTargetLoad(const base::TargetId &Target, std::uint32_t Load,
                         base::TimePoint MeasuredAt);
 
@@ -85,6 +86,9 @@
                   base::TimePoint Now);
   Decision finish(std::uint64_t Ticket, const SendReport &Report,
                   base::TimePoint Now, std::vector<Wakeup> &Wakeups);
+  bool mayWrite(std::uint64_t Ticket, base::TimePoint Now);
+  void recordAnswerHead(std::uint64_t Ticket, const AnswerHead &Head,
+                        base::TimePoint Now);
   void cancel(std::uint64_t Ticket, base::TimePoint Now);
   void tick(base::TimePoint Now, std::vector<Wakeup> &Wakeups);
 
@@ -134,6 +138,8 @@
                             PendingRequest &Pending) const;
   Decision refuse(Refusal Reason, Ran MayHaveRun,
                   std::string_view ReasonText = {}) const;
+  /// Refuses a request for which no region has a usable target.
+  Decision refuseUnplaced(const PendingRequest &Pending, base::TimePoint Now);
   Decision refuse(const PendingRequest &Pending,
                   const admission::AdmissionDecision &Verdict) const;
   Decision afterFailure(std::uint64_t Ticket, PendingRequest &Failed,
--- a/libs/steering/Steering.cpp
+++ b/libs/steering/Steering.cpp
@@ -26,6 +26,8 @@
     return "no-headroom";
   case Refusal::TargetRatesUsedUp:
     return "target-rates-used-up";
+  case Refusal::TargetsRest:
+    return "targets-rest";
   case Refusal::CrashSuspect:
     return "crash-suspect";
   case Refusal::ClaimHeldElsewhere:
--- a/libs/steering/Steering.h
+++ b/libs/steering/Steering.h
@@ -110,6 +110,8 @@
   NoHeadroom,
   /// The targets that are left state rates, which are used up.
   TargetRatesUsedUp,
+  /// All targets have asked this host for a rest.
+  TargetsRest,
   CrashSuspect,
   ClaimHeldElsewhere,
   ClaimStoreDown,
@@ -260,6 +262,16 @@
     return true;
   }
 
+  /// Called right before the request is written to its target: time has passed
+  /// since the decision.
+  /// \returns whether the target still takes it; otherwise the send ends as
+  /// withheld.
+  virtual bool mayWrite(std::uint64_t Ticket, base::TimePoint Now) {
+    (void)Ticket;
+    (void)Now;
+    return true;
+  }
+
   /// Drops a waiting request whose caller has disconnected.
   virtual void cancel(std::uint64_t Ticket, base::TimePoint Now) = 0;
 
--- a/tests/dispatch/SharedRateTest.cpp
+++ b/tests/dispatch/SharedRateTest.cpp
@@ -195,7 +195,7 @@
   for (int Step = 0; Step < 400; ++Step) {
     Now_ += 100ms;
     answer(2);
-    Announced += Limiter_.isAnnounced(Now_) ? 1 : 0;
+    Announced += Limiter_.announcement().isAnnounced(Now_) ? 1 : 0;
   }
   CHECK(Announced <= 400 * 0.45);
   CHECK(Announced >= 400 * 0.3);
--- a/tests/dispatch/StatedRateSimulation.cpp
+++ b/tests/dispatch/StatedRateSimulation.cpp
@@ -188,13 +188,17 @@
 
 // Announcements.
 
-void StatedRateSimulation::tell(std::size_t Number,
-                                const std::vector<members::TargetRate> &Rates,
+void StatedRateSimulation::tell(std::size_t Number, const News &Said,
                                 bool OwnRegion, base::Duration Delay) {
+  if (Said.empty())
+    return;
   const int Start = Hosts_[Number].Start_;
-  schedule(Delay, [this, Number, Start, Rates, OwnRegion] {
-    if (isReachable(Hosts_[Number], Start))
-      Hosts_[Number].Steering_->mergeTargetRates(Rates, OwnRegion, Now_);
+  schedule(Delay, [this, Number, Start, Said, OwnRegion] {
+    if (!isReachable(Hosts_[Number], Start))
+      return;
+    Steering &Listener = *Hosts_[Number].Steering_;
+    Listener.mergeTargetRates(Said.Rates_, OwnRegion, Now_);
+    Listener.mergeTargetLeavings(Said.Leavings_, OwnRegion, Now_);
   });
 }
 
@@ -204,17 +208,17 @@
     if (Speaker.CutOff_ || Speaker.Frozen_)
       continue;
     const base::RegionId &Region = Speaker.Descriptor_.Region_;
-    const auto Own = Speaker.Steering_->announcedRates(Now_);
+    const News Own = {Speaker.Steering_->announcedRates(Now_),
+                      Speaker.Steering_->announcedLeavings(Now_)};
     // The first host of a region that is heard represents it.
-    const auto Relayed = Told.insert(Region).second
-                             ? Speaker.Steering_->relayedRates(Now_)
-                             : std::vector<members::TargetRate>();
+    News Relayed;
+    if (Told.insert(Region).second)
+      Relayed = {Speaker.Steering_->relayedRates(Now_),
+                 Speaker.Steering_->relayedLeavings(Now_)};
     for (std::size_t Number = 0; Number < Hosts_.size(); ++Number) {
       const bool Same = Hosts_[Number].Descriptor_.Region_ == Region;
-      if (Same && !Own.empty())
-        tell(Number, Own, true, 1ms);
-      if (!Same && !Relayed.empty())
-        tell(Number, Relayed, false, RegionUpdateDelay);
+      tell(Number, Same ? Own : Relayed, Same,
+           Same ? base::Duration(1ms) : RegionUpdateDelay);
     }
   }
   schedule(AnnounceInterval, [this] { announceAll(); });
--- a/tests/dispatch/StatedRateSimulation.h
+++ b/tests/dispatch/StatedRateSimulation.h
@@ -150,8 +150,16 @@
   dispatch::FleetDemand viewOf(std::size_t Number) const;
   void update(std::size_t Number);
   void announceAll();
-  void tell(std::size_t Number, const std::vector<members::TargetRate> &Rates,
-            bool OwnRegion, base::Duration Delay);
+  /// What a host announces of its targets' statements.
+  struct News {
+    std::vector<members::TargetRate> Rates_;
+    std::vector<members::TargetLeaving> Leavings_;
+
+    bool empty() const noexcept { return Rates_.empty() && Leavings_.empty(); }
+  };
+
+  void tell(std::size_t Number, const News &Said, bool OwnRegion,
+            base::Duration Delay);
   void tickAll();
   void arrive();
   void apply(std::size_t Number, const steering::Decision &Made);
--- a/tests/gateway/FakeSteering.cpp
+++ b/tests/gateway/FakeSteering.cpp
@@ -48,7 +48,8 @@
   const Ticket Described = Sent_[Number];
   const bool NotRun = Report.Outcome_ == SendOutcome::Shed ||
                       Report.Outcome_ == SendOutcome::ConnectFailed ||
-                      Report.Outcome_ == SendOutcome::ClosedBeforeWrite;
+                      Report.Outcome_ == SendOutcome::ClosedBeforeWrite ||
+                      Report.Outcome_ == SendOutcome::Withheld;
   const bool Over = Report.Outcome_ == SendOutcome::Answered ||
                     Report.Outcome_ == SendOutcome::Cancelled;
   if (!Over && !Report.AnswerStarted_ && (NotRun || Described.Idempotent_) &&
@@ -72,6 +73,18 @@
   }
 }
 
+void FakeSteering::recordAnswerHead(std::uint64_t,
+                                    const steering::AnswerHead &Head,
+                                    base::TimePoint) {
+  const std::lock_guard Guard(Lock_);
+  Heads_.push_back(Head);
+}
+
+std::vector<steering::AnswerHead> FakeSteering::heads() const {
+  const std::lock_guard Guard(Lock_);
+  return Heads_;
+}
+
 void FakeSteering::cancel(std::uint64_t Number, base::TimePoint) {
   const std::lock_guard Guard(Lock_);
   std::erase(Waiting_, Number);
--- a/tests/gateway/FakeSteering.h
+++ b/tests/gateway/FakeSteering.h
@@ -3,6 +3,7 @@
 
 #include "steering/Steering.h"
 
+#include <atomic>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -26,6 +27,8 @@
   steering::Refusal RefuseAll_ = steering::Refusal::None;
   base::Duration WaitLimit_ = std::chrono::seconds(10);
   bool MayRepeat_ = true;
+  /// Which of all writes is withheld from its target, counted from 1; 0: none.
+  int WithheldWrite_ = 0;
 
   steering::Decision arrive(const steering::Request &Arrived,
                             base::TimePoint Now) override;
@@ -36,10 +39,16 @@
   bool mayHedge(std::uint64_t /*Ticket*/, base::TimePoint /*Now*/) override {
     return MayRepeat_;
   }
+  bool mayWrite(std::uint64_t /*Ticket*/, base::TimePoint /*Now*/) override {
+    return ++Writes_ != WithheldWrite_;
+  }
+  void recordAnswerHead(std::uint64_t Ticket, const steering::AnswerHead &Head,
+                        base::TimePoint Now) override;
   void cancel(std::uint64_t Ticket, base::TimePoint Now) override;
   void tick(base::TimePoint Now, std::vector<steering::Wakeup> &Woken) override;
 
   std::vector<steering::SendOutcome> ends() const;
+  std::vector<steering::AnswerHead> heads() const;
   std::size_t openTickets() const;
   std::size_t waiting() const;
   int arrivals() const;
@@ -62,7 +71,9 @@
   std::deque<std::uint64_t> Waiting_;
   std::map<std::uint64_t, Ticket> WaitingTickets_;
   std::vector<steering::SendOutcome> Ends_;
+  std::vector<steering::AnswerHead> Heads_;
   int Arrivals_ = 0;
+  std::atomic<int> Writes_ = 0;
 };
 
 } // namespace lychee::tests
--- a/tests/gateway/Fakes.h
+++ b/tests/gateway/Fakes.h
@@ -146,6 +146,18 @@
 
 class FakeObserver : public gateway::TargetObserver {
 public:
+  std::atomic<bool> MayPoll_ = true;
+  /// How often it was asked for permission.
+  std::atomic<int> Asked_ = 0;
+
+  bool mayPoll(const gateway::TargetEntry &, base::TimePoint) override {
+    ++Asked_;
+    return MayPoll_;
+  }
+  int count() const {
+    const std::lock_guard Guard(Lock_);
+    return Count_;
+  }
   void observed(const gateway::TargetObservation &Seen,
                 base::TimePoint) override {
     const std::lock_guard Guard(Lock_);
--- a/tests/gateway/PollTest.cpp
+++ b/tests/gateway/PollTest.cpp
@@ -53,3 +53,22 @@
     return !Seen.Healthy_ && !Seen.Reason_.empty();
   }));
 }
+
+// Guards against polls of a target that wants nothing from this host.
+TEST(Poll, aTargetThatRestsIsNotPolled) {
+  CHECK(sees([](const auto &Seen) { return Seen.Running_ == 0; }));
+  Fixture_.Observer_.MayPoll_ = false;
+  // Once it was refused, no poll is under way.
+  const auto WaitForRefusals = [this](int Count) {
+    const int Before = Fixture_.Observer_.Asked_;
+    CHECK(tests::waitFor(
+        [&] { return Fixture_.Observer_.Asked_ >= Before + Count; }));
+  };
+  WaitForRefusals(2);
+  const int Polls = Fixture_.Observer_.count();
+  Fixture_.target().setFaults(tests::faultsOf("load=77"));
+  WaitForRefusals(10);
+  LONGS_EQUAL(Polls, Fixture_.Observer_.count());
+  Fixture_.Observer_.MayPoll_ = true;
+  CHECK(sees([](const auto &Seen) { return Seen.Running_ == 77; }));
+}
--- a/tests/members/HeartbeatTest.cpp
+++ b/tests/members/HeartbeatTest.cpp
@@ -26,6 +26,7 @@
     Message.Evidence_ = {{0xffffffffffffffffULL, 7, 1500ms}};
     Message.TargetRates_ = {{0xfffffffffffffff0ULL, 0.29, 20ms},
                             {5, std::nullopt, 900ms}};
+    Message.TargetLeavings_ = {{0xfffffffffffffff1ULL, 30ms}, {6, 2s}};
     Message.Times_ = {{"rule", 0.25, 0.9, 0.4}};
     Message.LivePeers_ = {"127.0.0.3"};
     return Message;
@@ -47,6 +48,7 @@
   STRCMP_EQUAL("north", Read.Loads_[0].BoundTo_.name().c_str());
   CHECK(Read.Evidence_[0] == Message.Evidence_[0]);
   CHECK(Read.TargetRates_ == Message.TargetRates_);
+  CHECK(Read.TargetLeavings_ == Message.TargetLeavings_);
   STRCMP_EQUAL("rule", Read.Times_[0].Rule_.c_str());
   DOUBLES_EQUAL(0.25, Read.Times_[0].WarmSeconds_, 0.001);
   DOUBLES_EQUAL(0.9, Read.Times_[0].ColdSeconds_, 0.001);
--- a/tests/members/RegionPlayTest.cpp
+++ b/tests/members/RegionPlayTest.cpp
@@ -191,7 +191,7 @@
     Update.Incarnation_ = Message.Sender_.Incarnation_;
     Update.Sequence_ = Self.Sequence_;
     Update.Summary_ = Self.Announcer_.select(Self.Table_->summary(
-        {true, false, Message.Demands_, {}, {}, {}}, Now_));
+        {true, false, Message.Demands_, {}, {}, {}, {}}, Now_));
     const std::size_t UpdateBytes = members::encodeRegionUpdate(Update).size();
     const auto SentUpdate =
         std::make_shared<const members::RegionUpdate>(Update);
--- a/tests/members/RegionUpdateTest.cpp
+++ b/tests/members/RegionUpdateTest.cpp
@@ -63,6 +63,7 @@
   Update.Summary_.Loads_ = {{base::ServiceId("s"), 3, base::RegionId("north")}};
   Update.Summary_.Evidence_ = {{1, 2, 3s}};
   Update.Summary_.TargetRates_ = {{4, 2.1, 1s}};
+  Update.Summary_.TargetLeavings_ = {{5, 250ms}};
   base::Error Last;
   const auto Read =
       members::decodeRegionUpdate(members::encodeRegionUpdate(Update), Last);
@@ -77,6 +78,7 @@
   CHECK(Decoded.Summary_.Loads_.at(0).BoundTo_ == base::RegionId("north"));
   CHECK(Decoded.Summary_.Evidence_ == Update.Summary_.Evidence_);
   CHECK(Decoded.Summary_.TargetRates_ == Update.Summary_.TargetRates_);
+  CHECK(Decoded.Summary_.TargetLeavings_ == Update.Summary_.TargetLeavings_);
 }
 
 TEST(RegionUpdate, otherTextsAreRejectedWithAReason) {
--- a/tests/placement/TargetPoolTest.cpp
+++ b/tests/placement/TargetPoolTest.cpp
@@ -238,3 +238,25 @@
   CHECK(OpenAtFirst <= Hosts / 2);
   LONGS_EQUAL(Hosts, OpenLater);
 }
+
+// Guards against a probe or a doubted measurement that uses a target in the
+// rest that it asked for.
+TEST(TargetPool, aRestingTargetGetsNothingWhateverElseIsKnown) {
+  Pool_.setTargets(targets(3), Now_);
+  Pool_.recordRest(0, Now_ + 60s);
+  Pool_.recordRest(0, Now_ + 1s);
+  LONGS_EQUAL(0, Pool_.freeSlots(0, Now_));
+  LONGS_EQUAL(2, Pool_.state(Now_).UsableTargets_);
+  CHECK_FALSE(Pool_.firstRestEnd(Now_).has_value());
+  CHECK_FALSE(chosenIn(200).contains(0));
+  // The pool is lost, and only probes are sent.
+  for (const TargetIndex Target : {1U, 2U})
+    send(Target, Outcome::Unreachable, 6);
+  for (int Count = 0; Count < 40; ++Count) {
+    Now_ += 500ms;
+    CHECK(choose().Target_ != TargetIndex{0});
+  }
+  for (const TargetIndex Target : {1U, 2U})
+    Pool_.recordRest(Target, Now_ + 3s);
+  CHECK(Pool_.firstRestEnd(Now_) == Duration(3s));
+}
--- a/tests/retrying/RetryVerdictTest.cpp
+++ b/tests/retrying/RetryVerdictTest.cpp
@@ -32,6 +32,7 @@
      RetryRule::Allowed},
     {SendOutcome::ClosedBeforeWrite, Ran::No, RetryRule::Allowed,
      RetryRule::Allowed},
+    {SendOutcome::Withheld, Ran::No, RetryRule::Allowed, RetryRule::Allowed},
     {SendOutcome::LostAfterPartialWrite, Ran::Maybe,
      RetryRule::AllowedAsIdempotent, RetryRule::ForbiddenMayHaveRun},
     {SendOutcome::LostBeforeResponse, Ran::Maybe,
--- a/tests/soak/Ledger.cpp
+++ b/tests/soak/Ledger.cpp
@@ -1,5 +1,6 @@
 #include "soak/Ledger.h"
 
+#include <algorithm>
 #include <array>
 
 namespace lychee::soak {
@@ -16,6 +17,7 @@
 
 void Ledger::add(Attempt Made) {
   const std::lock_guard Guard(Lock_);
+  Hosts_[Made.Id_] = Made.Host_;
   Attempts_.push_back(std::move(Made));
 }
 
@@ -29,6 +31,28 @@
   HostStarts_.push_back(At);
 }
 
+void Ledger::recordTrouble(std::size_t Host, base::TimePoint At) {
+  const std::lock_guard Guard(Lock_);
+  Troubles_.emplace(Host, At);
+}
+
+bool Ledger::hadTrouble(std::size_t Host, base::TimePoint Begin,
+                        base::TimePoint End) const {
+  const std::lock_guard Guard(Lock_);
+  const auto [First, Last] = Troubles_.equal_range(Host);
+  return std::any_of(First, Last, [&](const auto &Each) {
+    return Each.second >= Begin && Each.second <= End;
+  });
+}
+
+std::optional<std::size_t> Ledger::hostOf(const std::string &Id) const {
+  const std::lock_guard Guard(Lock_);
+  const auto Found = Hosts_.find(Id);
+  if (Found == Hosts_.end())
+    return std::nullopt;
+  return Found->second;
+}
+
 std::vector<base::TimePoint> Ledger::hostStarts() const {
   const std::lock_guard Guard(Lock_);
   return HostStarts_;
--- a/tests/soak/Ledger.h
+++ b/tests/soak/Ledger.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -15,6 +16,8 @@
 /// One request as its caller saw it.
 struct Attempt {
   std::string Id_;
+  /// The host that it was sent to.
+  std::size_t Host_ = 0;
   /// It may run once at most.
   bool IsBooking_ = false;
   std::string Key_;
@@ -40,6 +43,14 @@
   void withdraw(const std::string &Key, base::TimePoint At);
   void recordHostStart(base::TimePoint At);
 
+  /// Records that a host was killed, started, paused or woken.
+  void recordTrouble(std::size_t Host, base::TimePoint At);
+  /// \returns whether a host had such a trouble from \p Begin to \p End.
+  bool hadTrouble(std::size_t Host, base::TimePoint Begin,
+                  base::TimePoint End) const;
+  /// \returns the host that a request was sent to.
+  std::optional<std::size_t> hostOf(const std::string &Id) const;
+
   /// \returns when hosts started again.
   std::vector<base::TimePoint> hostStarts() const;
 
@@ -56,6 +67,8 @@
   std::vector<Attempt> Attempts_;
   std::map<std::string, base::TimePoint> Withdrawn_;
   std::vector<base::TimePoint> HostStarts_;
+  std::multimap<std::size_t, base::TimePoint> Troubles_;
+  std::map<std::string, std::size_t> Hosts_;
 };
 
 } // namespace lychee::soak
--- a/tests/soak/Main.cpp
+++ b/tests/soak/Main.cpp
@@ -7,7 +7,8 @@
 DEFINE_uint64(first, 1, "first seed");
 DEFINE_uint64(seeds, 2, "how many seeds to play, one after the other");
 DEFINE_double(seconds, 12, "how long troubles come and go, for each seed");
-DEFINE_bool(rates, true, "one more target states a rate, which changes");
+DEFINE_bool(rates, true,
+            "two more targets: one states a rate, one rests and leaves");
 DEFINE_string(logs, "", "folder for the logs of seeds that break a promise");
 
 int main(int ArgumentCount, char **Arguments) {
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -5,6 +5,7 @@
 #include "platform/Names.h"
 #include "soak/Ledger.h"
 #include "soak/RatedTarget.h"
+#include "soak/RestingTarget.h"
 #include "soak/Troubles.h"
 #include "support/LiveFleet.h"
 #include "support/TestFleet.h"
@@ -55,11 +56,14 @@
   void run(std::size_t Number, std::uint64_t Seed) {
     base::Random Random(Seed * CallerCount + Number);
     std::unique_ptr<tests::CallerConnection> Kept;
+    std::size_t Host = 0;
     for (std::uint64_t Count = 0; !Stopping_; ++Count) {
-      if (!Kept || Count % MostOnConnection == 0)
-        Kept = std::make_unique<tests::CallerConnection>(
-            Fleet_.callers(Random() % Fleet_.hostCount()));
+      if (!Kept || Count % MostOnConnection == 0) {
+        Host = Random() % Fleet_.hostCount();
+        Kept = std::make_unique<tests::CallerConnection>(Fleet_.callers(Host));
+      }
       Attempt Made;
+      Made.Host_ = Host;
       Made.Id_ = std::to_string(Number) + "-" + std::to_string(Count);
       Made.IsBooking_ = Random() % 2 == 0;
       Made.Key_ = Number == StaleCaller ? Keys_.withdrawnKey() : Keys_.key();
@@ -107,18 +111,21 @@
   // Seeds that run beside each other have addresses of their own.
   const int Number = static_cast<int>(getpid()) % 200;
   LiveFleet Fleet({"127.92." + std::to_string(Number) + ".", HostCount,
-                   TargetCount + (Settings.HasRatedTarget_ ? 1 : 0), true});
+                   TargetCount + (Settings.HasStatingTargets_ ? 2 : 0), true});
   Ledger Book;
   Troubles Trouble(Fleet, Book, TargetCount, Seed);
   std::optional<RatedTarget> Rated;
+  std::optional<RestingTarget> Resting;
   SoakResult Result;
   const auto Check = [&](const char *What) {
     if (!TestFleet::waitFor([&] { return allServe(Fleet, Trouble.key()); }))
       Result.Broken_.emplace_back(What);
   };
   Check("not-served-at-the-start");
-  if (Settings.HasRatedTarget_)
+  if (Settings.HasStatingTargets_) {
     Rated.emplace(Fleet, TargetCount, Seed);
+    Resting.emplace(Fleet, TargetCount + 1, Seed);
+  }
   {
     const Callers All(Fleet, Trouble, Book, Seed);
     Trouble.play(SystemClock::monotonicNow() +
@@ -137,6 +144,9 @@
   if (Rated)
     for (std::string &Each : Rated->broken(Book.hostStarts(), CallerCount))
       Result.Broken_.push_back(std::move(Each));
+  if (Resting)
+    for (std::string &Each : Resting->broken(Book))
+      Result.Broken_.push_back(std::move(Each));
   Result.Summary_ = Book.summary();
   Result.History_ = Trouble.history();
   if (!Result.Broken_.empty())
--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -23,8 +23,9 @@
   std::uint64_t Seed_ = 1;
   /// How long troubles come and go.
   double Seconds_ = 8;
-  /// One more target states a rate, which changes.
-  bool HasRatedTarget_ = true;
+  /// One more target states a rate, which changes, and one more asks for rests
+  /// and leaves.
+  bool HasStatingTargets_ = true;
 };
 
 /// Plays one seed: a fleet starts, callers use it while troubles come and go,
--- a/tests/soak/Troubles.cpp
+++ b/tests/soak/Troubles.cpp
@@ -119,13 +119,19 @@
 
 // Hosts.
 
+void Troubles::recordTrouble(std::size_t Host) {
+  Book_.recordTrouble(Host, SystemClock::monotonicNow());
+}
+
 void Troubles::startHost(std::size_t Host) {
   Book_.recordHostStart(SystemClock::monotonicNow());
+  recordTrouble(Host);
   Fleet_.startHost(Host);
 }
 
 std::function<void()> Troubles::killHost(std::size_t Host) {
   Fleet_.killHost(Host);
+  recordTrouble(Host);
   return [this, Host] { startHost(Host); };
 }
 
@@ -138,8 +144,12 @@
 }
 
 std::function<void()> Troubles::pauseHost(std::size_t Host) {
+  recordTrouble(Host);
   Fleet_.host(Host).signal(SIGSTOP);
-  return [this, Host] { Fleet_.host(Host).signal(SIGCONT); };
+  return [this, Host] {
+    Fleet_.host(Host).signal(SIGCONT);
+    recordTrouble(Host);
+  };
 }
 
 std::function<void()> Troubles::setStoreLink(std::size_t Host,
--- a/tests/soak/Troubles.h
+++ b/tests/soak/Troubles.h
@@ -52,6 +52,7 @@
   static const std::vector<Kind> &kinds();
   void beginOne(base::TimePoint Now);
   void startHost(std::size_t Host);
+  void recordTrouble(std::size_t Host);
   void endDue(base::TimePoint Now);
 
   std::function<void()> killHost(std::size_t Host);
--- a/tests/steering/FleetSteeringTest.cpp
+++ b/tests/steering/FleetSteeringTest.cpp
@@ -44,6 +44,16 @@
     return Result;
   }
 
+  /// The target turns the request away and asks for a rest.
+  steering::Decision turnAway(std::uint64_t Ticket, base::Duration Rest) {
+    steering::AnswerHead Head;
+    Head.Status_ = 503;
+    Head.NotRun_ = true;
+    Head.Statement_.Rest_.For_ = Rest;
+    Steering_.recordAnswerHead(Ticket, Head, Now_);
+    return end(Ticket, steering::SendOutcome::Shed);
+  }
+
   steering::Decision end(std::uint64_t Ticket, steering::SendOutcome End) {
     return Steering_.finish(Ticket, {.Outcome_ = End}, Now_, Woken_);
   }
@@ -96,3 +106,59 @@
   CHECK(Next.Action_ == Action::Send);
   CHECK(Next.Target_ != First.Target_);
 }
+
+// Guards against requests to a target in the rest that it asked for.
+TEST(FleetSteering, aTargetThatAskedForARestGetsNothingUntilItEnds) {
+  using std::chrono::seconds;
+  const auto First = Steering_.arrive(request(), Now_);
+  const auto Second = turnAway(First.Ticket_, seconds(3));
+  CHECK(Steering_.isResting(base::ServiceId("rota"), First.Target_, Now_));
+  CHECK(Second.Action_ == Action::Send);
+  CHECK(Second.Target_ != First.Target_);
+  end(Second.Ticket_, steering::SendOutcome::Answered);
+  for (int Count = 0; Count < 50; ++Count) {
+    Now_ += std::chrono::milliseconds(50);
+    const auto Sent = Steering_.arrive(request(), Now_);
+    CHECK(Sent.Target_ == Second.Target_);
+    end(Sent.Ticket_, steering::SendOutcome::Answered);
+  }
+  Now_ += seconds(1);
+  bool IsUsedAgain = false;
+  for (int Count = 0; Count < 50; ++Count) {
+    Now_ += std::chrono::milliseconds(50);
+    const auto Sent = Steering_.arrive(request(), Now_);
+    IsUsedAgain = IsUsedAgain || Sent.Target_ == First.Target_;
+    end(Sent.Ticket_, steering::SendOutcome::Answered);
+  }
+  CHECK(IsUsedAgain);
+}
+
+TEST(FleetSteering, aRequestIsNotWrittenIntoARest) {
+  const auto First = Steering_.arrive(request(), Now_);
+  CHECK(Steering_.mayWrite(First.Ticket_, Now_));
+  steering::AnswerHead Head;
+  Head.Status_ = 503;
+  Head.Statement_.Rest_.For_ = std::chrono::seconds(3);
+  Steering_.recordAnswerHead(First.Ticket_, Head, Now_);
+  CHECK_FALSE(Steering_.mayWrite(First.Ticket_, Now_));
+  const auto Next = end(First.Ticket_, steering::SendOutcome::Withheld);
+  CHECK(Next.Action_ == Action::Send);
+  CHECK(Next.Target_ != First.Target_);
+}
+
+// Guards against requests that wait while all targets rest.
+TEST(FleetSteering, whereAllRestItIsRefusedAtOnceUntilTheFirstEnds) {
+  using std::chrono::seconds;
+  const auto First = Steering_.arrive(request(), Now_);
+  const auto Second = turnAway(First.Ticket_, seconds(9));
+  const auto Last = turnAway(Second.Ticket_, seconds(4));
+  CHECK(Last.Action_ == Action::Refuse);
+  const auto Refused = Steering_.arrive(request(), Now_);
+  CHECK(Refused.Action_ == Action::Refuse);
+  CHECK(Refused.Refusal_ == steering::Refusal::TargetsRest);
+  CHECK(Refused.Ran_ == steering::Ran::No);
+  CHECK(Refused.RetryAfter_ >= seconds(4));
+  CHECK(Refused.RetryAfter_ <= seconds(6));
+  Now_ += seconds(4);
+  CHECK(Steering_.arrive(request(), Now_).Action_ == Action::Send);
+}
