Connections to targets are not used longer than their targets keep them

Idle connections were used for 5 s whatever the target said, so that a request could be written to one that was being closed, and be lost.

Change: a connection that goes back to its pool is used until the stated time less 300 ms (the way there and the wait for a processor).

Evidence: AnswerHead.aConnectionIsNotUsedLongerThanItsTargetKeepsIt failed with the reading switched off by hand (one connection where three are due), passes now. No caller's loss was traced to it; which idle times the users' targets state is not known here.

--- a/libs/gateway/HeaderPolicy.cpp
+++ b/libs/gateway/HeaderPolicy.cpp
@@ -234,6 +234,22 @@
   return firstValueOf(Head, Names.TargetLeaving_) == "1";
 }
 
+std::optional<base::Duration> keepAliveOf(const AnswerReader::Message &Head) {
+  // A parameter list, but with commas.
+  std::string Text = ";" + std::string(Head[http::field::keep_alive]);
+  std::replace(Text.begin(), Text.end(), ',', ';');
+  for (const auto &[Name, Value] : http::param_list(Text)) {
+    std::uint32_t Seconds = 0;
+    const std::string_view Digits = viewOf(Value);
+    const auto [End, Error] =
+        std::from_chars(Digits.data(), Digits.data() + Digits.size(), Seconds);
+    if (iequals(Name, "timeout") && Error == std::errc() &&
+        End == Digits.data() + Digits.size())
+      return std::chrono::seconds(Seconds);
+  }
+  return std::nullopt;
+}
+
 steering::TargetStatement statementOf(const AnswerReader::Message &Head,
                                       const Vocabulary &Names,
                                       base::WallPoint Now) {
--- a/libs/gateway/HeaderPolicy.h
+++ b/libs/gateway/HeaderPolicy.h
@@ -79,6 +79,10 @@
 /// \returns whether the answer says that its target leaves.
 bool statesLeaving(const AnswerReader::Message &Head, const Vocabulary &Names);
 
+/// \returns how long the target keeps the connection open while it lies idle,
+/// where the answer tells (Keep-Alive: timeout=SECONDS).
+std::optional<base::Duration> keepAliveOf(const AnswerReader::Message &Head);
+
 /// \returns all that the answer states of the requests that its target takes.
 steering::TargetStatement statementOf(const AnswerReader::Message &Head,
                                       const Vocabulary &Names,
--- a/libs/gateway/TargetConnection.h
+++ b/libs/gateway/TargetConnection.h
@@ -36,6 +36,12 @@
   base::TimePoint lastLife() const noexcept { return LastLife_; }
   void showLife(base::TimePoint Now) noexcept { LastLife_ = Now; }
 
+  /// Sets until when the target keeps it open while it lies idle.
+  void limitReuse(base::TimePoint Until) noexcept { ReuseUntil_ = Until; }
+  bool mayReuse(base::TimePoint Now) const noexcept {
+    return Now < ReuseUntil_;
+  }
+
   /// \returns whether an idle connection is still as it was left: open, and
   /// nothing came in. Bytes that nobody asked for are a late or doubled answer
   /// and would be taken for the answer to the next request.
@@ -50,6 +56,7 @@
   std::uint32_t Worker_;
   std::shared_ptr<std::atomic<std::uint32_t>> Open_;
   base::TimePoint LastLife_;
+  base::TimePoint ReuseUntil_ = base::TimePoint::max();
   bool Reused_ = false;
 };
 
--- a/libs/gateway/TargetPool.cpp
+++ b/libs/gateway/TargetPool.cpp
@@ -9,7 +9,8 @@
     : Address_(std::move(Address)), Limit_(Limit) {}
 
 std::unique_ptr<TargetConnection>
-TargetPool::takeIdle(std::uint32_t Worker, base::TimePoint LifeSince) {
+TargetPool::takeIdle(std::uint32_t Worker, base::TimePoint LifeSince,
+                     base::TimePoint Now) {
   while (true) {
     std::unique_ptr<TargetConnection> Taken;
     {
@@ -22,7 +23,7 @@
       Taken = std::move(*Found);
       Idle_.erase(std::next(Found).base());
     }
-    if (Taken->isUntouched())
+    if (Taken->mayReuse(Now) && Taken->isUntouched())
       return Taken;
   }
 }
--- a/libs/gateway/TargetPool.h
+++ b/libs/gateway/TargetPool.h
@@ -28,10 +28,11 @@
   const std::string &address() const noexcept { return Address_; }
 
   /// Takes the worker's idle connection that showed life last, if that was at
-  /// \p LifeSince or later.
+  /// \p LifeSince or later and its target still keeps it open at \p Now.
   /// \returns nothing where it has none such.
   std::unique_ptr<TargetConnection> takeIdle(std::uint32_t Worker,
-                                             base::TimePoint LifeSince);
+                                             base::TimePoint LifeSince,
+                                             base::TimePoint Now);
 
   /// Makes a connection, not yet opened, that counts against the limit.
   /// \returns nothing where the limit is reached by working ones.
--- a/libs/gateway/TargetSend.cpp
+++ b/libs/gateway/TargetSend.cpp
@@ -22,6 +22,9 @@
 /// between. Shorter ones go into the connection's buffers whole.
 constexpr std::size_t WatchedBodyBytes = 16UL * 1024;
 constexpr std::size_t BodyPieceBytes = 16UL * 1024;
+/// A request that is written this shortly before its target closes the
+/// connection may be lost: the way there, and the wait for a processor.
+constexpr base::Duration ReuseMargin = std::chrono::milliseconds(300);
 /// A target's answer may be as long as it likes: it streams.
 constexpr std::uint64_t AnswerLimitBytes = 1ULL << 50;
 
@@ -53,7 +56,7 @@
   const base::TimePoint Now = base::SystemClock::monotonicNow();
   const base::Duration Limit =
       Idempotent ? Settings.ReuseIdleLimit_ : Settings.ProvenLifeLimit_;
-  Connection_ = Pool_->takeIdle(Home_.index(), Now - Limit);
+  Connection_ = Pool_->takeIdle(Home_.index(), Now - Limit, Now);
   if (!Connection_)
     co_return co_await connect();
   if (Idempotent)
@@ -315,6 +318,8 @@
                      !Reader_->endsWithConnection() &&
                      Reader_->message().keep_alive();
   if (Clean) {
+    if (const auto Kept = keepAliveOf(Reader_->message()))
+      Connection_->limitReuse(LastRead_ + *Kept - ReuseMargin);
     Connection_->buffer().shrink_to_fit();
     Pool_->giveBack(std::move(Connection_));
   }
--- a/tests/gateway/AnswerHeadTest.cpp
+++ b/tests/gateway/AnswerHeadTest.cpp
@@ -44,6 +44,7 @@
     Fixture_->Settings_.Names_.ExpectedTarget_ = "X-Expected";
     Fixture_->Settings_.Names_.TargetLeaving_ = {"X-Leaving"};
     Fixture_->Settings_.HeldBodyBytes_ = 4U << 20;
+    Fixture_->Settings_.Threads_ = 1;
     Fixture_->Steering_ = std::make_unique<tests::FakeSteering>(
         std::vector<std::string>{Target_->address()});
     Fixture_->Steering_->MaximumSends_ = 1;
@@ -136,6 +137,31 @@
   CHECK(asksForRest(Heads.back()));
 }
 
+// Guards against requests on a connection that its target is about to close.
+TEST(AnswerHead, aConnectionIsNotUsedLongerThanItsTargetKeepsIt) {
+  std::atomic<int> Connections = 0;
+  std::string KeepAlive = "Keep-Alive: timeout=0\r\n";
+  serve([&](RawTarget::Socket &Peer) {
+    ++Connections;
+    while (!RawTarget::readHead(Peer).empty())
+      RawTarget::send(Peer, "HTTP/1.1 200 OK\r\nX-Name: r1\r\n" + KeepAlive +
+                                "Content-Length: 0\r\n\r\n");
+  });
+  {
+    RawClient Caller(Fixture_->address());
+    for (int Count = 0; Count < 3; ++Count)
+      LONGS_EQUAL(200, Caller.request("GET", "/s/x", "X-Name: r1\r\n").Status_);
+    LONGS_EQUAL(3, Connections);
+    KeepAlive = "Keep-Alive: timeout=60\r\n";
+    for (int Count = 0; Count < 3; ++Count)
+      LONGS_EQUAL(200, Caller.request("GET", "/s/x", "X-Name: r1\r\n").Status_);
+    LONGS_EQUAL(4, Connections);
+  }
+  // Its scripts refer to locals.
+  Fixture_.reset();
+  Target_.reset();
+}
+
 /// Requests that their target no longer takes when they are to be written.
 TEST_GROUP(Withheld){};
 
--- a/tests/gateway/RetryAfterTest.cpp
+++ b/tests/gateway/RetryAfterTest.cpp
@@ -103,3 +103,16 @@
   Head_.set("Leaving", "0");
   CHECK_FALSE(read(http::status::ok).Leaving_);
 }
+
+TEST(TargetStatement, theTimeForWhichAConnectionIsKeptIsRead) {
+  CHECK_FALSE(gateway::keepAliveOf(Head_).has_value());
+  Head_.set("Keep-Alive", "timeout=10, max=5");
+  CHECK(gateway::keepAliveOf(Head_) == 10s);
+  Head_.set("Keep-Alive", "max=5, Timeout=2");
+  CHECK(gateway::keepAliveOf(Head_) == 2s);
+  for (const char *Text : {"timeout", "timeout=", "timeout=x", "timeout=-1",
+                           "10", "timeout=99999999999"}) {
+    Head_.set("Keep-Alive", Text);
+    CHECK_FALSE(gateway::keepAliveOf(Head_).has_value());
+  }
+}
