--- a/libs/gateway/RetryAfter.cpp
+++ b/libs/gateway/RetryAfter.cpp
@@ -60,10 +60,10 @@
 std::optional<base::Duration> parseRetryAfter(std::string_view Text,
                                               base::WallPoint Now) {
   double Seconds = 0;
-  const char *const End = Text.data() + Text.size();
-  const auto [Read, Error] =
-      std::from_chars(Text.data(), End, Seconds, std::chars_format::fixed);
-  if (Error == std::errc() && Read == End) {
+  const auto [End, Error] =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Seconds,
+                      std::chars_format::fixed);
+  if (Error == std::errc() && End == Text.data() + Text.size()) {
     if (!std::isfinite(Seconds) || Seconds < 0)
       return std::nullopt;
     return base::fromSeconds(std::min(Seconds, base::toSeconds(MaxRetryAfter)));
