--- a/libs/steering/ServiceSteering.cpp
+++ b/libs/steering/ServiceSteering.cpp
@@ -345,11 +345,11 @@
                                        base::TimePoint Now) {
   const std::scoped_lock Guard(Lock_);
   const auto Known = Pending_.find(Ticket);
-  const std::optional<base::Duration> &Rest = Head.Statement_.Rest_.For_;
-  if (Known == Pending_.end() || Known->second.IsWaiting_ || !Rest ||
-      Head.WrongTarget_)
+  if (Known == Pending_.end() || Known->second.IsWaiting_ || Head.WrongTarget_)
     return;
-  Known->second.Pool_->targets().recordRest(Known->second.SentTo_, Now + *Rest);
+  if (const auto Rest = Head.Statement_.Rest_.For_)
+    Known->second.Pool_->targets().recordRest(Known->second.SentTo_,
+                                              Now + *Rest);
 }
 
 void ServiceSteering::release(PendingRequest &Ended, const SendReport &Report,
