--- a/apps/lycheed/DecisionReporter.cpp
+++ b/apps/lycheed/DecisionReporter.cpp
@@ -78,6 +78,10 @@
         Made.Inputs_->Load_,
         Made.Inputs_->LoadAge_ ? base::toMilliseconds(*Made.Inputs_->LoadAge_)
                                : NeverTold};
+  if (Made.Targets_)
+    Record.Targets_ = reporting::DecisionRecord::TargetCounts{
+        Made.Targets_->InUse_, Made.Targets_->Ejected_,
+        Made.Targets_->OnProbation_};
   Record.Region_ = Made.Region_;
   Record.Target_ = Made.Target_;
   Record.Reason_ = Made.Reason_;
--- a/apps/lycheed/LiveDaemon.cpp
+++ b/apps/lycheed/LiveDaemon.cpp
@@ -402,7 +402,8 @@
   Gauges_.set({Intent ? Intent->Version_ : 0, Intents_.age(Now), Trusted_,
                Asking_, Heard_.size(), Feed_.targetCount(),
                Feed_.evacuatedCount(), Steering_.limitedTargetCount(),
-               Steering_.restingTargetCount(Now)});
+               Steering_.restingTargetCount(Now),
+               Steering_.ejectedTargetCount(Now)});
 }
 
 void LiveDaemon::noteLosses(std::span<const members::HostView> Others,
--- a/apps/lycheed/LiveGauges.cpp
+++ b/apps/lycheed/LiveGauges.cpp
@@ -48,6 +48,9 @@
       TargetsResting_(Metrics.gauge(
           "lychee_targets_resting",
           "Targets that want nothing from this host for a while")),
+      TargetsEjected_(Metrics.gauge(
+          "lychee_targets_ejected",
+          "Targets that failed for this host and get nothing from it")),
       RelaySound_(relayCounter(Metrics, "sound")),
       RelayUnsound_(relayCounter(Metrics, "unsound")),
       RelayFailed_(relayCounter(Metrics, "failed")),
@@ -72,6 +75,7 @@
   ZonesEvacuated_.set(static_cast<double>(Read.ZonesEvacuated_));
   TargetsLimited_.set(static_cast<double>(Read.TargetsLimited_));
   TargetsResting_.set(static_cast<double>(Read.TargetsResting_));
+  TargetsEjected_.set(static_cast<double>(Read.TargetsEjected_));
 }
 
 void LiveGauges::countStoreCall(const std::string &Kind, bool Came) {
--- a/apps/lycheed/LiveGauges.h
+++ b/apps/lycheed/LiveGauges.h
@@ -27,6 +27,8 @@
   /// Targets that state a rate.
   std::size_t TargetsLimited_ = 0;
   std::size_t TargetsResting_ = 0;
+  /// Targets that failed for this host a moment ago.
+  std::size_t TargetsEjected_ = 0;
 };
 
 /// The metrics of such a host beside those of its requests.
@@ -61,6 +63,7 @@
   const reporting::Gauge ZonesEvacuated_;
   const reporting::Gauge TargetsLimited_;
   const reporting::Gauge TargetsResting_;
+  const reporting::Gauge TargetsEjected_;
   const reporting::Counter RelaySound_;
   const reporting::Counter RelayUnsound_;
   const reporting::Counter RelayFailed_;
--- a/libs/dispatch/DispatchStatements.cpp
+++ b/libs/dispatch/DispatchStatements.cpp
@@ -148,4 +148,28 @@
       [Now](const TargetState &Target) { return Target.isResting(Now); });
 }
 
+std::size_t DispatchSteering::ejectedTargetCount(base::TimePoint Now) const {
+  return countTargets([Now](const TargetState &Target) {
+    return Target.Health_.isEjected(Now);
+  });
+}
+
+steering::TargetCounts
+DispatchSteering::targetCountsFor(const InFlightRequest &Request,
+                                  base::TimePoint Now) {
+  const auto *Homes = Request.Homes_ ? &*Request.Homes_ : nullptr;
+  steering::TargetCounts Counts;
+  for (const TargetState &Target : serviceState(Request.Service_).Targets_) {
+    if (!TargetChooser::isInUse(Target) ||
+        !TargetChooser::isInHomes(Homes, Target))
+      continue;
+    ++Counts.InUse_;
+    if (Target.Health_.isEjected(Now))
+      ++Counts.Ejected_;
+    else if (Target.Health_.isOnProbation(Now))
+      ++Counts.OnProbation_;
+  }
+  return Counts;
+}
+
 } // namespace lychee::dispatch
--- a/libs/dispatch/DispatchSteering.cpp
+++ b/libs/dispatch/DispatchSteering.cpp
@@ -330,16 +330,21 @@
   const bool MayHaveRun = Found->second.MayHaveRun_;
   const std::optional<base::Duration> AfterRest =
       returnAfterRest(Found->second, Now);
+  const steering::TargetCounts Counts = targetCountsFor(Found->second, Now);
   if (Found->second.RetryReserved_)
     serviceState(Found->second.Service_).RetryBudget_.refund();
   InFlight_.erase(Found);
+  Decision Refused;
   if (MayHaveRun || ByTarget)
-    return refuse(MayHaveRun ? Refusal::TargetFailed : Refusal::NoHealthyTarget,
-                  MayHaveRun ? base::Duration::zero()
-                             : AfterRest.value_or(RetryAfter),
-                  MayHaveRun);
-  return refuse(AfterRest ? Refusal::TargetsRest : Refusal::NoHeadroom,
-                AfterRest.value_or(RetryAfter), false);
+    Refused = refuse(
+        MayHaveRun ? Refusal::TargetFailed : Refusal::NoHealthyTarget,
+        MayHaveRun ? base::Duration::zero() : AfterRest.value_or(RetryAfter),
+        MayHaveRun);
+  else
+    Refused = refuse(AfterRest ? Refusal::TargetsRest : Refusal::NoHeadroom,
+                     AfterRest.value_or(RetryAfter), false);
+  Refused.Targets_ = Counts;
+  return Refused;
 }
 
 bool DispatchSteering::mayRetry(const InFlightRequest &Request,
--- a/libs/dispatch/DispatchSteering.h
+++ b/libs/dispatch/DispatchSteering.h
@@ -138,6 +138,8 @@
   std::size_t limitedTargetCount() const;
   /// \returns the number of targets that rest from this host.
   std::size_t restingTargetCount(base::TimePoint Now) const;
+  /// \returns the number of targets that this host has ejected.
+  std::size_t ejectedTargetCount(base::TimePoint Now) const;
 
   // Tokens of the customers' and the targets' rates.
   /// Takes a token for a request of another host.
@@ -298,6 +300,9 @@
                                base::TimePoint Now);
   std::size_t
   countTargets(const std::function<bool(const TargetState &)> &Selected) const;
+  /// \returns what this host takes the targets for that may serve the request.
+  steering::TargetCounts targetCountsFor(const InFlightRequest &Request,
+                                         base::TimePoint Now);
   /// \returns where all targets rest, the time after which a refused caller
   /// should come back: a while after the first of them ends its rest.
   std::optional<base::Duration> returnAfterRest(const InFlightRequest &Request,
--- a/libs/dispatch/TargetChooser.cpp
+++ b/libs/dispatch/TargetChooser.cpp
@@ -31,18 +31,12 @@
   return std::find(Targets.begin(), Targets.end(), Target) != Targets.end();
 }
 
-bool isInHomes(const std::vector<base::RegionId> *Homes,
-               const TargetState &Target) {
-  return Homes == nullptr || std::find(Homes->begin(), Homes->end(),
-                                       Target.Region_) != Homes->end();
-}
-
 bool mayServe(const ChoiceQuery &Query, const TargetState &Target,
               base::TimePoint Now) {
   return TargetChooser::acceptsRequests(Target, Now) &&
          !Target.Health_.isEjected(Now) &&
          !contains(Query.TriedTargets_, Target.Record_.Id_) &&
-         isInHomes(Query.Homes_, Target);
+         TargetChooser::isInHomes(Query.Homes_, Target);
 }
 
 bool isRestricted(const TargetState &Target, base::TimePoint Now) {
@@ -55,6 +49,12 @@
   return !Target.isLeaving() && !Target.Evacuated_ && !Target.AddressReused_;
 }
 
+bool TargetChooser::isInHomes(const std::vector<base::RegionId> *Homes,
+                              const TargetState &Target) {
+  return Homes == nullptr || std::find(Homes->begin(), Homes->end(),
+                                       Target.Region_) != Homes->end();
+}
+
 bool TargetChooser::acceptsRequests(const TargetState &Target,
                                     base::TimePoint Now) noexcept {
   return isInUse(Target) && !Target.isResting(Now);
--- a/libs/dispatch/TargetChooser.h
+++ b/libs/dispatch/TargetChooser.h
@@ -97,6 +97,10 @@
   /// does not leave, its zone is not evacuated, and it is at its address.
   static bool isInUse(const TargetState &Target) noexcept;
 
+  /// \returns whether the target's region is among \p Homes; null: any is.
+  static bool isInHomes(const std::vector<base::RegionId> *Homes,
+                        const TargetState &Target);
+
   /// \returns whether the target is in use and does not rest.
   static bool acceptsRequests(const TargetState &Target,
                               base::TimePoint Now) noexcept;
--- a/libs/reporting/DecisionLog.cpp
+++ b/libs/reporting/DecisionLog.cpp
@@ -59,6 +59,10 @@
              static_cast<std::int64_t>(Taken.Inputs_->Load_ * Tenths))
         .add("load_age_ms", Taken.Inputs_->LoadAgeMs_);
   }
+  if (Taken.Targets_)
+    Line.add("targets", Taken.Targets_->InUse_)
+        .add("ejected", Taken.Targets_->Ejected_)
+        .add("probation", Taken.Targets_->OnProbation_);
   if (Taken.TookMs_ >= 0)
     Line.add("took_ms", Taken.TookMs_);
   if (Taken.Status_ != 0)
--- a/libs/reporting/DecisionLog.h
+++ b/libs/reporting/DecisionLog.h
@@ -53,6 +53,14 @@
     std::int64_t LoadAgeMs_ = 0;
   };
   std::optional<Inputs> Inputs_;
+  /// Targets that may serve the request, and what this host takes them for,
+  /// where it is refused for lack of one.
+  struct TargetCounts {
+    std::uint32_t InUse_ = 0;
+    std::uint32_t Ejected_ = 0;
+    std::uint32_t OnProbation_ = 0;
+  };
+  std::optional<TargetCounts> Targets_;
   /// How long a send or request took; negative where it is not told.
   std::int64_t TookMs_ = -1;
   /// The answer's status, where the decision ends the request; else 0.
--- a/libs/steering/Steering.h
+++ b/libs/steering/Steering.h
@@ -146,6 +146,16 @@
   std::optional<base::Duration> LoadAge_;
 };
 
+/// What this host takes the targets of a service for, for the log.
+struct TargetCounts {
+  /// Neither leaving nor evacuated, and in a region that may serve the request.
+  std::uint32_t InUse_ = 0;
+  /// Of these, failed for this host a moment ago and get no requests from it.
+  std::uint32_t Ejected_ = 0;
+  /// Of these, may have restarted, so that one host probes them.
+  std::uint32_t OnProbation_ = 0;
+};
+
 /// What to do with a request now.
 struct Decision {
   enum class Action {
@@ -173,6 +183,8 @@
   std::string_view Reason_;
   std::vector<PassedOverTarget> PassedOverTargets_;
   std::optional<ChoiceInputs> Inputs_;
+  /// Of a refusal for lack of a target; empty where it has another reason.
+  std::optional<TargetCounts> Targets_;
 
   base::TimePoint WaitUntil_;
 
--- a/tests/reporting/DecisionLogTest.cpp
+++ b/tests/reporting/DecisionLogTest.cpp
@@ -52,6 +52,16 @@
                Log_.explain(base::RequestId("r1")).at(0).c_str());
 }
 
+// Guards against refusals that do not tell a host without reach from one whose
+// targets are full.
+TEST(DecisionLog, aRefusalTellsWhatTheTargetsAreTakenFor) {
+  DecisionRecord Record = recordOf("r1");
+  Record.Event_ = "refuse";
+  Record.Targets_ = DecisionRecord::TargetCounts{30, 28, 2};
+  Log_.record(Record, Now);
+  STRCMP_CONTAINS("targets=30 ejected=28 probation=2", Lines_.at(0).c_str());
+}
+
 TEST(DecisionLog, explainTellsOneRequestInOrder) {
   Log_.record(recordOf("r1"), Now);
   Log_.record(recordOf("r2"), Now);
