--- a/libs/gateway/GatewaySettings.cpp
+++ b/libs/gateway/GatewaySettings.cpp
@@ -7,6 +7,7 @@
   Made.Host_ = Daemon.Host_;
   Made.Callers_ = Daemon.Callers_;
   Made.Threads_ = Daemon.Threads_;
+  Made.Source_ = Daemon.Source_;
   Made.ConnectionLimit_ = Daemon.ConnectionLimit_;
   Made.HeaderLimitBytes_ = Daemon.HeaderLimitBytes_;
   Made.BodyLimitBytes_ = Daemon.BodyLimitBytes_;
--- a/libs/gateway/GatewaySettings.h
+++ b/libs/gateway/GatewaySettings.h
@@ -16,6 +16,8 @@
   base::HostId Host_;
   settings::Endpoint Callers_;
   std::uint32_t Threads_ = 2;
+  /// IP from which targets are connected to; empty: the kernel chooses.
+  std::string Source_;
 
   std::uint32_t ConnectionLimit_ = 20000;
   std::uint32_t HeaderLimitBytes_ = 16 * 1024;
--- a/libs/gateway/TargetConnection.cpp
+++ b/libs/gateway/TargetConnection.cpp
@@ -1,7 +1,9 @@
 #include "gateway/TargetConnection.h"
 
 #include <cerrno>
+#include <netinet/in.h>
 #include <sys/socket.h>
+#include <tuple>
 
 namespace lychee::gateway {
 
@@ -15,6 +17,28 @@
   Open_->fetch_sub(1);
 }
 
+Task<ErrorCode> TargetConnection::open(const Tcp::endpoint &Where,
+                                       const std::string &Source) {
+  ErrorCode Error;
+  if (!Source.empty()) {
+    Socket_.open(Where.protocol(), Error);
+    const int On = 1;
+    // The port is chosen by the whole connection, else 28,000 are all there is.
+    setsockopt(Socket_.native_handle(), IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT,
+               &On, sizeof On);
+    if (!Error)
+      Socket_.bind({boost::asio::ip::make_address(Source), 0}, Error);
+    if (Error)
+      co_return Error;
+  }
+  std::tie(Error) = co_await Socket_.async_connect(Where, Await);
+  if (Error)
+    co_return Error;
+  ErrorCode Ignored;
+  Socket_.set_option(Tcp::no_delay(true), Ignored);
+  co_return Error;
+}
+
 bool TargetConnection::isUntouched() {
   if (Buffer_.size() > 0 || !Socket_.is_open())
     return false;
--- a/libs/gateway/TargetConnection.h
+++ b/libs/gateway/TargetConnection.h
@@ -7,6 +7,7 @@
 #include <atomic>
 #include <cstdint>
 #include <memory>
+#include <string>
 
 namespace lychee::gateway {
 
@@ -22,6 +23,10 @@
   TargetConnection &operator=(const TargetConnection &) = delete;
   ~TargetConnection();
 
+  /// Connects; options that all connections to targets have are set.
+  /// \param Source  IP to connect from; empty: the kernel chooses.
+  Task<ErrorCode> open(const Tcp::endpoint &Where, const std::string &Source);
+
   Socket &socket() noexcept { return Socket_; }
   ReadBuffer &buffer() noexcept { return Buffer_; }
 
--- a/libs/gateway/TargetPoll.cpp
+++ b/libs/gateway/TargetPoll.cpp
@@ -102,8 +102,8 @@
     Failure_ = "no connection can be made";
     co_return false;
   }
-  const auto [Error] =
-      co_await Connection_->socket().async_connect(*Where, Await);
+  const ErrorCode Error =
+      co_await Connection_->open(*Where, Home_.shared().Settings_.Source_);
   if (Error || Watch_.fired())
     Failure_ = Watch_.fired() ? "connect timed out" : Error.message();
   co_return !Error && !Watch_.fired();
--- a/libs/gateway/TargetSend.cpp
+++ b/libs/gateway/TargetSend.cpp
@@ -84,14 +84,12 @@
   if (!Connection_)
     co_return steering::SendOutcome::Shed;
   bound(Home_.shared().Settings_.ConnectTimeout_);
-  const auto [Error] =
-      co_await Connection_->socket().async_connect(*Where, Await);
+  const ErrorCode Error =
+      co_await Connection_->open(*Where, Home_.shared().Settings_.Source_);
   if (Caller_.watch().fired())
     co_return failed();
   if (Error)
     co_return steering::SendOutcome::ConnectFailed;
-  ErrorCode Ignored;
-  Connection_->socket().set_option(Tcp::no_delay(true), Ignored);
   Connection_->showLife(base::SystemClock::monotonicNow());
   co_return std::nullopt;
 }
--- a/libs/settings/DaemonSettings.cpp
+++ b/libs/settings/DaemonSettings.cpp
@@ -20,6 +20,7 @@
   Section.name("region", Into.Region_);
   Section.name("zone", Into.Zone_);
   Section.count("threads", Into.Threads_, {1, 256});
+  Section.address("source", Into.Source_);
 }
 
 void readCallers(SectionReader &Section, DaemonSettings &Into) {
--- a/libs/settings/DaemonSettings.h
+++ b/libs/settings/DaemonSettings.h
@@ -52,6 +52,8 @@
   base::RegionId Region_;
   base::ZoneId Zone_;
   std::uint32_t Threads_ = 2;
+  /// IP from which targets are connected to; empty: the kernel chooses.
+  std::string Source_;
 
   // [callers]
   Endpoint Callers_;
--- a/libs/settings/SectionReader.cpp
+++ b/libs/settings/SectionReader.cpp
@@ -163,6 +163,15 @@
   Into = *Value;
 }
 
+void SectionReader::address(std::string_view Key, std::string &Into) {
+  const IniEntry *Entry = find(Key, Need::Optional);
+  if (Entry == nullptr)
+    return;
+  if (!parseAddress(Entry->Value_))
+    return reject(*Entry, "an IPv4 address");
+  Into = Entry->Value_;
+}
+
 void SectionReader::listener(std::string_view Key, Endpoint &Into) {
   const IniEntry *Entry = find(Key, Need::Required);
   if (Entry == nullptr)
--- a/libs/settings/SectionReader.h
+++ b/libs/settings/SectionReader.h
@@ -44,6 +44,8 @@
   void yesNo(std::string_view Key, bool &Into);
   void wallTime(std::string_view Key, base::WallPoint &Into);
 
+  /// An IPv4 address without a port; may be absent.
+  void address(std::string_view Key, std::string &Into);
   /// An address to listen at; port 0 takes any free port.
   void listener(std::string_view Key, Endpoint &Into);
   /// An address to connect to.
--- a/tests/settings/DaemonSettingsTest.cpp
+++ b/tests/settings/DaemonSettingsTest.cpp
@@ -39,6 +39,16 @@
   STRCMP_EQUAL("127.0.0.1:7000", Read.Store_.text().c_str());
 }
 
+TEST(DaemonSettings, theSourceOfConnectionsIsAnAddressWithoutAPort) {
+  const std::string Rest = Whole.substr(Whole.find("[callers]"));
+  const std::string Host =
+      "[host]\nname = edge-1\nregion = north\nzone = n-1\n";
+  STRCMP_EQUAL("", problemsOf(Host + "source = 10.1.0.37\n" + Rest).c_str());
+  STRCMP_EQUAL("edge.ini:5: host.source: found 10.1.0.37:80, allowed an IPv4 "
+               "address\n",
+               problemsOf(Host + "source = 10.1.0.37:80\n" + Rest).c_str());
+}
+
 TEST(DaemonSettings, aSecondSectionOfAKindIsAProblem) {
   STRCMP_EQUAL("edge.ini:14: callers: found the section a second time, allowed "
                "once in a file\n",
