--- a/standins/link/LoopbackProxy.cpp
+++ b/standins/link/LoopbackProxy.cpp
@@ -8,6 +8,10 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
+#include <linux/filter.h>
+#include <span>
+#include <sys/socket.h>
+#include <vector>
 
 namespace lychee::standins {
 
@@ -26,6 +30,31 @@
           static_cast<std::uint16_t>(std::stoul(Address.substr(Colon + 1)))};
 }
 
+/// Where a classic packet filter finds the source address of an IPv4 packet.
+constexpr std::uint32_t SourceOffset =
+    static_cast<std::uint32_t>(SKF_NET_OFF) + 12;
+
+/// Drops the packets that come to a socket from \p Dropped, or from any other
+/// address where \p DropsOthers.
+void filterPackets(int Handle, std::span<const std::uint32_t> Dropped,
+                   bool DropsOthers) {
+  const int Unused = 0;
+  setsockopt(Handle, SOL_SOCKET, SO_DETACH_FILTER, &Unused, sizeof Unused);
+  if (Dropped.empty() && !DropsOthers)
+    return;
+  constexpr std::uint32_t KeepAll = 0xffffffff;
+  std::vector<sock_filter> Program = {
+      BPF_STMT(BPF_LD | BPF_W | BPF_ABS, SourceOffset)};
+  for (const std::uint32_t Address : Dropped) {
+    Program.push_back(BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, Address, 0, 1));
+    Program.push_back(BPF_STMT(BPF_RET | BPF_K, 0));
+  }
+  Program.push_back(BPF_STMT(BPF_RET | BPF_K, DropsOthers ? 0 : KeepAll));
+  const sock_fprog Filter{static_cast<unsigned short>(Program.size()),
+                          Program.data()};
+  setsockopt(Handle, SOL_SOCKET, SO_ATTACH_FILTER, &Filter, sizeof Filter);
+}
+
 } // namespace
 
 LoopbackProxy::LoopbackProxy(const std::string &Listen, const std::string &Far)
@@ -40,13 +69,44 @@
 }
 
 void LoopbackProxy::setFaults(const LinkFaults &Set) {
-  const std::lock_guard Guard(Lock_);
-  Faults_ = Set;
+  {
+    const std::lock_guard Guard(Lock_);
+    Faults_ = Set;
+  }
+  asio::post(Context_, [this] { updateFilters(); });
 }
 
-LinkFaults LoopbackProxy::faults() const {
+void LoopbackProxy::setFaultsFrom(const std::string &Near,
+                                  const LinkFaults &Set) {
+  {
+    const std::lock_guard Guard(Lock_);
+    FaultsFrom_[Near] = Set;
+  }
+  asio::post(Context_, [this] { updateFilters(); });
+}
+
+LinkFaults LoopbackProxy::faultsFrom(const std::string &Near) const {
   const std::lock_guard Guard(Lock_);
-  return Faults_;
+  const auto Found = FaultsFrom_.find(Near);
+  return Found == FaultsFrom_.end() ? Faults_ : Found->second;
+}
+
+/// Connections inherit the filter of the listener that accepted them, so that
+/// every open one is set anew.
+void LoopbackProxy::updateFilters() {
+  std::vector<std::uint32_t> Dropped;
+  bool DropsOthers = false;
+  {
+    const std::lock_guard Guard(Lock_);
+    DropsOthers = Faults_.Drops_;
+    for (const auto &[Near, Set] : FaultsFrom_)
+      if (Set.Drops_)
+        Dropped.push_back(asio::ip::make_address_v4(Near).to_uint());
+  }
+  filterPackets(Acceptor_.native_handle(), Dropped, DropsOthers);
+  for (const std::weak_ptr<Link> &Each : Links_)
+    if (const auto Both = Each.lock(); Both && Both->Near_.is_open())
+      filterPackets(Both->Near_.native_handle(), Dropped, DropsOthers);
 }
 
 void LoopbackProxy::reset(Link &Both) {
@@ -57,12 +117,15 @@
   }
 }
 
-void LoopbackProxy::resetAll() {
-  asio::post(Context_, [this] {
-    for (const std::weak_ptr<Link> &Each : Links_)
-      if (const auto Both = Each.lock())
-        reset(*Both);
-    Links_.clear();
+void LoopbackProxy::resetAll(const std::string &Near) {
+  asio::post(Context_, [this, Near] {
+    std::erase_if(Links_, [&Near](const std::weak_ptr<Link> &Each) {
+      const auto Both = Each.lock();
+      if (!Both || (!Near.empty() && Both->From_ != Near))
+        return !Both;
+      reset(*Both);
+      return true;
+    });
   });
 }
 
@@ -73,7 +136,9 @@
         co_await Acceptor_.async_accept(Both->Near_, AsTuple);
     if (Failure)
       co_return;
-    if (faults().Refuses_)
+    boost::system::error_code Ignored;
+    Both->From_ = Both->Near_.remote_endpoint(Ignored).address().to_string();
+    if (faultsFrom(Both->From_).Refuses_)
       continue;
     std::erase_if(Links_, [](const auto &Each) { return Each.expired(); });
     Links_.push_back(Both);
@@ -93,18 +158,18 @@
       });
 }
 
-asio::awaitable<void> LoopbackProxy::hold(bool Forth) {
+asio::awaitable<void> LoopbackProxy::hold(const Link &Both, bool Forth) {
   asio::steady_timer Timer(Context_);
-  LinkFaults Set = faults();
+  LinkFaults Set = faultsFrom(Both.From_);
   if (Set.Delay_ > base::Duration::zero()) {
     Timer.expires_after(
         std::chrono::duration_cast<std::chrono::milliseconds>(Set.Delay_));
     co_await Timer.async_wait(AsTuple);
   }
-  while (Forth ? Set.CutForth_ : Set.CutBack_) {
+  while (Set.Drops_ || (Forth ? Set.CutForth_ : Set.CutBack_)) {
     Timer.expires_after(HealPace);
     co_await Timer.async_wait(AsTuple);
-    Set = faults();
+    Set = faultsFrom(Both.From_);
   }
 }
 
@@ -116,7 +181,7 @@
   while (true) {
     const auto [ReadFailure, Count] =
         co_await From.async_read_some(asio::buffer(Piece), AsTuple);
-    co_await hold(Forth);
+    co_await hold(*Both, Forth);
     boost::system::error_code Ignored;
     if (ReadFailure == asio::error::eof) {
       To.shutdown(Tcp::socket::shutdown_send, Ignored);
--- a/standins/link/LoopbackProxy.h
+++ b/standins/link/LoopbackProxy.h
@@ -8,6 +8,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <cstdint>
 #include <list>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -25,6 +26,9 @@
   bool CutBack_ = false;
   /// New connections are closed at once.
   bool Refuses_ = false;
+  /// Packets of the near end are dropped, also those that open a connection,
+  /// and what the far end sends does not arrive: both ends see silence.
+  bool Drops_ = false;
 };
 
 /// Stands between two processes on the loopback and passes bytes on, with the
@@ -39,8 +43,12 @@
   ~LoopbackProxy();
 
   void setFaults(const LinkFaults &Set);
-  /// Resets every open connection.
-  void resetAll();
+  /// Sets the faults for connections from one address only; they go before
+  /// those for all. \param Near  IP.
+  void setFaultsFrom(const std::string &Near, const LinkFaults &Set);
+  /// Resets every open connection. \param Near  IP from which they came; empty:
+  /// any.
+  void resetAll(const std::string &Near = {});
 
 private:
   using Tcp = boost::asio::ip::tcp;
@@ -50,19 +58,24 @@
         : Near_(Context), Far_(Context) {}
     Tcp::socket Near_;
     Tcp::socket Far_;
+    /// IP from which it came.
+    std::string From_;
   };
 
   boost::asio::awaitable<void> accept();
   void serve(const std::shared_ptr<Link> &Both);
   boost::asio::awaitable<void> pump(std::shared_ptr<Link> Both, bool Forth);
   /// Waits out delay and cut. \returns once bytes may go on.
-  boost::asio::awaitable<void> hold(bool Forth);
-  LinkFaults faults() const;
+  boost::asio::awaitable<void> hold(const Link &Both, bool Forth);
+  LinkFaults faultsFrom(const std::string &Near) const;
+  /// Drops packets of the near ends whose links do so, and of no others.
+  void updateFilters();
   static void reset(Link &Both);
 
   const Tcp::endpoint Far_;
   mutable std::mutex Lock_;
   LinkFaults Faults_;
+  std::map<std::string, LinkFaults> FaultsFrom_;
   boost::asio::io_context Context_{1};
   Tcp::acceptor Acceptor_;
   std::list<std::weak_ptr<Link>> Links_;
--- a/tests/support/LiveFleet.cpp
+++ b/tests/support/LiveFleet.cpp
@@ -79,6 +79,10 @@
   return Size_.Base_ + std::to_string(Host + 1) + ":" + std::to_string(Port);
 }
 
+std::string LiveFleet::source(std::size_t Host) const {
+  return Size_.Base_ + std::to_string(Host + 1);
+}
+
 std::string LiveFleet::logPath(std::size_t Host) const {
   return Folder_ + "/host-" + std::to_string(Host) + ".log";
 }
@@ -89,6 +93,7 @@
       Size_.HasProxies_ ? StoreLinkPart + static_cast<int>(Index) : StorePart;
   std::ofstream(Path) << "[host]\nname = host-" << Index
                       << "\nregion = near\nzone = near-1\nthreads = 1\n"
+                      << "source = " << source(Index) << "\n"
                       << "[callers]\nlisten = " << at(Index, 7001)
                       << "\n[metrics]\nlisten = " << at(Index, 7002)
                       << "\n[store]\naddress = " << Size_.Base_ << Store
@@ -105,6 +110,17 @@
       "lycheed", std::vector<std::string>{"--settings", Path}, logPath(Index));
 }
 
+void LiveFleet::setTargetLinks(std::size_t Host,
+                               const standins::LinkFaults &Set) {
+  for (const auto &Link : TargetLinks_)
+    Link->setFaultsFrom(source(Host), Set);
+}
+
+void LiveFleet::resetTargetLinks(std::size_t Host) {
+  for (const auto &Link : TargetLinks_)
+    Link->resetAll(source(Host));
+}
+
 std::size_t LiveFleet::writeIntent(int Version, const std::string &Key,
                                    std::size_t MoreRules) {
   Json::Value Made;
--- a/tests/support/LiveFleet.h
+++ b/tests/support/LiveFleet.h
@@ -55,6 +55,11 @@
 
   /// Starts a host, or starts it again.
   void startHost(std::size_t Index);
+  /// Cuts links between a host and all targets, or heals them: one fault for
+  /// all of its links. Needs proxies.
+  void setTargetLinks(std::size_t Host, const standins::LinkFaults &Set);
+  /// Resets the host's open connections to all targets.
+  void resetTargetLinks(std::size_t Host);
   /// Kills a host without a word.
   void killHost(std::size_t Index) { Hosts_[Index].reset(); }
   /// Puts a configuration in force, in which \p Key is the customer's.
@@ -70,6 +75,8 @@
   // What is seen from outside.
 
   std::string callers(std::size_t Host) const { return at(Host, 7001); }
+  /// IP from which the host connects to targets.
+  std::string source(std::size_t Host) const;
   bool isReady(std::size_t Host) const;
   /// \param Id  of the request; targets count arrivals by it.
   CallerAnswer ask(std::size_t Host, const std::string &Key,
