--- a/apps/lycheed/DecisionReporter.cpp
+++ b/apps/lycheed/DecisionReporter.cpp
@@ -20,6 +20,7 @@
   Record.Key_ = Request.Key_;
   Record.Service_ = Request.Service_;
   Record.Rule_ = Request.Rule_;
+  Record.ForwardedBy_ = Request.ForwardedBy_;
   return Record;
 }
 
@@ -48,6 +49,11 @@
                                    reporting::Metrics &Metrics)
     : Log_(Log),
       Sends_(Metrics.counter("lychee_sends_total", "Requests sent to targets")),
+      Forwards_(Metrics.counter("lychee_forwards_total",
+                                "Requests forwarded to other hosts")),
+      ForwardedArrivals_(
+          Metrics.counter("lychee_forwarded_arrivals_total",
+                          "Requests that other hosts forwarded to this one")),
       Waits_(Metrics.counter("lychee_waits_total",
                              "Requests that waited for room")),
       Refusals_(Metrics.counter("lychee_refusals_total", "Requests refused")),
@@ -95,7 +101,8 @@
   case steering::Decision::Action::Send:
     Record.Event_ = "send";
     Record.Object_ = Request.ObjectHash_;
-    Sends_.add();
+    Record.Host_ = Made.Host_;
+    (Made.Host_.empty() ? Sends_ : Forwards_).add();
     break;
   case steering::Decision::Action::Wait:
     Record.Event_ = "wait";
@@ -123,6 +130,7 @@
   Record.TookMs_ = base::toMilliseconds(Report.Took_);
   Record.Region_ = Sent.Region_;
   Record.Target_ = Sent.Target_;
+  Record.Host_ = Sent.Host_;
   Record.Reason_ = retrying::nameOf(Report.Outcome_);
   Record.Status_ = Report.Status_;
   Record.StatedRate_ = describe(Report.Statement_.Rate_);
@@ -141,6 +149,8 @@
 void DecisionReporter::requestEnded(const steering::Request &Request,
                                     int Status, std::string_view Outcome,
                                     base::TimePoint Now) {
+  if (!Request.ForwardedBy_.empty())
+    ForwardedArrivals_.add();
   reporting::DecisionRecord Record = recordOf(Request);
   Record.Event_ = "end";
   Record.TookMs_ = base::toMilliseconds(Now - Request.ArrivedAt_);
--- a/apps/lycheed/DecisionReporter.h
+++ b/apps/lycheed/DecisionReporter.h
@@ -34,6 +34,8 @@
 private:
   reporting::DecisionLog &Log_;
   reporting::Counter Sends_;
+  reporting::Counter Forwards_;
+  reporting::Counter ForwardedArrivals_;
   reporting::Counter Waits_;
   reporting::Counter Refusals_;
   reporting::Counter Answers_;
--- a/apps/lycheed/LiveDaemon.cpp
+++ b/apps/lycheed/LiveDaemon.cpp
@@ -112,6 +112,15 @@
                          .add("age_ms", base::toMilliseconds(Change.Age_)));
 }
 
+void logReach(const dispatch::ReachChange &Change) {
+  reporting::logLine(Change.IsReached_ ? LogLevel::Info : LogLevel::Warning,
+                     KeyValueLine()
+                         .add("event", Change.IsReached_ ? "targets-reached"
+                                                         : "targets-unreached")
+                         .add("target", Change.Target_.name())
+                         .add("since_ms", base::toMilliseconds(Change.Since_)));
+}
+
 void spawnLogged(asio::io_context &Where, asio::awaitable<void> What,
                  const char *Event) {
   asio::co_spawn(Where, std::move(What),
@@ -162,10 +171,19 @@
                      Tokens_.ask(Owner, Number, Wanted);
                    });
                  },
-                 logStatement},
+                 logStatement,
+                 [this](const dispatch::ReachChange &Change) {
+                   logReach(Change);
+                   asio::post(Control_, [this] {
+                     const base::TimePoint Now = SystemClock::monotonicNow();
+                     Heartbeats_.sendNow(Now);
+                     News_.sendNow(Now);
+                   });
+                 }},
                 SystemClock::monotonicNow()),
       Registration_(Objects_, Hosts_.self()),
       Entry_({Hosts_, Intents_, [this] { return Feed_.knowsAll(); },
+              [this] { return Steering_.reachesTargets(); },
               [this] {
                 asio::post(Control_, [this] {
                   Heartbeats_.sendNow(SystemClock::monotonicNow());
@@ -250,17 +268,19 @@
   if (!News)
     return;
   // Callers of other regions may be sent there, too.
-  if (Said.Leaving_)
+  if (Said.Leaving_ || Said.TargetsUnreached_)
     News_.sendNow(Now);
   else if (Said.HasDescriptor_)
     Heartbeats_.sendFullTo(Said.Sender_.Address_, Now);
-  reporting::logLine(LogLevel::Info,
-                     KeyValueLine()
-                         .add("event", "host-heard")
-                         .add("host", Said.Sender_.Host_.name())
-                         .add("start", Said.Sender_.Incarnation_)
-                         .add("ready", Said.Ready_ ? 1 : 0)
-                         .add("leaving", Said.Leaving_ ? 1 : 0));
+  reporting::logLine(
+      LogLevel::Info,
+      KeyValueLine()
+          .add("event", "host-heard")
+          .add("host", Said.Sender_.Host_.name())
+          .add("start", Said.Sender_.Incarnation_)
+          .add("ready", Said.Ready_ ? 1 : 0)
+          .add("leaving", Said.Leaving_ ? 1 : 0)
+          .add("targets_unreached", Said.TargetsUnreached_ ? 1 : 0));
 }
 
 // Listeners of the host itself.
@@ -350,11 +370,11 @@
     noteLosses(Others, Now);
     setGauges(Now);
     const members::LocalHostState Own = Entry_.ownState(Now);
-    Steering_.updateFleetDemand({Others, Hosts_.regions(Now), Hosts_.self(),
-                                 Own.Ready_ && !Own.Leaving_,
-                                 Hosts_.shareHolders(Now), regionCount(Live_),
-                                 Hosts_.isCutOff(Now)},
-                                Now);
+    Steering_.updateFleetDemand(
+        {Others, Hosts_.regions(Now), Hosts_.self(),
+         Own.Ready_ && !Own.Leaving_, Own.TargetsUnreached_,
+         Hosts_.shareHolders(Now), regionCount(Live_), Hosts_.isCutOff(Now)},
+        Now);
     reporting::flushLog();
     if (++Paces % FileCheckPaces == 0 && settingsFileChanged())
       reloadSettings();
@@ -403,7 +423,7 @@
                Asking_, Heard_.size(), Feed_.targetCount(),
                Feed_.evacuatedCount(), Steering_.limitedTargetCount(),
                Steering_.restingTargetCount(Now),
-               Steering_.ejectedTargetCount(Now)});
+               Steering_.ejectedTargetCount(Now), !Steering_.reachesTargets()});
 }
 
 void LiveDaemon::noteLosses(std::span<const members::HostView> Others,
--- a/apps/lycheed/LiveEntry.cpp
+++ b/apps/lycheed/LiveEntry.cpp
@@ -10,6 +10,7 @@
   Own.Ready_ = isReady() && Trusted;
   Own.Leaving_ = Leaving_;
   Own.CutOff_ = !Trusted && Others_.Hosts_.isCutOff(Now);
+  Own.TargetsUnreached_ = !Others_.ReachesTargets_();
   return Own;
 }
 
--- a/apps/lycheed/LiveEntry.h
+++ b/apps/lycheed/LiveEntry.h
@@ -19,6 +19,8 @@
     const live::ActiveIntent &Intents_;
     /// Whether this host knows all that a request needs.
     std::function<bool()> KnowsAll_;
+    /// Whether this host reaches targets.
+    std::function<bool()> ReachesTargets_;
     /// Called once, when this host begins to stop.
     std::function<void()> Leave_;
   };
--- a/apps/lycheed/LiveGauges.cpp
+++ b/apps/lycheed/LiveGauges.cpp
@@ -51,6 +51,10 @@
       TargetsEjected_(Metrics.gauge(
           "lychee_targets_ejected",
           "Targets that failed for this host and get nothing from it")),
+      TargetsUnreached_(
+          Metrics.gauge("lychee_targets_unreached",
+                        "1 while this host reaches no targets and forwards "
+                        "requests to hosts that do")),
       RelaySound_(relayCounter(Metrics, "sound")),
       RelayUnsound_(relayCounter(Metrics, "unsound")),
       RelayFailed_(relayCounter(Metrics, "failed")),
@@ -76,6 +80,7 @@
   TargetsLimited_.set(static_cast<double>(Read.TargetsLimited_));
   TargetsResting_.set(static_cast<double>(Read.TargetsResting_));
   TargetsEjected_.set(static_cast<double>(Read.TargetsEjected_));
+  TargetsUnreached_.set(Read.TargetsUnreached_ ? 1 : 0);
 }
 
 void LiveGauges::countStoreCall(const std::string &Kind, bool Came) {
--- a/apps/lycheed/LiveGauges.h
+++ b/apps/lycheed/LiveGauges.h
@@ -29,6 +29,8 @@
   std::size_t TargetsResting_ = 0;
   /// Targets that failed for this host a moment ago.
   std::size_t TargetsEjected_ = 0;
+  /// This host reaches no targets and forwards requests to hosts that do.
+  bool TargetsUnreached_ = false;
 };
 
 /// The metrics of such a host beside those of its requests.
@@ -64,6 +66,7 @@
   const reporting::Gauge TargetsLimited_;
   const reporting::Gauge TargetsResting_;
   const reporting::Gauge TargetsEjected_;
+  const reporting::Gauge TargetsUnreached_;
   const reporting::Counter RelaySound_;
   const reporting::Counter RelayUnsound_;
   const reporting::Counter RelayFailed_;
--- a/apps/lycheed/LiveReports.cpp
+++ b/apps/lycheed/LiveReports.cpp
@@ -7,6 +7,7 @@
   const members::LocalHostState Own = Others_.Entry_.ownState(Now);
   Said.Ready_ = Own.Ready_;
   Said.Leaving_ = Own.Leaving_;
+  Said.TargetsUnreached_ = Own.TargetsUnreached_;
   Said.StoreTrouble_ = Others_.Role_.isInTrouble(Now);
   Said.Loads_ = Others_.Steering_.serviceDemands(Now);
   Said.Evidence_ = Others_.Steering_.crashEvidence(Now);
@@ -53,7 +54,8 @@
           Others_.Steering_.serviceDemands(Now),
           Others_.Steering_.crashEvidence(Now),
           Others_.Steering_.relayedRates(Now),
-          Others_.Steering_.relayedLeavings(Now)};
+          Others_.Steering_.relayedLeavings(Now),
+          Own.TargetsUnreached_};
 }
 
 } // namespace lychee::daemon
--- a/libs/dispatch/CustomerRateLimiter.cpp
+++ b/libs/dispatch/CustomerRateLimiter.cpp
@@ -186,6 +186,14 @@
   return {};
 }
 
+void CustomerRateLimiter::refund(const base::CustomerId &Customer) {
+  const auto Found = Customers_.find(Customer);
+  // Another host may own the tokens by now.
+  if (Found != Customers_.end() && Found->second.Rate_ > 0 &&
+      Found->second.Owner_.empty())
+    Found->second.RegionBucket_.refund();
+}
+
 std::optional<base::Duration>
 CustomerRateLimiter::takeForPeer(const base::CustomerId &Customer,
                                  base::TimePoint Now) {
--- a/libs/dispatch/CustomerRateLimiter.h
+++ b/libs/dispatch/CustomerRateLimiter.h
@@ -124,6 +124,9 @@
   /// Counts a request, and takes its token where this host owns the tokens.
   RateLimitDecision take(const base::CustomerId &Customer, base::TimePoint Now);
 
+  /// Returns a token that take() took at this host and that was not needed.
+  void refund(const base::CustomerId &Customer);
+
   /// Takes a token for a request that another host of the region counted.
   /// \returns nothing: the token was taken; else the time until there is one.
   std::optional<base::Duration> takeForPeer(const base::CustomerId &Customer,
--- a/libs/dispatch/DispatchLearning.cpp
+++ b/libs/dispatch/DispatchLearning.cpp
@@ -79,6 +79,7 @@
     break;
   case SendOutcome::ConnectFailed:
     Target->Health_.recordConnectFailure(Now);
+    Reach_.recordConnectFailure(Target->StartKey_, Now);
     recordTargetDown(Target->Record_.Id_, Now);
     break;
   case SendOutcome::ClosedBeforeWrite:
@@ -91,6 +92,10 @@
     Target->Health_.recordFailure(Now);
     if (!Report.TimedOut_)
       recordLoss(Request, Target->Record_.Id_, Now);
+    // Something on the way may accept connections for the target and close
+    // them.
+    if (!Report.TimedOut_ && Report.NewConnection_)
+      Reach_.recordConnectFailure(Target->StartKey_, Now);
     break;
   case SendOutcome::ResponseTruncated:
   case SendOutcome::ResponseInvalid:
--- a/libs/dispatch/DispatchStatements.cpp
+++ b/libs/dispatch/DispatchStatements.cpp
@@ -31,7 +31,7 @@
   const auto Found = InFlight_.find(Ticket);
   // Another target answers for itself, and not for the one expected there.
   if (Found == InFlight_.end() || Found->second.TriedTargets_.empty() ||
-      Head.WrongTarget_)
+      !Found->second.SentToHost_.empty() || Head.WrongTarget_)
     return;
   const std::uint64_t Start = Found->second.SentTo_;
   const base::TargetId &Id = Found->second.TriedTargets_.back();
--- a/libs/dispatch/DispatchSteering.cpp
+++ b/libs/dispatch/DispatchSteering.cpp
@@ -61,6 +61,7 @@
                                      {},
                                      0,
                                      0,
+                                     {},
                                      {}})
       .first->second;
 }
@@ -98,6 +99,8 @@
   const std::uint64_t Ticket = ++LastTicket_;
   InFlightRequest &Request = InFlight_[Ticket];
   Request.Service_ = Arrived.Service_;
+  Request.Customer_ = Arrived.Customer_;
+  Request.IsForwarded_ = !Arrived.ForwardedBy_.empty();
   Request.Rule_ = Arrived.Rule_;
   Request.Object_ =
       Arrived.ObjectHash_ != 0 ? Arrived.ObjectHash_ : Random_() | 1U;
@@ -111,6 +114,9 @@
   Request.LatencyObjective_ = Arrived.LatencyObjective_;
   Request.Idempotent_ = Arrived.Idempotent_;
   Request.MaxSends_ = std::max(1U, Arrived.MaxSends_);
+  // Before a token is taken: the other host takes one.
+  if (auto Unreached = forwardIfUnreached(Ticket, Request, Now))
+    return *Unreached;
   if (Arrived.Customer_.empty())
     return admit(Ticket, Request, Now);
   const RateLimitDecision Verdict = RateLimiter_.take(Arrived.Customer_, Now);
@@ -120,6 +126,7 @@
   case RateLimitDecision::Kind::AskOwner:
     return awaitToken(Ticket, Arrived.Customer_, Verdict, Now);
   case RateLimitDecision::Kind::Allowed:
+    Request.TookOwnToken_ = true;
     break;
   }
   return admit(Ticket, Request, Now);
@@ -221,10 +228,17 @@
 
 Decision DispatchSteering::send(std::uint64_t Ticket, InFlightRequest &Request,
                                 TokenSource Source, base::TimePoint Now) {
+  if (Request.Sends_ + Request.UndeliveredSends_ > 0)
+    if (auto Unreached = forwardIfUnreached(Ticket, Request, Now))
+      return *Unreached;
   const Selection Selected = chooseTarget(Request, Source, Now);
   const std::optional<Choice> &Chosen = Selected.Choice_;
-  if (!Chosen)
-    return refuseUnplaced(Ticket, Selected, Now);
+  if (!Chosen) {
+    const auto Forwarded = areTargetsDoubtful(Request, Now)
+                               ? forward(Ticket, Request, Now)
+                               : std::nullopt;
+    return Forwarded ? *Forwarded : refuseUnplaced(Ticket, Selected, Now);
+  }
   // A request that cannot be answered in time is not sent: it would take a slot
   // from one that can, and its caller gains nothing by waiting.
   TargetState &Target = *Chosen->Target_;
@@ -273,8 +287,13 @@
   if (Found == InFlight_.end())
     return false;
   InFlightRequest &Request = Found->second;
+  if (!Request.SentToHost_.empty())
+    return false;
   const auto Other = chooseTarget(Request, TokenSource::Nowhere, Now).Choice_;
-  if (!Other || Now + Other->ExpectedResponseTime_ >= Request.Deadline_)
+  const bool OtherCanAnswer =
+      Other && Now + Other->ExpectedResponseTime_ < Request.Deadline_;
+  if (!(Reach_.isReached() ? OtherCanAnswer
+                           : chooseHost(Request, Now).has_value()))
     return false;
   Request.RetryReserved_ =
       serviceState(Request.Service_).RetryBudget_.trySpend();
@@ -283,7 +302,7 @@
 
 TargetState *DispatchSteering::lastTargetInUse(const InFlightRequest &Request,
                                                base::TimePoint Now) {
-  if (Request.TriedTargets_.empty())
+  if (Request.TriedTargets_.empty() || !Request.SentToHost_.empty())
     return nullptr;
   TargetState *Target =
       findTarget(serviceState(Request.Service_), Request.TriedTargets_.back());
@@ -304,6 +323,8 @@
   if (Found == InFlight_.end())
     return false;
   ServiceState &Service = serviceState(Found->second.Service_);
+  if (!Found->second.SentToHost_.empty())
+    return Service.RetryBudget_.trySpend();
   TargetState *Target = lastTargetInUse(Found->second, Now);
   if (Target == nullptr || !Service.RetryBudget_.hasToken())
     return false;
@@ -317,7 +338,8 @@
   const std::lock_guard Guard(Lock_);
   const auto Found = InFlight_.find(Ticket);
   return Found != InFlight_.end() &&
-         lastTargetInUse(Found->second, Now) != nullptr;
+         (!Found->second.SentToHost_.empty() ||
+          lastTargetInUse(Found->second, Now) != nullptr);
 }
 
 /// Ends a request that is not sent again, and returns its refusal. A request
@@ -331,6 +353,7 @@
   const std::optional<base::Duration> AfterRest =
       returnAfterRest(Found->second, Now);
   const steering::TargetCounts Counts = targetCountsFor(Found->second, Now);
+  const bool Doubtful = areTargetsDoubtful(Found->second, Now);
   if (Found->second.RetryReserved_)
     serviceState(Found->second.Service_).RetryBudget_.refund();
   InFlight_.erase(Found);
@@ -341,7 +364,9 @@
         MayHaveRun ? base::Duration::zero() : AfterRest.value_or(RetryAfter),
         MayHaveRun);
   else
-    Refused = refuse(AfterRest ? Refusal::TargetsRest : Refusal::NoHeadroom,
+    Refused = refuse(AfterRest  ? Refusal::TargetsRest
+                     : Doubtful ? Refusal::TargetsUnreached
+                                : Refusal::NoHeadroom,
                      AfterRest.value_or(RetryAfter), false);
   Refused.Targets_ = Counts;
   return Refused;
@@ -366,6 +391,8 @@
   if (Found == InFlight_.end())
     return {};
   InFlightRequest &Request = Found->second;
+  if (!Request.SentToHost_.empty())
+    return finishForwarded(Ticket, Request, Report, Now);
   ServiceState &Service = serviceState(Request.Service_);
   TargetState *Target = Request.TriedTargets_.empty()
                             ? nullptr
--- a/libs/dispatch/DispatchSteering.h
+++ b/libs/dispatch/DispatchSteering.h
@@ -4,11 +4,13 @@
 #include "base/Random.h"
 #include "dispatch/CustomerRateLimiter.h"
 #include "dispatch/DecayingRate.h"
+#include "dispatch/ForwardingHosts.h"
 #include "dispatch/RegionSplit.h"
 #include "dispatch/SharedRateOwners.h"
 #include "dispatch/SharedRetryBudget.h"
 #include "dispatch/StatementTable.h"
 #include "dispatch/TargetChooser.h"
+#include "dispatch/TargetReach.h"
 #include "live/Intent.h"
 #include "live/TargetRegistry.h"
 #include "members/TokenMessages.h"
@@ -48,6 +50,15 @@
   base::Duration Age_{};
 };
 
+/// This host lost its reach of the targets, or has it again.
+struct ReachChange {
+  bool IsReached_ = true;
+  /// Time since the first connect that failed.
+  base::Duration Since_{};
+  /// The target whose probe decided it.
+  base::TargetId Target_;
+};
+
 /// Functions of the host that a DispatchSteering calls, with its lock held.
 struct DispatchCallbacks {
   /// Requests a token from the host at \p Owner; handleTokenResponse() is
@@ -58,6 +69,7 @@
       RequestToken_ = [](const auto &, auto, const auto &) {};
   std::function<void(const TargetStatementChange &Change)> OnStatement_ =
       [](const auto &) {};
+  std::function<void(const ReachChange &Change)> OnReach_ = [](const auto &) {};
 };
 
 /// Steers requests where targets register themselves: checks the customer's
@@ -73,8 +85,9 @@
 /// happens between requests (configuration, targets, other hosts),
 /// DispatchTokens.cpp how a request waits for a token, DispatchTargetRates.cpp
 /// the rates that targets share between all hosts, DispatchStatements.cpp what
-/// targets state in their answers, DispatchLearning.cpp what is learned from
-/// the outcome of a send.
+/// targets state in their answers, DispatchForwarding.cpp what happens where
+/// this host does not reach them, DispatchLearning.cpp what is learned from the
+/// outcome of a send.
 /// \see steering::FleetSteering, which steers by the tree that operators
 /// configure
 class DispatchSteering final : public steering::Steering {
@@ -109,10 +122,9 @@
   std::vector<members::RuleExecutionTimes> executionTimes() const;
   void
   mergeExecutionTimes(std::span<const members::RuleExecutionTimes> Announced);
-  std::vector<retrying::CrashEvidence>
-  crashEvidence(base::TimePoint Now) const {
-    return CrashSuspects_.evidence(Now);
-  }
+  /// \returns the losses of targets to announce; nothing while it is open
+  /// whether this host lost its links instead.
+  std::vector<retrying::CrashEvidence> crashEvidence(base::TimePoint Now) const;
   void mergeCrashEvidence(std::span<const retrying::CrashEvidence> Announced,
                           base::TimePoint Now) {
     CrashSuspects_.merge(Announced, Now);
@@ -138,6 +150,8 @@
   std::size_t limitedTargetCount() const;
   /// \returns the number of targets that rest from this host.
   std::size_t restingTargetCount(base::TimePoint Now) const;
+  /// \returns whether this host reaches targets. \see TargetReach
+  bool reachesTargets() const;
   /// \returns the number of targets that this host has ejected.
   std::size_t ejectedTargetCount(base::TimePoint Now) const;
 
@@ -167,6 +181,9 @@
   bool mayWrite(std::uint64_t Ticket, base::TimePoint Now) override;
   void recordAnswerHead(std::uint64_t Ticket, const steering::AnswerHead &Head,
                         base::TimePoint Now) override;
+  std::vector<steering::TargetProbe> probesDue(base::TimePoint Now) override;
+  void recordProbe(const steering::TargetProbe &Probe, bool Connected,
+                   base::TimePoint Now) override;
   void cancel(std::uint64_t Ticket, base::TimePoint Now) override;
   void tick(base::TimePoint Now, std::vector<steering::Wakeup> &Woken) override;
 
@@ -177,6 +194,14 @@
   /// A request from its arrival to its end.
   struct InFlightRequest {
     base::ServiceId Service_;
+    base::CustomerId Customer_;
+    /// A token of the customer's rate was taken at this host.
+    bool TookOwnToken_ = false;
+    /// Another host forwarded it.
+    bool IsForwarded_ = false;
+    /// The host that it was forwarded to last; empty: it went to a target.
+    base::HostId SentToHost_;
+    std::vector<base::HostId> TriedHosts_;
     std::string Rule_;
     std::uint64_t Object_ = 0;
     std::uint64_t Fingerprint_ = 0;
@@ -224,6 +249,9 @@
     double LateShare_ = 0;
     double ColdRatePerSecond_ = 0;
     base::Duration ColdTime_{};
+    /// Until then its requests are not forwarded, unless this host reaches no
+    /// target at all.
+    base::TimePoint ForwardingPausedUntil_;
   };
 
   /// Where tokens of a target's stated rate may come from.
@@ -367,6 +395,31 @@
                   base::TimePoint Now);
   void recordTargetDown(const base::TargetId &Target, base::TimePoint Now);
 
+  /// \returns whether this host reaches none of the targets that may serve the
+  /// request, as far as it knows.
+  bool areTargetsUnreached(const InFlightRequest &Request, base::TimePoint Now);
+  /// \returns whether each of those targets failed for this host, or may have
+  /// restarted since.
+  bool areTargetsDoubtful(const InFlightRequest &Request, base::TimePoint Now);
+  /// \returns the decision to forward the request, where a host may take it.
+  std::optional<steering::Decision>
+  forward(std::uint64_t Ticket, InFlightRequest &Request, base::TimePoint Now);
+  /// \returns the host that it may be forwarded to; nothing: none.
+  std::optional<members::HostDescriptor>
+  chooseHost(const InFlightRequest &Request, base::TimePoint Now);
+  /// \returns what becomes of a request whose targets are unreached; nothing:
+  /// it goes on as usual.
+  std::optional<steering::Decision> forwardIfUnreached(std::uint64_t Ticket,
+                                                       InFlightRequest &Request,
+                                                       base::TimePoint Now);
+  steering::Decision refuseUnreached(std::uint64_t Ticket, base::TimePoint Now);
+  steering::Decision finishForwarded(std::uint64_t Ticket,
+                                     InFlightRequest &Request,
+                                     const steering::SendReport &Report,
+                                     base::TimePoint Now);
+  std::vector<TargetState *> probeCandidates(base::TimePoint Now);
+  void forgetFailures(base::TimePoint Since);
+
   const DispatchSettings Settings_;
   const DispatchCallbacks Callbacks_;
   const TargetChooser Chooser_;
@@ -381,6 +434,8 @@
   std::uint64_t LastTicket_ = 0;
   CustomerRateLimiter RateLimiter_;
   SharedRateOwners RateOwners_;
+  TargetReach Reach_;
+  ForwardingHosts Forwarders_;
   StatementTable Statements_;
   std::size_t HostCount_ = 1;
   retrying::CrashSuspects CrashSuspects_;
--- a/libs/dispatch/DispatchUpdates.cpp
+++ b/libs/dispatch/DispatchUpdates.cpp
@@ -70,6 +70,7 @@
   HostCount_ = Fleet.HostCount_;
   Statements_.expire(Now);
   RateOwners_.update(Fleet, Now);
+  Forwarders_.update(Fleet, Now);
   RateLimiter_.redistribute(Fleet, Now);
   updateRegionSplits(Fleet, Now);
 }
--- a/libs/dispatch/FleetDemand.h
+++ b/libs/dispatch/FleetDemand.h
@@ -16,6 +16,8 @@
   members::HostDescriptor Self_;
   /// This host accepts callers' requests, as others do.
   bool IsServing_ = true;
+  /// This host reaches no targets. \see TargetReach
+  bool TargetsUnreached_ = false;
   /// Hosts that hold a share, including this one.
   std::size_t HostCount_ = 1;
   /// Number of regions in the fleet.
--- a/libs/dispatch/SharedRateOwners.cpp
+++ b/libs/dispatch/SharedRateOwners.cpp
@@ -8,17 +8,19 @@
 
 void SharedRateOwners::update(const FleetDemand &Fleet, base::TimePoint Now) {
   const bool WasPaused = Now - UpdatedAt_ > MaxUpdateAge;
-  if (Fleet.IsServing_ && (!IsServing_ || WasPaused))
+  const bool Serves = Fleet.IsServing_ && !Fleet.TargetsUnreached_;
+  if (Serves && (!IsServing_ || WasPaused))
     ServingSince_ = Now;
-  IsServing_ = Fleet.IsServing_;
+  IsServing_ = Serves;
   UpdatedAt_ = Now;
   if (Fleet.IsCutOff_)
     return;
   Candidates_.clear();
-  if (Fleet.IsServing_)
+  if (IsServing_)
     Candidates_.push_back({Fleet.Self_.Host_, Fleet.Self_.Region_, {}});
   for (const members::HostView &Other : Fleet.OtherHosts_)
-    if (Other.Alive_ && Other.Ready_ && !Other.Leaving_)
+    if (Other.Alive_ && Other.Ready_ && !Other.Leaving_ &&
+        !Other.TargetsUnreached_)
       Candidates_.push_back({Other.Descriptor_.Host_, Other.Descriptor_.Region_,
                              Other.Descriptor_.Address_});
 }
--- a/libs/dispatch/SharedRateOwners.h
+++ b/libs/dispatch/SharedRateOwners.h
@@ -25,8 +25,8 @@
 };
 
 /// Elects, for each target whose rate is shared, the host that owns that rate:
-/// by rendezvous hashing among the hosts that are alive and serve, which needs
-/// no communication.
+/// by rendezvous hashing among the hosts that are alive, serve and reach
+/// targets, which needs no communication.
 ///
 /// Failure: a host counts itself as elected because it does not know the others
 /// yet, or no longer hears them. Symptom: after a rolling restart each host
--- a/libs/dispatch/TargetHealth.cpp
+++ b/libs/dispatch/TargetHealth.cpp
@@ -24,6 +24,7 @@
 
 void TargetHealth::eject(base::TimePoint Now) noexcept {
   RestartSuspectedUntil_ = Now + RestartDetectionTime;
+  EjectedAt_ = Now;
   EjectedUntil_ = Now + NextEjectionTime_;
   NextEjectionTime_ = std::min(NextEjectionTime_ * 2, MaxEjectionTime);
 }
@@ -43,6 +44,16 @@
   RefusalShare_ += ShareWeight * (1 - RefusalShare_);
 }
 
+void TargetHealth::forgetSince(base::TimePoint Since) noexcept {
+  if (EjectedAt_ < Since)
+    return;
+  EjectedUntil_ = {};
+  RestartSuspectedUntil_ = {};
+  NextEjectionTime_ = BaseEjectionTime;
+  ConsecutiveFailures_ = 0;
+  FailureShare_ = 0;
+}
+
 double TargetHealth::excessFailureShare() const noexcept {
   return std::max({0.0, FailureShare_ - ToleratedFailureShare,
                    RefusalShare_ - ToleratedRefusalShare});
--- a/libs/dispatch/TargetHealth.h
+++ b/libs/dispatch/TargetHealth.h
@@ -61,6 +61,9 @@
   void recordFailure(base::TimePoint Now) noexcept;
   /// It refused a request although it should have a free slot.
   void recordRefusal() noexcept;
+  /// Takes back an ejection that began at \p Since or later, with all that
+  /// follows from it: this host's link had failed, and not the target.
+  void forgetSince(base::TimePoint Since) noexcept;
 
   bool isEjected(base::TimePoint Now) const noexcept {
     return Now < EjectedUntil_;
@@ -81,6 +84,7 @@
     return Now < RestartSuspectedUntil_;
   }
 
+  base::TimePoint EjectedAt_;
   base::TimePoint EjectedUntil_;
   base::TimePoint ProbationUntil_;
   base::Duration NextEjectionTime_ = BaseEjectionTime;
--- a/libs/gateway/CallerRequest.cpp
+++ b/libs/gateway/CallerRequest.cpp
@@ -147,6 +147,24 @@
   return readDeadline(Head, Names, Read);
 }
 
+/// A caller that sends these headers itself only gives up what a host would do
+/// for it.
+std::optional<RequestFault> readForwarding(const RequestReader::Message &Head,
+                                           const Vocabulary &Names,
+                                           CallerRequest &Read) {
+  Read.ForwardedBy_ = viewOf(Head[Names.ForwardedBy_]);
+  const std::string_view Text = viewOf(Head[Names.SendsLeft_]);
+  if (Text.empty())
+    return std::nullopt;
+  std::uint32_t Sends = 0;
+  const auto [End, Error] =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Sends);
+  if (Error != std::errc() || End != Text.data() + Text.size() || Sends == 0)
+    return faultOf(Names.SendsLeft_ + " is not a number from 1 on");
+  Read.SendsLeft_ = Sends;
+  return std::nullopt;
+}
+
 } // namespace
 
 std::optional<RequestFault>
@@ -159,6 +177,8 @@
       return Fault;
   if (auto Fault = readOptions(Head, Names, Read))
     return Fault;
+  if (auto Fault = readForwarding(Head, Names, Read))
+    return Fault;
   return checkFraming(Head);
 }
 
--- a/libs/gateway/CallerRequest.h
+++ b/libs/gateway/CallerRequest.h
@@ -30,6 +30,10 @@
   std::string_view RequestId_;
   /// Names the object that the request is about; empty where it tells none.
   std::string_view ObjectKey_;
+  /// The host that forwarded it; empty where its caller sent it.
+  std::string_view ForwardedBy_;
+  /// Number of targets that it may be sent to; nothing where none is given.
+  std::optional<std::uint32_t> SendsLeft_;
   /// Time the caller gives; nothing where it names none.
   std::optional<base::Duration> Deadline_;
   bool ExpectsContinue_ = false;
--- a/libs/gateway/Forwarding.cpp
+++ b/libs/gateway/Forwarding.cpp
@@ -76,7 +76,11 @@
   Request_.Deadline_ = Now + Allowed;
   Request_.Rule_ = std::move(Found.Name_);
   Request_.LatencyObjective_ = Found.Objective_;
+  Request_.ForwardedBy_ = base::HostId(Read.ForwardedBy_);
   Request_.MaxSends_ = Found.MaximumSends_;
+  if (Read.SendsLeft_)
+    Request_.MaxSends_ =
+        std::min(std::max(1U, Request_.MaxSends_), *Read.SendsLeft_);
   Request_.Priority_ = Identity.Priority_.value_or(Found.Priority_);
   if (Found.ByObject_ && !Read.ObjectKey_.empty())
     Request_.ObjectHash_ =
@@ -241,8 +245,13 @@
 }
 
 Task<Ending> Forwarding::send(bool &Again) {
-  TargetSend Send(Home_, Caller_, Home_.shared().Pools_.at(Decision_.Address_),
+  const bool ToHost = !Decision_.Host_.empty();
+  TargetPools &Pools =
+      ToHost ? Home_.shared().HostPools_ : Home_.shared().Pools_;
+  TargetSend Send(Home_, Caller_, Pools.at(Decision_.Address_),
                   Request_.Deadline_, Request_.Id_);
+  if (ToHost)
+    Send.goToHost(Ran_ == steering::Ran::Maybe);
   Send.bePatientUntil(Decision_.ResponseDeadline_, [this] {
     // A host that stops gives up nothing that a target works on.
     GatewayState &Shared = Home_.shared();
@@ -308,7 +317,11 @@
 Task<TargetSend::Failure> Forwarding::writeRequest(TargetSend &Send) {
   ForwardedRequest Added;
   Added.RequestId_ = Request_.Id_.name();
-  Added.Customer_ = Request_.Customer_.name();
+  if (Decision_.Host_.empty())
+    Added.Customer_ = Request_.Customer_.name();
+  else
+    Added.ToHost_ = HostForwarding{Home_.shared().Settings_.Host_.name(),
+                                   Decision_.SendsLeft_, Read_.PresentedKey_};
   Added.ExpectedTarget_ = Decision_.ExpectedTarget_;
   Added.TimeLeft_ = Request_.Deadline_ - base::SystemClock::monotonicNow();
   const auto Length = Reader_.bodyLength();
--- a/libs/gateway/Gateway.cpp
+++ b/libs/gateway/Gateway.cpp
@@ -23,6 +23,7 @@
     Each->join();
   // Idle connections refer to their worker's event loop.
   State_.Pools_.setTargets({});
+  State_.HostPools_.setTargets({});
   Listener_.reset();
 }
 
--- a/libs/gateway/GatewayState.h
+++ b/libs/gateway/GatewayState.h
@@ -40,9 +40,15 @@
         CallerLimits_{Settings.HeaderLimitBytes_, Settings.BodyLimitBytes_,
                       Settings.HeaderTimeout_, Settings.IdleTimeout_} {}
 
+  /// Connections to one other host: as many as requests that it may get from
+  /// here at once.
+  static constexpr std::uint32_t HostConnectionLimit = 256;
+
   const GatewaySettings Settings_;
   const Collaborators Others_;
   TargetPools Pools_;
+  /// Connections to other hosts, to which requests are forwarded.
+  TargetPools HostPools_{HostConnectionLimit};
   WaitingRoom Waiting_;
   std::atomic<Phase> Phase_ = Phase::Serving;
   std::atomic<std::uint32_t> Connections_ = 0;
--- a/libs/gateway/HeaderPolicy.cpp
+++ b/libs/gateway/HeaderPolicy.cpp
@@ -1,5 +1,6 @@
 #include "gateway/HeaderPolicy.h"
 
+#include "gateway/ProblemDocument.h"
 #include "gateway/RetryAfter.h"
 
 #include <algorithm>
@@ -38,6 +39,10 @@
 /// \returns whether only the gateway sets the header, so that neither side can
 /// pose as it.
 bool isReserved(std::string_view Name, const Vocabulary &Names) {
+  for (const std::string &Each :
+       {Names.ForwardedBy_, Names.SendsLeft_, Names.Reason_})
+    if (iequals(Name, Each))
+      return true;
   const std::string_view Prefix = Names.ReservedPrefix_;
   if (!Prefix.empty())
     return Name.size() >= Prefix.size() &&
@@ -100,6 +105,14 @@
     appendField(Text, "Content-Length", std::to_string(*Body.Length_));
 }
 
+void appendForwarding(std::string &Text, const HostForwarding &Added,
+                      const Vocabulary &Names) {
+  appendField(Text, Names.ForwardedBy_, Added.ForwardedBy_);
+  appendField(Text, Names.SendsLeft_, std::to_string(Added.SendsLeft_));
+  if (!Added.Key_.empty())
+    appendField(Text, "Authorization", "Bearer " + std::string(Added.Key_));
+}
+
 /// \returns the value of the first of \p Fields that is present.
 std::optional<std::string_view>
 firstValueOf(const AnswerReader::Message &Head,
@@ -143,6 +156,8 @@
     appendField(Text, Names.ExpectedTarget_, Added.ExpectedTarget_);
   appendField(Text, Names.Deadline_,
               std::to_string(base::toMilliseconds(Added.TimeLeft_)));
+  if (Added.ToHost_)
+    appendForwarding(Text, *Added.ToHost_, Names);
   appendFraming(Text, Added.Body_);
   Text += "\r\n";
   return Text;
@@ -186,6 +201,21 @@
                    iequals(Head[Names.NotRun_], Names.NotRunValue_);
 }
 
+bool refusedByHost(const AnswerReader::Message &Head, const Vocabulary &Names) {
+  return Head.count(Names.Reason_) > 0 &&
+         promisesNotRun(static_cast<int>(Head.result_int()));
+}
+
+bool refusedForHost(const AnswerReader::Message &Head,
+                    const Vocabulary &Names) {
+  if (!refusedByHost(Head, Names))
+    return false;
+  const std::string_view Reason = viewOf(Head[Names.Reason_]);
+  return Reason == steering::nameOf(steering::Refusal::TargetsUnreached) ||
+         Reason == steering::nameOf(steering::Refusal::KeysStale) ||
+         Reason == steering::nameOf(steering::Refusal::Stopping);
+}
+
 std::optional<steering::TargetLoad> loadOf(const AnswerReader::Message &Head,
                                            const Vocabulary &Names) {
   if (Names.TargetLoad_.empty())
--- a/libs/gateway/HeaderPolicy.h
+++ b/libs/gateway/HeaderPolicy.h
@@ -19,7 +19,17 @@
   bool Chunked_ = false;
 };
 
-/// What is added to a request on its way to a target.
+/// What is added to a request on its way to another host.
+struct HostForwarding {
+  /// The host that forwards it.
+  std::string_view ForwardedBy_;
+  /// Number of targets that it may be sent to.
+  std::uint32_t SendsLeft_ = 1;
+  /// The caller's key, which the other host checks again; empty: none came.
+  std::string_view Key_;
+};
+
+/// What is added to a request on its way to a target or to another host.
 struct ForwardedRequest {
   std::string_view RequestId_;
   /// Empty where the request is nobody's: then no customer is told.
@@ -28,6 +38,8 @@
   std::string_view ExpectedTarget_;
   base::Duration TimeLeft_{};
   Framing Body_;
+  /// Nothing: it goes to a target.
+  std::optional<HostForwarding> ToHost_;
 };
 
 /// What is added to an answer on its way to the caller.
@@ -63,6 +75,13 @@
 /// by the header that is for it, or by 421 where another target was expected.
 bool saysNotRun(const AnswerReader::Message &Head, const Vocabulary &Names);
 
+/// \returns whether the answer is another host's refusal of a request that it
+/// has not sent to any target.
+bool refusedByHost(const AnswerReader::Message &Head, const Vocabulary &Names);
+
+/// \returns whether it is one for a reason that holds for that host only.
+bool refusedForHost(const AnswerReader::Message &Head, const Vocabulary &Names);
+
 /// \returns what the answer tells of the target's load, where it tells it.
 std::optional<steering::TargetLoad> loadOf(const AnswerReader::Message &Head,
                                            const Vocabulary &Names);
--- a/libs/gateway/ProblemDocument.cpp
+++ b/libs/gateway/ProblemDocument.cpp
@@ -32,11 +32,6 @@
   return {Text.data(), Written.ptr};
 }
 
-/// Statuses that callers take as proof that the request has not run.
-bool promisesNotRun(int Status) noexcept {
-  return Status == 408 || Status == 421 || Status == 429 || Status == 503;
-}
-
 std::string_view detailOf(Refusal Reason) noexcept {
   switch (Reason) {
   case Refusal::UnknownKey:
@@ -61,6 +56,8 @@
     return "The rates that the service's targets state are used up.";
   case Refusal::TargetsRest:
     return "The service's targets have asked for a rest.";
+  case Refusal::TargetsUnreached:
+    return "This host reaches none of the service's targets.";
   case Refusal::CrashSuspect:
     return "Targets were lost while they ran requests like this one.";
   case Refusal::ClaimHeldElsewhere:
@@ -83,6 +80,10 @@
 
 } // namespace
 
+bool promisesNotRun(int Status) noexcept {
+  return Status == 408 || Status == 421 || Status == 429 || Status == 503;
+}
+
 int statusOf(Refusal Reason) noexcept {
   switch (Reason) {
   case Refusal::UnknownKey:
@@ -106,6 +107,7 @@
   case Refusal::NoHeadroom:
   case Refusal::TargetRatesUsedUp:
   case Refusal::TargetsRest:
+  case Refusal::TargetsUnreached:
   case Refusal::CrashSuspect:
   case Refusal::ClaimStoreDown:
   case Refusal::Stopping:
@@ -157,6 +159,7 @@
                      "\r\nContent-Type: application/problem+json\r\n"
                      "Cache-Control: no-store\r\nLychee-Ran: ";
   Text += ranText(Ran_);
+  Text += "\r\n" + Names.Reason_ + ": " + Reason_;
   Text += "\r\n" + Names.RequestId_ + ": " + RequestId_ + "\r\n";
   if (RetryAfter_ > base::Duration::zero())
     Text += "Retry-After: " + retryAfterText(RetryAfter_, Names) + "\r\n";
--- a/libs/gateway/ProblemDocument.h
+++ b/libs/gateway/ProblemDocument.h
@@ -35,6 +35,10 @@
 ProblemDocument problemFor(const steering::Decision &Refused,
                            std::string_view RequestId);
 
+/// \returns whether callers take the status as proof that the request has not
+/// run.
+bool promisesNotRun(int Status) noexcept;
+
 /// \returns the HTTP status of a refusal.
 int statusOf(steering::Refusal Reason) noexcept;
 
--- a/libs/gateway/TargetPools.cpp
+++ b/libs/gateway/TargetPools.cpp
@@ -11,7 +11,7 @@
   const std::lock_guard Guard(Lock_);
   auto &Pool = Pools_[Address];
   if (!Pool)
-    Pool = std::make_shared<TargetPool>(Address, UnknownTargetLimit);
+    Pool = std::make_shared<TargetPool>(Address, UnknownLimit_);
   return Pool;
 }
 
--- a/libs/gateway/TargetPools.h
+++ b/libs/gateway/TargetPools.h
@@ -20,7 +20,10 @@
   /// sum over all hosts counts.
   static constexpr std::uint32_t UnknownTargetLimit = 8;
 
-  TargetPools() = default;
+  /// \param Limit  of connections to each address that setTargets() has not
+  /// told.
+  explicit TargetPools(std::uint32_t Limit = UnknownTargetLimit)
+      : UnknownLimit_(Limit) {}
   TargetPools(const TargetPools &) = delete;
   TargetPools &operator=(const TargetPools &) = delete;
 
@@ -35,6 +38,7 @@
   void closeOlderThan(base::TimePoint LifeSince);
 
 private:
+  const std::uint32_t UnknownLimit_;
   std::shared_mutex Lock_;
   std::map<std::string, std::shared_ptr<TargetPool>, std::less<>> Pools_;
 };
--- a/libs/gateway/TargetSend.cpp
+++ b/libs/gateway/TargetSend.cpp
@@ -185,7 +185,7 @@
   std::array<char, 4096> Unwanted{};
   for (int Foreign = 0; Foreign <= MaximumForeignAnswers; ++Foreign) {
     const bool Came = co_await skipInterim(End, WithoutBody);
-    if (Came && Heard_)
+    if (Came && Heard_ && !ToHost_)
       Heard_(answerHead());
     if (!Came || !isForeign())
       co_return Came;
@@ -203,8 +203,11 @@
 }
 
 bool TargetSend::saysNotRun() const {
-  return gateway::saysNotRun(Reader_->message(),
-                             Home_.shared().Settings_.Names_);
+  const Vocabulary &Names = Home_.shared().Settings_.Names_;
+  if (!ToHost_)
+    return gateway::saysNotRun(Reader_->message(), Names);
+  return MayHaveRun_ ? refusedByHost(Reader_->message(), Names)
+                     : refusedForHost(Reader_->message(), Names);
 }
 
 /// A send that is ended while its target works on it loses that work, so it
@@ -354,7 +357,8 @@
                  FirstWrite_;
   Made.AnswerBytes_ = Received_;
   Made.TimedOut_ = LostPatience_;
-  if (Reader_ && AnswerSeen_) {
+  Made.NewConnection_ = Connection_ && !Connection_->isReused();
+  if (Reader_ && AnswerSeen_ && !ToHost_) {
     const Vocabulary &Names = Home_.shared().Settings_.Names_;
     Made.Load_ = loadOf(Reader_->message(), Names);
     const steering::AnswerHead Head = answerHead();
--- a/libs/gateway/TargetSend.h
+++ b/libs/gateway/TargetSend.h
@@ -54,6 +54,14 @@
     Heard_ = std::move(Heard);
   }
 
+  /// It goes to another host, whose answer says nothing of a target.
+  /// \param MayHaveRun  an earlier send may have run: a refusal that states the
+  /// opposite is true of the other host only, and not for the caller.
+  void goToHost(bool MayHaveRun) noexcept {
+    ToHost_ = true;
+    MayHaveRun_ = MayHaveRun;
+  }
+
   /// Takes an idle connection or opens one. \param Idempotent  a request that
   /// is not goes only on one that is new or has just shown life.
   Task<Failure> open(bool Idempotent);
@@ -78,7 +86,8 @@
   /// Leaves the silent connection and opens a new one.
   Task<Failure> reopen();
 
-  /// \returns whether the target answered that it did not run the request.
+  /// \returns whether the target, or the host, answered that the request did
+  /// not run and may go elsewhere.
   bool saysNotRun() const;
 
   const AnswerReader &answer() const { return *Reader_; }
@@ -127,6 +136,8 @@
   /// The target answered before it had the whole request.
   bool AnsweredEarly_ = false;
   bool Unusable_ = false;
+  bool ToHost_ = false;
+  bool MayHaveRun_ = false;
   bool AnswerSeen_ = false;
   bool Silent_ = false;
   /// No byte came until the time that the steering was patient for.
--- a/libs/gateway/Vocabulary.h
+++ b/libs/gateway/Vocabulary.h
@@ -30,6 +30,14 @@
   /// Headers by which a target says that it leaves; the first one present
   /// counts.
   std::vector<std::string> TargetLeaving_;
+  // Between hosts: a host that does not reach the targets forwards requests to
+  // one that does.
+  /// The host that forwards the request.
+  std::string ForwardedBy_ = "Lychee-Forwarded-By";
+  /// Number of targets that the request may be sent to.
+  std::string SendsLeft_ = "Lychee-Sends-Left";
+  /// Why a host refuses a request.
+  std::string Reason_ = "Lychee-Reason";
   /// Cookie that names the object a request is about; empty: there is none.
   std::string ObjectCookie_;
   /// No caller or target may set a header whose name begins so; empty: only
--- a/libs/gateway/Worker.cpp
+++ b/libs/gateway/Worker.cpp
@@ -119,11 +119,13 @@
     Shared_.Others_.Steering_.tick(Now, Woken);
     deliver(Woken, Now);
   }
+  Prober_.startDue(Now);
   if (Now < NextForget_)
     return;
   NextForget_ = Now + ForgetPace;
   Shared_.Waiting_.forgetAbandoned(Now - AbandonedMemory);
-  Shared_.Pools_.closeOlderThan(Now - Shared_.Settings_.ReuseIdleLimit_);
+  for (TargetPools *Each : {&Shared_.Pools_, &Shared_.HostPools_})
+    Each->closeOlderThan(Now - Shared_.Settings_.ReuseIdleLimit_);
 }
 
 } // namespace lychee::gateway
--- a/libs/gateway/Worker.h
+++ b/libs/gateway/Worker.h
@@ -5,6 +5,7 @@
 #include "gateway/AsioTypes.h"
 #include "gateway/CallerConnection.h"
 #include "gateway/GatewayState.h"
+#include "gateway/TargetProber.h"
 #include "gateway/Watchdog.h"
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -68,6 +69,7 @@
   Watchdog Watchdog_;
   CallerConnectionList Callers_;
   base::TimePoint NextForget_;
+  TargetProber Prober_{*this};
   std::thread Thread_;
 };
 
--- a/libs/members/EntryPolicy.cpp
+++ b/libs/members/EntryPolicy.cpp
@@ -17,16 +17,28 @@
   return Host.Alive_ && Host.Ready_ && !Host.Leaving_;
 }
 
+/// Drops the hosts that reach no targets, while enough remain.
+Descriptors preferReaching(Descriptors All, Descriptors Reaching) {
+  return Reaching.size() * 2 >= All.size() ? std::move(Reaching)
+                                           : std::move(All);
+}
+
 Descriptors servingHosts(const Filter &Matches, const HostDescriptor &Self,
                          const LocalHostState &Local,
                          std::span<const HostView> Others) {
   Descriptors Found;
+  Descriptors Reaching;
+  const auto Add = [&](const HostDescriptor &Host, bool TargetsUnreached) {
+    Found.push_back(&Host);
+    if (!TargetsUnreached)
+      Reaching.push_back(&Host);
+  };
   if (Local.Ready_ && !Local.Leaving_ && !Local.CutOff_ && Matches(Self))
-    Found.push_back(&Self);
+    Add(Self, Local.TargetsUnreached_);
   for (const HostView &Host : Others)
     if (isServing(Host) && Matches(Host.Descriptor_))
-      Found.push_back(&Host.Descriptor_);
-  return Found;
+      Add(Host.Descriptor_, Host.TargetsUnreached_);
+  return preferReaching(std::move(Found), std::move(Reaching));
 }
 
 /// Used if no host is known to be ready: a live host may become ready soon, and
--- a/libs/members/EntryPolicy.h
+++ b/libs/members/EntryPolicy.h
@@ -28,6 +28,8 @@
   /// Whether the host can reach neither the store nor most other hosts, so that
   /// callers are better served elsewhere.
   bool CutOff_ = false;
+  /// Whether the host reaches no targets, so that it has to forward requests.
+  bool TargetsUnreached_ = false;
 };
 
 /// Selects the hosts that a caller may connect to.
@@ -39,6 +41,10 @@
 ///
 /// Candidates are the hosts of the caller's region that are alive, ready and
 /// not leaving; if there are none, those of the home regions, then all others.
+/// Hosts that reach no targets are left out while at least half of the
+/// candidates remain: they would have to forward what callers send them. Were
+/// there fewer, the rest would get several times its connections, and callers
+/// still get their answers through the others.
 /// If there are more candidates than MaxEntries_, zones and host names get
 /// different subsets, so that together callers use all hosts, and the same
 /// caller gets the same subset each time.
--- a/libs/members/Heartbeat.cpp
+++ b/libs/members/Heartbeat.cpp
@@ -37,12 +37,14 @@
 constexpr unsigned LeavingBit = 2;
 constexpr unsigned StoreTroubleBit = 4;
 constexpr unsigned FullBit = 8;
+constexpr unsigned TargetsUnreachedBit = 16;
 
 unsigned stateBits(const Heartbeat &Message) {
   return (Message.Ready_ ? ReadyBit : 0U) |
          (Message.Leaving_ ? LeavingBit : 0U) |
          (Message.StoreTrouble_ ? StoreTroubleBit : 0U) |
-         (Message.IsFull_ ? FullBit : 0U);
+         (Message.IsFull_ ? FullBit : 0U) |
+         (Message.TargetsUnreached_ ? TargetsUnreachedBit : 0U);
 }
 
 void readState(unsigned State, Heartbeat &Into) {
@@ -50,6 +52,7 @@
   Into.Leaving_ = (State & LeavingBit) != 0;
   Into.StoreTrouble_ = (State & StoreTroubleBit) != 0;
   Into.IsFull_ = (State & FullBit) != 0;
+  Into.TargetsUnreached_ = (State & TargetsUnreachedBit) != 0;
 }
 
 void addDescriptor(const HostDescriptor &Descriptor, Json::Value &Into) {
--- a/libs/members/Heartbeat.h
+++ b/libs/members/Heartbeat.h
@@ -104,6 +104,8 @@
   bool Leaving_ = false;
   /// A recent call of the host to the store failed.
   bool StoreTrouble_ = false;
+  /// The host reaches no targets.
+  bool TargetsUnreached_ = false;
   /// Whether Demands_ holds all demands; otherwise only those that changed
   /// since the last full update. \see DemandDeltaEncoder
   bool IsFull_ = true;
--- a/libs/members/HostTable.cpp
+++ b/libs/members/HostTable.cpp
@@ -51,7 +51,8 @@
     return false;
   const bool Changed = New || !isAlive(Stored, Now) ||
                        Last.Ready_ != Message.Ready_ ||
-                       Last.Leaving_ != Message.Leaving_;
+                       Last.Leaving_ != Message.Leaving_ ||
+                       Last.TargetsUnreached_ != Message.TargetsUnreached_;
   merge(Message, Stored.Last_);
   Stored.ReceivedAt_ = Now;
   return Changed;
@@ -101,7 +102,7 @@
                      Entry.Last_.Leaving_, isAlive(Entry, Now),
                      Now - Entry.ReceivedAt_ < ReservedFor,
                      Entry.Last_.StoreTrouble_, Entry.Last_.Demands_,
-                     Entry.Last_.Loads_});
+                     Entry.Last_.Loads_, Entry.Last_.TargetsUnreached_});
   for (RemoteHost &Entry : Regions_.hosts(ReservedFor, Now))
     All.push_back({std::move(Entry.Status_.Descriptor_),
                    Entry.Status_.Ready_,
@@ -110,7 +111,8 @@
                    Entry.HoldsShare_,
                    false,
                    {},
-                   {}});
+                   {},
+                   Entry.Status_.TargetsUnreached_});
   return All;
 }
 
@@ -261,7 +263,8 @@
     for (const ServiceDemand &Entry : All)
       Loads[{Entry.Service_, Entry.BoundTo_}] += Entry.Slots_;
   };
-  Result.Hosts_.push_back({Self_, Local.Ready_, Local.Leaving_, false});
+  Result.Hosts_.push_back(
+      {Self_, Local.Ready_, Local.Leaving_, false, Local.TargetsUnreached_});
   Add(Local.Demands_);
   AddLoads(Local.Loads_);
   for (const auto &[Host, Entry] : Peers_) {
@@ -269,7 +272,8 @@
       continue;
     const bool Alive = isAlive(Entry, Now);
     Result.Hosts_.push_back({Entry.Last_.Sender_, Entry.Last_.Ready_,
-                             Entry.Last_.Leaving_, !Alive});
+                             Entry.Last_.Leaving_, !Alive,
+                             Entry.Last_.TargetsUnreached_});
     if (Now - Entry.ReceivedAt_ < ReservedFor)
       Add(Entry.Last_.Demands_);
     if (Alive)
--- a/libs/members/HostTable.h
+++ b/libs/members/HostTable.h
@@ -28,6 +28,8 @@
   /// the sums of their region.
   std::vector<CustomerDemand> Demands_;
   std::vector<ServiceDemand> Loads_;
+  /// The host reaches no targets; it forwards requests to hosts that do.
+  bool TargetsUnreached_ = false;
 };
 
 /// A host that is listed in the store.
@@ -46,6 +48,7 @@
   std::vector<retrying::CrashEvidence> Evidence_;
   std::vector<TargetRate> TargetRates_;
   std::vector<TargetLeaving> TargetLeavings_;
+  bool TargetsUnreached_ = false;
 };
 
 /// Tracks the other hosts of the region by their heartbeats, with two
@@ -80,7 +83,7 @@
 
   /// Processes a heartbeat.
   /// \returns whether the host was seen for the first time or again after
-  /// silence, or changed its Ready_ or Leaving_ state.
+  /// silence, or changed its Ready_, Leaving_ or TargetsUnreached_ state.
   bool receive(const Heartbeat &Message, base::TimePoint Now);
 
   /// Sets the hosts listed in the store; heartbeats are sent to them, too.
--- a/libs/members/RegionUpdate.cpp
+++ b/libs/members/RegionUpdate.cpp
@@ -10,11 +10,13 @@
 constexpr unsigned ReadyBit = 1;
 constexpr unsigned LeavingBit = 2;
 constexpr unsigned GoneBit = 4;
+constexpr unsigned TargetsUnreachedBit = 8;
 constexpr Json::ArrayIndex HostColumns = 6;
 
 unsigned stateBits(const HostStatus &Host) {
   return (Host.Ready_ ? ReadyBit : 0U) | (Host.Leaving_ ? LeavingBit : 0U) |
-         (Host.Gone_ ? GoneBit : 0U);
+         (Host.Gone_ ? GoneBit : 0U) |
+         (Host.TargetsUnreached_ ? TargetsUnreachedBit : 0U);
 }
 
 Json::Value encodeHost(const HostStatus &Host) {
@@ -43,7 +45,8 @@
                      Row[3].asString(), Row[4].asUInt64()},
                     (State & ReadyBit) != 0,
                     (State & LeavingBit) != 0,
-                    (State & GoneBit) != 0});
+                    (State & GoneBit) != 0,
+                    (State & TargetsUnreachedBit) != 0});
   }
   return true;
 }
--- a/libs/members/RegionUpdate.h
+++ b/libs/members/RegionUpdate.h
@@ -12,6 +12,8 @@
   bool Leaving_ = false;
   /// The host is silent or has ended.
   bool Gone_ = false;
+  /// The host reaches no targets.
+  bool TargetsUnreached_ = false;
 
   bool operator==(const HostStatus &) const = default;
 };
--- a/libs/reporting/DecisionLog.cpp
+++ b/libs/reporting/DecisionLog.cpp
@@ -49,6 +49,8 @@
     Line.add("object", Taken.Object_ % ShownObjects);
   addUnlessEmpty(Line, "region", Taken.Region_.name());
   addUnlessEmpty(Line, "target", Taken.Target_.name());
+  addUnlessEmpty(Line, "via", Taken.Host_.name());
+  addUnlessEmpty(Line, "forwarded_by", Taken.ForwardedBy_.name());
   addUnlessEmpty(Line, "reason", Taken.Reason_);
   addUnlessEmpty(Line, "passed_over", describe(Taken.PassedOver_));
   if (Taken.Inputs_) {
--- a/libs/reporting/DecisionLog.h
+++ b/libs/reporting/DecisionLog.h
@@ -39,6 +39,10 @@
   std::uint64_t Object_ = 0;
   base::RegionId Region_;
   base::TargetId Target_;
+  /// The host that it is forwarded to; empty: it goes to a target.
+  base::HostId Host_;
+  /// The host that forwarded it to this one; empty: it came from its caller.
+  base::HostId ForwardedBy_;
   /// Why this event, this region and this target.
   std::string_view Reason_;
   std::span<const PassedOverCandidate> PassedOver_;
--- a/libs/retrying/CrashSuspects.cpp
+++ b/libs/retrying/CrashSuspects.cpp
@@ -20,6 +20,19 @@
   Count_ -= Home.Losses_.erase(Fingerprint);
 }
 
+void CrashSuspects::forgetSince(base::TimePoint Since) {
+  for (Shard &Each : Shards_) {
+    const std::scoped_lock Guard(Each.Lock_);
+    for (auto &[Fingerprint, Seen] : Each.Losses_)
+      for (Loss &One : Seen)
+        if (One.At_ >= Since)
+          One = {};
+    Count_ -= std::erase_if(Each.Losses_, [](const auto &Entry) {
+      return Entry.second[0].Target_ == 0 && Entry.second[1].Target_ == 0;
+    });
+  }
+}
+
 base::TimePoint CrashSuspects::suspectUntil(std::uint64_t Fingerprint,
                                             base::TimePoint Now) const {
   if (Count_.load(std::memory_order_relaxed) == 0)
--- a/libs/retrying/CrashSuspects.h
+++ b/libs/retrying/CrashSuspects.h
@@ -65,6 +65,10 @@
   /// Records that a target answered the request, which clears its evidence.
   void recordResponse(std::uint64_t Fingerprint);
 
+  /// Drops the losses since a moment: this host lost its links, and what it saw
+  /// says nothing of the targets.
+  void forgetSince(base::TimePoint Since);
+
   /// \returns when the request stops being suspect; \p Now if it is not
   /// suspect.
   base::TimePoint suspectUntil(std::uint64_t Fingerprint,
--- a/libs/steering/Steering.cpp
+++ b/libs/steering/Steering.cpp
@@ -28,6 +28,8 @@
     return "target-rates-used-up";
   case Refusal::TargetsRest:
     return "targets-rest";
+  case Refusal::TargetsUnreached:
+    return "targets-unreached";
   case Refusal::CrashSuspect:
     return "crash-suspect";
   case Refusal::ClaimHeldElsewhere:
--- a/libs/steering/Steering.h
+++ b/libs/steering/Steering.h
@@ -95,6 +95,9 @@
   std::uint64_t ObjectHash_ = 0;
   /// Regions in which it may be served; empty where it may go to any.
   std::optional<std::vector<base::RegionId>> Homes_;
+  /// The host that forwarded it, as it does not reach the targets; empty: it
+  /// came from its caller. It is not forwarded again.
+  base::HostId ForwardedBy_;
 };
 
 /// Whether a refused or failed request may have been executed by a target.
@@ -116,6 +119,8 @@
   TargetRatesUsedUp,
   /// All targets have asked this host for a rest.
   TargetsRest,
+  /// This host reaches none of the targets, and no other host may take it.
+  TargetsUnreached,
   CrashSuspect,
   ClaimHeldElsewhere,
   ClaimStoreDown,
@@ -159,7 +164,7 @@
 /// What to do with a request now.
 struct Decision {
   enum class Action {
-    /// Send it to Target_ at Address_ now.
+    /// Send it to Target_, or forward it to Host_, at Address_ now.
     Send,
     /// Hold it; its ticket appears in a later Wakeup, at WaitUntil_ at the
     /// latest.
@@ -173,6 +178,11 @@
   std::uint64_t Ticket_ = 0;
 
   base::TargetId Target_;
+  /// The host that sends it to a target for this one; empty: it goes to
+  /// Target_.
+  base::HostId Host_;
+  /// Number of targets that Host_ may send it to.
+  std::uint32_t SendsLeft_ = 0;
   std::string Address_;
   /// The expected incarnation of the target; empty: any that answers there.
   std::string ExpectedTarget_;
@@ -201,7 +211,17 @@
   Decision Decision_;
 };
 
-/// How a send to a target ended. \see retrying::evaluateRetry
+/// A target to connect to, to find out whether this host reaches it.
+struct TargetProbe {
+  base::TargetId Target_;
+  std::string Address_;
+  /// The round of probes that it belongs to.
+  std::uint64_t Round_ = 0;
+};
+
+/// How a send to a target or to another host ended. A host that refuses a
+/// request for a reason of its own, such as that it reaches no targets either,
+/// has shed it. \see retrying::evaluateRetry
 using SendOutcome = retrying::SendOutcome;
 
 /// Result of a send, as observed by this host.
@@ -216,6 +236,8 @@
   /// Whether the send ended because nothing arrived for too long, rather than
   /// because the connection closed: a time-out is no evidence of a crash.
   bool TimedOut_ = false;
+  /// Whether it went over a connection that was opened for it.
+  bool NewConnection_ = false;
   /// Another target than the expected one answered at the address.
   bool WrongTarget_ = false;
   std::optional<TargetLoad> Load_ = std::nullopt;
@@ -288,6 +310,20 @@
     return true;
   }
 
+  /// \returns the targets to connect to now. To be called every 50 ms.
+  virtual std::vector<TargetProbe> probesDue(base::TimePoint Now) {
+    (void)Now;
+    return {};
+  }
+
+  /// Reports the end of a probe. \param Connected  the target accepted it.
+  virtual void recordProbe(const TargetProbe &Probe, bool Connected,
+                           base::TimePoint Now) {
+    (void)Probe;
+    (void)Connected;
+    (void)Now;
+  }
+
   /// Drops a waiting request whose caller has disconnected.
   virtual void cancel(std::uint64_t Ticket, base::TimePoint Now) = 0;
 
--- a/tests/dispatch/ReachSimulation.cpp
+++ b/tests/dispatch/ReachSimulation.cpp
@@ -14,6 +14,11 @@
 namespace {
 
 constexpr base::Duration UpdateInterval = 200ms;
+constexpr base::Duration ProbeInterval = 50ms;
+/// Time until what a host tells at once reaches hosts of its region, and of
+/// others.
+constexpr base::Duration HeartbeatDelay = 5ms;
+constexpr base::Duration RegionUpdateDelay = 600ms;
 constexpr base::Duration RunTime = 150ms;
 constexpr base::Duration ConnectTimeout = 250ms;
 constexpr base::Duration RefusalDelay = 1ms;
@@ -55,53 +60,110 @@
         base::ZoneId(Made.Descriptor_.Region_.name() + "-a");
     Made.Descriptor_.Address_ = std::to_string(Index);
     Made.Descriptor_.CallerAddress_ = std::to_string(Index);
+    dispatch::DispatchCallbacks Callbacks;
+    Callbacks.OnReach_ = [this, Index](const dispatch::ReachChange &Change) {
+      Hosts_[Index].Unreached_.emplace_back(Now_, !Change.IsReached_);
+    };
     Made.Steering_ = std::make_unique<Steering>(
         dispatch::DispatchSettings{
             Made.Descriptor_.Region_, Made.Descriptor_.Zone_, {}, Index + 1},
-        dispatch::DispatchCallbacks{}, Now_ - 60s);
+        std::move(Callbacks), Now_ - 60s);
     Made.Steering_->setIntent(Intent, Now_ - 60s);
     Made.Steering_->setTargets(Known_, Zones_, Now_ - 60s);
   }
   updateAll();
+  probeAll();
 }
 
 // Hosts and what they know of each other.
 
-dispatch::FleetDemand ReachSimulation::viewOf(std::size_t Number) const {
+bool ReachSimulation::seesUnreached(const base::RegionId &From,
+                                    const Host &Seen) const {
+  const base::Duration Age =
+      From == Seen.Descriptor_.Region_ ? HeartbeatDelay : RegionUpdateDelay;
+  bool Unreached = false;
+  for (const auto &[At, Lost] : Seen.Unreached_)
+    if (At + Age <= Now_)
+      Unreached = Lost;
+  return Unreached;
+}
+
+dispatch::FleetDemand
+ReachSimulation::viewFrom(const base::RegionId &Region) const {
   dispatch::FleetDemand Result;
-  Result.Self_ = Hosts_[Number].Descriptor_;
   Result.RegionCount_ = Size_.Regions_;
   Result.HostCount_ = Size_.Hosts_;
-  for (const Host &Other : Hosts_) {
-    if (Other.Descriptor_.Host_ == Result.Self_.Host_)
-      continue;
+  for (const Host &Each : Hosts_) {
     members::HostView View;
-    View.Descriptor_ = Other.Descriptor_;
+    View.Descriptor_ = Each.Descriptor_;
     View.Ready_ = View.Alive_ = View.HoldsShare_ = true;
+    View.TargetsUnreached_ = seesUnreached(Region, Each);
     Result.OtherHosts_.push_back(std::move(View));
   }
   return Result;
 }
 
 void ReachSimulation::updateAll() {
-  for (std::size_t Number = 0; Number < Hosts_.size(); ++Number)
-    Hosts_[Number].Steering_->updateFleetDemand(viewOf(Number), Now_);
+  for (std::size_t Region = 0; Region < Size_.Regions_; ++Region) {
+    dispatch::FleetDemand View = viewFrom(regionOf(Region, Size_.Regions_));
+    for (std::size_t Number = Region; Number < Hosts_.size();
+         Number += Size_.Regions_) {
+      members::HostView &Own = View.OtherHosts_[Number];
+      View.Self_ = Own.Descriptor_;
+      View.TargetsUnreached_ = !Hosts_[Number].Steering_->reachesTargets();
+      Own.Alive_ = Own.HoldsShare_ = false;
+      Hosts_[Number].Steering_->updateFleetDemand(View, Now_);
+      Own.Alive_ = Own.HoldsShare_ = true;
+    }
+  }
   schedule(UpdateInterval, [this] { updateAll(); });
 }
 
+void ReachSimulation::probeAll() {
+  for (std::size_t Number = 0; Number < Hosts_.size(); ++Number)
+    for (const steering::TargetProbe &Asked :
+         Hosts_[Number].Steering_->probesDue(Now_))
+      probe(Number, Asked);
+  schedule(ProbeInterval, [this] { probeAll(); });
+}
+
+void ReachSimulation::probe(std::size_t Number,
+                            const steering::TargetProbe &Asked) {
+  ++Connects_;
+  const std::size_t Target = std::stoul(Asked.Target_.name().substr(1));
+  const std::optional<base::Duration> Failure =
+      isCut(Hosts_[Number], Target, CutKind::Closes)
+          ? RefusalDelay
+          : connectFailure(Hosts_[Number], Target);
+  schedule(Failure.value_or(2 * delay(Hosts_[Number], Target)),
+           [this, Number, Asked, Target, Connected = !Failure] {
+             Host &From = Hosts_[Number];
+             From.Steering_->recordProbe(Asked, Connected, Now_);
+             if (Connected)
+               From.Idle_[Target].push_back(Now_);
+           });
+}
+
 // Links.
 
 void ReachSimulation::cut(std::size_t Number, CutKind Kind,
                           const base::RegionId &Region) {
   Hosts_[Number].Cut_ = Cut{Kind, Region};
-  if (Kind != CutKind::Resets)
+  if (Kind != CutKind::Resets && Kind != CutKind::Closes)
     return;
   Hosts_[Number].Idle_.clear();
-  std::vector<std::uint64_t> Lost;
+  loseSends([&](const Send &Open) {
+    return Open.Leg_->Host_ == Number &&
+           isCut(Hosts_[Number], Open.Target_, Kind);
+  });
+}
+
+void ReachSimulation::loseSends(const std::function<bool(const Send &)> &Lost) {
+  std::vector<std::uint64_t> All;
   for (const auto &[Id, Open] : Sends_)
-    if (Open.Host_ == Number && isCut(Hosts_[Number], Open.Target_, Kind))
-      Lost.push_back(Id);
-  for (const std::uint64_t Id : Lost)
+    if (Lost(Open))
+      All.push_back(Id);
+  for (const std::uint64_t Id : All)
     end(Id, SendOutcome::LostBeforeResponse);
 }
 
@@ -111,11 +173,7 @@
   TargetsDown_ = true;
   for (Host &Each : Hosts_)
     Each.Idle_.clear();
-  std::vector<std::uint64_t> Lost;
-  for (const auto &[Id, Open] : Sends_)
-    Lost.push_back(Id);
-  for (const std::uint64_t Id : Lost)
-    end(Id, SendOutcome::LostBeforeResponse);
+  loseSends([](const Send &) { return true; });
 }
 
 void ReachSimulation::startTargets() {
@@ -133,6 +191,16 @@
           From.Cut_->Region_ == regionOf(Target, Size_.Regions_));
 }
 
+std::optional<base::Duration>
+ReachSimulation::connectFailure(const Host &From, std::size_t Target) const {
+  if (isCut(From, Target, CutKind::Hangs))
+    return ConnectTimeout;
+  if (TargetsDown_ || isCut(From, Target, CutKind::Resets) ||
+      isCut(From, Target, CutKind::RefusesNew))
+    return RefusalDelay;
+  return std::nullopt;
+}
+
 base::Duration ReachSimulation::delay(const Host &From,
                                       std::size_t Target) const {
   return From.Descriptor_.Region_ == regionOf(Target, Size_.Regions_)
@@ -140,6 +208,12 @@
              : base::Duration(20ms);
 }
 
+base::Duration ReachSimulation::delay(const Host &From, const Host &To) const {
+  return From.Descriptor_.Region_ == To.Descriptor_.Region_
+             ? base::Duration(1ms)
+             : base::Duration(20ms);
+}
+
 bool ReachSimulation::takeIdle(Host &From, std::size_t Target,
                                bool Idempotent) {
   std::vector<base::TimePoint> &Idle = From.Idle_[Target];
@@ -185,70 +259,88 @@
   Attempt Made;
   Made.Host_ = base::drawBelow(Random_, Hosts_.size());
   Made.Idempotent_ = base::drawBelow(Random_, 3) != 0;
+  Made.Object_ = base::drawBelow(Random_, Size_.Objects_);
   Made.SentAt_ = Now_;
   Attempts_.push_back(Made);
+  Leg First;
+  First.Attempt_ = Attempts_.size() - 1;
+  First.Host_ = Made.Host_;
+  First.Deadline_ = Now_ + (Made.Idempotent_ ? LookupTime : BookingTime);
+  start(std::make_shared<Leg>(First), 2);
+}
+
+void ReachSimulation::start(const LegPointer &Begun, std::uint32_t MaxSends) {
+  const Attempt &Asked = Attempts_[Begun->Attempt_];
   steering::Request Incoming;
   Incoming.Service_ = base::ServiceId("s");
-  Incoming.Rule_ = Made.Idempotent_ ? "lookup" : "booking";
+  Incoming.Rule_ = Asked.Idempotent_ ? "lookup" : "booking";
   Incoming.ArrivedAt_ = Now_;
-  Incoming.Deadline_ = Now_ + (Made.Idempotent_ ? LookupTime : BookingTime);
-  Incoming.Idempotent_ = Made.Idempotent_;
-  Incoming.MaxSends_ = 2;
-  const std::uint32_t Object = base::drawBelow(Random_, Size_.Objects_);
-  Incoming.ObjectHash_ = base::stableHash("object", Object) | 1U;
-  Incoming.Fingerprint_ = Object + 1;
-  apply(Attempts_.size() - 1, Made.Host_,
-        Hosts_[Made.Host_].Steering_->arrive(Incoming, Now_),
-        Incoming.Deadline_);
-}
-
-void ReachSimulation::apply(std::size_t Tried, std::size_t Number,
-                            const Decision &Made, base::TimePoint Deadline) {
-  if (Made.Action_ == Decision::Action::Send)
-    sendToTarget(Tried, Number, Made, Deadline);
+  Incoming.Deadline_ = Begun->Deadline_;
+  Incoming.Idempotent_ = Asked.Idempotent_;
+  Incoming.MaxSends_ = MaxSends;
+  Incoming.ObjectHash_ = base::stableHash("object", Asked.Object_) | 1U;
+  Incoming.Fingerprint_ = Asked.Object_ + 1;
+  if (Begun->From_)
+    Incoming.ForwardedBy_ = Hosts_[Begun->From_->Host_].Descriptor_.Host_;
+  apply(Begun, Hosts_[Begun->Host_].Steering_->arrive(Incoming, Now_));
+}
+
+void ReachSimulation::apply(const LegPointer &Asked, const Decision &Made) {
+  if (Made.Action_ != Decision::Action::Send)
+    conclude(Asked, {false, Made.Ran_ == steering::Ran::No, Made.Refusal_});
+  else if (Made.Host_.empty())
+    sendToTarget(Asked, Made);
   else
-    conclude(Tried, false, Made.Ran_ == steering::Ran::No);
+    forward(Asked, Made);
 }
 
-void ReachSimulation::sendToTarget(std::size_t Tried, std::size_t Number,
-                                   const Decision &Made,
-                                   base::TimePoint Deadline) {
-  Host &From = Hosts_[Number];
+void ReachSimulation::forward(const LegPointer &Asked, const Decision &Made) {
+  Leg Next = *Asked;
+  Next.Host_ = std::stoul(Made.Address_);
+  Next.From_ = Asked;
+  Next.FromTicket_ = Made.Ticket_;
+  Next.MayHaveRun_ = false;
+  schedule(2 * delay(Hosts_[Asked->Host_], Hosts_[Next.Host_]),
+           [this, Next, MaxSends = Made.SendsLeft_] {
+             start(std::make_shared<Leg>(Next), MaxSends);
+           });
+}
+
+void ReachSimulation::sendToTarget(const LegPointer &Asked,
+                                   const Decision &Made) {
+  Host &From = Hosts_[Asked->Host_];
   Send Open;
-  Open.Attempt_ = Tried;
-  Open.Host_ = Number;
+  Open.Leg_ = Asked;
   Open.Target_ = std::stoul(Made.Target_.name().substr(1));
   Open.Ticket_ = Made.Ticket_;
-  Open.Deadline_ = Deadline;
+  Open.SentAt_ = Now_;
   const std::uint64_t Id = ++LastSend_;
-  const auto [Stored, Unused] = Sends_.emplace(Id, Open);
-  schedule(Deadline - Now_, [this, Id] { end(Id, SendOutcome::Cancelled); });
-  if (Made.ResponseDeadline_ < Deadline)
+  Sends_.emplace(Id, Open);
+  schedule(std::max(base::Duration(0), Asked->Deadline_ - Now_),
+           [this, Id] { end(Id, SendOutcome::Cancelled); });
+  if (Made.ResponseDeadline_ < Asked->Deadline_)
     schedule(std::max(base::Duration(0), Made.ResponseDeadline_ - Now_),
              [this, Id] { timeOut(Id); });
-  const bool Kept = takeIdle(From, Open.Target_, Attempts_[Tried].Idempotent_);
-  if (Kept) {
-    Stored->second.SentAt_ = Now_;
+  if (takeIdle(From, Open.Target_, Attempts_[Asked->Attempt_].Idempotent_)) {
     write(Id);
     return;
   }
   ++Connects_;
-  const bool Hangs = isCut(From, Open.Target_, CutKind::Hangs);
-  if (Hangs || TargetsDown_ || From.Cut_) {
-    const bool Refused = TargetsDown_ ||
-                         isCut(From, Open.Target_, CutKind::Resets) ||
-                         isCut(From, Open.Target_, CutKind::RefusesNew);
-    if (Hangs || Refused) {
-      schedule(Refused ? RefusalDelay : ConnectTimeout,
-               [this, Id] { end(Id, SendOutcome::ConnectFailed); });
-      return;
-    }
+  if (const auto Failure = connectFailure(From, Open.Target_)) {
+    schedule(*Failure, [this, Id] { end(Id, SendOutcome::ConnectFailed); });
+    return;
   }
   schedule(2 * delay(From, Open.Target_), [this, Id] {
-    if (const auto Found = Sends_.find(Id); Found != Sends_.end()) {
-      Found->second.SentAt_ = Now_;
+    const auto Found = Sends_.find(Id);
+    if (Found == Sends_.end())
+      return;
+    Found->second.SentAt_ = Now_;
+    Found->second.NewConnection_ = true;
+    if (isCut(Hosts_[Found->second.Leg_->Host_], Found->second.Target_,
+              CutKind::Closes))
+      end(Id, SendOutcome::LostBeforeResponse);
+    else
       write(Id);
-    }
   });
 }
 
@@ -257,13 +349,13 @@
   if (Found == Sends_.end())
     return;
   const Send &Open = Found->second;
-  const Host &From = Hosts_[Open.Host_];
+  const Host &From = Hosts_[Open.Leg_->Host_];
   // The request is sent again until the link heals.
   if (isCut(From, Open.Target_, CutKind::Hangs)) {
     schedule(RetransmitPace, [this, Id] { write(Id); });
     return;
   }
-  ++Attempts_[Open.Attempt_].Runs_;
+  ++Attempts_[Open.Leg_->Attempt_].Runs_;
   ++Running_[Open.Target_];
   schedule(RunTime + 2 * delay(From, Open.Target_),
            [this, Id, Target = Open.Target_] {
@@ -277,18 +369,19 @@
   if (Found == Sends_.end())
     return;
   const Send &Open = Found->second;
-  if (isCut(Hosts_[Open.Host_], Open.Target_, CutKind::Hangs)) {
+  Host &From = Hosts_[Open.Leg_->Host_];
+  if (isCut(From, Open.Target_, CutKind::Hangs)) {
     schedule(RetransmitPace, [this, Id] { answer(Id); });
     return;
   }
-  Hosts_[Open.Host_].Idle_[Open.Target_].push_back(Now_);
+  From.Idle_[Open.Target_].push_back(Now_);
   end(Id, SendOutcome::Answered);
 }
 
 void ReachSimulation::timeOut(std::uint64_t Id) {
   const auto Found = Sends_.find(Id);
   if (Found != Sends_.end() &&
-      Hosts_[Found->second.Host_].Steering_->mayAbandonSend(
+      Hosts_[Found->second.Leg_->Host_].Steering_->mayAbandonSend(
           Found->second.Ticket_, Now_))
     end(Id, SendOutcome::LostBeforeResponse, true);
 }
@@ -303,25 +396,51 @@
   steering::SendReport Report;
   Report.Outcome_ = Outcome;
   Report.TimedOut_ = TimedOut;
+  Report.NewConnection_ = Open.NewConnection_;
   if (Outcome == SendOutcome::Answered) {
     Report.Status_ = 200;
     Report.Took_ = Now_ - Open.SentAt_;
     Report.Load_ = steering::TargetLoad{
         static_cast<std::uint32_t>(Running_[Open.Target_]), 0, Slots};
   }
+  if (Outcome == SendOutcome::LostBeforeResponse)
+    Open.Leg_->MayHaveRun_ = true;
   std::vector<steering::Wakeup> Woken;
-  const Decision Next =
-      Hosts_[Open.Host_].Steering_->finish(Open.Ticket_, Report, Now_, Woken);
+  const Decision Next = Hosts_[Open.Leg_->Host_].Steering_->finish(
+      Open.Ticket_, Report, Now_, Woken);
   if (Outcome == SendOutcome::Answered || Outcome == SendOutcome::Cancelled)
-    conclude(Open.Attempt_, Outcome == SendOutcome::Answered, false);
+    conclude(Open.Leg_, {Outcome == SendOutcome::Answered, false, {}});
   else
-    apply(Open.Attempt_, Open.Host_, Next, Open.Deadline_);
+    apply(Open.Leg_, Next);
+}
+
+void ReachSimulation::conclude(const LegPointer &Ended, const LegEnd &How) {
+  if (Ended->From_) {
+    schedule(delay(Hosts_[Ended->Host_], Hosts_[Ended->From_->Host_]),
+             [this, Ended, How] { tellForwarder(Ended, How); });
+    return;
+  }
+  Attempt &Tried = Attempts_[Ended->Attempt_];
+  Tried.EndedAt_ = Now_;
+  Tried.Served_ = How.Served_;
+  Tried.RefusedAsNotRun_ = !How.Served_ && How.NotRun_;
 }
 
-void ReachSimulation::conclude(std::size_t Number, bool Served, bool NotRun) {
-  Attempts_[Number].EndedAt_ = Now_;
-  Attempts_[Number].Served_ = Served;
-  Attempts_[Number].RefusedAsNotRun_ = !Served && NotRun;
+void ReachSimulation::tellForwarder(const LegPointer &Ended,
+                                    const LegEnd &How) {
+  const bool ForItself =
+      How.NotRun_ && (Ended->From_->MayHaveRun_ ||
+                      How.Why_ == steering::Refusal::TargetsUnreached);
+  steering::SendReport Report;
+  Report.Outcome_ = ForItself ? SendOutcome::Shed : SendOutcome::Answered;
+  Report.Status_ = How.Served_ ? 200 : 503;
+  std::vector<steering::Wakeup> Woken;
+  const Decision Next = Hosts_[Ended->From_->Host_].Steering_->finish(
+      Ended->FromTicket_, Report, Now_, Woken);
+  if (ForItself)
+    apply(Ended->From_, Next);
+  else
+    conclude(Ended->From_, How);
 }
 
 // What was seen.
--- a/tests/dispatch/ReachSimulation.h
+++ b/tests/dispatch/ReachSimulation.h
@@ -7,7 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <set>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -31,17 +31,21 @@
   Resets,
   /// Open ones go on, new ones are refused.
   RefusesNew,
+  /// Open ones are reset, new ones are accepted and closed.
+  Closes,
 };
 
 /// Plays such a fleet in virtual time, from a seed, with links between hosts
-/// and targets that are cut. Callers keep to all hosts alike, whatever look-ups
-/// name, and send each request once.
+/// and targets that are cut. Hosts reach each other all the time, and hear of
+/// each other as late as heartbeats tell them. Callers keep to all hosts alike,
+/// whatever look-ups name, and send each request once.
 class ReachSimulation {
 public:
   /// A request of a caller, and what became of it.
   struct Attempt {
     std::size_t Host_ = 0;
     bool Idempotent_ = false;
+    std::uint32_t Object_ = 0;
     base::TimePoint SentAt_;
     /// Empty while it is open.
     std::optional<base::TimePoint> EndedAt_;
@@ -100,35 +104,65 @@
     std::optional<Cut> Cut_;
     /// Idle connections by target: when each was last used.
     std::map<std::size_t, std::vector<base::TimePoint>> Idle_;
+    /// When it lost its reach of the targets (true) or regained it.
+    std::vector<std::pair<base::TimePoint, bool>> Unreached_;
   };
-  /// A send that has not ended.
-  struct Send {
+  /// A request at one host.
+  struct Leg {
     std::size_t Attempt_ = 0;
     std::size_t Host_ = 0;
+    base::TimePoint Deadline_;
+    /// The request at the host that forwarded it, and its ticket there; null:
+    /// it came from its caller.
+    std::shared_ptr<Leg> From_;
+    std::uint64_t FromTicket_ = 0;
+    /// A send from this host was lost.
+    bool MayHaveRun_ = false;
+  };
+  using LegPointer = std::shared_ptr<Leg>;
+  /// How a request ended at a host.
+  struct LegEnd {
+    bool Served_ = false;
+    bool NotRun_ = false;
+    steering::Refusal Why_ = steering::Refusal::None;
+  };
+  /// A send to a target that has not ended.
+  struct Send {
+    LegPointer Leg_;
     std::size_t Target_ = 0;
     std::uint64_t Ticket_ = 0;
     base::TimePoint SentAt_;
-    base::TimePoint Deadline_;
+    bool NewConnection_ = false;
   };
 
   void schedule(base::Duration After, std::function<void()> Action);
   void runUntil(base::TimePoint Moment);
-  dispatch::FleetDemand viewOf(std::size_t Number) const;
+  /// \returns what hosts of a region know of all hosts.
+  dispatch::FleetDemand viewFrom(const base::RegionId &Region) const;
+  bool seesUnreached(const base::RegionId &From, const Host &Seen) const;
   void updateAll();
+  void probeAll();
+  void probe(std::size_t Number, const steering::TargetProbe &Asked);
   void arrive();
-  void apply(std::size_t Tried, std::size_t Number,
-             const steering::Decision &Made, base::TimePoint Deadline);
-  void sendToTarget(std::size_t Tried, std::size_t Number,
-                    const steering::Decision &Made, base::TimePoint Deadline);
+  void start(const LegPointer &Begun, std::uint32_t MaxSends);
+  void apply(const LegPointer &Asked, const steering::Decision &Made);
+  void sendToTarget(const LegPointer &Asked, const steering::Decision &Made);
+  void forward(const LegPointer &Asked, const steering::Decision &Made);
   bool isCut(const Host &From, std::size_t Target, CutKind Kind) const;
+  /// \returns how long a connect takes to fail; nothing: it succeeds.
+  std::optional<base::Duration> connectFailure(const Host &From,
+                                               std::size_t Target) const;
   bool takeIdle(Host &From, std::size_t Target, bool Idempotent);
-  void write(std::uint64_t Number);
-  void answer(std::uint64_t Number);
-  void timeOut(std::uint64_t Number);
-  void end(std::uint64_t Number, steering::SendOutcome Outcome,
+  void write(std::uint64_t Id);
+  void answer(std::uint64_t Id);
+  void timeOut(std::uint64_t Id);
+  void end(std::uint64_t Id, steering::SendOutcome Outcome,
            bool TimedOut = false);
-  void conclude(std::size_t Tried, bool Served, bool NotRun);
+  void loseSends(const std::function<bool(const Send &)> &Lost);
+  void conclude(const LegPointer &Ended, const LegEnd &How);
+  void tellForwarder(const LegPointer &Ended, const LegEnd &How);
   base::Duration delay(const Host &From, std::size_t Target) const;
+  base::Duration delay(const Host &From, const Host &To) const;
 
   const ReachFleet Size_;
   base::Random Random_;
--- a/tests/dispatch/TargetReachTest.cpp
+++ b/tests/dispatch/TargetReachTest.cpp
@@ -14,7 +14,7 @@
 
 constexpr std::uint64_t Seeds = 3;
 constexpr CutKind Kinds[] = {CutKind::Hangs, CutKind::Resets,
-                             CutKind::RefusesNew};
+                             CutKind::RefusesNew, CutKind::Closes};
 /// Time after the begin of a cut from which first tries must succeed.
 constexpr base::Duration SettlingTime = std::chrono::seconds(3);
 
--- a/tests/process/LiveReachTest.cpp
+++ b/tests/process/LiveReachTest.cpp
@@ -3,6 +3,7 @@
 #include "support/TestFleet.h"
 
 #include <memory>
+#include <thread>
 #include <unistd.h>
 
 #include "CppUTest/TestHarness.h"
@@ -63,6 +64,12 @@
     Booked_.push_back(Id);
     return call(Fleet_->callers(Host), Request).Status_;
   }
+  /// Books after a pause in which open connections to targets grow too old for
+  /// a booking.
+  void bookOnNewConnection(std::size_t Host) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(120));
+    book(Host);
+  }
   /// \returns whether reads and bookings are served one after the other.
   bool servesInARow(std::size_t Host) {
     int Row = 0;
@@ -90,7 +97,11 @@
       Fleet_->resetTargetLinks(0);
     CHECK(servesInARow(0));
     CHECK(servesInARow(1));
-    CHECK(TestFleet::waitFor([&] { return !isNamed(0, 0) && !isNamed(0, 1); }));
+    CHECK(TestFleet::waitFor([&] {
+      bookOnNewConnection(0);
+      return !isNamed(0, 0) && !isNamed(0, 1);
+    }));
+    CHECK(servesInARow(0));
     CHECK(isNamed(1, 0));
     CHECK(Fleet_->isReady(0));
     Fleet_->setTargetLinks(0, {});
