--- a/libs/gateway/CallerAnswer.cpp
+++ b/libs/gateway/CallerAnswer.cpp
@@ -59,6 +59,12 @@
   return Read_.KeepAlive_ && Home_.shared().isServing() && Reader_.isWhole();
 }
 
+std::optional<std::uint64_t> CallerAnswer::toldVersion() const {
+  if (Read_.ForwardedBy_.empty())
+    return std::nullopt;
+  return Home_.shared().Others_.Router_.settingsVersion();
+}
+
 Task<void> CallerAnswer::sendContinue() {
   if (!Read_.ExpectsContinue_ || ContinueSent_ || Reader_.isWhole())
     co_return;
@@ -97,6 +103,7 @@
 Task<Ending> CallerAnswer::refuse(ProblemDocument Problem) {
   co_await dropSmallBody();
   Problem.RequestId_ = Id_.name();
+  Problem.SettingsVersion_ = toldVersion();
   Status_ = Problem.Status_;
   Outcome_ = Problem.Reason_;
   const bool KeepAlive = keepsAlive();
@@ -161,7 +168,9 @@
   const bool KeepAlive = keepsAlive();
   const bool WithoutBody = isHead() || hasNoBody(Head.result_int());
   const std::string Text = answerHeadFor(
-      Head, {Id_.name(), framingOf(Send, WithoutBody), KeepAlive}, names());
+      Head,
+      {Id_.name(), framingOf(Send, WithoutBody), KeepAlive, toldVersion()},
+      names());
   bound();
   const std::array Pieces{bufferOf(Text), bufferOf(Send.heldBody())};
   const bool Written = co_await Caller_.write(Pieces);
@@ -176,8 +185,8 @@
   Outcome_ = "answer-cut";
   const bool KeepAlive = keepsAlive();
   const Framing Body = framingOf(Send, false);
-  const std::string Text =
-      answerHeadFor(Head, {Id_.name(), Body, KeepAlive}, names());
+  const std::string Text = answerHeadFor(
+      Head, {Id_.name(), Body, KeepAlive, toldVersion()}, names());
   End = steering::SendOutcome::Cancelled;
   bound();
   const std::array First{bufferOf(Text)};
--- a/libs/gateway/CallerAnswer.h
+++ b/libs/gateway/CallerAnswer.h
@@ -62,6 +62,9 @@
   Task<Ending> writeText(const std::string &Text, bool KeepAlive);
   void bound();
   bool keepsAlive() const;
+  /// \returns the settings' version that a host that forwarded the request is
+  /// told.
+  std::optional<std::uint64_t> toldVersion() const;
   const Vocabulary &names() const;
   bool isHead() const noexcept { return Read_.Method_ == "HEAD"; }
 
--- a/libs/gateway/CallerRequest.cpp
+++ b/libs/gateway/CallerRequest.cpp
@@ -16,6 +16,8 @@
 constexpr std::string_view BearerScheme = "bearer ";
 /// Idempotency keys are kept in the store; UUIDs take 36.
 constexpr std::size_t MaximumIdempotencyKeyBytes = 128;
+/// Names of hosts are at most so long; the log gets no more of the header.
+constexpr std::size_t MaximumHostNameBytes = 64;
 
 std::string_view viewOf(boost::beast::string_view Text) noexcept {
   return {Text.data(), Text.size()};
@@ -147,22 +149,35 @@
   return readDeadline(Head, Names, Read);
 }
 
+/// Reads a number into \p Into where the header stands.
+template <typename Number>
+std::optional<RequestFault> readNumber(const RequestReader::Message &Head,
+                                       const std::string &Name, Number &Into) {
+  const std::string_view Text = viewOf(Head[Name]);
+  if (Text.empty())
+    return std::nullopt;
+  const auto [End, Error] =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Into);
+  if (Error != std::errc() || End != Text.data() + Text.size())
+    return faultOf(Name + " is not a number");
+  return std::nullopt;
+}
+
 /// A caller that sends these headers itself only gives up what a host would do
 /// for it.
 std::optional<RequestFault> readForwarding(const RequestReader::Message &Head,
                                            const Vocabulary &Names,
                                            CallerRequest &Read) {
-  Read.ForwardedBy_ = viewOf(Head[Names.ForwardedBy_]);
-  const std::string_view Text = viewOf(Head[Names.SendsLeft_]);
-  if (Text.empty())
+  Read.ForwardedBy_ =
+      viewOf(Head[Names.ForwardedBy_]).substr(0, MaximumHostNameBytes);
+  if (Read.ForwardedBy_.empty())
     return std::nullopt;
   std::uint32_t Sends = 0;
-  const auto [End, Error] =
-      std::from_chars(Text.data(), Text.data() + Text.size(), Sends);
-  if (Error != std::errc() || End != Text.data() + Text.size() || Sends == 0)
-    return faultOf(Names.SendsLeft_ + " is not a number from 1 on");
-  Read.SendsLeft_ = Sends;
-  return std::nullopt;
+  if (auto Fault = readNumber(Head, Names.SendsLeft_, Sends))
+    return Fault;
+  if (Sends > 0)
+    Read.SendsLeft_ = Sends;
+  return readNumber(Head, Names.SettingsVersion_, Read.LeastVersion_);
 }
 
 } // namespace
--- a/libs/gateway/CallerRequest.h
+++ b/libs/gateway/CallerRequest.h
@@ -34,6 +34,8 @@
   std::string_view ForwardedBy_;
   /// Number of targets that it may be sent to; nothing where none is given.
   std::optional<std::uint32_t> SendsLeft_;
+  /// The oldest version of the settings by which it may be decided; 0: any.
+  std::uint64_t LeastVersion_ = 0;
   /// Time the caller gives; nothing where it names none.
   std::optional<base::Duration> Deadline_;
   bool ExpectsContinue_ = false;
--- a/libs/gateway/Exchange.cpp
+++ b/libs/gateway/Exchange.cpp
@@ -89,10 +89,12 @@
 
 Task<Ending> Exchange::forward() {
   GatewayState &Shared = Home_.shared();
+  Identity Caller;
+  if (Read_.LeastVersion_ > Shared.Others_.Router_.settingsVersion())
+    co_return co_await refuseEarly(Caller, steering::Refusal::SettingsOld);
   auto Found = Shared.Others_.Router_.route({Read_.ServiceName_,
                                              Read_.HostName_, Read_.Path_,
                                              Read_.Method_, Caller_.address()});
-  Identity Caller;
   if (Found && Found->Public_)
     Caller.Refusal_ = steering::Refusal::None;
   else
--- a/libs/gateway/Forwarding.cpp
+++ b/libs/gateway/Forwarding.cpp
@@ -276,6 +276,11 @@
     Failed = co_await writeRequest(Send);
   if (!Failed)
     Failed = co_await Send.readAnswer(Read_.Method_ == "HEAD");
+  if (!Failed && ToHost)
+    if (const auto Version = settingsVersionOf(Send.answer().message(),
+                                               Home_.shared().Settings_.Names_))
+      Home_.shared().Versions_.noteAnswer(*Version,
+                                          base::SystemClock::monotonicNow());
   if (Failed && Send.isSilent() && !Streamed_)
     Failed = co_await hedge(Send);
   else if (!Failed && Send.saysNotRun())
@@ -314,14 +319,20 @@
   return SendOutcome::Withheld;
 }
 
+HostForwarding Forwarding::hostForwarding(base::TimePoint Now) const {
+  GatewayState &Shared = Home_.shared();
+  Shared.Versions_.noteOwn(Decision_.SettingsVersion_, Now);
+  return {Shared.Settings_.Host_.name(), Decision_.SendsLeft_,
+          Shared.Versions_.floor(Now), Read_.PresentedKey_};
+}
+
 Task<TargetSend::Failure> Forwarding::writeRequest(TargetSend &Send) {
   ForwardedRequest Added;
   Added.RequestId_ = Request_.Id_.name();
   if (Decision_.Host_.empty())
     Added.Customer_ = Request_.Customer_.name();
   else
-    Added.ToHost_ = HostForwarding{Home_.shared().Settings_.Host_.name(),
-                                   Decision_.SendsLeft_, Read_.PresentedKey_};
+    Added.ToHost_ = hostForwarding(base::SystemClock::monotonicNow());
   Added.ExpectedTarget_ = Decision_.ExpectedTarget_;
   Added.TimeLeft_ = Request_.Deadline_ - base::SystemClock::monotonicNow();
   const auto Length = Reader_.bodyLength();
--- a/libs/gateway/Forwarding.h
+++ b/libs/gateway/Forwarding.h
@@ -4,6 +4,7 @@
 #include "gateway/Authenticator.h"
 #include "gateway/CallerAnswer.h"
 #include "gateway/ClaimGate.h"
+#include "gateway/HeaderPolicy.h"
 #include "gateway/RequestRouter.h"
 #include "gateway/TargetSend.h"
 
@@ -40,6 +41,7 @@
   /// \returns a failure where the target no longer takes the request.
   TargetSend::Failure withhold(TargetSend &Send) const;
   Task<TargetSend::Failure> writeRequest(TargetSend &Send);
+  HostForwarding hostForwarding(base::TimePoint Now) const;
   Task<TargetSend::Failure> streamBody(TargetSend &Send);
   Task<Ending> answer(TargetSend &Send, bool &Again);
   /// \returns the refusal where the key does not hold any more.
--- a/libs/gateway/GatewayState.h
+++ b/libs/gateway/GatewayState.h
@@ -4,6 +4,7 @@
 #include "gateway/Collaborators.h"
 #include "gateway/GatewaySettings.h"
 #include "gateway/TargetPools.h"
+#include "gateway/VersionFloor.h"
 #include "gateway/WaitingRoom.h"
 
 #include "gateway/MessageReader.h"
@@ -49,6 +50,8 @@
   TargetPools Pools_;
   /// Connections to other hosts, to which requests are forwarded.
   TargetPools HostPools_{HostConnectionLimit};
+  /// Of requests that are forwarded to other hosts.
+  VersionFloor Versions_;
   WaitingRoom Waiting_;
   std::atomic<Phase> Phase_ = Phase::Serving;
   std::atomic<std::uint32_t> Connections_ = 0;
--- a/libs/gateway/HeaderPolicy.cpp
+++ b/libs/gateway/HeaderPolicy.cpp
@@ -39,8 +39,8 @@
 /// \returns whether only the gateway sets the header, so that neither side can
 /// pose as it.
 bool isReserved(std::string_view Name, const Vocabulary &Names) {
-  for (const std::string &Each :
-       {Names.ForwardedBy_, Names.SendsLeft_, Names.Reason_})
+  for (const std::string &Each : {Names.ForwardedBy_, Names.SendsLeft_,
+                                  Names.Reason_, Names.SettingsVersion_})
     if (iequals(Name, Each))
       return true;
   const std::string_view Prefix = Names.ReservedPrefix_;
@@ -109,6 +109,8 @@
                       const Vocabulary &Names) {
   appendField(Text, Names.ForwardedBy_, Added.ForwardedBy_);
   appendField(Text, Names.SendsLeft_, std::to_string(Added.SendsLeft_));
+  appendField(Text, Names.SettingsVersion_,
+              std::to_string(Added.LeastVersion_));
   if (!Added.Key_.empty())
     appendField(Text, "Authorization", "Bearer " + std::string(Added.Key_));
 }
@@ -175,6 +177,9 @@
   Text += "\r\n";
   appendFields(Text, Head, {}, Names);
   appendField(Text, Names.RequestId_, Added.RequestId_);
+  if (Added.SettingsVersion_)
+    appendField(Text, Names.SettingsVersion_,
+                std::to_string(*Added.SettingsVersion_));
   if (!Added.KeepAlive_)
     appendField(Text, "Connection", "close");
   appendFraming(Text, Added.Body_);
@@ -213,9 +218,21 @@
   const std::string_view Reason = viewOf(Head[Names.Reason_]);
   return Reason == steering::nameOf(steering::Refusal::TargetsUnreached) ||
          Reason == steering::nameOf(steering::Refusal::KeysStale) ||
+         Reason == steering::nameOf(steering::Refusal::SettingsOld) ||
          Reason == steering::nameOf(steering::Refusal::Stopping);
 }
 
+std::optional<std::uint64_t>
+settingsVersionOf(const AnswerReader::Message &Head, const Vocabulary &Names) {
+  const std::string_view Text = viewOf(Head[Names.SettingsVersion_]);
+  std::uint64_t Version = 0;
+  const auto [End, Error] =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Version);
+  if (Error != std::errc() || End != Text.data() + Text.size())
+    return std::nullopt;
+  return Version;
+}
+
 std::optional<steering::TargetLoad> loadOf(const AnswerReader::Message &Head,
                                            const Vocabulary &Names) {
   if (Names.TargetLoad_.empty())
--- a/libs/gateway/HeaderPolicy.h
+++ b/libs/gateway/HeaderPolicy.h
@@ -25,6 +25,8 @@
   std::string_view ForwardedBy_;
   /// Number of targets that it may be sent to.
   std::uint32_t SendsLeft_ = 1;
+  /// The oldest version of the settings by which it may be decided; 0: any.
+  std::uint64_t LeastVersion_ = 0;
   /// The caller's key, which the other host checks again; empty: none came.
   std::string_view Key_;
 };
@@ -47,6 +49,8 @@
   std::string_view RequestId_;
   Framing Body_;
   bool KeepAlive_ = true;
+  /// Told to a host that forwarded the request.
+  std::optional<std::uint64_t> SettingsVersion_;
 };
 
 /// \returns the lines of the caller's headers that go to the target: without
@@ -82,6 +86,11 @@
 /// \returns whether it is one for a reason that holds for that host only.
 bool refusedForHost(const AnswerReader::Message &Head, const Vocabulary &Names);
 
+/// \returns the version of the settings of the host that answers, where it
+/// tells it.
+std::optional<std::uint64_t>
+settingsVersionOf(const AnswerReader::Message &Head, const Vocabulary &Names);
+
 /// \returns what the answer tells of the target's load, where it tells it.
 std::optional<steering::TargetLoad> loadOf(const AnswerReader::Message &Head,
                                            const Vocabulary &Names);
--- a/libs/gateway/ProblemDocument.cpp
+++ b/libs/gateway/ProblemDocument.cpp
@@ -58,6 +58,8 @@
     return "The service's targets have asked for a rest.";
   case Refusal::TargetsUnreached:
     return "This host reaches none of the service's targets.";
+  case Refusal::SettingsOld:
+    return "This host has older settings than the request came by.";
   case Refusal::CrashSuspect:
     return "Targets were lost while they ran requests like this one.";
   case Refusal::ClaimHeldElsewhere:
@@ -108,6 +110,7 @@
   case Refusal::TargetRatesUsedUp:
   case Refusal::TargetsRest:
   case Refusal::TargetsUnreached:
+  case Refusal::SettingsOld:
   case Refusal::CrashSuspect:
   case Refusal::ClaimStoreDown:
   case Refusal::Stopping:
@@ -161,6 +164,9 @@
   Text += ranText(Ran_);
   Text += "\r\n" + Names.Reason_ + ": " + Reason_;
   Text += "\r\n" + Names.RequestId_ + ": " + RequestId_ + "\r\n";
+  if (SettingsVersion_)
+    Text += Names.SettingsVersion_ + ": " + std::to_string(*SettingsVersion_) +
+            "\r\n";
   if (RetryAfter_ > base::Duration::zero())
     Text += "Retry-After: " + retryAfterText(RetryAfter_, Names) + "\r\n";
   if (Status_ == 401)
--- a/libs/gateway/ProblemDocument.h
+++ b/libs/gateway/ProblemDocument.h
@@ -25,6 +25,8 @@
   /// How the work that the caller asks for again was answered when it ran; 0
   /// where that is not known.
   int OutcomeStatus_ = 0;
+  /// Told to a host that forwarded the request.
+  std::optional<std::uint64_t> SettingsVersion_;
 
   /// \returns the whole answer, head and body.
   std::string render(const Vocabulary &Names, bool KeepAlive,
--- a/libs/gateway/RequestRouter.h
+++ b/libs/gateway/RequestRouter.h
@@ -61,6 +61,10 @@
 
   /// \returns nothing where no service takes the request.
   virtual std::optional<Route> route(const RouteQuery &Query) = 0;
+
+  /// \returns the version of the settings that requests are routed by; 0: not
+  /// told.
+  virtual std::uint64_t settingsVersion() const { return 0; }
 };
 
 } // namespace lychee::gateway
--- a/libs/gateway/Vocabulary.h
+++ b/libs/gateway/Vocabulary.h
@@ -38,6 +38,9 @@
   std::string SendsLeft_ = "Lychee-Sends-Left";
   /// Why a host refuses a request.
   std::string Reason_ = "Lychee-Reason";
+  /// Of a request: the oldest version of the settings by which it may be
+  /// decided; of an answer to it: the version of the host that answers.
+  std::string SettingsVersion_ = "Lychee-Settings-Version";
   /// Cookie that names the object a request is about; empty: there is none.
   std::string ObjectCookie_;
   /// No caller or target may set a header whose name begins so; empty: only
--- a/libs/live/ActiveIntent.cpp
+++ b/libs/live/ActiveIntent.cpp
@@ -87,6 +87,11 @@
       .Service_;
 }
 
+std::uint64_t ActiveIntent::settingsVersion() const {
+  const std::lock_guard Guard(Lock_);
+  return Current_.Intent_ ? Current_.Intent_->Version_ : 0;
+}
+
 std::optional<gateway::Route>
 ActiveIntent::route(const gateway::RouteQuery &Query) {
   const std::lock_guard Guard(Lock_);
--- a/libs/live/ActiveIntent.h
+++ b/libs/live/ActiveIntent.h
@@ -53,6 +53,7 @@
 
   std::optional<gateway::Route>
   route(const gateway::RouteQuery &Query) override;
+  std::uint64_t settingsVersion() const override;
   gateway::Identity check(std::string_view Presented,
                           base::TimePoint Now) override;
   steering::Refusal recheck(const gateway::Identity &Presented,
--- a/libs/steering/Steering.cpp
+++ b/libs/steering/Steering.cpp
@@ -30,6 +30,8 @@
     return "targets-rest";
   case Refusal::TargetsUnreached:
     return "targets-unreached";
+  case Refusal::SettingsOld:
+    return "settings-old";
   case Refusal::CrashSuspect:
     return "crash-suspect";
   case Refusal::ClaimHeldElsewhere:
--- a/libs/steering/Steering.h
+++ b/libs/steering/Steering.h
@@ -121,6 +121,8 @@
   TargetsRest,
   /// This host reaches none of the targets, and no other host may take it.
   TargetsUnreached,
+  /// This host has older settings than the host that forwarded the request.
+  SettingsOld,
   CrashSuspect,
   ClaimHeldElsewhere,
   ClaimStoreDown,
--- a/tests/gateway/FakeSteering.cpp
+++ b/tests/gateway/FakeSteering.cpp
@@ -10,7 +10,12 @@
   Made.Action_ = Decision::Action::Send;
   Made.Ticket_ = Number;
   Made.Address_ = Addresses_[Next_++ % Addresses_.size()];
-  Made.Target_ = base::TargetId(Made.Address_);
+  if (Made.Address_ == HostAddress_) {
+    Made.Host_ = base::HostId("other");
+    Made.SendsLeft_ = 2;
+  } else {
+    Made.Target_ = base::TargetId(Made.Address_);
+  }
   ++Sent_[Number].Sends_;
   return Made;
 }
--- a/tests/gateway/FakeSteering.h
+++ b/tests/gateway/FakeSteering.h
@@ -27,6 +27,8 @@
   steering::Refusal RefuseAll_ = steering::Refusal::None;
   base::Duration WaitLimit_ = std::chrono::seconds(10);
   bool MayRepeat_ = true;
+  /// The address of these that is another host's; empty: all are targets.
+  std::string HostAddress_;
   /// Which of all writes is withheld from its target, counted from 1; 0: none.
   int WithheldWrite_ = 0;
 
