--- a/apps/lycheed/DecisionReporter.cpp
+++ b/apps/lycheed/DecisionReporter.cpp
@@ -122,7 +122,8 @@
                                  const steering::Decision &Sent,
                                  const steering::SendReport &Report,
                                  base::TimePoint /*Now*/) {
-  TargetSeconds_.observe(base::toSeconds(Report.Took_));
+  if (Sent.Host_.empty())
+    TargetSeconds_.observe(base::toSeconds(Report.Took_));
   const bool Answered = Report.Outcome_ == steering::SendOutcome::Answered;
   (Answered ? Answers_ : Failures_).add();
   reporting::DecisionRecord Record = recordOf(Request);
--- a/apps/lycheed/LiveEntry.cpp
+++ b/apps/lycheed/LiveEntry.cpp
@@ -42,14 +42,19 @@
   Answer.SettingsVersion_ = Current->Version_;
   const members::HostDescriptor &Self = Others_.Hosts_.self();
   const members::LocalHostState Own = ownState(Now);
+  // Callers take them in order, so those that would have to forward go last.
+  std::vector<gateway::HostEntry> Forwarding;
+  const auto Add = [&](const members::HostDescriptor &Host, bool Unreached) {
+    (Unreached ? Forwarding : Answer.Hosts_)
+        .push_back({Host.Host_, Host.Region_, Host.Zone_, Host.CallerAddress_});
+  };
   if (Own.Ready_ && !Own.Leaving_)
-    Answer.Hosts_.push_back(
-        {Self.Host_, Self.Region_, Self.Zone_, Self.CallerAddress_});
+    Add(Self, Own.TargetsUnreached_);
   for (const members::HostView &Each : Others_.Hosts_.others(Now))
     if (Each.Alive_ && Each.Ready_ && !Each.Leaving_)
-      Answer.Hosts_.push_back({Each.Descriptor_.Host_, Each.Descriptor_.Region_,
-                               Each.Descriptor_.Zone_,
-                               Each.Descriptor_.CallerAddress_});
+      Add(Each.Descriptor_, Each.TargetsUnreached_);
+  Answer.Hosts_.insert(Answer.Hosts_.end(), Forwarding.begin(),
+                       Forwarding.end());
   return Answer;
 }
 
--- /dev/null
+++ b/tests/dispatch/ForwardingTest.cpp
@@ -0,0 +1,395 @@
+#include "dispatch/DispatchSteering.h"
+#include "dispatch/ForwardingHosts.h"
+#include "dispatch/TargetReach.h"
+
+#include <map>
+#include <set>
+#include <string>
+
+#include "CppUTest/TestHarness.h"
+
+namespace base = lychee::base;
+namespace dispatch = lychee::dispatch;
+namespace live = lychee::live;
+namespace members = lychee::members;
+using dispatch::ForwardingHosts;
+using dispatch::TargetReach;
+using lychee::steering::Decision;
+using lychee::steering::Refusal;
+using lychee::steering::Request;
+using lychee::steering::SendOutcome;
+using lychee::steering::SendReport;
+using lychee::steering::TargetProbe;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr int TargetCount = 6;
+
+members::HostView hostView(const std::string &Name, const std::string &Region) {
+  members::HostView View;
+  View.Descriptor_.Host_ = base::HostId(Name);
+  View.Descriptor_.Region_ = base::RegionId(Region);
+  View.Descriptor_.CallerAddress_ = Name + ":80";
+  View.Ready_ = View.Alive_ = View.HoldsShare_ = true;
+  return View;
+}
+
+} // namespace
+
+TEST_GROUP(TargetReachRounds) {
+  base::TimePoint Now_ = base::TimePoint(100s);
+  TargetReach Reach_;
+
+  /// Plays a round of probes. \returns the change at its end.
+  TargetReach::Change playRound(bool Connected) {
+    const std::size_t Count = Reach_.beginRound(TargetCount, Now_);
+    CHECK(Count > 0);
+    auto Last = TargetReach::Change::None;
+    for (std::size_t Probe = 0; Probe < Count; ++Probe)
+      if (const auto Seen = Reach_.recordProbe(Reach_.round(), Connected, Now_);
+          Seen != TargetReach::Change::None)
+        Last = Seen;
+    return Last;
+  }
+  void loseReach() {
+    Now_ += TargetReach::RoundInterval;
+    Reach_.recordConnectFailure(1, Now_);
+    Reach_.recordConnectFailure(2, Now_);
+    CHECK(playRound(false) == TargetReach::Change::Lost);
+  }
+  /// \returns the rounds that must succeed until requests are sent again.
+  int roundsToRegain() {
+    int Rounds = 1;
+    for (Now_ += TargetReach::RoundInterval;
+         playRound(true) != TargetReach::Change::Regained;
+         Now_ += TargetReach::RoundInterval)
+      ++Rounds;
+    return Rounds;
+  }
+};
+
+// Guards against a single target that crashed and is taken for a cut.
+TEST(TargetReachRounds, oneTargetThatFailsIsNoSuspicion) {
+  for (int Times = 0; Times < 5; ++Times)
+    Reach_.recordConnectFailure(1, Now_);
+  LONGS_EQUAL(0, Reach_.beginRound(TargetCount, Now_));
+}
+
+// Guards against an availability zone that is lost and taken for a cut.
+TEST(TargetReachRounds, oneTargetThatIsReachedIsEnough) {
+  Reach_.recordConnectFailure(1, Now_);
+  Reach_.recordConnectFailure(2, Now_);
+  LONGS_EQUAL(TargetReach::SuspicionProbes,
+              Reach_.beginRound(TargetCount, Now_));
+  for (const bool Connected : {false, false, true, false})
+    CHECK(Reach_.recordProbe(Reach_.round(), Connected, Now_) ==
+          TargetReach::Change::None);
+  CHECK(Reach_.isReached());
+  CHECK_FALSE(Reach_.isSuspicious(Now_));
+}
+
+TEST(TargetReachRounds, probesOfAnEarlierRoundDoNotCount) {
+  loseReach();
+  Now_ += TargetReach::RoundInterval;
+  const std::uint64_t Before = Reach_.round();
+  CHECK(Reach_.beginRound(TargetCount, Now_) > 0);
+  CHECK(Reach_.recordProbe(Before, true, Now_) == TargetReach::Change::None);
+  CHECK_FALSE(Reach_.isReached());
+}
+
+// Guards against a host that is stuck because a probe never ends.
+TEST(TargetReachRounds, aRoundThatDoesNotEndIsGivenUp) {
+  loseReach();
+  Now_ += TargetReach::RoundInterval;
+  CHECK(Reach_.beginRound(TargetCount, Now_) > 0);
+  LONGS_EQUAL(0, Reach_.beginRound(TargetCount, Now_ + 600ms));
+  Now_ += TargetReach::RoundTimeout;
+  CHECK(playRound(true) == TargetReach::Change::Regained);
+}
+
+// Guards against a link that flaps and costs requests each time.
+TEST(TargetReachRounds, aLinkThatFlapsIsTrustedLaterEachTime) {
+  loseReach();
+  int Before = roundsToRegain();
+  LONGS_EQUAL(1, Before);
+  for (int Times = 0; Times < 3; ++Times) {
+    loseReach();
+    const int Rounds = roundsToRegain();
+    CHECK(Rounds > Before);
+    Before = Rounds;
+  }
+  Now_ += TargetReach::FlapTime;
+  loseReach();
+  LONGS_EQUAL(1, roundsToRegain());
+}
+
+// Guards against connects to all targets in one moment after a cut.
+TEST(TargetReachRounds, requestsComeBackByAndBy) {
+  loseReach();
+  DOUBLES_EQUAL(0, Reach_.ownShare(Now_), 0);
+  roundsToRegain();
+  CHECK(Reach_.ownShare(Now_ + 100ms) < 0.1);
+  DOUBLES_EQUAL(1, Reach_.ownShare(Now_ + TargetReach::RampTime), 0);
+}
+
+TEST_GROUP(ForwardingHosts) {
+  base::TimePoint Now_ = base::TimePoint(100s);
+  base::Random Random_{1};
+  dispatch::FleetDemand Fleet_;
+
+  void setup() override {
+    Fleet_.Self_ = hostView("self", "north").Descriptor_;
+  }
+  ForwardingHosts hosts() const {
+    ForwardingHosts Made;
+    Made.update(Fleet_, Now_);
+    return Made;
+  }
+};
+
+TEST(ForwardingHosts, hostsOfTheOwnRegionThatReachTargetsGoFirst) {
+  Fleet_.OtherHosts_ = {hostView("far", "south"), hostView("near", "north"),
+                        hostView("cut", "north"), hostView("dead", "north"),
+                        hostView("leaving", "north")};
+  Fleet_.OtherHosts_[2].TargetsUnreached_ = true;
+  Fleet_.OtherHosts_[3].Alive_ = false;
+  Fleet_.OtherHosts_[4].Leaving_ = true;
+  for (int Times = 0; Times < 20; ++Times)
+    STRCMP_EQUAL(
+        "near",
+        hosts().choose(nullptr, {}, Random_, Now_)->Host_.name().c_str());
+  const std::vector<base::HostId> Tried = {base::HostId("near")};
+  STRCMP_EQUAL(
+      "far",
+      hosts().choose(nullptr, Tried, Random_, Now_)->Host_.name().c_str());
+  // A request with homes goes to no host outside of them.
+  const std::vector<base::RegionId> Homes = {base::RegionId("north")};
+  CHECK_FALSE(hosts().choose(&Homes, Tried, Random_, Now_).has_value());
+}
+
+// Guards against connections between hosts that grow with hosts x hosts, and
+// against one host that all others choose.
+TEST(ForwardingHosts, eachHostUsesAFewAndAllTogetherUseAll) {
+  std::map<std::string, int> Load;
+  for (int Self = 0; Self < 50; ++Self) {
+    Fleet_.Self_ = hostView("cut-" + std::to_string(Self), "north").Descriptor_;
+    Fleet_.OtherHosts_.clear();
+    for (int Other = 0; Other < 50; ++Other)
+      Fleet_.OtherHosts_.push_back(
+          hostView("host-" + std::to_string(Other), "north"));
+    ForwardingHosts Hosts = hosts();
+    std::set<std::string> Used;
+    for (int Times = 0; Times < 200; ++Times) {
+      const auto Chosen = Hosts.choose(nullptr, {}, Random_, Now_);
+      Hosts.recordSend(Chosen->Host_);
+      Used.insert(Chosen->Host_.name());
+      ++Load[Chosen->Host_.name()];
+    }
+    CHECK(Used.size() <= ForwardingHosts::MaxHostsPerRegion);
+  }
+  CHECK(Load.size() >= 45);
+  for (const auto &[Host, Count] : Load)
+    CHECK(Count <= 3 * 200);
+}
+
+TEST(ForwardingHosts, aHostThatFailedIsLeftOutForAWhile) {
+  Fleet_.OtherHosts_ = {hostView("near", "north")};
+  ForwardingHosts Hosts = hosts();
+  Hosts.recordFailure(base::HostId("near"), Now_);
+  CHECK_FALSE(Hosts.choose(nullptr, {}, Random_, Now_ + 500ms).has_value());
+  CHECK(Hosts.choose(nullptr, {}, Random_, Now_ + ForwardingHosts::FailurePause)
+            .has_value());
+}
+
+/// A host with six targets, of which it reaches none, and another host.
+TEST_GROUP(Forwarding) {
+  base::TimePoint Now_ = base::TimePoint(100s);
+  dispatch::DispatchSteering Steering_{
+      {base::RegionId("north"), base::ZoneId("north-a"), {}, 1},
+      {},
+      base::TimePoint(100s)};
+  dispatch::FleetDemand Fleet_;
+  std::vector<lychee::steering::Wakeup> Woken_;
+
+  void setup() override {
+    auto Intent = std::make_shared<live::Intent>();
+    Intent->Version_ = 3;
+    Intent->Services_[base::ServiceId("portal")].Id_ =
+        base::ServiceId("portal");
+    live::CustomerRule Customer;
+    Customer.Id_ = base::CustomerId("parish");
+    Customer.RatePerSecond_ = 10;
+    Customer.Burst_ = 5;
+    Intent->Customers_.push_back(Customer);
+    Steering_.setIntent(Intent, Now_);
+    std::vector<live::KnownTarget> Targets;
+    for (int Index = 0; Index < TargetCount; ++Index) {
+      live::KnownTarget Made;
+      Made.Record_.Id_ = base::TargetId("t" + std::to_string(Index));
+      Made.Record_.Service_ = base::ServiceId("portal");
+      Made.Record_.Address_ = "127.0.0.1:" + std::to_string(80 + Index);
+      Made.Record_.Zone_ = base::ZoneId("north-a");
+      Made.Record_.Slots_ = 3;
+      Made.Record_.Started_ = 1;
+      Targets.push_back(Made);
+    }
+    Steering_.setTargets(
+        Targets, {{base::ZoneId("north-a"), base::RegionId("north")}}, Now_);
+    Fleet_.Self_ = hostView("self", "north").Descriptor_;
+    Fleet_.OtherHosts_ = {hostView("other", "north")};
+    update();
+  }
+  void update() { Steering_.updateFleetDemand(Fleet_, Now_); }
+  Request requestOf(const std::string &Customer = {}) const {
+    Request Result;
+    Result.Service_ = base::ServiceId("portal");
+    Result.Customer_ = base::CustomerId(Customer);
+    Result.Rule_ = "rule";
+    Result.ArrivedAt_ = Now_;
+    Result.Deadline_ = Now_ + 2s;
+    Result.MaxSends_ = 3;
+    Result.ObjectHash_ = 42;
+    Result.Fingerprint_ = 7;
+    return Result;
+  }
+  Decision arrive(const Request &Incoming) {
+    return Steering_.arrive(Incoming, Now_);
+  }
+  Decision finish(const Decision &Sent, SendOutcome End) {
+    SendReport Report;
+    Report.Outcome_ = End;
+    return Steering_.finish(Sent.Ticket_, Report, Now_, Woken_);
+  }
+  void reportProbes(bool Connected) {
+    Now_ += 500ms;
+    for (const TargetProbe &Asked : Steering_.probesDue(Now_))
+      Steering_.recordProbe(Asked, Connected, Now_);
+  }
+  /// \returns the number of targets that requests for many objects go to.
+  std::size_t targetsInUse() {
+    std::set<std::string> Used;
+    for (std::uint64_t Object = 1; Object <= 100; ++Object) {
+      Request Incoming = requestOf();
+      Incoming.ObjectHash_ = Object;
+      const Decision Made = arrive(Incoming);
+      CHECK(Made.Action_ == Decision::Action::Send);
+      CHECK(Made.Host_.empty());
+      Used.insert(Made.Target_.name());
+      finish(Made, SendOutcome::Answered);
+    }
+    return Used.size();
+  }
+  void loseReach() {
+    Decision Sent = arrive(requestOf());
+    for (int Times = 0; Times < 2; ++Times)
+      Sent = finish(Sent, SendOutcome::ConnectFailed);
+    reportProbes(false);
+    CHECK_FALSE(Steering_.reachesTargets());
+  }
+};
+
+// Guards against a request that has met two targets that do not accept, and
+// goes on to try more of them while it is open whose fault it is.
+TEST(Forwarding, aRequestGoesElsewhereAsSoonAsConnectsFailAtTwoTargets) {
+  const Decision First = arrive(requestOf());
+  CHECK(First.Host_.empty());
+  const Decision Second = finish(First, SendOutcome::ConnectFailed);
+  CHECK(Second.Host_.empty());
+  const Decision Third = finish(Second, SendOutcome::ConnectFailed);
+  STRCMP_EQUAL("other", Third.Host_.name().c_str());
+  STRCMP_EQUAL("other:80", Third.Address_.c_str());
+  LONGS_EQUAL(3, Third.SendsLeft_);
+}
+
+// Guards against requests that go from host to host.
+TEST(Forwarding, aForwardedRequestIsNotForwardedAgain) {
+  loseReach();
+  Request Forwarded = requestOf();
+  Forwarded.ForwardedBy_ = base::HostId("third");
+  const Decision Made = arrive(Forwarded);
+  CHECK(Made.Action_ == Decision::Action::Refuse);
+  CHECK(Made.Refusal_ == Refusal::TargetsUnreached);
+  CHECK(Made.Ran_ == lychee::steering::Ran::No);
+}
+
+TEST(Forwarding, whereNoHostReachesTargetsItIsRefusedAtOnce) {
+  loseReach();
+  Fleet_.OtherHosts_[0].TargetsUnreached_ = true;
+  update();
+  const Decision Made = arrive(requestOf());
+  CHECK(Made.Refusal_ == Refusal::TargetsUnreached);
+  CHECK(Made.RetryAfter_ > base::Duration::zero());
+}
+
+// Guards against a customer's request that takes a token at two hosts.
+TEST(Forwarding, noTokenIsTakenForWhatIsForwarded) {
+  loseReach();
+  for (int Times = 0; Times < 100; ++Times) {
+    const Decision Made = arrive(requestOf("parish"));
+    CHECK(Made.Action_ == Decision::Action::Send);
+    CHECK_FALSE(Made.Host_.empty());
+    finish(Made, SendOutcome::Answered);
+  }
+}
+
+// Guards against a booking that is sent again after it may have run.
+TEST(Forwarding, aBookingWhoseAnswerIsLostIsNotSentAgain) {
+  loseReach();
+  const Decision Made = arrive(requestOf());
+  const Decision After = finish(Made, SendOutcome::LostBeforeResponse);
+  CHECK(After.Action_ == Decision::Action::Refuse);
+  CHECK(After.Ran_ == lychee::steering::Ran::Maybe);
+}
+
+// Guards against a refusal of the other host that ends the request while a
+// third host may take it.
+TEST(Forwarding, aHostThatCannotTakeItIsFollowedByAnother) {
+  Fleet_.OtherHosts_.push_back(hostView("third", "north"));
+  update();
+  loseReach();
+  const Decision Made = arrive(requestOf());
+  const Decision Next = finish(Made, SendOutcome::Shed);
+  CHECK_FALSE(Next.Host_.empty());
+  CHECK(Next.Host_ != Made.Host_);
+  const Decision Last = finish(Next, SendOutcome::ConnectFailed);
+  CHECK(Last.Refusal_ == Refusal::TargetsUnreached);
+}
+
+// Guards against a healthy fleet that is probed as if it had restarted.
+TEST(Forwarding, afterACutTargetsAreUsedAsBefore) {
+  loseReach();
+  reportProbes(true);
+  CHECK(Steering_.reachesTargets());
+  Now_ += TargetReach::RampTime;
+  LONGS_EQUAL(TargetCount, targetsInUse());
+}
+
+// Guards against targets that were down for all hosts and, once back, get the
+// requests of all of them at once.
+TEST(Forwarding, whereNoHostReachedTargetsTheyCountAsRestarted) {
+  loseReach();
+  Fleet_.OtherHosts_[0].TargetsUnreached_ = true;
+  update();
+  reportProbes(true);
+  CHECK(Steering_.reachesTargets());
+  Now_ += TargetReach::RampTime;
+  CHECK(targetsInUse() < TargetCount);
+}
+
+// Guards against a host that lost its links, and by whose word all hosts refuse
+// requests as if these had crashed targets.
+TEST(Forwarding, lossesOfAHostWithoutReachAreNoCrashes) {
+  for (int Times = 0; Times < 2; ++Times) {
+    const Decision Sent = arrive(requestOf());
+    finish(Sent, SendOutcome::LostBeforeResponse);
+    Request Other = requestOf();
+    Other.Fingerprint_ = 99;
+    finish(arrive(Other), SendOutcome::ConnectFailed);
+  }
+  CHECK(Steering_.crashEvidence(Now_).empty());
+  reportProbes(false);
+  reportProbes(true);
+  CHECK(Steering_.reachesTargets());
+  CHECK(Steering_.crashEvidence(Now_).empty());
+}
--- a/tests/dispatch/SharedRateTest.cpp
+++ b/tests/dispatch/SharedRateTest.cpp
@@ -119,6 +119,28 @@
     LONGS_EQUAL(1, ownersOf(Target, "north"));
 }
 
+// Guards against a host that reaches no targets and keeps their rates from
+// those that do.
+TEST(SharedRateOwners, aHostThatReachesNoTargetsOwnsNothing) {
+  updateAll(5s);
+  for (int Step = 0; Step < 12; ++Step) {
+    Now_ += 250ms;
+    for (int Number = 0; Number < HostCount; ++Number) {
+      dispatch::FleetDemand View = viewOf(Number);
+      View.TargetsUnreached_ = Number == 0;
+      for (members::HostView &Other : View.OtherHosts_)
+        Other.TargetsUnreached_ =
+            Other.Descriptor_.Host_ == viewOf(0).Self_.Host_;
+      Owners_[Number].update(View, Now_);
+    }
+  }
+  for (std::uint64_t Target = 1; Target <= 50; ++Target) {
+    LONGS_EQUAL(1, ownersOf(Target, "north"));
+    CHECK(Owners_[0].ownerOf(Target, base::RegionId("north"), Now_).Kind_ !=
+          RateOwner::Kind::Self);
+  }
+}
+
 // Guards against a host that stops and goes on using rates that others have
 // taken over.
 TEST(SharedRateOwners, aHostThatDoesNotServeOwnsNothing) {
--- a/tests/members/EntryPolicyTest.cpp
+++ b/tests/members/EntryPolicyTest.cpp
@@ -90,3 +90,14 @@
     Same += std::count(Second.begin(), Second.end(), Host) > 0 ? 1U : 0U;
   CHECK(Same >= First.size() - 2);
 }
+
+// Guards against look-ups that go on naming hosts whose requests have to be
+// forwarded, and against naming a few hosts to all callers.
+TEST(EntryPolicy, hostsThatReachNoTargetsAreLeftOutWhileHalfRemain) {
+  makeRegion(6);
+  for (std::size_t Cut = 0; Cut <= Hosts_.size(); ++Cut) {
+    for (std::size_t Number = 0; Number < Hosts_.size(); ++Number)
+      Hosts_[Number].TargetsUnreached_ = Number < Cut;
+    LONGS_EQUAL(Cut <= 3 ? 6 - Cut : 6, entriesFor(queryFrom(0)).size());
+  }
+}
--- a/tests/members/HeartbeatTest.cpp
+++ b/tests/members/HeartbeatTest.cpp
@@ -20,6 +20,7 @@
     Message.Sender_.Incarnation_ = 1700000000000;
     Message.Sequence_ = 9;
     Message.Ready_ = true;
+    Message.TargetsUnreached_ = true;
     Message.Demands_ = {{base::CustomerId("parish"), 2.5}};
     Message.Loads_ = {
         {base::ServiceId("portal"), 11.25, base::RegionId("north")}};
@@ -43,6 +44,7 @@
   LONGS_EQUAL(9, Read.Sequence_);
   CHECK(Read.Ready_);
   CHECK_FALSE(Read.Leaving_);
+  CHECK(Read.TargetsUnreached_);
   DOUBLES_EQUAL(2.5, Read.Demands_[0].RequestsPerSecond_, 0.01);
   DOUBLES_EQUAL(11.25, Read.Loads_[0].Slots_, 0.01);
   STRCMP_EQUAL("north", Read.Loads_[0].BoundTo_.name().c_str());
--- a/tests/members/RegionUpdateTest.cpp
+++ b/tests/members/RegionUpdateTest.cpp
@@ -59,6 +59,7 @@
   Update.Summary_.Hosts_ = {statusOf("h1"), statusOf("h2")};
   Update.Summary_.Hosts_[1].Leaving_ = true;
   Update.Summary_.Hosts_[1].Gone_ = true;
+  Update.Summary_.Hosts_[0].TargetsUnreached_ = true;
   Update.Summary_.Demands_ = {{base::CustomerId("a"), 2.5}};
   Update.Summary_.Loads_ = {{base::ServiceId("s"), 3, base::RegionId("north")}};
   Update.Summary_.Evidence_ = {{1, 2, 3s}};
