--- a/tests/soak/Ledger.cpp
+++ b/tests/soak/Ledger.cpp
@@ -31,9 +31,10 @@
   HostStarts_.push_back(At);
 }
 
-void Ledger::recordTrouble(std::size_t Host, base::TimePoint At) {
+void Ledger::recordTrouble(std::size_t Host, base::TimePoint Begin,
+                           base::TimePoint End) {
   const std::lock_guard Guard(Lock_);
-  Troubles_.emplace(Host, At);
+  Troubles_.emplace(Host, std::pair(Begin, End));
 }
 
 bool Ledger::hadTrouble(std::size_t Host, base::TimePoint Begin,
@@ -41,7 +42,7 @@
   const std::lock_guard Guard(Lock_);
   const auto [First, Last] = Troubles_.equal_range(Host);
   return std::any_of(First, Last, [&](const auto &Each) {
-    return Each.second >= Begin && Each.second <= End;
+    return Each.second.second >= Begin && Each.second.first <= End;
   });
 }
 
@@ -81,6 +82,28 @@
   return Found;
 }
 
+std::optional<std::string> Ledger::failedIn(const Cut &Played,
+                                            const std::string &Key) const {
+  const std::lock_guard Guard(Lock_);
+  std::size_t Sent = 0;
+  std::size_t Failed = 0;
+  for (const Attempt &Each : Attempts_) {
+    const bool AtCutHost = std::find(Played.Hosts_.begin(), Played.Hosts_.end(),
+                                     Each.Host_) != Played.Hosts_.end();
+    if (!AtCutHost || Each.Key_ != Key ||
+        Each.SentAt_ < Played.Begin_ + CutBound || Each.SentAt_ > Played.End_)
+      continue;
+    ++Sent;
+    Failed += isSuccess(Each.Status_) ? 0 : 1;
+  }
+  if (Sent > 0 && Failed <= 10 + Sent / 50)
+    return std::nullopt;
+  return "not-served-without-reach hosts=" +
+         std::to_string(Played.Hosts_.size()) +
+         " requests=" + std::to_string(Sent) +
+         " failed=" + std::to_string(Failed);
+}
+
 std::string Ledger::summary() const {
   const std::lock_guard Guard(Lock_);
   std::size_t Served = 0;
--- a/tests/soak/Ledger.h
+++ b/tests/soak/Ledger.h
@@ -44,7 +44,12 @@
   void recordHostStart(base::TimePoint At);
 
   /// Records that a host was killed, started, paused or woken.
-  void recordTrouble(std::size_t Host, base::TimePoint At);
+  void recordTrouble(std::size_t Host, base::TimePoint At) {
+    recordTrouble(Host, At, At);
+  }
+  /// Records that a host was cut from targets, so that others sent for it.
+  void recordTrouble(std::size_t Host, base::TimePoint Begin,
+                     base::TimePoint End);
   /// \returns whether a host had such a trouble from \p Begin to \p End.
   bool hadTrouble(std::size_t Host, base::TimePoint Begin,
                   base::TimePoint End) const;
@@ -59,6 +64,20 @@
   std::vector<std::string> broken(
       const std::function<std::uint64_t(const std::string &Id)> &RunsOf) const;
 
+  /// A span in which some hosts are cut from all targets and nothing else is
+  /// wrong.
+  struct Cut {
+    std::vector<std::size_t> Hosts_;
+    base::TimePoint Begin_;
+    base::TimePoint End_;
+  };
+  /// \returns a line where first tries at the hosts failed: more than 10 and
+  /// one in 50 of those sent later than CutBound after the begin. Those with
+  /// other keys than \p Key do not count.
+  std::optional<std::string> failedIn(const Cut &Played,
+                                      const std::string &Key) const;
+  static constexpr base::Duration CutBound = std::chrono::seconds(3);
+
   /// \returns "requests=.. served=.. refused=.. failed=..".
   std::string summary() const;
 
@@ -67,7 +86,9 @@
   std::vector<Attempt> Attempts_;
   std::map<std::string, base::TimePoint> Withdrawn_;
   std::vector<base::TimePoint> HostStarts_;
-  std::multimap<std::size_t, base::TimePoint> Troubles_;
+  /// By host: begin and end.
+  std::multimap<std::size_t, std::pair<base::TimePoint, base::TimePoint>>
+      Troubles_;
   std::map<std::string, std::size_t> Hosts_;
 };
 
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -33,6 +33,8 @@
 /// Longer than a rule's timeout: what was sent has run by then, or never will.
 constexpr std::chrono::seconds Aftermath(3);
 constexpr std::chrono::milliseconds CallerPause(4);
+/// Some hosts are cut from all targets for so long, after the troubles.
+constexpr std::chrono::seconds CutTime(6);
 
 /// Callers that send reads and bookings to all hosts, each waiting for its
 /// answer, and write down what they got.
@@ -131,6 +133,12 @@
     Trouble.play(SystemClock::monotonicNow() +
                  base::fromSeconds(Settings.Seconds_));
     Check("not-served-after-the-troubles");
+    std::this_thread::sleep_for(Aftermath);
+    const std::string Key = Trouble.key();
+    const Ledger::Cut Played = Trouble.cutSomeHosts(CutTime);
+    Check("not-served-after-the-cut");
+    if (auto Failed = Book.failedIn(Played, Key))
+      Result.Broken_.push_back(std::move(*Failed));
   }
   std::this_thread::sleep_for(Aftermath);
   const auto RunsOf = [&Fleet](const std::string &Id) {
--- a/tests/soak/Troubles.cpp
+++ b/tests/soak/Troubles.cpp
@@ -3,6 +3,7 @@
 #include "base/SystemClock.h"
 
 #include <algorithm>
+#include <array>
 #include <csignal>
 #include <thread>
 
@@ -24,6 +25,8 @@
 constexpr double MostTime = 3.0;
 /// Hosts that are in trouble at once; one at least is left.
 constexpr std::size_t SparedHosts = 1;
+/// After this long a host that was cut from targets sends all requests itself.
+constexpr base::Duration ReturnTime = 4s;
 constexpr std::size_t SparedTargets = 1;
 
 } // namespace
@@ -43,6 +46,9 @@
       {"mute-store", &Troubles::muteStore, Host},
       {"slow-store-link", &Troubles::slowStoreLink, Host},
       {"reset-store-link", &Troubles::resetStoreLink, Host},
+      {"hang-targets", &Troubles::hangTargets, Host},
+      {"reset-targets", &Troubles::resetTargets, Host},
+      {"refuse-targets", &Troubles::refuseTargets, Host},
       {"store-down", &Troubles::storeDown, Store},
       {"store-busy", &Troubles::storeBusy, Store},
       {"store-forgets", &Troubles::storeForgets, Store},
@@ -175,6 +181,52 @@
   return setStoreLink(Host, {.Refuses_ = true});
 }
 
+std::function<void()> Troubles::cutFromTargets(std::size_t Host,
+                                               const LinkFaults &Set) {
+  const base::TimePoint Begin = SystemClock::monotonicNow();
+  Fleet_.setTargetLinks(Host, Set);
+  return [this, Host, Begin] {
+    Fleet_.setTargetLinks(Host, {});
+    Book_.recordTrouble(Host, Begin, SystemClock::monotonicNow() + ReturnTime);
+  };
+}
+
+std::function<void()> Troubles::hangTargets(std::size_t Host) {
+  return cutFromTargets(Host, {.Drops_ = true});
+}
+
+std::function<void()> Troubles::resetTargets(std::size_t Host) {
+  Fleet_.resetTargetLinks(Host);
+  return cutFromTargets(Host, {.Refuses_ = true});
+}
+
+std::function<void()> Troubles::refuseTargets(std::size_t Host) {
+  return cutFromTargets(Host, {.Refuses_ = true});
+}
+
+Ledger::Cut Troubles::cutSomeHosts(base::Duration For) {
+  using Way = std::function<void()> (Troubles::*)(std::size_t);
+  constexpr std::array<Way, 3> Ways = {&Troubles::hangTargets,
+                                       &Troubles::resetTargets,
+                                       &Troubles::refuseTargets};
+  const Way Cut = Ways[Random_() % Ways.size()];
+  const std::size_t First = Random_() % Fleet_.hostCount();
+  const std::size_t Count = 1 + Random_() % (Fleet_.hostCount() - SparedHosts);
+  Ledger::Cut Played;
+  Played.Begin_ = SystemClock::monotonicNow();
+  std::vector<std::function<void()>> Finish;
+  for (std::size_t Each = 0; Each < Count; ++Each) {
+    Played.Hosts_.push_back((First + Each) % Fleet_.hostCount());
+    Finish.push_back((this->*Cut)(Played.Hosts_.back()));
+  }
+  History_ += "cut-from-targets " + std::to_string(Count) + " hosts; ";
+  std::this_thread::sleep_for(For);
+  Played.End_ = SystemClock::monotonicNow();
+  for (const auto &Each : Finish)
+    Each();
+  return Played;
+}
+
 // The store.
 
 std::function<void()> Troubles::setStore(const ObjectFaults &Set) {
--- a/tests/soak/Troubles.h
+++ b/tests/soak/Troubles.h
@@ -27,6 +27,9 @@
   /// Lets troubles come and go until \p Until, then ends them all.
   void play(base::TimePoint Until);
 
+  /// Cuts some hosts, not all, from all targets for a while, and nothing else.
+  Ledger::Cut cutSomeHosts(base::Duration For);
+
   /// The key that is in force. Thread-safe.
   std::string key() const;
   /// The key that was withdrawn last; empty before.
@@ -62,6 +65,9 @@
   std::function<void()> muteStore(std::size_t Host);
   std::function<void()> slowStoreLink(std::size_t Host);
   std::function<void()> resetStoreLink(std::size_t Host);
+  std::function<void()> hangTargets(std::size_t Host);
+  std::function<void()> resetTargets(std::size_t Host);
+  std::function<void()> refuseTargets(std::size_t Host);
   std::function<void()> storeDown(std::size_t Ignored);
   std::function<void()> storeBusy(std::size_t Ignored);
   std::function<void()> storeForgets(std::size_t Ignored);
@@ -75,6 +81,8 @@
   std::function<void()> muteTarget(std::size_t Target);
   std::function<void()> resetTargetLink(std::size_t Target);
 
+  std::function<void()> cutFromTargets(std::size_t Host,
+                                       const standins::LinkFaults &Set);
   std::function<void()> setStore(const standins::ObjectFaults &Set);
   std::function<void()> setStoreLink(std::size_t Host,
                                      const standins::LinkFaults &Set);
