--- a/libs/dispatch/DispatchForwarding.cpp
+++ b/libs/dispatch/DispatchForwarding.cpp
@@ -48,8 +48,18 @@
     return true;
   if (Request.UndeliveredSends_ > 0 && Reach_.isSuspicious(Now))
     return true;
-  const steering::TargetCounts Counts = targetCountsFor(Request, Now);
-  return Counts.InUse_ > 0 && Counts.Ejected_ == Counts.InUse_;
+  // Nearly always the first target decides.
+  const auto *Homes = Request.Homes_ ? &*Request.Homes_ : nullptr;
+  bool Any = false;
+  for (const TargetState &Target : serviceState(Request.Service_).Targets_) {
+    if (!TargetChooser::isInUse(Target) ||
+        !TargetChooser::isInHomes(Homes, Target))
+      continue;
+    if (!Target.Health_.isEjected(Now))
+      return false;
+    Any = true;
+  }
+  return Any;
 }
 
 bool DispatchSteering::areTargetsDoubtful(const InFlightRequest &Request,
@@ -197,6 +207,7 @@
         .push_back(Target);
   Ordered.insert(Ordered.end(), Others.begin(), Others.end());
   std::vector<steering::TargetProbe> Probes;
+  Probes.reserve(Count);
   for (std::size_t Index = 0; Index < Count; ++Index)
     Probes.push_back({Ordered[Index]->Record_.Id_,
                       Ordered[Index]->Record_.Address_, Reach_.round()});
--- a/libs/dispatch/SharedRateOwners.cpp
+++ b/libs/dispatch/SharedRateOwners.cpp
@@ -8,7 +8,16 @@
 
 void SharedRateOwners::update(const FleetDemand &Fleet, base::TimePoint Now) {
   const bool WasPaused = Now - UpdatedAt_ > MaxUpdateAge;
-  const bool Serves = Fleet.IsServing_ && !Fleet.TargetsUnreached_;
+  // Where no host reaches targets these are down, and elections stay as they
+  // are.
+  const bool AnyReaches =
+      !Fleet.TargetsUnreached_ ||
+      std::any_of(Fleet.OtherHosts_.begin(), Fleet.OtherHosts_.end(),
+                  [](const members::HostView &Other) {
+                    return Other.Alive_ && !Other.TargetsUnreached_;
+                  });
+  const bool Serves =
+      Fleet.IsServing_ && !(AnyReaches && Fleet.TargetsUnreached_);
   if (Serves && (!IsServing_ || WasPaused))
     ServingSince_ = Now;
   IsServing_ = Serves;
@@ -20,7 +29,7 @@
     Candidates_.push_back({Fleet.Self_.Host_, Fleet.Self_.Region_, {}});
   for (const members::HostView &Other : Fleet.OtherHosts_)
     if (Other.Alive_ && Other.Ready_ && !Other.Leaving_ &&
-        !Other.TargetsUnreached_)
+        !(AnyReaches && Other.TargetsUnreached_))
       Candidates_.push_back({Other.Descriptor_.Host_, Other.Descriptor_.Region_,
                              Other.Descriptor_.Address_});
 }
--- a/tests/dispatch/ForwardingTest.cpp
+++ b/tests/dispatch/ForwardingTest.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/DispatchSteering.h"
 #include "dispatch/ForwardingHosts.h"
 #include "dispatch/TargetReach.h"
+#include "support/Require.h"
 
 #include <map>
 #include <set>
@@ -20,6 +21,7 @@
 using lychee::steering::SendOutcome;
 using lychee::steering::SendReport;
 using lychee::steering::TargetProbe;
+using lychee::tests::require;
 using namespace std::chrono_literals;
 
 namespace {
@@ -156,13 +158,13 @@
   Fleet_.OtherHosts_[3].Alive_ = false;
   Fleet_.OtherHosts_[4].Leaving_ = true;
   for (int Times = 0; Times < 20; ++Times)
-    STRCMP_EQUAL(
-        "near",
-        hosts().choose(nullptr, {}, Random_, Now_)->Host_.name().c_str());
+    STRCMP_EQUAL("near", require(hosts().choose(nullptr, {}, Random_, Now_))
+                             .Host_.name()
+                             .c_str());
   const std::vector<base::HostId> Tried = {base::HostId("near")};
-  STRCMP_EQUAL(
-      "far",
-      hosts().choose(nullptr, Tried, Random_, Now_)->Host_.name().c_str());
+  STRCMP_EQUAL("far", require(hosts().choose(nullptr, Tried, Random_, Now_))
+                          .Host_.name()
+                          .c_str());
   // A request with homes goes to no host outside of them.
   const std::vector<base::RegionId> Homes = {base::RegionId("north")};
   CHECK_FALSE(hosts().choose(&Homes, Tried, Random_, Now_).has_value());
@@ -181,10 +183,11 @@
     ForwardingHosts Hosts = hosts();
     std::set<std::string> Used;
     for (int Times = 0; Times < 200; ++Times) {
-      const auto Chosen = Hosts.choose(nullptr, {}, Random_, Now_);
-      Hosts.recordSend(Chosen->Host_);
-      Used.insert(Chosen->Host_.name());
-      ++Load[Chosen->Host_.name()];
+      const base::HostId Chosen =
+          require(Hosts.choose(nullptr, {}, Random_, Now_)).Host_;
+      Hosts.recordSend(Chosen);
+      Used.insert(Chosen.name());
+      ++Load[Chosen.name()];
     }
     CHECK(Used.size() <= ForwardingHosts::MaxHostsPerRegion);
   }
--- a/tests/dispatch/ReachSimulation.cpp
+++ b/tests/dispatch/ReachSimulation.cpp
@@ -468,7 +468,7 @@
   base::Duration Slowest{};
   for (const Attempt &Each : Attempts_)
     if (Each.RefusedAsNotRun_ && Each.SentAt_ >= Since)
-      Slowest = std::max(Slowest, *Each.EndedAt_ - Each.SentAt_);
+      Slowest = std::max(Slowest, Each.EndedAt_.value_or(Now_) - Each.SentAt_);
   return base::toSeconds(Slowest);
 }
 
--- a/tests/dispatch/SharedRateTest.cpp
+++ b/tests/dispatch/SharedRateTest.cpp
@@ -141,6 +141,24 @@
   }
 }
 
+// Guards against targets that were down for all hosts and find no host that may
+// probe them when they are back.
+TEST(SharedRateOwners, whereNoHostReachesTargetsElectionsStay) {
+  updateAll(5s);
+  for (int Step = 0; Step < 12; ++Step) {
+    Now_ += 250ms;
+    for (int Number = 0; Number < HostCount; ++Number) {
+      dispatch::FleetDemand View = viewOf(Number);
+      View.TargetsUnreached_ = true;
+      for (members::HostView &Other : View.OtherHosts_)
+        Other.TargetsUnreached_ = true;
+      Owners_[Number].update(View, Now_);
+    }
+  }
+  for (std::uint64_t Target = 1; Target <= 50; ++Target)
+    LONGS_EQUAL(1, ownersOf(Target, "north"));
+}
+
 // Guards against a host that stops and goes on using rates that others have
 // taken over.
 TEST(SharedRateOwners, aHostThatDoesNotServeOwnsNothing) {
