--- a/libs/gateway/TargetConnection.cpp
+++ b/libs/gateway/TargetConnection.cpp
@@ -48,8 +48,13 @@
   return Count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+/// Failure: the link is cut while a request is on the way, the request is given
+/// up, and the kernel goes on sending it. Symptom without the reset: it reaches
+/// its target when the link is back, seconds after its caller was answered.
 void TargetConnection::close() noexcept {
   ErrorCode Ignored;
+  if (HasRequest_ && Socket_.is_open())
+    Socket_.set_option(boost::asio::socket_base::linger(true, 0), Ignored);
   Socket_.close(Ignored);
 }
 
--- a/libs/gateway/TargetConnection.h
+++ b/libs/gateway/TargetConnection.h
@@ -52,6 +52,11 @@
   /// and would be taken for the answer to the next request.
   bool isUntouched();
 
+  /// A request is on it from now on until endRequest(). Closed meanwhile, the
+  /// connection is reset.
+  void beginRequest() noexcept { HasRequest_ = true; }
+  void endRequest() noexcept { HasRequest_ = false; }
+
   /// Ends it; a pending operation fails.
   void close() noexcept;
 
@@ -63,6 +68,7 @@
   base::TimePoint LastLife_;
   base::TimePoint ReuseUntil_ = base::TimePoint::max();
   bool Reused_ = false;
+  bool HasRequest_ = false;
 };
 
 } // namespace lychee::gateway
--- a/libs/gateway/TargetSend.cpp
+++ b/libs/gateway/TargetSend.cpp
@@ -99,6 +99,7 @@
   bound(Home_.shared().Settings_.ProgressTimeout_);
   if (Written_ == 0)
     FirstWrite_ = base::SystemClock::monotonicNow();
+  Connection_->beginRequest();
   const std::string_view First =
       Body.size() > WatchedBodyBytes ? std::string_view() : Body;
   const std::array Pieces{
@@ -314,6 +315,8 @@
 void TargetSend::release() {
   if (!Connection_)
     return;
+  if (RequestWhole_ && Reader_ && Reader_->isWhole())
+    Connection_->endRequest();
   const bool Clean = RequestWhole_ && !AnsweredEarly_ && Reader_ &&
                      Reader_->isWhole() && Connection_->buffer().size() == 0 &&
                      !Reader_->endsWithConnection() &&
