--- a/libs/gateway/HeaderPolicy.cpp
+++ b/libs/gateway/HeaderPolicy.cpp
@@ -39,9 +39,9 @@
 /// \returns whether only the gateway sets the header, so that neither side can
 /// pose as it.
 bool isReserved(std::string_view Name, const Vocabulary &Names) {
-  for (const std::string &Each : {Names.ForwardedBy_, Names.SendsLeft_,
-                                  Names.Reason_, Names.SettingsVersion_})
-    if (iequals(Name, Each))
+  for (const std::string *Each : {&Names.ForwardedBy_, &Names.SendsLeft_,
+                                  &Names.Reason_, &Names.SettingsVersion_})
+    if (iequals(Name, *Each))
       return true;
   const std::string_view Prefix = Names.ReservedPrefix_;
   if (!Prefix.empty())
--- a/tests/process/LiveReachTest.cpp
+++ b/tests/process/LiveReachTest.cpp
@@ -149,8 +149,10 @@
   std::this_thread::sleep_for(std::chrono::milliseconds(20));
   {
     // At once, on connections that have just shown life.
+    constexpr int CallerCount = 8;
     std::vector<std::jthread> Callers;
-    for (int Each = 0; Each < 8; ++Each)
+    Callers.reserve(CallerCount);
+    for (int Each = 0; Each < CallerCount; ++Each)
       Callers.emplace_back([this, Booking = nextBooking()] {
         call(Fleet_->callers(0), Booking);
       });
