Settings: decisions on heavy load are switched on by contract lines or by keys of [live]

Cause: what is new must take effect only where a deployment calls for it, and hosts did not know which parts of the platform's rules are in force. Change: live::LoadFeatures in the bounds, filled from the contracts that the platform's settings name, or from fair_shares, paced_returns and leading_split. All off by default; nothing reads them yet. Test: BoundsDecoder.loadFeaturesAreOnOnlyWhereAContractCallsForThem.

--- a/apps/lycheed/Main.cpp
+++ b/apps/lycheed/Main.cpp
@@ -25,8 +25,15 @@
     Line += (Line.empty() ? "" : ",") + Each;
   lychee::base::Error Last;
   auto Bounds = lychee::platform::decodeBounds(Line, Last);
-  if (!Bounds)
+  if (!Bounds) {
     std::cerr << FLAGS_settings << ": [live] bound: " << Last.Reason_ << '\n';
+    return std::nullopt;
+  }
+  lychee::live::LoadFeatures &Features = Bounds->Features_;
+  Features = lychee::platform::decodeContracts(Live.Contracts_);
+  Features.FairShares_ = Features.FairShares_ || Live.FairShares_;
+  Features.PacedReturns_ = Features.PacedReturns_ || Live.PacedReturns_;
+  Features.LeadingSplit_ = Features.LeadingSplit_ || Live.LeadingSplit_;
   return Bounds;
 }
 
--- a/libs/live/Intent.h
+++ b/libs/live/Intent.h
@@ -81,6 +81,18 @@
   CallerBounds Callers_;
 };
 
+/// Which decisions on heavy load a deployment calls for; the others are made as
+/// if they did not exist.
+struct LoadFeatures {
+  /// While a service lacks room, it is divided between customers and, within a
+  /// customer's share, by urgency.
+  bool FairShares_ = false;
+  /// Refused callers are told to come back one after the other.
+  bool PacedReturns_ = false;
+  /// The split between regions follows the demand that is expected.
+  bool LeadingSplit_ = false;
+};
+
 /// Bounds that the deployment guarantees. Durations count from an operator's
 /// acknowledged change. The defaults are strict, for a deployment that
 /// specifies none.
@@ -106,6 +118,7 @@
   base::Duration RateWindow_ = std::chrono::seconds(5);
   double RateOverage_ = 0;
   double RateSlack_ = 0;
+  LoadFeatures Features_;
 };
 
 } // namespace lychee::live
--- a/libs/settings/DaemonSettings.cpp
+++ b/libs/settings/DaemonSettings.cpp
@@ -80,6 +80,11 @@
     Read.SeedAddresses_.push_back(Each.Address_);
   for (const IniEntry *Each : Section.findAll("bound"))
     Read.Bounds_.push_back(Each->Value_);
+  for (const IniEntry *Each : Section.findAll("contract"))
+    Read.Contracts_.push_back(Each->Value_);
+  Section.yesNo("fair_shares", Read.FairShares_);
+  Section.yesNo("paced_returns", Read.PacedReturns_);
+  Section.yesNo("leading_split", Read.LeadingSplit_);
   Into.Live_ = std::move(Read);
 }
 
--- a/libs/settings/DaemonSettings.h
+++ b/libs/settings/DaemonSettings.h
@@ -41,6 +41,13 @@
   std::map<base::ZoneId, base::RegionId> Zones_;
   /// Figures that the deployment promises, one "name=value" each.
   std::vector<std::string> Bounds_;
+  /// Parts of the platform's rules that are in force.
+  std::vector<std::string> Contracts_;
+  /// Decisions on heavy load that are made whatever the contracts say.
+  /// \see live::LoadFeatures
+  bool FairShares_ = false;
+  bool PacedReturns_ = false;
+  bool LeadingSplit_ = false;
 };
 
 /// What one daemon reads from its own INI file: where it stands and whom it
--- a/tests/platform/DecodersTest.cpp
+++ b/tests/platform/DecodersTest.cpp
@@ -158,6 +158,13 @@
   CHECK(platform::decodeBounds("", Last_).has_value());
 }
 
+TEST(BoundsDecoder, loadFeaturesAreOnOnlyWhereAContractCallsForThem) {
+  const std::vector<std::string> Usual{"base", "quota", "platform"};
+  CHECK_FALSE(platform::decodeContracts(Usual).FairShares_);
+  const std::vector<std::string> Contended{"base", "pressure"};
+  CHECK(platform::decodeContracts(Contended).FairShares_);
+}
+
 TEST_GROUP(EntryPoints){};
 
 TEST(EntryPoints, aQuestionIsReadAndAnswered) {
