Soak and live tests: hosts run with the decisions on heavy load, targets tell their speed

Cause: the soak has to cover the new decisions, which are off unless settings call for them, and a load header with four values, which no stand-in target sent. Change: LiveFleet switches on fair_shares, paced_returns and leading_split, gives rules priorities and a health path, and its targets send the load header, with spans of 600 ms in which work takes 2.5 times as long, drawn by name.

--- a/standins/target/TargetServer.cpp
+++ b/standins/target/TargetServer.cpp
@@ -1,5 +1,7 @@
 #include "standins/target/TargetServer.h"
 
+#include "base/Hash.h"
+
 #include "standins/target/TargetSession.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -98,6 +100,22 @@
   co_return true;
 }
 
+std::uint64_t TargetServer::runPercent(base::TimePoint Now) const {
+  constexpr std::uint64_t Usual = 100;
+  const auto Span = static_cast<std::uint64_t>(Now.time_since_epoch() /
+                                               TargetSettings::SlowSpan);
+  const bool IsSlow =
+      Settings_.HasSlowSpans_ &&
+      base::stableHash(Settings_.Name_, Span) % TargetSettings::SlowOneIn == 0;
+  return IsSlow ? TargetSettings::SlowPercent : Usual;
+}
+
+std::string TargetServer::describeLoad(base::TimePoint Now) const {
+  return std::to_string(Running_) + "," + std::to_string(Waiting_) + "," +
+         std::to_string(Settings_.Slots_) + "," +
+         std::to_string(runPercent(Now));
+}
+
 void TargetServer::freeSlot() {
   if (Queue_.empty()) {
     --Running_;
--- a/standins/target/TargetServer.h
+++ b/standins/target/TargetServer.h
@@ -32,6 +32,15 @@
   std::string RateHeader_ = "Lychee-Target-Rate";
   /// Header in which it says that it leaves. \see Faults::Leaving_
   std::string LeavingHeader_ = "Lychee-Target-Leaving";
+  /// Header with running, waiting, slots and, in percent of the usual, the time
+  /// that work takes now; empty: none is sent. Health answers carry it, too.
+  std::string LoadHeader_;
+  /// Work takes SlowPercent of its usual time in about one of SlowOneIn spans
+  /// of SlowSpan, drawn by the target's name.
+  static constexpr base::Duration SlowSpan = std::chrono::milliseconds(600);
+  static constexpr std::uint64_t SlowOneIn = 7;
+  static constexpr std::uint64_t SlowPercent = 250;
+  bool HasSlowSpans_ = false;
   /// Line of the header that says that a request was not run.
   std::string NotRunLine_ = "Lychee-Ran: no";
 };
@@ -62,6 +71,10 @@
   Faults faults() const;
   std::uint32_t running() const noexcept { return Running_; }
   std::uint32_t waiting() const noexcept { return Waiting_; }
+  /// \returns the time that work takes now, in percent of its usual time.
+  std::uint64_t runPercent(base::TimePoint Now) const;
+  /// \returns the value of TargetSettings::LoadHeader_.
+  std::string describeLoad(base::TimePoint Now) const;
   std::uint32_t connectionsMade() const noexcept { return Made_; }
   std::uint32_t connectionsOpen() const noexcept { return Open_; }
 
--- a/standins/target/TargetSession.cpp
+++ b/standins/target/TargetSession.cpp
@@ -103,7 +103,7 @@
   if (Silent_)
     co_return co_await hang();
   if (Path == "/health")
-    co_return co_await answer(Set.Down_ ? 500 : 200, "{}\n", false);
+    co_return co_await answer(Set.Down_ ? 500 : 200, "{}\n", false, loadLine());
   if (Path == "/load") {
     Json::Value Load;
     Load["running"] = Set.LoadLie_.value_or(Server_.Running_);
@@ -145,7 +145,10 @@
       queryNumber(Query, "work_ms",
                   static_cast<std::uint64_t>(
                       base::toMilliseconds(Server_.Settings_.Work_))));
-  co_await pause(Asked + Set.Slow_);
+  constexpr std::uint64_t Usual = 100;
+  const std::uint64_t Percent =
+      Server_.runPercent(base::SystemClock::monotonicNow());
+  co_await pause(Asked * Percent / Usual + Set.Slow_);
   Server_.freeSlot();
   co_await pause(Set.Late_);
   if (Silent_)
@@ -187,6 +190,8 @@
                      textOf(Phrase) + "\r\nContent-Type: application/json\r\n" +
                      Extra + "Content-Length: " + std::to_string(Body.size()) +
                      "\r\n\r\n";
+  if (IsWork)
+    Text.insert(Text.find("Content-Length"), loadLine());
   if (IsWork && !Set.StatedRate_.empty())
     Text.insert(Text.find("Content-Length"), Server_.Settings_.RateHeader_ +
                                                  ": " + Set.StatedRate_ +
@@ -204,6 +209,14 @@
   co_return !Error && !Cut;
 }
 
+std::string TargetSession::loadLine() const {
+  const std::string &Header = Server_.Settings_.LoadHeader_;
+  if (Header.empty())
+    return {};
+  return Header + ": " +
+         Server_.describeLoad(base::SystemClock::monotonicNow()) + "\r\n";
+}
+
 asio::awaitable<bool> TargetSession::hang() {
   std::array<char, 1024> Unheard{};
   while (true) {
--- a/standins/target/TargetSession.h
+++ b/standins/target/TargetSession.h
@@ -38,6 +38,8 @@
   boost::asio::awaitable<bool> hang();
   boost::asio::awaitable<void> pause(base::Duration Span);
   std::string describe(Parser &Reader) const;
+  /// \returns the line that tells the load; empty: none is told.
+  std::string loadLine() const;
   bool crashes(Parser &Reader, const Faults &Set) const;
 
   TargetServer &Server_;
--- a/tests/support/LiveFleet.cpp
+++ b/tests/support/LiveFleet.cpp
@@ -46,6 +46,8 @@
     Settings.RateHeader_ = Names.TargetRate_.front();
     Settings.LeavingHeader_ = Names.TargetLeaving_.front();
     Settings.NotRunLine_ = Names.NotRun_ + ": 1";
+    Settings.LoadHeader_ = Names.TargetLoad_;
+    Settings.HasSlowSpans_ = true;
     Targets_.push_back(
         std::make_unique<standins::target::TargetServer>(Settings));
     Targets_.back()->start();
@@ -104,6 +106,8 @@
                       << "\nrelays = " << at(Index, 7007)
                       << "\nseeds = " << at(0, 7005) << ' ' << at(1, 7005)
                       << "\nbound = revokeMs=5000\nbound = graceS=6\n"
+                      << "fair_shares = yes\npaced_returns = yes\n"
+                      << "leading_split = yes\n"
                       << "[zone near-1]\nregion = near\n";
   Hosts_[Index].reset();
   Hosts_[Index] = std::make_unique<ChildProcess>(
@@ -125,19 +129,20 @@
                                    std::size_t MoreRules) {
   Json::Value Made;
   Made["version"] = "r" + std::to_string(Version);
-  Made["routes"]["columns"] = listOf({"name", "host", "pathPrefix", "kind",
-                                      "timeoutMs", "maxAttempts", "service"});
+  Made["routes"]["columns"] =
+      listOf({"name", "host", "pathPrefix", "kind", "timeoutMs", "maxAttempts",
+              "service", "priority"});
   Made["routes"]["rows"].append(
-      listOf({"r-1", "a.example", "/x/", "idempotent", 2000, 2, "portal"}));
-  Made["routes"]["rows"].append(
-      listOf({"r-2", "a.example", "/y/", "non_idempotent", 2000, 2, "portal"}));
+      listOf({"r-1", "a.example", "/x/", "idempotent", 2000, 2, "portal", 1}));
+  Made["routes"]["rows"].append(listOf(
+      {"r-2", "a.example", "/y/", "non_idempotent", 2000, 2, "portal", 0}));
   for (std::size_t Each = 0; Each < MoreRules; ++Each) {
     const std::string Name = "more-" + std::to_string(Each);
     Made["routes"]["rows"].append(listOf({Name, "a.example", "/" + Name + "/",
-                                          "idempotent", 2000, 2, "portal"}));
+                                          "idempotent", 2000, 2, "portal", 2}));
   }
-  Made["services"]["columns"] = listOf({"name"});
-  Made["services"]["rows"].append(listOf({"portal"}));
+  Made["services"]["columns"] = listOf({"name", "healthPath"});
+  Made["services"]["rows"].append(listOf({"portal", "/health"}));
   Made["tenants"]["columns"] = listOf({"name", "apiKeys"});
   Made["tenants"]["rows"].append(listOf({"parish", listOf({Key})}));
   Objects_->put("config", "main", Made);
