Region split: the share follows forecast demand where leading_split is on

The demand of regions is known as an average over 2 s that arrives up to a second late, so in waves of 36 s the share trailed them by seconds. DemandForecast extrapolates each region's demand by its slope, weighted by how well earlier slopes predicted; RuleShares sends long requests away first with the same total of work; all moves together are bounded to 4 in 100 a second.

--- a/libs/dispatch/DispatchSteering.cpp
+++ b/libs/dispatch/DispatchSteering.cpp
@@ -53,16 +53,18 @@
     return Found->second;
   const live::DeploymentBounds &Bounds = Settings_.Bounds_;
   return Services_
-      .emplace(Service, ServiceState{{},
-                                     SharedRetryBudget(Bounds.RetryRatio_,
-                                                       Bounds.RetrySlack_),
-                                     RegionSplit(Settings_.Region_),
-                                     {},
-                                     {},
-                                     0,
-                                     0,
-                                     {},
-                                     {}})
+      .emplace(
+          Service,
+          ServiceState{
+              {},
+              SharedRetryBudget(Bounds.RetryRatio_, Bounds.RetrySlack_),
+              RegionSplit(Settings_.Region_, Bounds.Features_.LeadingSplit_),
+              {},
+              {},
+              0,
+              0,
+              {},
+              {}})
       .first->second;
 }
 
@@ -143,8 +145,11 @@
     return refuse(Refusal::CrashSuspect, Suspect - Now, false);
   }
   const bool IsBound = Request.Homes_ && Request.Homes_->size() == 1;
+  const double RunSeconds = executionTimesOf(Request).meanSeconds();
   Service.Demands_[IsBound ? Request.Homes_->front() : base::RegionId()].add(
-      executionTimesOf(Request).meanSeconds(), Now);
+      RunSeconds, Now);
+  if (!IsBound)
+    Service.RegionSplit_.recordRequest(Request.Rule_, RunSeconds);
   return send(Ticket, Request, TokenSource::AnyHost, Now);
 }
 
@@ -158,7 +163,7 @@
   Query.Homes_ = Request.Homes_ ? &*Request.Homes_ : nullptr;
   Query.TriedTargets_ = Request.TriedTargets_;
   Query.Region_ = Service.RegionSplit_.regionFor(
-      Request.Object_, Request.BodyBytes_, Query.Homes_);
+      Request.Object_, Request.BodyBytes_, Query.Homes_, Request.Rule_);
   Query.ExecutionTimes_ = executionTimesOf(Request);
   Query.RegionLoads_ = &Service.RegionLoads_;
   Selection Result;
--- a/libs/dispatch/RegionSplit.cpp
+++ b/libs/dispatch/RegionSplit.cpp
@@ -76,7 +76,8 @@
 
 void RegionSplit::update(const std::map<base::RegionId, RegionLoad> &Loads,
                          base::TimePoint Now) {
-  const DesiredSplit Desired = computeDesired(Loads);
+  const DesiredSplit Desired =
+      computeDesired(IsLeading_ ? forecast(Loads, Now) : Loads);
   std::map<base::RegionId, double> Slots;
   for (const auto &[Region, Load] : Loads)
     Slots[Region] = Load.Slots_;
@@ -93,6 +94,17 @@
   }
   if (IsLargeChange)
     FastUntil_ = Now + FastChangeTime;
+  if (IsLeading_) {
+    const base::Duration Elapsed =
+        std::min<base::Duration>(Now - *UpdatedAt_, MaxLeadingStepTime);
+    UpdatedAt_ = Now;
+    moveTowards(Desired,
+                base::toSeconds(Elapsed) * (Now < FastUntil_
+                                                ? MaxFastChangePerSecond
+                                                : MaxLeadingChangePerSecond),
+                Now);
+    return;
+  }
   const double Step =
       base::toSeconds(Now - *UpdatedAt_) *
       (Now < FastUntil_ ? MaxFastChangePerSecond : MaxChangePerSecond);
@@ -121,11 +133,80 @@
   SpilloverWeights_ = std::move(NewWeights);
 }
 
-base::RegionId
-RegionSplit::regionFor(std::uint64_t Object, std::uint64_t BodyBytes,
-                       const std::vector<base::RegionId> *Homes) const {
+std::map<base::RegionId, RegionLoad>
+RegionSplit::forecast(const std::map<base::RegionId, RegionLoad> &Loads,
+                      base::TimePoint Now) {
+  std::map<base::RegionId, RegionLoad> Result = Loads;
+  std::erase_if(Forecasts_, [&Loads](const auto &Entry) {
+    return !Loads.contains(Entry.first);
+  });
+  for (auto &[Region, Load] : Result) {
+    Forecasts &Known = Forecasts_[Region];
+    const base::Duration Lag =
+        Region == OwnRegion_ ? OwnDemandLag : OtherDemandLag;
+    Known.Demand_.record(Load.Demand_, Now);
+    Known.BoundDemand_.record(Load.BoundDemand_, Now);
+    Load.Demand_ = Known.Demand_.forecast(Lag, Now);
+    Load.BoundDemand_ = Known.BoundDemand_.forecast(Lag, Now);
+  }
+  return Result;
+}
+
+std::map<base::RegionId, double>
+RegionSplit::desiredWeights(const DesiredSplit &Desired) const {
+  std::map<base::RegionId, double> Result;
+  const double Sum = totalOf(Desired.SpareSlots_);
+  if (Sum <= 0)
+    return Result;
+  for (const auto &[Region, Count] : Slots_) {
+    if (Region == OwnRegion_)
+      continue;
+    const auto Found = Desired.SpareSlots_.find(Region);
+    Result[Region] =
+        Found == Desired.SpareSlots_.end() ? 0 : Found->second / Sum;
+  }
+  return Result;
+}
+
+void RegionSplit::moveTowards(const DesiredSplit &Desired, double Step,
+                              base::TimePoint Now) {
+  RuleShares_.aimAt(Desired.SpilloverShare_, Now);
+  const bool HasRules = RuleShares_.meanShare().has_value();
+  std::map<base::RegionId, double> Weights = desiredWeights(Desired);
+  const double OldSum = totalOf(SpilloverWeights_);
+  std::map<base::RegionId, double> OldWeights;
+  double Shifted = 0;
+  for (const auto &[Region, Weight] : Weights) {
+    const auto Old = SpilloverWeights_.find(Region);
+    const bool IsOld = Old != SpilloverWeights_.end();
+    OldWeights[Region] = OldSum <= 0 ? Weight
+                         : IsOld     ? Old->second / OldSum
+                                     : 0;
+    Shifted += std::abs(Weight - OldWeights[Region]) / 2;
+  }
+  const double Distance =
+      (HasRules ? RuleShares_.distance()
+                : std::abs(Desired.SpilloverShare_ - SpilloverShare_)) +
+      Shifted * SpilloverShare_;
+  const double Part = Distance > Step ? Step / Distance : 1;
+  RuleShares_.advance(Part);
+  SpilloverShare_ += Part * (Desired.SpilloverShare_ - SpilloverShare_);
+  SpilloverShare_ = RuleShares_.meanShare().value_or(SpilloverShare_);
+  if (Weights.empty())
+    return;
+  for (auto &[Region, Weight] : Weights)
+    Weight = OldWeights[Region] + Part * (Weight - OldWeights[Region]);
+  SpilloverWeights_ = std::move(Weights);
+}
+
+base::RegionId RegionSplit::regionFor(std::uint64_t Object,
+                                      std::uint64_t BodyBytes,
+                                      const std::vector<base::RegionId> *Homes,
+                                      std::string_view Rule) const {
   const double Share =
-      SpilloverShare_ * (BodyBytes > LargeBodyBytes ? LargeBodyFactor : 1);
+      (IsLeading_ ? RuleShares_.shareOf(Rule).value_or(SpilloverShare_)
+                  : SpilloverShare_) *
+      (BodyBytes > LargeBodyBytes ? LargeBodyFactor : 1);
   if (allows(Homes, OwnRegion_) && uniformDraw(Object) >= Share)
     return OwnRegion_;
   const std::map<base::RegionId, double> &Weights =
--- a/libs/dispatch/RegionSplit.h
+++ b/libs/dispatch/RegionSplit.h
@@ -3,6 +3,9 @@
 
 #include "base/Id.h"
 #include "base/Time.h"
+#include "dispatch/DecayingRate.h"
+#include "dispatch/DemandForecast.h"
+#include "dispatch/RuleShares.h"
 
 #include <cstdint>
 #include <map>
@@ -35,6 +38,10 @@
 /// and the same at all hosts, and changes slowly. Which requests leave is
 /// decided by the hash of their object: an object stays where it is warm, and
 /// as the share changes objects move between regions one by one.
+///
+/// Where the demand of regions varies in waves, a leading split computes the
+/// share from the forecast demand, moves it faster, and sends long requests
+/// away first. \see DemandForecast, RuleShares
 class RegionSplit {
 public:
   /// Slots are reserved for requests that are bound to one region as if these
@@ -53,6 +60,21 @@
   /// long requests run, and 35 in 100 of a region's requests moved within 2 s.
   static constexpr double MaxFastChangePerSecond = 0.3;
   static constexpr base::Duration FastChangeTime = std::chrono::seconds(3);
+  /// Maximum part of the requests that a leading split moves per second, to and
+  /// from this region and between destinations: 8 in 100 within 2 s, beside 5
+  /// that random variation moves, of 15 that are allowed. In waves that change
+  /// a region's demand by 10% a second, a share of a half changes by 5.
+  static constexpr double MaxLeadingChangePerSecond = 0.04;
+  /// A host that was frozen for longer does not make up for the time.
+  static constexpr base::Duration MaxLeadingStepTime =
+      std::chrono::milliseconds(500);
+  /// Time by which the demand of regions is outdated when it arrives: the time
+  /// over which it is averaged, and half of the interval of the heartbeats that
+  /// it is summed from; for other regions also half of that of their updates.
+  static constexpr base::Duration OwnDemandLag =
+      DecayingRate::DecayTime + std::chrono::milliseconds(250);
+  static constexpr base::Duration OtherDemandLag =
+      OwnDemandLag + std::chrono::milliseconds(250);
   /// Share of all slots that must change at once for this to apply.
   static constexpr double LargeSlotChange = 0.1;
   /// Factor on the share for requests with large bodies, which are the last to
@@ -60,8 +82,15 @@
   static constexpr double LargeBodyFactor = 0.5;
   static constexpr std::uint64_t LargeBodyBytes = 16UL * 1024;
 
-  explicit RegionSplit(base::RegionId OwnRegion)
-      : OwnRegion_(std::move(OwnRegion)) {}
+  /// \param IsLeading  follows the forecast demand.
+  explicit RegionSplit(base::RegionId OwnRegion, bool IsLeading = false)
+      : OwnRegion_(std::move(OwnRegion)), IsLeading_(IsLeading) {}
+
+  /// Counts a request of this host's callers that may run in any region.
+  void recordRequest(std::string_view Rule, double RunSeconds) {
+    if (IsLeading_)
+      RuleShares_.recordRequest(Rule, RunSeconds, SpilloverShare_);
+  }
 
   /// Takes slots and demand of all regions. To be called every 250 ms.
   void update(const std::map<base::RegionId, RegionLoad> &Loads,
@@ -70,9 +99,11 @@
   /// \returns the region in which the request should run.
   /// \param Homes  regions in which it may run; null: all.
   base::RegionId regionFor(std::uint64_t Object, std::uint64_t BodyBytes,
-                           const std::vector<base::RegionId> *Homes) const;
+                           const std::vector<base::RegionId> *Homes,
+                           std::string_view Rule = {}) const;
 
-  /// \returns the share of requests that leaves this host's region, 0 to 1.
+  /// \returns the share of requests that leaves this host's region, 0 to 1; of
+  /// a leading split, the share of their work.
   double spilloverShare() const noexcept { return SpilloverShare_; }
 
 private:
@@ -83,14 +114,36 @@
 
   DesiredSplit
   computeDesired(const std::map<base::RegionId, RegionLoad> &Loads) const;
+  /// \returns the loads with the demand that is expected.
+  std::map<base::RegionId, RegionLoad>
+  forecast(const std::map<base::RegionId, RegionLoad> &Loads,
+           base::TimePoint Now);
+  /// \returns the weights of the other regions to aim at; empty: none has free
+  /// slots.
+  std::map<base::RegionId, double>
+  desiredWeights(const DesiredSplit &Desired) const;
+  /// Moves the shares of the rules and the weights of the other regions towards
+  /// the desired ones.
+  /// \param Step  the maximum part of the requests that changes region.
+  void moveTowards(const DesiredSplit &Desired, double Step,
+                   base::TimePoint Now);
+
+  struct Forecasts {
+    DemandForecast Demand_;
+    DemandForecast BoundDemand_;
+  };
 
   const base::RegionId OwnRegion_;
+  const bool IsLeading_;
   double SpilloverShare_ = 0;
   /// Weights of the other regions as destinations of what leaves.
   std::map<base::RegionId, double> SpilloverWeights_;
   std::map<base::RegionId, double> Slots_;
   std::optional<base::TimePoint> UpdatedAt_;
   base::TimePoint FastUntil_;
+  /// Of a leading split only.
+  std::map<base::RegionId, Forecasts> Forecasts_;
+  RuleShares RuleShares_;
 };
 
 } // namespace lychee::dispatch
