Dispatch: expected run times follow the speed that targets state

Cause: targets that share machines are slow for some 0.6 s at a time; the fourth value of the load header, which states it, was dropped, long runs were sent to slow targets, and their times were learned as the usual ones.

Change: loadOf decodes the value into TargetLoad::RunTimeFactor_ (empty where it is malformed or outside 0.1 to 100). TargetSpeed keeps the last statement of a target, ServiceSpeeds learns the service's mean and the half-life of a statement. TargetChooser and responseTimeout use the expected factor; ExecutionTimes and Slowness_ are learned without it. speed_percent and speed_age_ms on decision lines.

Result: not built as a whole and no test run yet, as the machine was overloaded.

--- a/apps/lycheed/DecisionReporter.cpp
+++ b/apps/lycheed/DecisionReporter.cpp
@@ -83,7 +83,9 @@
         base::toMilliseconds(Made.Inputs_->ExpectedResponseTime_),
         Made.Inputs_->Load_,
         Made.Inputs_->LoadAge_ ? base::toMilliseconds(*Made.Inputs_->LoadAge_)
-                               : NeverTold};
+                               : NeverTold,
+        Made.Inputs_->SpeedPercent_.value_or(0),
+        base::toMilliseconds(Made.Inputs_->SpeedAge_)};
   if (Made.Targets_)
     Record.Targets_ = reporting::DecisionRecord::TargetCounts{
         Made.Targets_->InUse_, Made.Targets_->Ejected_,
--- a/libs/dispatch/DispatchLearning.cpp
+++ b/libs/dispatch/DispatchLearning.cpp
@@ -28,9 +28,14 @@
                                            TargetState &Target,
                                            const SendReport &Report) {
   ExecutionTimes &Times = executionTimesOf(Request);
-  const double Measured =
-      std::max(ExecutionTimes::MinRunSeconds, base::toSeconds(Report.Took_));
-  const double ExpectedWait = base::toSeconds(Request.ExpectedWait_);
+  // Without the effect of the target's speed, which changes many times a second
+  // and would be learned as the usual time of the rule or of the target.
+  const double Factor =
+      serviceState(Request.Service_)
+          .Speeds_.ofRun(Request.RunTimeFactor_, Target.Speed_, Report.Took_);
+  const double Measured = std::max(ExecutionTimes::MinRunSeconds,
+                                   base::toSeconds(Report.Took_) / Factor);
+  const double ExpectedWait = base::toSeconds(Request.ExpectedWait_) / Factor;
   const double ExpectedRun = Times.wasWarm(Measured, Request.KnownWarm_)
                                  ? Times.warmSeconds()
                                  : Times.coldSeconds();
@@ -54,9 +59,10 @@
   Target->Load_.recordEnd();
   if (Report.Load_) {
     Target->Load_.recordReport(*Report.Load_, Now);
-    serviceState(Request.Service_)
-        .RegionLoads_.recordReport(Target->Region_,
-                                   Target->Load_.othersPerSlot(), Now);
+    ServiceState &Service = serviceState(Request.Service_);
+    Service.RegionLoads_.recordReport(Target->Region_,
+                                      Target->Load_.othersPerSlot(), Now);
+    Service.Speeds_.record(Target->Speed_, Report.Load_->RunTimeFactor_, Now);
   }
   switch (Report.Outcome_) {
   case SendOutcome::Answered:
--- a/libs/dispatch/DispatchSteering.cpp
+++ b/libs/dispatch/DispatchSteering.cpp
@@ -37,6 +37,14 @@
 constexpr std::uint32_t MaxUndeliveredSends = 3;
 /// Callers that come back sooner would find the same queue.
 constexpr base::Duration MinRetryAfter = std::chrono::milliseconds(100);
+
+/// \returns the expected run time in percent of the usual one; empty where the
+/// target states no speed.
+std::optional<std::uint32_t> speedPercentOf(const Choice &Chosen) {
+  if (!Chosen.Target_->Speed_.factor())
+    return std::nullopt;
+  return static_cast<std::uint32_t>(Chosen.RunTimeFactor_ * 100 + 0.5);
+}
 } // namespace
 
 DispatchSteering::DispatchSteering(const DispatchSettings &Settings,
@@ -59,6 +67,7 @@
                                      RegionSplit(Settings_.Region_),
                                      {},
                                      {},
+                                     {},
                                      0,
                                      0,
                                      {},
@@ -161,6 +170,7 @@
       Request.Object_, Request.BodyBytes_, Query.Homes_);
   Query.ExecutionTimes_ = executionTimesOf(Request);
   Query.RegionLoads_ = &Service.RegionLoads_;
+  Query.Speeds_ = &Service.Speeds_;
   Selection Result;
   const auto MayUse = [&](TargetState &Target) {
     return mayUse(Service, Target, Request, Source, Result, Now);
@@ -174,8 +184,8 @@
   const double Waiting = base::toSeconds(Chosen.ExpectedWait_);
   const double Expected =
       base::toSeconds(Chosen.ExpectedResponseTime_) - Waiting;
-  const double Cold =
-      executionTimesOf(Request).coldSeconds() * Chosen.Target_->Slowness_;
+  const double Cold = executionTimesOf(Request).coldSeconds() *
+                      Chosen.Target_->Slowness_ * Chosen.RunTimeFactor_;
   return std::max(
       MinResponseTimeout,
       base::fromSeconds(Waiting * WaitTimeoutFactor +
@@ -242,9 +252,12 @@
   // A request that cannot be answered in time is not sent: it would take a slot
   // from one that can, and its caller gains nothing by waiting.
   TargetState &Target = *Chosen->Target_;
-  const steering::ChoiceInputs Inputs{
-      static_cast<std::uint32_t>(Chosen->Rank_), Chosen->ExpectedResponseTime_,
-      Chosen->Load_, Target.Load_.reportAge(Now)};
+  const steering::ChoiceInputs Inputs{static_cast<std::uint32_t>(Chosen->Rank_),
+                                      Chosen->ExpectedResponseTime_,
+                                      Chosen->Load_,
+                                      Target.Load_.reportAge(Now),
+                                      speedPercentOf(*Chosen),
+                                      Target.Speed_.age(Now)};
   recordLateness(Request, *Chosen, Now);
   if (!canAnswerInTime(Request, *Chosen, Now)) {
     if (Selected.TookToken_)
@@ -262,6 +275,7 @@
   Target.Load_.recordSend();
   Request.KnownWarm_ = Target.RecentObjects_.contains(Request.Object_, Now);
   Request.ExpectedWait_ = Chosen->ExpectedWait_;
+  Request.RunTimeFactor_ = Chosen->RunTimeFactor_;
   ++Request.Sends_;
   Request.TriedTargets_.push_back(Target.Record_.Id_);
   Request.SentTo_ = Target.StartKey_;
--- a/libs/dispatch/DispatchSteering.h
+++ b/libs/dispatch/DispatchSteering.h
@@ -234,6 +234,8 @@
     /// and the expected wait for a slot.
     bool KnownWarm_ = false;
     base::Duration ExpectedWait_{};
+    /// Factor of the target's run times that was expected of it.
+    double RunTimeFactor_ = 1;
   };
 
   struct ServiceState {
@@ -241,6 +243,7 @@
     SharedRetryBudget RetryBudget_;
     RegionSplit RegionSplit_;
     RegionLoads RegionLoads_;
+    ServiceSpeeds Speeds_;
     /// Slots that requests of this host's callers keep busy, by the region that
     /// they are bound to; empty: they may run in any.
     std::map<base::RegionId, DecayingRate> Demands_;
--- a/libs/dispatch/TargetChooser.cpp
+++ b/libs/dispatch/TargetChooser.cpp
@@ -162,7 +162,11 @@
   const double Slots = std::max(1U, Target.Record_.Slots_);
   const double Load = estimatedLoad(Query, Target, Now);
   const double Ahead = std::max(0.0, Load + 1 - Slots);
-  const double Waiting = Ahead / Slots * MeanRun * Target.Slowness_;
+  const double Factor = Query.Speeds_ != nullptr
+                            ? Query.Speeds_->expected(Target.Speed_, Now)
+                            : 1;
+  const double Slowness = Target.Slowness_ * Factor;
+  const double Waiting = Ahead / Slots * MeanRun * Slowness;
   const double WarmGain =
       Query.ExecutionTimes_.coldSeconds() - Query.ExecutionTimes_.warmSeconds();
   const double ExpectedColdTime =
@@ -170,8 +174,8 @@
   const double ColdCost =
       Query.ExecutionTimes_.coldSeconds() + WarmGain * ColdRunPenalty;
   const double StartSlowdown = Now < Target.ColdUntil_ ? ColdStartSlowdown : 0;
-  const double Run = (Query.ExecutionTimes_.warmSeconds() + ExpectedColdTime) *
-                     Target.Slowness_;
+  const double Run =
+      (Query.ExecutionTimes_.warmSeconds() + ExpectedColdTime) * Slowness;
   double Time = Waiting + Run * (1 + StartSlowdown);
   double Penalty =
       ExpectedColdTime * ColdRunPenalty +
@@ -191,7 +195,8 @@
           base::fromSeconds(Waiting),
           Evaluated.Rank_,
           Evaluated.Rank_ < WarmRanks ? "object-order" : "spill",
-          Load};
+          Load,
+          Factor};
 }
 
 std::optional<Choice>
--- a/libs/dispatch/TargetChooser.h
+++ b/libs/dispatch/TargetChooser.h
@@ -3,6 +3,7 @@
 
 #include "dispatch/ExecutionTimes.h"
 #include "dispatch/RegionLoads.h"
+#include "dispatch/ServiceSpeeds.h"
 #include "dispatch/TargetState.h"
 
 #include <functional>
@@ -28,6 +29,8 @@
   ExecutionTimes ExecutionTimes_;
   /// Load of its service's targets; null: unknown.
   const RegionLoads *RegionLoads_ = nullptr;
+  /// Speeds of its service's targets; null: all run as usual.
+  const ServiceSpeeds *Speeds_ = nullptr;
 };
 
 /// A chosen target, and what is expected of it.
@@ -44,6 +47,8 @@
   std::string_view Reason_;
   /// Estimated number of requests at the target.
   double Load_ = 0;
+  /// Expected run time there, as a multiple of the usual one.
+  double RunTimeFactor_ = 1;
 };
 
 /// Chooses the target with the lowest cost to callers, among the first few of
--- a/libs/dispatch/TargetState.h
+++ b/libs/dispatch/TargetState.h
@@ -5,6 +5,7 @@
 #include "dispatch/LoadEstimate.h"
 #include "dispatch/RecentObjects.h"
 #include "dispatch/TargetHealth.h"
+#include "dispatch/TargetSpeed.h"
 #include "dispatch/TargetStatements.h"
 #include "live/TargetRecord.h"
 
@@ -31,8 +32,10 @@
   /// target has no entry. \see StatementTable
   std::shared_ptr<TargetStatements> Stated_;
   RecentObjects RecentObjects_;
-  /// Its response time, as a multiple of what is usual for the request's rule.
+  /// Its response time, as a multiple of what is usual for the request's rule;
+  /// without the effect of the speed that it states.
   double Slowness_ = 1;
+  TargetSpeed Speed_;
 
   bool isLeaving() const noexcept {
     return Record_.Leaving_ || (Stated_ && Stated_->isLeaving());
--- a/libs/gateway/HeaderPolicy.cpp
+++ b/libs/gateway/HeaderPolicy.cpp
@@ -125,6 +125,27 @@
   return std::nullopt;
 }
 
+/// Stated run times outside of these bounds, as multiples of the usual time,
+/// are taken for faults of the target.
+constexpr double MinRunTimeFactor = 0.1;
+constexpr double MaxRunTimeFactor = 100;
+
+/// \returns the factor that a target states in percent; empty where \p Text is
+/// no number or out of bounds.
+std::optional<double> runTimeFactorOf(std::string_view Text) {
+  double Percent = 0;
+  const auto [End, Error] =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Percent,
+                      std::chars_format::fixed);
+  if (Error != std::errc() || End != Text.data() + Text.size())
+    return std::nullopt;
+  const double Factor = Percent / 100;
+  // False for "nan" as well.
+  if (Factor >= MinRunTimeFactor && Factor <= MaxRunTimeFactor)
+    return Factor;
+  return std::nullopt;
+}
+
 /// Room for a usual head without a second allocation.
 constexpr std::size_t UsualHeadBytes = 512;
 
@@ -248,6 +269,8 @@
     if (!Text.empty())
       Text.remove_prefix(1);
   }
+  // Values after the fourth are ignored.
+  Read.RunTimeFactor_ = runTimeFactorOf(Text.substr(0, Text.find(',')));
   return Read;
 }
 
--- a/libs/gateway/Vocabulary.h
+++ b/libs/gateway/Vocabulary.h
@@ -21,8 +21,9 @@
   std::string NotRun_ = "Lychee-Ran";
   /// The value that says so; empty: any.
   std::string NotRunValue_ = "no";
-  /// Running, waiting and slots of a target, separated by commas; empty: not
-  /// told in answers.
+  /// Running, waiting and slots of a target, separated by commas, and
+  /// optionally how long work takes there now (100: as usual); empty: not told
+  /// in answers.
   std::string TargetLoad_;
   /// Headers in which a target states the requests per second that it takes
   /// from all hosts together; the first one present counts.
--- a/libs/reporting/DecisionLog.cpp
+++ b/libs/reporting/DecisionLog.cpp
@@ -60,6 +60,9 @@
         .add("load_tenths",
              static_cast<std::int64_t>(Taken.Inputs_->Load_ * Tenths))
         .add("load_age_ms", Taken.Inputs_->LoadAgeMs_);
+    if (Taken.Inputs_->SpeedPercent_ != 0)
+      Line.add("speed_percent", Taken.Inputs_->SpeedPercent_)
+          .add("speed_age_ms", Taken.Inputs_->SpeedAgeMs_);
   }
   if (Taken.Targets_)
     Line.add("targets", Taken.Targets_->InUse_)
--- a/libs/reporting/DecisionLog.h
+++ b/libs/reporting/DecisionLog.h
@@ -55,6 +55,10 @@
     std::int64_t ExpectedMs_ = 0;
     double Load_ = 0;
     std::int64_t LoadAgeMs_ = 0;
+    /// Expected run time at the target, in percent of the usual one, and the
+    /// age of its statement; 0: the target states none.
+    std::uint32_t SpeedPercent_ = 0;
+    std::int64_t SpeedAgeMs_ = 0;
   };
   std::optional<Inputs> Inputs_;
   /// Targets that may serve the request, and what this host takes them for,
--- a/libs/steering/Steering.h
+++ b/libs/steering/Steering.h
@@ -18,6 +18,9 @@
   std::uint32_t Running_ = 0;
   std::uint32_t Waiting_ = 0;
   std::uint32_t Slots_ = 0;
+  /// How long work takes there now, as a multiple of the usual time; empty
+  /// where the target does not state it.
+  std::optional<double> RunTimeFactor_ = std::nullopt;
 };
 
 /// What an answer says of the rate that its target takes.
@@ -151,6 +154,10 @@
   double Load_ = 0;
   /// Age of the target's last load report; empty where there is none.
   std::optional<base::Duration> LoadAge_;
+  /// Expected run time there, in percent of the usual one, and the age of the
+  /// target's statement that it is based on; empty: it has stated none.
+  std::optional<std::uint32_t> SpeedPercent_ = std::nullopt;
+  base::Duration SpeedAge_{};
 };
 
 /// What this host takes the targets of a service for, for the log.
