--- a/libs/dispatch/DispatchSteering.h
+++ b/libs/dispatch/DispatchSteering.h
@@ -234,16 +234,19 @@
     /// and the expected wait for a slot.
     bool KnownWarm_ = false;
     base::Duration ExpectedWait_{};
+    /// Factor of the target's run times that was expected of it.
+    double RunTimeFactor_ = 1;
   };
 
   struct ServiceState {
     std::vector<TargetState> Targets_;
     SharedRetryBudget RetryBudget_;
     RegionSplit RegionSplit_;
-    RegionLoads RegionLoads_;
+    RegionLoads RegionLoads_{};
+    ServiceSpeeds Speeds_{};
     /// Slots that requests of this host's callers keep busy, by the region that
     /// they are bound to; empty: they may run in any.
-    std::map<base::RegionId, DecayingRate> Demands_;
+    std::map<base::RegionId, DecayingRate> Demands_{};
     /// Share of recent requests that would miss their objective because they
     /// wait for a slot.
     double LateShare_ = 0;
@@ -251,7 +254,7 @@
     base::Duration ColdTime_{};
     /// Until then its requests are not forwarded, unless this host reaches no
     /// target at all.
-    base::TimePoint ForwardingPausedUntil_;
+    base::TimePoint ForwardingPausedUntil_{};
   };
 
   /// Where tokens of a target's stated rate may come from.
