Dispatch: retries are paced where the deployment calls for it

The owner of a customer's tokens reserves a position in the customer's schedule and keeps tokens for retries that are due, up to half of the bucket; a host that lacks capacity paces retries by the rate at which it places requests of the service and priority. Refusals have no Retry-After where no turn comes in time. The log shows retry_after_ms, ahead and retry; two counters are added.

--- a/apps/lycheed/DecisionReporter.cpp
+++ b/apps/lycheed/DecisionReporter.cpp
@@ -12,6 +12,8 @@
 
 /// Stands for the age of a load that its target never told.
 constexpr std::int64_t NeverTold = -1;
+/// Stands for a number of positions that only another host knows.
+constexpr std::int64_t UnknownAhead = -1;
 
 reporting::DecisionRecord recordOf(const steering::Request &Request) {
   reporting::DecisionRecord Record;
@@ -57,6 +59,12 @@
       Waits_(Metrics.counter("lychee_waits_total",
                              "Requests that waited for room")),
       Refusals_(Metrics.counter("lychee_refusals_total", "Requests refused")),
+      ScheduledRetries_(Metrics.counter(
+          "lychee_scheduled_retries_total",
+          "Refusals for which a position in a retry schedule is reserved")),
+      RefusedRetries_(Metrics.counter(
+          "lychee_refused_retries_total",
+          "Refusals of retries whose callers were refused before")),
       Answers_(Metrics.counter("lychee_answers_total",
                                "Answers of targets passed to callers")),
       Failures_(Metrics.counter("lychee_send_failures_total",
@@ -113,11 +121,26 @@
     Record.Reason_ = steering::nameOf(Made.Refusal_);
     Record.Ran_ = Made.Ran_ == steering::Ran::No ? "no" : "maybe";
     Refusals_.add();
+    if (Made.Return_)
+      reportReturn(Made, Record);
     break;
   }
   Log_.record(Record, base::SystemClock::wallNow());
 }
 
+void DecisionReporter::reportReturn(const steering::Decision &Refused,
+                                    reporting::DecisionRecord &Record) const {
+  const steering::ReturnInfo &Return = *Refused.Return_;
+  Record.Return_ = reporting::DecisionRecord::Return{
+      base::toMilliseconds(Refused.RetryAfter_),
+      Return.Ahead_ ? static_cast<std::int64_t>(*Return.Ahead_) : UnknownAhead,
+      Return.IsRetry_};
+  if (Return.IsRetry_)
+    RefusedRetries_.add();
+  else if (Refused.RetryAfter_ > base::Duration::zero())
+    ScheduledRetries_.add();
+}
+
 void DecisionReporter::sendEnded(const steering::Request &Request,
                                  const steering::Decision &Sent,
                                  const steering::SendReport &Report,
--- a/apps/lycheed/DecisionReporter.h
+++ b/apps/lycheed/DecisionReporter.h
@@ -32,12 +32,19 @@
                     std::string_view Outcome, base::TimePoint Now) override;
 
 private:
+  /// Counts what a refused caller is told about its retry, and notes it in
+  /// \p Record.
+  void reportReturn(const steering::Decision &Refused,
+                    reporting::DecisionRecord &Record) const;
+
   reporting::DecisionLog &Log_;
   reporting::Counter Sends_;
   reporting::Counter Forwards_;
   reporting::Counter ForwardedArrivals_;
   reporting::Counter Waits_;
   reporting::Counter Refusals_;
+  reporting::Counter ScheduledRetries_;
+  reporting::Counter RefusedRetries_;
   reporting::Counter Answers_;
   reporting::Counter Failures_;
   reporting::Counter StatedRates_;
--- a/libs/dispatch/CustomerRateLimiter.cpp
+++ b/libs/dispatch/CustomerRateLimiter.cpp
@@ -13,6 +13,9 @@
 /// are random; a region gets at most this multiple of its share of the rate
 /// from it.
 constexpr double MaxBurstShareRatio = 4;
+/// Share of the tokens that the region's bucket may hold that is kept for
+/// retries that are due; new requests keep as many.
+constexpr double MaxReservedShare = 0.5;
 
 /// \returns the hosts of this one's region that may own tokens.
 std::vector<const members::HostDescriptor *>
@@ -162,13 +165,16 @@
     selectOwner(State, base::stableHash(Customer.name()), Candidates,
                 Fleet.Self_.Address_);
     // Tokens that another host owns now are no longer this one's to grant.
-    if (!State.Owner_.empty())
+    if (!State.Owner_.empty()) {
       State.RegionBucket_ = RateBucket(Now);
+      State.Returns_ = {};
+    }
   }
 }
 
-RateLimitDecision CustomerRateLimiter::take(const base::CustomerId &Customer,
-                                            base::TimePoint Now) {
+RateLimitDecision
+CustomerRateLimiter::take(const base::CustomerId &Customer, base::TimePoint Now,
+                          const std::optional<members::ReturnTerms> &Return) {
   const auto Found = Customers_.find(Customer);
   if (Found == Customers_.end())
     return {};
@@ -181,11 +187,44 @@
             {},
             State.Owner_,
             State.BackupOwner_};
+  if (Return) {
+    const auto Position = takePaced(State, *Return, Now);
+    return Position ? RateLimitDecision{RateLimitDecision::Kind::Denied,
+                                        Position->Wait_,
+                                        {},
+                                        {},
+                                        Position->Ahead_}
+                    : RateLimitDecision();
+  }
   if (const auto Wait = takeForPeer(Customer, Now))
     return {RateLimitDecision::Kind::Denied, *Wait, {}, {}};
   return {};
 }
 
+std::optional<admission::ReturnPosition>
+CustomerRateLimiter::takePaced(CustomerState &State,
+                               const members::ReturnTerms &Return,
+                               base::TimePoint Now) {
+  const double PerSecond = State.regionRate();
+  State.RegionBucket_.refill(PerSecond, State.MaxRegionTokens_, Now);
+  const bool IsExpected = Return.IsRetry_ && State.Returns_.claim(Now);
+  // With a single token for all, new requests would never get one.
+  const double Reserved =
+      IsExpected
+          ? 0
+          : std::min<double>(State.Returns_.expected(Now),
+                             (State.MaxRegionTokens_ - 1) * MaxReservedShare);
+  const auto Wait = State.RegionBucket_.take(PerSecond, Reserved);
+  if (!Wait)
+    return std::nullopt;
+  const admission::ReturnWindow Window{Return.InTime_, Return.Latest_};
+  // Callers retry once, so one that did needs no position.
+  const auto Position =
+      Return.IsRetry_ ? State.Returns_.find(Window, PerSecond, *Wait, Now)
+                      : State.Returns_.book(Window, PerSecond, *Wait, Now);
+  return Position.value_or(admission::ReturnPosition());
+}
+
 void CustomerRateLimiter::refund(const base::CustomerId &Customer) {
   const auto Found = Customers_.find(Customer);
   // Another host may own the tokens by now.
@@ -194,14 +233,18 @@
     Found->second.RegionBucket_.refund();
 }
 
-std::optional<base::Duration>
-CustomerRateLimiter::takeForPeer(const base::CustomerId &Customer,
-                                 base::TimePoint Now) {
+std::optional<base::Duration> CustomerRateLimiter::takeForPeer(
+    const base::CustomerId &Customer, base::TimePoint Now,
+    const std::optional<members::ReturnTerms> &Return) {
   const auto Found = Customers_.find(Customer);
   if (Found == Customers_.end() || Found->second.Rate_ <= 0)
     return std::nullopt;
   CustomerState &State = Found->second;
   const bool IsOwner = State.Owner_.empty();
+  if (IsOwner && Return) {
+    const auto Position = takePaced(State, *Return, Now);
+    return Position ? std::optional(Position->Wait_) : std::nullopt;
+  }
   const double PerSecond = State.regionRate() * (IsOwner ? 1 : BackupShare);
   RateBucket &Bucket = IsOwner ? State.RegionBucket_ : State.BackupBucket_;
   Bucket.refill(PerSecond, IsOwner ? State.MaxRegionTokens_ : MaxBackupTokens,
--- a/libs/dispatch/CustomerRateLimiter.h
+++ b/libs/dispatch/CustomerRateLimiter.h
@@ -1,6 +1,7 @@
 #ifndef LYCHEE_DISPATCH_CUSTOMERRATELIMITER_H
 #define LYCHEE_DISPATCH_CUSTOMERRATELIMITER_H
 
+#include "admission/ReturnSchedule.h"
 #include "base/Id.h"
 #include "base/Time.h"
 #include "dispatch/DecayingRate.h"
@@ -8,6 +9,7 @@
 #include "dispatch/RateBucket.h"
 #include "dispatch/SampleHistory.h"
 #include "live/Intent.h"
+#include "members/TokenMessages.h"
 
 #include <map>
 #include <optional>
@@ -22,7 +24,7 @@
   enum class Kind {
     Allowed,
     /// The customer's rate is used up; RetryAfter_ is the time until there is a
-    /// token.
+    /// token, zero where there is none in time.
     Denied,
     /// The host at address Owner_ owns the region's tokens and is to be asked.
     AskOwner,
@@ -34,6 +36,8 @@
   /// Address of the host that is asked if the owner does not respond; empty:
   /// there is none.
   std::string BackupOwner_;
+  /// Of a denial where retries are paced: positions reserved before.
+  std::optional<std::uint32_t> Ahead_ = std::nullopt;
 };
 
 /// Limits each customer to a rate and burst over all hosts. The rate is divided
@@ -122,15 +126,20 @@
   void redistribute(const FleetDemand &Fleet, base::TimePoint Now);
 
   /// Counts a request, and takes its token where this host owns the tokens.
-  RateLimitDecision take(const base::CustomerId &Customer, base::TimePoint Now);
+  /// \param Return  where retries are paced: of this request.
+  RateLimitDecision
+  take(const base::CustomerId &Customer, base::TimePoint Now,
+       const std::optional<members::ReturnTerms> &Return = {});
 
   /// Returns a token that take() took at this host and that was not needed.
   void refund(const base::CustomerId &Customer);
 
   /// Takes a token for a request that another host of the region counted.
-  /// \returns nothing: the token was taken; else the time until there is one.
-  std::optional<base::Duration> takeForPeer(const base::CustomerId &Customer,
-                                            base::TimePoint Now);
+  /// \returns nothing: the token was taken; else the time until there is one,
+  /// zero where there is none before the time in \p Return is over.
+  std::optional<base::Duration>
+  takeForPeer(const base::CustomerId &Customer, base::TimePoint Now,
+              const std::optional<members::ReturnTerms> &Return = {});
 
   /// The same for a request of this host whose owners do not respond.
   std::optional<base::Duration> takeFallback(const base::CustomerId &Customer,
@@ -160,6 +169,8 @@
     /// Demand at all hosts of the region, and at this one.
     SampleHistory RegionDemand_;
     SampleHistory HostDemand_;
+    /// Of retries, where they are paced and this host owns the tokens.
+    admission::ReturnSchedule Returns_;
 
     double regionRate() const noexcept {
       return Rate_ * RegionShare_ * UsedShare;
@@ -184,6 +195,12 @@
   void updateShare(CustomerState &State, const ReportedDemand &Others,
                    const FleetDemand &Fleet, base::TimePoint Now) const;
 
+  /// Takes a token of the region's bucket, or reserves a position for a retry.
+  /// \returns nothing: the token was taken.
+  static std::optional<admission::ReturnPosition>
+  takePaced(CustomerState &State, const members::ReturnTerms &Return,
+            base::TimePoint Now);
+
   /// \returns the tokens that all buckets of a customer may hold together.
   double totalCapacity(const CustomerState &State) const noexcept;
 
--- a/libs/dispatch/DispatchSteering.cpp
+++ b/libs/dispatch/DispatchSteering.cpp
@@ -24,6 +24,9 @@
 /// Weight of one request in the share of late ones: about the last fifty count.
 constexpr double LatenessWeight = 0.02;
 constexpr double MaxLateShare = 0.3;
+/// The least such share for a caller that retried when it was told to: it goes
+/// before new requests, which are refused once targets' queues are this long.
+constexpr double DueRetryWaitShare = 0.5;
 /// Multiples of the expected wait, which is an estimate, and of the expected
 /// run after which silence is not due to variation: the run time of a request
 /// varies by a sixth around its mean. The run may be a cold one, whatever was
@@ -62,6 +65,7 @@
                                      0,
                                      0,
                                      {},
+                                     {},
                                      {}})
       .first->second;
 }
@@ -114,15 +118,17 @@
   Request.LatencyObjective_ = Arrived.LatencyObjective_;
   Request.Idempotent_ = Arrived.Idempotent_;
   Request.MaxSends_ = std::max(1U, Arrived.MaxSends_);
+  recognizeRetry(Arrived, Request);
   // Before a token is taken: the other host takes one.
   if (auto Unreached = forwardIfUnreached(Ticket, Request, Now))
     return *Unreached;
   if (Arrived.Customer_.empty())
     return admit(Ticket, Request, Now);
-  const RateLimitDecision Verdict = RateLimiter_.take(Arrived.Customer_, Now);
+  const RateLimitDecision Verdict =
+      RateLimiter_.take(Arrived.Customer_, Now, returnTerms(Request, Now));
   switch (Verdict.Kind_) {
   case RateLimitDecision::Kind::Denied:
-    return refuseRateLimited(Ticket, Verdict.RetryAfter_);
+    return refuseRateLimited(Ticket, Verdict.RetryAfter_, Verdict.Ahead_, Now);
   case RateLimitDecision::Kind::AskOwner:
     return awaitToken(Ticket, Arrived.Customer_, Verdict, Now);
   case RateLimitDecision::Kind::Allowed:
@@ -145,6 +151,7 @@
   const bool IsBound = Request.Homes_ && Request.Homes_->size() == 1;
   Service.Demands_[IsBound ? Request.Homes_->front() : base::RegionId()].add(
       executionTimesOf(Request).meanSeconds(), Now);
+  claimReturn(Request, Now);
   return send(Ticket, Request, TokenSource::AnyHost, Now);
 }
 
@@ -202,7 +209,8 @@
     return Request.Deadline_;
   const double LateShare = serviceState(Request.Service_).LateShare_;
   const double WaitShare =
-      MaxWaitShare * std::max(0.0, 1 - LateShare / MaxLateShare);
+      std::max(MaxWaitShare * std::max(0.0, 1 - LateShare / MaxLateShare),
+               Request.IsDueRetry_ ? DueRetryWaitShare : 0);
   const double MaxWaitSeconds =
       base::toSeconds(Request.Deadline_ - Request.ObjectiveAt_) * WaitShare;
   return Request.ObjectiveAt_ + base::fromSeconds(MaxWaitSeconds);
@@ -221,8 +229,11 @@
       Ticket, false,
       std::max(Selected.NextToken_.value_or(MinRetryAfter), MinRetryAfter),
       Now);
-  if (Selected.NextToken_ && Refused.Refusal_ == Refusal::NoHeadroom)
+  if (Selected.NextToken_ && Refused.Refusal_ == Refusal::NoHeadroom) {
     Refused.Refusal_ = Refusal::TargetRatesUsedUp;
+    if (Refused.RetryAfter_ > base::Duration::zero())
+      Refused.RetryAfter_ = std::max(Refused.RetryAfter_, *Selected.NextToken_);
+  }
   return Refused;
 }
 
@@ -263,6 +274,7 @@
   Request.KnownWarm_ = Target.RecentObjects_.contains(Request.Object_, Now);
   Request.ExpectedWait_ = Chosen->ExpectedWait_;
   ++Request.Sends_;
+  recordPlacement(Request, Now);
   Request.TriedTargets_.push_back(Target.Record_.Id_);
   Request.SentTo_ = Target.StartKey_;
   Result.Action_ = Decision::Action::Send;
@@ -356,6 +368,9 @@
   const bool Doubtful = areTargetsDoubtful(Found->second, Now);
   if (Found->second.RetryReserved_)
     serviceState(Found->second.Service_).RetryBudget_.refund();
+  const ReturnTurn Turn = MayHaveRun || ByTarget || AfterRest || Doubtful
+                              ? ReturnTurn()
+                              : reserveReturn(Found->second, Now);
   InFlight_.erase(Found);
   Decision Refused;
   if (MayHaveRun || ByTarget)
@@ -364,10 +379,12 @@
         MayHaveRun ? base::Duration::zero() : AfterRest.value_or(RetryAfter),
         MayHaveRun);
   else
-    Refused = refuse(AfterRest  ? Refusal::TargetsRest
-                     : Doubtful ? Refusal::TargetsUnreached
-                                : Refusal::NoHeadroom,
-                     AfterRest.value_or(RetryAfter), false);
+    Refused =
+        refuse(AfterRest  ? Refusal::TargetsRest
+               : Doubtful ? Refusal::TargetsUnreached
+                          : Refusal::NoHeadroom,
+               AfterRest.value_or(Turn.Info_ ? Turn.Wait_ : RetryAfter), false);
+  Refused.Return_ = Turn.Info_;
   Refused.Targets_ = Counts;
   return Refused;
 }
--- a/libs/dispatch/DispatchSteering.h
+++ b/libs/dispatch/DispatchSteering.h
@@ -1,6 +1,8 @@
 #ifndef LYCHEE_DISPATCH_DISPATCHSTEERING_H
 #define LYCHEE_DISPATCH_DISPATCHSTEERING_H
 
+#include "admission/ReturnSchedule.h"
+#include "admission/UsualDeadline.h"
 #include "base/Random.h"
 #include "dispatch/CustomerRateLimiter.h"
 #include "dispatch/DecayingRate.h"
@@ -86,7 +88,8 @@
 /// DispatchTokens.cpp how a request waits for a token, DispatchTargetRates.cpp
 /// the rates that targets share between all hosts, DispatchStatements.cpp what
 /// targets state in their answers, DispatchForwarding.cpp what happens where
-/// this host does not reach them, DispatchLearning.cpp what is learned from the
+/// this host does not reach them, DispatchReturns.cpp when refused callers
+/// retry, DispatchLearning.cpp what is learned from the
 /// outcome of a send.
 /// \see steering::FleetSteering, which steers by the tree that operators
 /// configure
@@ -203,6 +206,13 @@
     base::HostId SentToHost_;
     std::vector<base::HostId> TriedHosts_;
     std::string Rule_;
+    std::uint32_t Priority_ = 0;
+    /// Until when its caller waits, which may be longer than the rule allows.
+    base::TimePoint CallerGivesUpAt_;
+    /// Its caller was refused before and waited, where retries are paced; and
+    /// it retries when the service's schedule expects it.
+    bool IsRetry_ = false;
+    bool IsDueRetry_ = false;
     std::uint64_t Object_ = 0;
     std::uint64_t Fingerprint_ = 0;
     std::uint64_t BodyBytes_ = 0;
@@ -236,6 +246,21 @@
     base::Duration ExpectedWait_{};
   };
 
+  /// Retries of a service's refused requests of one priority.
+  struct ServiceReturns {
+    admission::ReturnSchedule Schedule_;
+    /// Requests that this host sends to targets.
+    DecayingRate Placed_;
+  };
+
+  /// When a refused caller is told to retry.
+  struct ReturnTurn {
+    /// Zero: no turn comes in time.
+    base::Duration Wait_{};
+    /// Nothing where retries are not paced.
+    std::optional<steering::ReturnInfo> Info_;
+  };
+
   struct ServiceState {
     std::vector<TargetState> Targets_;
     SharedRetryBudget RetryBudget_;
@@ -252,6 +277,8 @@
     /// Until then its requests are not forwarded, unless this host reaches no
     /// target at all.
     base::TimePoint ForwardingPausedUntil_;
+    /// By priority.
+    std::map<std::uint32_t, ServiceReturns> Returns_;
   };
 
   /// Where tokens of a target's stated rate may come from.
@@ -357,8 +384,29 @@
   steering::Decision endTokenWait(std::uint64_t Ticket,
                                   std::optional<base::Duration> Wait,
                                   base::TimePoint Now);
+  /// \param Ahead  positions reserved before, where this host knows it.
   steering::Decision refuseRateLimited(std::uint64_t Ticket,
-                                       base::Duration Wait);
+                                       base::Duration Wait,
+                                       std::optional<std::uint32_t> Ahead,
+                                       base::TimePoint Now);
+  /// Learns the usual deadline of the rule's callers and finds out whether the
+  /// request is a retry.
+  void recognizeRetry(const steering::Request &Arrived,
+                      InFlightRequest &Request);
+  /// \returns when the request's caller may retry; nothing where retries are
+  /// not paced.
+  std::optional<members::ReturnTerms>
+  returnTerms(const InFlightRequest &Request, base::TimePoint Now);
+  /// Decides when the caller of a request that its service has no capacity for
+  /// retries, whatever the reason, and reserves its position.
+  ReturnTurn reserveReturn(const InFlightRequest &Request, base::TimePoint Now);
+  /// Uses the position that a retry of the service has.
+  void claimReturn(InFlightRequest &Request, base::TimePoint Now);
+  void recordPlacement(const InFlightRequest &Request, base::TimePoint Now);
+  std::optional<base::Duration>
+  takeCustomerToken(const members::TokenRequest &Wanted, base::TimePoint Now);
+  std::optional<base::Duration>
+  takeFallbackToken(const base::CustomerId &Customer, base::TimePoint Now);
   steering::Decision send(std::uint64_t Ticket, InFlightRequest &Request,
                           TokenSource Source, base::TimePoint Now);
   /// Refuses a request that no target may take now.
@@ -429,6 +477,7 @@
   std::map<base::ServiceId, ServiceState> Services_;
   std::set<base::ZoneId> EvacuatedZones_;
   std::map<std::string, ExecutionTimes> ExecutionTimes_;
+  std::map<std::string, admission::UsualDeadline> UsualDeadlines_;
   std::unordered_map<std::uint64_t, InFlightRequest> InFlight_;
   std::map<std::uint64_t, TokenWait> TokenWaits_;
   std::uint64_t LastTicket_ = 0;
--- a/libs/dispatch/DispatchTokens.cpp
+++ b/libs/dispatch/DispatchTokens.cpp
@@ -12,8 +12,6 @@
 
 namespace {
 
-/// Callers that come back sooner would find the same bucket.
-constexpr base::Duration MinRateRetryAfter = std::chrono::milliseconds(100);
 /// An owner that does not respond is not asked for a target's tokens again for
 /// this long.
 constexpr base::Duration SilentOwnerPause = std::chrono::milliseconds(500);
@@ -32,12 +30,6 @@
 
 } // namespace
 
-Decision DispatchSteering::refuseRateLimited(std::uint64_t Ticket,
-                                             base::Duration Wait) {
-  InFlight_.erase(Ticket);
-  return refuse(Refusal::RateLimited, std::max(Wait, MinRateRetryAfter), false);
-}
-
 Decision DispatchSteering::awaitToken(std::uint64_t Ticket,
                                       const base::CustomerId &Customer,
                                       const RateLimitDecision &Verdict,
@@ -46,7 +38,9 @@
   Pending.Customer_ = Customer;
   Pending.BackupOwner_ = Verdict.BackupOwner_;
   Pending.Number_ = tokenNumber(Ticket, 0);
-  Callbacks_.RequestToken_(Verdict.Owner_, Pending.Number_, {Customer});
+  Callbacks_.RequestToken_(
+      Verdict.Owner_, Pending.Number_,
+      {Customer, std::nullopt, returnTerms(InFlight_[Ticket], Now)});
   Pending.TimeoutAt_ = Now + TokenTimeout;
   Decision Result;
   Result.Action_ = Decision::Action::Wait;
@@ -66,7 +60,7 @@
   const auto Found = InFlight_.find(Ticket);
   if (Found == InFlight_.end())
     return {};
-  return Wait ? refuseRateLimited(Ticket, *Wait)
+  return Wait ? refuseRateLimited(Ticket, *Wait, std::nullopt, Now)
               : admit(Ticket, Found->second, Now);
 }
 
@@ -119,7 +113,7 @@
   const std::lock_guard Guard(Lock_);
   if (Wanted.Target_)
     return grantTargetToken(*Wanted.Target_, Now);
-  return RateLimiter_.takeForPeer(Wanted.Customer_, Now);
+  return takeCustomerToken(Wanted, Now);
 }
 
 void DispatchSteering::handleTokenResponse(
@@ -170,7 +164,7 @@
     }
     const auto Wait = Pending.DeniedWait_
                           ? Pending.DeniedWait_
-                          : RateLimiter_.takeFallback(Pending.Customer_, Now);
+                          : takeFallbackToken(Pending.Customer_, Now);
     Woken.push_back({Ticket, endTokenWait(Ticket, Wait, Now)});
   }
 }
--- a/libs/dispatch/RateBucket.cpp
+++ b/libs/dispatch/RateBucket.cpp
@@ -19,12 +19,13 @@
   RefilledAt_ = Now;
 }
 
-std::optional<base::Duration> RateBucket::take(double PerSecond) noexcept {
-  if (Tokens_ >= 1) {
+std::optional<base::Duration> RateBucket::take(double PerSecond,
+                                               double Reserved) noexcept {
+  if (Tokens_ >= 1 + Reserved) {
     Tokens_ -= 1;
     return std::nullopt;
   }
-  return base::fromSeconds((1 - Tokens_) /
+  return base::fromSeconds((1 + Reserved - Tokens_) /
                            std::max(MinRatePerSecond, PerSecond));
 }
 
--- a/libs/dispatch/RateBucket.h
+++ b/libs/dispatch/RateBucket.h
@@ -20,9 +20,11 @@
   void refill(double PerSecond, double Capacity, base::TimePoint Now) noexcept;
 
   /// Takes a token.
+  /// \param Reserved  tokens that are left for others.
   /// \returns nothing if there was one, else the time until there is one at
   /// \p PerSecond.
-  std::optional<base::Duration> take(double PerSecond) noexcept;
+  std::optional<base::Duration> take(double PerSecond,
+                                     double Reserved = 0) noexcept;
 
   /// Returns a token that was not needed.
   void refund() noexcept { Tokens_ += 1; }
--- a/libs/gateway/Forwarding.cpp
+++ b/libs/gateway/Forwarding.cpp
@@ -74,6 +74,7 @@
     Allowed = std::min(Allowed, *Found.Timeout_);
   Request_.ArrivedAt_ = Now;
   Request_.Deadline_ = Now + Allowed;
+  Request_.StatedTime_ = Read.Deadline_.value_or(base::Duration::zero());
   Request_.Rule_ = std::move(Found.Name_);
   Request_.LatencyObjective_ = Found.Objective_;
   Request_.ForwardedBy_ = base::HostId(Read.ForwardedBy_);
--- a/libs/members/TokenMessages.cpp
+++ b/libs/members/TokenMessages.cpp
@@ -7,6 +7,26 @@
 
 namespace lychee::members {
 
+namespace {
+
+Json::Value rowOf(const ReturnTerms &Terms) {
+  Json::Value Row(Json::arrayValue);
+  Row.append(Terms.IsRetry_);
+  Row.append(Json::Int64(base::toMilliseconds(Terms.InTime_)));
+  Row.append(Json::Int64(base::toMilliseconds(Terms.Latest_)));
+  return Row;
+}
+
+std::optional<ReturnTerms> readReturnTerms(const Json::Value &Row) {
+  if (!Row.isArray() || Row.size() != 3 || !Row[0].isBool() ||
+      !Row[1].isInt() || !Row[2].isInt())
+    return std::nullopt;
+  return ReturnTerms{Row[0].asBool(), std::chrono::milliseconds(Row[1].asInt()),
+                     std::chrono::milliseconds(Row[2].asInt())};
+}
+
+} // namespace
+
 std::string encodeTokenMessage(const TokenMessage &Message) {
   Json::Value Document;
   Document["start"] = Json::UInt64(Message.Incarnation_);
@@ -15,6 +35,8 @@
     Document["customer"] = Message.Wanted_.Customer_.name();
   if (Message.Wanted_.Target_)
     Document["target"] = rowOf(*Message.Wanted_.Target_);
+  if (Message.Wanted_.Return_)
+    Document["return"] = rowOf(*Message.Wanted_.Return_);
   if (Message.Wait_)
     Document["wait_ms"] = Json::Int64(base::toMilliseconds(*Message.Wait_));
   Json::StreamWriterBuilder Builder;
@@ -40,6 +62,7 @@
     Result.Wanted_.Customer_ =
         base::CustomerId(Document["customer"].asString());
   Result.Wanted_.Target_ = readTargetRate(Document["target"]);
+  Result.Wanted_.Return_ = readReturnTerms(Document["return"]);
   if (Document["wait_ms"].isInt64())
     Result.Wait_ = std::chrono::milliseconds(Document["wait_ms"].asInt64());
   return Result;
--- a/libs/members/TokenMessages.h
+++ b/libs/members/TokenMessages.h
@@ -13,6 +13,17 @@
 
 namespace lychee::members {
 
+/// What the owner of a customer's tokens needs to know of a request to tell its
+/// caller when to retry. \see admission::ReturnSchedule
+struct ReturnTerms {
+  /// The caller was refused before and waited.
+  bool IsRetry_ = false;
+  /// Latest times, from now on, at which a retry can be answered within its
+  /// objective, and at all.
+  base::Duration InTime_{};
+  base::Duration Latest_{};
+};
+
 /// The rate of which a token is requested: a customer's, or the one that a
 /// target states.
 struct TokenRequest {
@@ -20,6 +31,8 @@
   base::CustomerId Customer_;
   /// The target, and what the requesting host knows of its rate.
   std::optional<TargetRate> Target_ = std::nullopt;
+  /// Where retries are paced, and the token is a customer's.
+  std::optional<ReturnTerms> Return_ = std::nullopt;
 
   bool empty() const noexcept { return Customer_.empty() && !Target_; }
 };
@@ -34,7 +47,7 @@
   /// Empty in an answer.
   TokenRequest Wanted_;
   /// In an answer: time until a token is available; nothing: a token was
-  /// granted.
+  /// granted; zero: none is available before the time of ReturnTerms is over.
   std::optional<base::Duration> Wait_;
 };
 
--- a/libs/reporting/DecisionLog.cpp
+++ b/libs/reporting/DecisionLog.cpp
@@ -73,6 +73,10 @@
   addUnlessEmpty(Line, "rest_ms", Taken.StatedRest_);
   if (Taken.StatedLeaving_)
     Line.add("stated_leaving", 1);
+  if (Taken.Return_)
+    Line.add("retry_after_ms", Taken.Return_->RetryAfterMs_)
+        .add("ahead", Taken.Return_->Ahead_)
+        .add("retry", Taken.Return_->IsRetry_ ? 1 : 0);
   addUnlessEmpty(Line, "ran", Taken.Ran_);
   Line.add("settings", Taken.SettingsVersion_);
   return maskSecrets(Line.text());
--- a/libs/reporting/DecisionLog.h
+++ b/libs/reporting/DecisionLog.h
@@ -77,6 +77,15 @@
   std::string StatedRest_;
   /// The target said in its answer that it leaves.
   bool StatedLeaving_ = false;
+  /// Of a refusal where retries are paced: the wait that the caller is told, 0
+  /// where its turn does not come in time, and the positions reserved before,
+  /// -1 where this host does not know them.
+  struct Return {
+    std::int64_t RetryAfterMs_ = 0;
+    std::int64_t Ahead_ = -1;
+    bool IsRetry_ = false;
+  };
+  std::optional<Return> Return_;
   /// "no" or "maybe" where the request is refused; else empty.
   std::string_view Ran_;
 };
--- a/libs/steering/Steering.h
+++ b/libs/steering/Steering.h
@@ -79,6 +79,9 @@
   /// When its header was complete.
   base::TimePoint ArrivedAt_;
   base::TimePoint Deadline_;
+  /// Time, counted from arrival, for which its caller states that it waits;
+  /// zero where it states none. Deadline_ may be earlier.
+  base::Duration StatedTime_{};
   std::uint64_t BodyBytes_ = 0;
   bool Idempotent_ = false;
   /// Operators' name of the rule that matched it; empty where the rule has no
@@ -163,6 +166,15 @@
   std::uint32_t OnProbation_ = 0;
 };
 
+/// Of a refusal where retries are paced, for the log.
+struct ReturnInfo {
+  /// The request was a retry.
+  bool IsRetry_ = false;
+  /// Positions reserved before; empty where its turn does not come in time, or
+  /// another host reserved the position.
+  std::optional<std::uint32_t> Ahead_;
+};
+
 /// What to do with a request now.
 struct Decision {
   enum class Action {
@@ -204,6 +216,7 @@
   Ran Ran_ = Ran::No;
   /// Time after which a retry may succeed; zero where waiting does not help.
   base::Duration RetryAfter_{};
+  std::optional<ReturnInfo> Return_;
   std::uint64_t SettingsVersion_ = 0;
 };
 
--- a/tests/dispatch/CustomerRateLimiterTest.cpp
+++ b/tests/dispatch/CustomerRateLimiterTest.cpp
@@ -4,6 +4,7 @@
 #include "members/DemandDeltaEncoder.h"
 
 #include <deque>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -23,6 +24,30 @@
 
 const base::CustomerId Customer("parish");
 
+/// Callers that retry once, after the wait that they are told or a third of
+/// their time; and how their requests are decided.
+struct RetryingCallers {
+  base::Duration Deadline_ = 4s;
+  base::Duration Objective_ = 500ms;
+  base::Duration Run_ = 200ms;
+  /// Without it, hosts tell the time to the next token.
+  bool Paced_ = true;
+  /// Share that retries at once, and share that never does.
+  double Hasty_ = 0;
+  double Gone_ = 0;
+};
+
+struct RetryResult {
+  int First_ = 0;
+  int InTime_ = 0;
+  int Late_ = 0;
+  int RefusedAgain_ = 0;
+  /// Retries after the wait that was told.
+  int Instructed_ = 0;
+  int InstructedServed_ = 0;
+  int served() const { return InTime_ + Late_; }
+};
+
 /// Hosts of three regions that divide one customer's rate and receive each
 /// other's demand once a second, as by heartbeats. Hosts that are down send and
 /// answer nothing.
@@ -95,8 +120,11 @@
   /// Simulates a request at a host: the owner of the region's tokens is asked,
   /// then the backup owner, then the host falls back to its own share.
   /// \returns the time after which a refused caller may retry.
-  std::optional<base::Duration> request(std::size_t Host) {
-    const RateLimitDecision Decision = Hosts_[Host]->take(Customer, Now_);
+  std::optional<base::Duration>
+  request(std::size_t Host,
+          const std::optional<members::ReturnTerms> &Return = {}) {
+    const RateLimitDecision Decision =
+        Hosts_[Host]->take(Customer, Now_, Return);
     if (Decision.Kind_ == RateLimitDecision::Kind::Allowed)
       return std::nullopt;
     if (Decision.Kind_ == RateLimitDecision::Kind::Denied)
@@ -106,7 +134,7 @@
       if (Address.empty() || DownSince_[std::stoul(Address)])
         continue;
       const auto Answer =
-          Hosts_[std::stoul(Address)]->takeForPeer(Customer, Now_);
+          Hosts_[std::stoul(Address)]->takeForPeer(Customer, Now_, Return);
       // What the owner granted is spent, also where its response comes too
       // late.
       if (LateResponses_ <= 0 || base::drawUnit(Random_) >= LateResponses_)
@@ -160,6 +188,30 @@
     return Requests > 0 ? double(Refused) / Requests : 0;
   }
 
+  /// Simulates callers that retry, with \p PerSecond first attempts at all
+  /// hosts together.
+  RetryResult runRetrying(double Seconds, double PerSecond,
+                          const RetryingCallers &Callers) {
+    RetryResult Result;
+    const auto Steps = static_cast<int>(Seconds * 100);
+    double Due = 0;
+    for (int Step = 0; Step < Steps; ++Step) {
+      Now_ += 10ms;
+      if (Step % 25 == 0)
+        redistribute();
+      if (Step % 100 == 0)
+        announce();
+      for (; !Retries_.empty() && Retries_.begin()->first <= Now_;
+           Retries_.erase(Retries_.begin()))
+        attempt(Retries_.begin()->second, Callers, Result);
+      for (Due += PerSecond / 100; Due >= 1; Due -= 1) {
+        ++Result.First_;
+        attempt({Now_, false, false}, Callers, Result);
+      }
+    }
+    return Result;
+  }
+
   /// \returns the most that was allowed within any 5 s.
   std::size_t mostInWindow() const {
     std::size_t Most = 0;
@@ -174,6 +226,45 @@
   }
 
 private:
+  struct Attempt {
+    base::TimePoint First_;
+    bool IsRetry_ = false;
+    bool IsInstructed_ = false;
+  };
+
+  void attempt(const Attempt &Current, const RetryingCallers &Callers,
+               RetryResult &Result) {
+    std::size_t Host = base::drawBelow(Random_, Hosts_.size());
+    while (DownSince_[Host])
+      Host = base::drawBelow(Random_, Hosts_.size());
+    const base::Duration Elapsed = Now_ - Current.First_;
+    const base::Duration Left = Callers.Deadline_ - Elapsed;
+    std::optional<members::ReturnTerms> Terms;
+    if (Callers.Paced_)
+      Terms = {Elapsed >= 50ms, Callers.Objective_ - Callers.Run_, Left / 3};
+    const auto Wait = request(Host, Terms);
+    Result.Instructed_ += Current.IsInstructed_ ? 1 : 0;
+    if (!Wait) {
+      Allowed_.push_back(Now_);
+      Result.InstructedServed_ += Current.IsInstructed_ ? 1 : 0;
+      ++(Elapsed + Callers.Run_ <= Callers.Objective_ ? Result.InTime_
+                                                      : Result.Late_);
+      return;
+    }
+    Result.RefusedAgain_ += Current.IsRetry_ ? 1 : 0;
+    const double Kind = base::drawUnit(Random_);
+    if (Current.IsRetry_ || *Wait == 0ms || Kind < Callers.Gone_)
+      return;
+    const bool IsHasty = Kind < Callers.Gone_ + Callers.Hasty_;
+    const base::Duration Told =
+        Callers.Paced_ ? *Wait : std::max<base::Duration>(*Wait, 100ms);
+    // A new connection takes a round trip more.
+    Retries_.emplace(
+        Now_ + (IsHasty ? 10ms : std::min<base::Duration>(Told, Left / 3)) +
+            10ms,
+        Attempt{Current.First_, true, !IsHasty});
+  }
+
   static members::HostDescriptor descriptorOf(std::size_t Host) {
     members::HostDescriptor Result;
     Result.Host_ = base::HostId("host-" + std::to_string(Host));
@@ -218,6 +309,7 @@
                        std::vector<std::vector<members::CustomerDemand>>>>
       History_;
   std::vector<base::TimePoint> Allowed_;
+  std::multimap<base::TimePoint, Attempt> Retries_;
 };
 
 std::size_t allowedInWindow(double Rate, double Burst) {
@@ -495,3 +587,79 @@
   CHECK(Allowed > 0);
   CHECK(Allowed <= 160 / 10 / 2 + 2);
 }
+
+/// A customer at five times its rate whose callers retry once.
+TEST_GROUP(PacedRetries) {
+  static constexpr double Rate = 240;
+
+  /// Some seconds within the rate, and six far above it.
+  static RetryResult runHot(std::size_t Count, const RetryingCallers &Callers,
+                            double Times = 5) {
+    Fleet Hosts(Count, Rate, Rate);
+    Hosts.runRetrying(10, Rate / 1.6, Callers);
+    const RetryResult Result = Hosts.runRetrying(6, Rate * Times, Callers);
+    CHECK(Hosts.mostInWindow() <= allowedInWindow(Rate, Rate));
+    return Result;
+  }
+  static RetryingCallers unpaced() {
+    RetryingCallers Result;
+    Result.Paced_ = false;
+    return Result;
+  }
+};
+
+// Guards against the retries that find the tokens taken: with the time to the
+// next token as the wait, seven of ten requests were refused twice.
+TEST(PacedRetries, fewAreRefusedAgain) {
+  for (const std::size_t Count : {12, 300}) {
+    const RetryResult Old = runHot(Count, unpaced());
+    const RetryResult Paced = runHot(Count, {});
+    CHECK(Old.RefusedAgain_ > Old.First_ / 2);
+    CHECK(Paced.RefusedAgain_ < Paced.First_ / 50);
+    CHECK(Paced.served() > Old.served() * 0.97);
+    CHECK(Paced.InTime_ > Old.InTime_ * 0.97);
+  }
+}
+
+// Guards against callers that wait as they are told and then find that new
+// requests took the token; also where others retry at once, or many of those
+// that have a position never come.
+TEST(PacedRetries, callersThatWaitAsToldAreServed) {
+  RetryingCallers Hasty;
+  Hasty.Hasty_ = 0.3;
+  RetryingCallers Gone;
+  Gone.Gone_ = 0.5;
+  for (const std::size_t Count : {12, 300})
+    for (const RetryingCallers &Callers : {RetryingCallers(), Hasty, Gone}) {
+      const RetryResult Result = runHot(Count, Callers);
+      CHECK(Result.Instructed_ > 50);
+      CHECK(Result.InstructedServed_ > Result.Instructed_ * 0.9);
+    }
+}
+
+// Guards against tokens that are kept for callers that do not come.
+TEST(PacedRetries, tokensOfRetriesThatDoNotComeGoToNewRequests) {
+  RetryingCallers Gone;
+  Gone.Gone_ = 1;
+  RetryingCallers Old = unpaced();
+  Old.Gone_ = 1;
+  CHECK(runHot(12, Gone).served() > runHot(12, Old).served() * 0.97);
+}
+
+// Hosts restart or end, and other hosts own the tokens, in the middle. Guards
+// against promises of the new owner that count on nothing, and against more
+// than the rate.
+TEST(PacedRetries, aNewOwnerOfTheTokensStartsWithAnEmptySchedule) {
+  for (std::size_t Lost = 0; Lost < 12; Lost += 2) {
+    Fleet Hosts(12, Rate, Rate);
+    Hosts.runRetrying(10, Rate / 1.6, {});
+    Hosts.runRetrying(2, Rate * 5, {});
+    Hosts.setDown(Lost, true);
+    Hosts.restart(Lost + 1);
+    Hosts.runRetrying(3, Rate * 5, {});
+    const RetryResult After = Hosts.runRetrying(4, Rate * 5, {});
+    CHECK(After.InstructedServed_ > After.Instructed_ * 0.9);
+    CHECK(After.served() > Rate * 4 * 0.8);
+    CHECK(Hosts.mostInWindow() <= allowedInWindow(Rate, Rate));
+  }
+}
