Admission: positions of a retry schedule are paid for when they are due

What was saved up was never reduced, so a rate of zero still offered a position every 50 ms (17 in a second in recoversAfterARateOfZeroAndAfterAPause).

--- a/libs/admission/ReturnSchedule.cpp
+++ b/libs/admission/ReturnSchedule.cpp
@@ -63,8 +63,11 @@
 ReturnSchedule::findSlot(const ReturnWindow &Window, double PerSecond,
                          base::Duration FirstAvailable, base::TimePoint Now) {
   advance(Now);
-  Saved_ = std::min(MaxSaved, Saved_ + PerSecond * Share *
-                                           base::toSeconds(Now - SavedAt_));
+  // Positions become due by whole slots, and are paid for during the slot.
+  const double Rate = PerSecond * Share;
+  Saved_ = std::clamp(Saved_ + Rate * base::toSeconds(Now - SavedAt_) -
+                          std::exchange(Used_, 0),
+                      -MaxSaved - Rate * base::toSeconds(SlotTime), MaxSaved);
   SavedAt_ = Now;
   if (const auto InTime = findSlot(std::min(Window.InTime_, Window.Latest_),
                                    PerSecond * Share, FirstAvailable, Now))
