--- a/standins/target/TargetServer.h
+++ b/standins/target/TargetServer.h
@@ -34,7 +34,7 @@
   std::string LeavingHeader_ = "Lychee-Target-Leaving";
   /// Header with running, waiting, slots and, in percent of the usual, the time
   /// that work takes now; empty: none is sent. Health answers carry it, too.
-  std::string LoadHeader_;
+  std::string LoadHeader_{};
   /// Work takes SlowPercent of its usual time in about one of SlowOneIn spans
   /// of SlowSpan, drawn by the target's name.
   static constexpr base::Duration SlowSpan = std::chrono::milliseconds(600);
