--- a/tests/dispatch/RegionSplitTest.cpp
+++ b/tests/dispatch/RegionSplitTest.cpp
@@ -211,7 +211,7 @@
     for (const SimulatedRule &Rule : Rules_)
       WorkPerRequest += Rule.Fraction_ * Rule.RunSeconds_;
     // Slots for a utilization of 0.7.
-    const double Slots = PerSecond_ * WorkPerRequest / 0.7;
+    const double Slots = PerSecond * WorkPerRequest / 0.7;
     Slots_ = {0.1 * Slots, 0.5 * Slots, 0.4 * Slots};
     Received_.resize(Regions);
   }
@@ -287,7 +287,7 @@
 
   double demandOf(std::size_t Region, double Time) const {
     const double Phase = (Time + 12.0 * double(Region)) * 2 * M_PI / 36;
-    return PerSecond_ / Regions * (1 + Swing_ * std::sin(Phase));
+    return PerSecond / Regions * (1 + Swing_ * std::sin(Phase));
   }
 
   /// Heartbeats, of half of the hosts at each step, and the region updates.
@@ -417,7 +417,7 @@
 
   const bool IsLeading_;
   base::Random Random_;
-  static constexpr double PerSecond_ = 1400;
+  static constexpr double PerSecond = 1400;
   const std::vector<SimulatedRule> Rules_ = {{"short", 0.6, 0.25},
                                              {"long", 0.4, 0.9}};
   base::TimePoint Now_ = base::TimePoint(100s);
