--- a/libs/admission/ReturnSchedule.h
+++ b/libs/admission/ReturnSchedule.h
@@ -63,9 +63,9 @@
   /// New requests keep the other half.
   static constexpr double Share = 0.5;
   /// The same for retries that are late in any case. A late response is worth a
-  /// fifth to a third of one in time, so while demand exceeds the rate these
-  /// take little from new requests.
-  static constexpr double LateShare = 0.15;
+  /// fifth to a third of one in time, and while demand exceeds the rate each
+  /// takes the token of a new request that would be in time.
+  static constexpr double LateShare = 0.03;
 
   /// Reserves a position.
   /// \param PerSecond  rate at which tokens or capacity become available.
--- a/libs/dispatch/DispatchReturns.cpp
+++ b/libs/dispatch/DispatchReturns.cpp
@@ -13,6 +13,9 @@
 /// Share of its time left for which a caller waits at most. Callers wait for a
 /// third; the refusal's transmission takes some of it.
 constexpr double MaxWaitShare = 0.3;
+/// Time that a retry takes beyond its wait: the refusal's transmission, a new
+/// connection, and waits for processors. Callers are 1 ms away as a rule.
+constexpr base::Duration RetryTransit = std::chrono::milliseconds(20);
 /// Wait told by hosts that use the rate's old rule, as they own no tokens.
 constexpr base::Duration MinUnpacedWait = std::chrono::milliseconds(100);
 
@@ -49,9 +52,10 @@
       base::fromSeconds(executionTimesOf(Request).meanSeconds());
   const base::Duration Latest = std::min(
       base::fromSeconds(base::toSeconds(Left) * MaxWaitShare), Left - Run);
-  const base::Duration InTime = Request.ObjectiveAt_ < Request.Deadline_
-                                    ? Request.ObjectiveAt_ - Now - Run
-                                    : Latest;
+  const base::Duration InTime =
+      Request.ObjectiveAt_ < Request.Deadline_
+          ? Request.ObjectiveAt_ - Now - Run - RetryTransit
+          : Latest;
   return members::ReturnTerms{Request.IsRetry_, InTime, Latest};
 }
 
--- a/tests/dispatch/CustomerRateLimiterTest.cpp
+++ b/tests/dispatch/CustomerRateLimiterTest.cpp
@@ -241,7 +241,8 @@
     const base::Duration Left = Callers.Deadline_ - Elapsed;
     std::optional<members::ReturnTerms> Terms;
     if (Callers.Paced_)
-      Terms = {Elapsed >= 50ms, Callers.Objective_ - Callers.Run_, Left / 3};
+      Terms = {Elapsed >= 50ms, Callers.Objective_ - Callers.Run_ - 20ms,
+               Left / 3};
     const auto Wait = request(Host, Terms);
     Result.Instructed_ += Current.IsInstructed_ ? 1 : 0;
     if (!Wait) {
