Admission: fair shares and priority while a service lacks capacity (partial)

Cause: one customer within its rate that sends several times its usual load takes most of a full service, and nothing reads a request's priority. Change: hosts of a region exchange the pressure on services (ServicePressure in heartbeats), estimate the served share, divide it between customers by water-filling and order a customer's requests by priority; refusals over-share and less-urgent, log fields, metrics. Not ready to be enabled. Only the dispatch library and its tests were built; the repository's tests were not run.

--- a/apps/lycheed/DecisionReporter.cpp
+++ b/apps/lycheed/DecisionReporter.cpp
@@ -24,6 +24,16 @@
   return Record;
 }
 
+reporting::Counter shareCounter(reporting::Metrics &Metrics,
+                                steering::Refusal Reason) {
+  const std::array<reporting::Label, 1> Labels = {
+      {{"reason", steering::nameOf(Reason)}}};
+  return Metrics.counter("lychee_share_refusals_total",
+                         "Requests refused because their service is full and "
+                         "others are served first",
+                         Labels);
+}
+
 std::string describe(const steering::StatedRate &Stated) {
   if (!Stated.PerSecond_)
     return Stated.Unreadable_ ? "unreadable" : "";
@@ -57,6 +67,8 @@
       Waits_(Metrics.counter("lychee_waits_total",
                              "Requests that waited for room")),
       Refusals_(Metrics.counter("lychee_refusals_total", "Requests refused")),
+      OverShares_(shareCounter(Metrics, steering::Refusal::OverShare)),
+      LessUrgent_(shareCounter(Metrics, steering::Refusal::LessUrgent)),
       Answers_(Metrics.counter("lychee_answers_total",
                                "Answers of targets passed to callers")),
       Failures_(Metrics.counter("lychee_send_failures_total",
@@ -88,6 +100,10 @@
     Record.Targets_ = reporting::DecisionRecord::TargetCounts{
         Made.Targets_->InUse_, Made.Targets_->Ejected_,
         Made.Targets_->OnProbation_};
+  if (Made.Share_)
+    Record.Share_ = reporting::DecisionRecord::ShareInputs{
+        Made.Share_->Fraction_, Made.Share_->AskedPerSecond_,
+        Made.Share_->ServedShare_, Made.Share_->Ahead_};
   Record.Region_ = Made.Region_;
   Record.Target_ = Made.Target_;
   Record.Reason_ = Made.Reason_;
@@ -113,6 +129,10 @@
     Record.Reason_ = steering::nameOf(Made.Refusal_);
     Record.Ran_ = Made.Ran_ == steering::Ran::No ? "no" : "maybe";
     Refusals_.add();
+    if (Made.Refusal_ == steering::Refusal::OverShare)
+      OverShares_.add();
+    if (Made.Refusal_ == steering::Refusal::LessUrgent)
+      LessUrgent_.add();
     break;
   }
   Log_.record(Record, base::SystemClock::wallNow());
--- a/apps/lycheed/DecisionReporter.h
+++ b/apps/lycheed/DecisionReporter.h
@@ -38,6 +38,8 @@
   reporting::Counter ForwardedArrivals_;
   reporting::Counter Waits_;
   reporting::Counter Refusals_;
+  reporting::Counter OverShares_;
+  reporting::Counter LessUrgent_;
   reporting::Counter Answers_;
   reporting::Counter Failures_;
   reporting::Counter StatedRates_;
--- a/apps/lycheed/LiveDaemon.cpp
+++ b/apps/lycheed/LiveDaemon.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <cmath>
 #include <csignal>
 
 namespace lychee::daemon {
@@ -121,6 +122,17 @@
                          .add("since_ms", base::toMilliseconds(Change.Since_)));
 }
 
+void logCapacity(const dispatch::CapacityChange &Change) {
+  constexpr double Percent = 100;
+  KeyValueLine Line;
+  Line.add("event", Change.IsFull_ ? "service-full" : "service-has-room")
+      .add("service", Change.Service_.name());
+  if (!Change.BoundTo_.empty())
+    Line.add("region", Change.BoundTo_.name());
+  Line.add("threshold", std::lround(Change.Share_ * Percent));
+  reporting::logLine(Change.IsFull_ ? LogLevel::Warning : LogLevel::Info, Line);
+}
+
 void spawnLogged(asio::io_context &Where, asio::awaitable<void> What,
                  const char *Event) {
   asio::co_spawn(Where, std::move(What),
@@ -179,7 +191,8 @@
                      Heartbeats_.sendNow(Now);
                      News_.sendNow(Now);
                    });
-                 }},
+                 },
+                 logCapacity},
                 SystemClock::monotonicNow()),
       Registration_(Objects_, Hosts_.self()),
       Entry_({Hosts_, Intents_, [this] { return Feed_.knowsAll(); },
@@ -424,6 +437,8 @@
                Feed_.evacuatedCount(), Steering_.limitedTargetCount(),
                Steering_.restingTargetCount(Now),
                Steering_.ejectedTargetCount(Now), !Steering_.reachesTargets()});
+  for (const auto &[Service, Share] : Steering_.admittedShares())
+    Gauges_.setAdmittedShare(Service, Share);
 }
 
 void LiveDaemon::noteLosses(std::span<const members::HostView> Others,
--- a/apps/lycheed/LiveGauges.cpp
+++ b/apps/lycheed/LiveGauges.cpp
@@ -83,6 +83,16 @@
   TargetsUnreached_.set(Read.TargetsUnreached_ ? 1 : 0);
 }
 
+void LiveGauges::setAdmittedShare(const base::ServiceId &Service,
+                                  double Share) const {
+  const std::array<reporting::Label, 1> Labels = {
+      {{"service", Service.name()}}};
+  Metrics_
+      .gauge("lychee_admitted_share",
+             "Fraction of the demand for a service that is admitted", Labels)
+      .set(Share);
+}
+
 void LiveGauges::countStoreCall(const std::string &Kind, bool Came) {
   const auto Found = StoreCalls_.find({Kind, Came});
   if (Found != StoreCalls_.end()) {
--- a/apps/lycheed/LiveGauges.h
+++ b/apps/lycheed/LiveGauges.h
@@ -1,6 +1,7 @@
 #ifndef LYCHEE_APPS_LYCHEED_LIVEGAUGES_H
 #define LYCHEE_APPS_LYCHEED_LIVEGAUGES_H
 
+#include "base/Id.h"
 #include "base/Time.h"
 #include "reporting/Metrics.h"
 
@@ -42,6 +43,7 @@
   LiveGauges &operator=(const LiveGauges &) = delete;
 
   void set(const LiveReadings &Read) const;
+  void setAdmittedShare(const base::ServiceId &Service, double Share) const;
 
   // Calls, each with its end.
   void countStoreCall(const std::string &Kind, bool Came);
--- a/apps/lycheed/LiveReports.cpp
+++ b/apps/lycheed/LiveReports.cpp
@@ -10,6 +10,7 @@
   Said.TargetsUnreached_ = Own.TargetsUnreached_;
   Said.StoreTrouble_ = Others_.Role_.isInTrouble(Now);
   Said.Loads_ = Others_.Steering_.serviceDemands(Now);
+  Said.Pressures_ = Others_.Steering_.servicePressures(Now);
   Said.Evidence_ = Others_.Steering_.crashEvidence(Now);
   Said.TargetRates_ = Others_.Steering_.announcedRates(Now);
   Said.TargetLeavings_ = Others_.Steering_.announcedLeavings(Now);
--- a/libs/dispatch/CustomerRateLimiter.cpp
+++ b/libs/dispatch/CustomerRateLimiter.cpp
@@ -117,6 +117,7 @@
   const double OwnNow = State.Demand_.perSecond(Now);
   State.HostDemand_.record(OwnNow, Now);
   State.RegionDemand_.record(OwnNow + Others.Region_, Now);
+  State.FleetDemand_ = OwnNow + Others.Total_;
   const double Own = State.HostDemand_.valueAt(Now - PropagationDelay);
   const double Region = State.RegionDemand_.valueAt(Now - PropagationDelay);
   const double Sum = Region + Others.Total_ - Others.Region_ +
@@ -145,8 +146,10 @@
 void CustomerRateLimiter::redistribute(const FleetDemand &Fleet,
                                        base::TimePoint Now) {
   if (Fleet.IsCutOff_) {
-    for (auto &[Customer, State] : Customers_)
+    for (auto &[Customer, State] : Customers_) {
       limitToHostShare(State, Now);
+      State.FleetDemand_ = State.Demand_.perSecond(Now);
+    }
     return;
   }
   const std::map<base::CustomerId, ReportedDemand> Sums = sumDemands(Fleet);
@@ -223,6 +226,16 @@
   return State.FallbackBucket_.take(PerSecond);
 }
 
+std::optional<double>
+CustomerRateLimiter::fleetDemand(const base::CustomerId &Customer) const {
+  const auto Found = Customers_.find(Customer);
+  if (Found == Customers_.end())
+    return std::nullopt;
+  const CustomerState &State = Found->second;
+  return State.Rate_ > 0 ? std::min(State.FleetDemand_, State.Rate_)
+                         : State.FleetDemand_;
+}
+
 std::vector<members::CustomerDemand>
 CustomerRateLimiter::demands(base::TimePoint Now) {
   std::vector<members::CustomerDemand> Result;
--- a/libs/dispatch/CustomerRateLimiter.h
+++ b/libs/dispatch/CustomerRateLimiter.h
@@ -136,6 +136,10 @@
   std::optional<base::Duration> takeFallback(const base::CustomerId &Customer,
                                              base::TimePoint Now);
 
+  /// \returns the demand of a customer at all hosts, without the part beyond
+  /// its rate; nothing: the customer is not known.
+  std::optional<double> fleetDemand(const base::CustomerId &Customer) const;
+
   /// \returns the demand that this host announces to the others.
   std::vector<members::CustomerDemand> demands(base::TimePoint Now);
 
@@ -160,6 +164,8 @@
     /// Demand at all hosts of the region, and at this one.
     SampleHistory RegionDemand_;
     SampleHistory HostDemand_;
+    /// Demand at all hosts.
+    double FleetDemand_ = 0;
 
     double regionRate() const noexcept {
       return Rate_ * RegionShare_ * UsedShare;
--- a/libs/dispatch/DispatchSteering.cpp
+++ b/libs/dispatch/DispatchSteering.cpp
@@ -59,6 +59,7 @@
                                      RegionSplit(Settings_.Region_),
                                      {},
                                      {},
+                                     {},
                                      0,
                                      0,
                                      {},
@@ -102,6 +103,8 @@
   Request.Customer_ = Arrived.Customer_;
   Request.IsForwarded_ = !Arrived.ForwardedBy_.empty();
   Request.Rule_ = Arrived.Rule_;
+  Request.Priority_ = Arrived.Priority_;
+  Request.Draw_ = admissionDraw(Arrived.Id_, Ticket);
   Request.Object_ =
       Arrived.ObjectHash_ != 0 ? Arrived.ObjectHash_ : Random_() | 1U;
   Request.Fingerprint_ = Arrived.Fingerprint_;
@@ -145,6 +148,8 @@
   const bool IsBound = Request.Homes_ && Request.Homes_->size() == 1;
   Service.Demands_[IsBound ? Request.Homes_->front() : base::RegionId()].add(
       executionTimesOf(Request).meanSeconds(), Now);
+  if (auto Refused = refuseUnshared(Ticket, Request, Now))
+    return *Refused;
   return send(Ticket, Request, TokenSource::AnyHost, Now);
 }
 
@@ -246,6 +251,7 @@
       static_cast<std::uint32_t>(Chosen->Rank_), Chosen->ExpectedResponseTime_,
       Chosen->Load_, Target.Load_.reportAge(Now)};
   recordLateness(Request, *Chosen, Now);
+  recordShortage(Request, *Chosen, Now);
   if (!canAnswerInTime(Request, *Chosen, Now)) {
     if (Selected.TookToken_)
       Target.Stated_->rate().refund();
@@ -434,6 +440,7 @@
                      Report.Outcome_ == SendOutcome::CancelledBeforeWrite;
   const bool TurnedAway = Report.Outcome_ == SendOutcome::Shed ||
                           Report.Outcome_ == SendOutcome::Withheld;
+  recordTurnedAway(Request, Report, Now);
   Decision Result = endRequest(Ticket, !TurnedAway, MinRetryAfter, Now);
   return Ended ? Decision() : Result;
 }
--- a/libs/dispatch/DispatchSteering.h
+++ b/libs/dispatch/DispatchSteering.h
@@ -1,6 +1,7 @@
 #ifndef LYCHEE_DISPATCH_DISPATCHSTEERING_H
 #define LYCHEE_DISPATCH_DISPATCHSTEERING_H
 
+#include "admission/ServiceAdmission.h"
 #include "base/Random.h"
 #include "dispatch/CustomerRateLimiter.h"
 #include "dispatch/DecayingRate.h"
@@ -59,6 +60,16 @@
   base::TargetId Target_;
 };
 
+/// A service lacks capacity for this region's callers, or has it again.
+struct CapacityChange {
+  base::ServiceId Service_;
+  /// The region that the requests are bound to; empty: any, or the own one.
+  base::RegionId BoundTo_;
+  bool IsFull_ = false;
+  /// Fraction of the demand that is served.
+  double Share_ = 1;
+};
+
 /// Functions of the host that a DispatchSteering calls, with its lock held.
 struct DispatchCallbacks {
   /// Requests a token from the host at \p Owner; handleTokenResponse() is
@@ -70,6 +81,8 @@
   std::function<void(const TargetStatementChange &Change)> OnStatement_ =
       [](const auto &) {};
   std::function<void(const ReachChange &Change)> OnReach_ = [](const auto &) {};
+  std::function<void(const CapacityChange &Change)> OnCapacity_ =
+      [](const auto &) {};
 };
 
 /// Steers requests where targets register themselves: checks the customer's
@@ -83,6 +96,7 @@
 ///
 /// Thread-safe: one lock, held for microseconds. DispatchUpdates.cpp holds what
 /// happens between requests (configuration, targets, other hosts),
+/// DispatchAdmission.cpp who is served while a service lacks capacity,
 /// DispatchTokens.cpp how a request waits for a token, DispatchTargetRates.cpp
 /// the rates that targets share between all hosts, DispatchStatements.cpp what
 /// targets state in their answers, DispatchForwarding.cpp what happens where
@@ -118,6 +132,12 @@
   // State that is exchanged with other hosts.
   std::vector<members::CustomerDemand> customerDemands(base::TimePoint Now);
   std::vector<members::ServiceDemand> serviceDemands(base::TimePoint Now);
+  /// \returns the pressure of this host's callers on services that lack
+  /// capacity.
+  std::vector<members::ServicePressure>
+  servicePressures(base::TimePoint Now) const;
+  /// \returns the fraction of the demand that is served, by service.
+  std::map<base::ServiceId, double> admittedShares() const;
   /// \returns the execution times that were learned, by rule.
   std::vector<members::RuleExecutionTimes> executionTimes() const;
   void
@@ -203,6 +223,11 @@
     base::HostId SentToHost_;
     std::vector<base::HostId> TriedHosts_;
     std::string Rule_;
+    std::uint32_t Priority_ = 0;
+    /// Number in [0, 1) that stays the same for the request.
+    double Draw_ = 0;
+    /// It was counted as lacking capacity.
+    bool LacksCapacity_ = false;
     std::uint64_t Object_ = 0;
     std::uint64_t Fingerprint_ = 0;
     std::uint64_t BodyBytes_ = 0;
@@ -244,6 +269,8 @@
     /// Slots that requests of this host's callers keep busy, by the region that
     /// they are bound to; empty: they may run in any.
     std::map<base::RegionId, DecayingRate> Demands_;
+    /// By the other region that requests are bound to; empty: any, or the own.
+    std::map<base::RegionId, admission::ServiceAdmission> Admissions_;
     /// Share of recent requests that would miss their objective because they
     /// wait for a slot.
     double LateShare_ = 0;
@@ -254,6 +281,13 @@
     base::TimePoint ForwardingPausedUntil_;
   };
 
+  /// What a customer's share of a full service is computed from.
+  struct CustomerShare {
+    admission::WeightedDemand Demand_;
+    /// The customer has a priority of its own.
+    bool HasOwnPriority_ = false;
+  };
+
   /// Where tokens of a target's stated rate may come from.
   enum class TokenSource {
     /// The request is not sent yet: no token is taken.
@@ -338,6 +372,29 @@
   /// Decides on a request that passed its customer's rate limit.
   steering::Decision admit(std::uint64_t Ticket, InFlightRequest &Request,
                            base::TimePoint Now);
+  /// \returns the refusal of a request whose service lacks capacity and serves
+  /// others first; nothing: it is admitted.
+  std::optional<steering::Decision> refuseUnshared(std::uint64_t Ticket,
+                                                   InFlightRequest &Request,
+                                                   base::TimePoint Now);
+  /// \returns a number in [0, 1) that stays the same for the request.
+  double admissionDraw(const base::RequestId &Id, std::uint64_t Ticket) const;
+  /// \returns the other region that the request is bound to; empty: any, or
+  /// the own one.
+  base::RegionId admissionRegion(const InFlightRequest &Request) const;
+  admission::ServiceAdmission &admissionOf(const InFlightRequest &Request);
+  /// Counts a request that cannot be answered in time because it would wait for
+  /// a slot.
+  void recordShortage(InFlightRequest &Request, const Choice &Chosen,
+                      base::TimePoint Now);
+  /// Counts a request that no target accepted.
+  void recordTurnedAway(InFlightRequest &Request,
+                        const steering::SendReport &Report,
+                        base::TimePoint Now);
+  void updateAdmissions(const FleetDemand &Fleet, base::TimePoint Now);
+  admission::RegionPressure pressureOf(const base::ServiceId &Service,
+                                       const base::RegionId &BoundTo,
+                                       const FleetDemand &Fleet) const;
   /// Holds a request until the owner of its customer's tokens responds.
   steering::Decision awaitToken(std::uint64_t Ticket,
                                 const base::CustomerId &Customer,
@@ -433,6 +490,8 @@
   std::map<std::uint64_t, TokenWait> TokenWaits_;
   std::uint64_t LastTicket_ = 0;
   CustomerRateLimiter RateLimiter_;
+  /// Demand of the customers while a service lacks capacity; otherwise empty.
+  std::map<base::CustomerId, CustomerShare> CustomerShares_;
   SharedRateOwners RateOwners_;
   TargetReach Reach_;
   ForwardingHosts Forwarders_;
--- a/libs/dispatch/DispatchUpdates.cpp
+++ b/libs/dispatch/DispatchUpdates.cpp
@@ -73,6 +73,7 @@
   Forwarders_.update(Fleet, Now);
   RateLimiter_.redistribute(Fleet, Now);
   updateRegionSplits(Fleet, Now);
+  updateAdmissions(Fleet, Now);
 }
 
 void DispatchSteering::addDemands(
--- a/libs/gateway/ProblemDocument.cpp
+++ b/libs/gateway/ProblemDocument.cpp
@@ -52,6 +52,10 @@
     return "No target of the service is healthy.";
   case Refusal::NoHeadroom:
     return "No region has room for the request.";
+  case Refusal::OverShare:
+    return "The service is full, and the customer's share of it is used up.";
+  case Refusal::LessUrgent:
+    return "The service is full, and more urgent requests go first.";
   case Refusal::TargetRatesUsedUp:
     return "The rates that the service's targets state are used up.";
   case Refusal::TargetsRest:
@@ -107,6 +111,8 @@
   case Refusal::QueueFull:
   case Refusal::NoHealthyTarget:
   case Refusal::NoHeadroom:
+  case Refusal::OverShare:
+  case Refusal::LessUrgent:
   case Refusal::TargetRatesUsedUp:
   case Refusal::TargetsRest:
   case Refusal::TargetsUnreached:
--- a/libs/members/Heartbeat.cpp
+++ b/libs/members/Heartbeat.cpp
@@ -28,6 +28,7 @@
 constexpr const char *TimesName = "w";
 constexpr const char *TargetRatesName = "r";
 constexpr const char *TargetLeavingsName = "g";
+constexpr const char *PressuresName = "p";
 constexpr const char *RegionName = "region";
 constexpr const char *ZoneName = "zone";
 constexpr const char *AddressName = "at";
@@ -97,6 +98,8 @@
     addDemands(Message.Demands_, Document[DemandsName]);
   if (!Message.Loads_.empty())
     addLoads(Message.Loads_, Document[LoadsName]);
+  if (!Message.Pressures_.empty())
+    addPressures(Message.Pressures_, Document[PressuresName]);
   if (!Message.Evidence_.empty())
     addEvidence(Message.Evidence_, Document[EvidenceName]);
   if (!Message.TargetRates_.empty())
@@ -125,6 +128,7 @@
     return Text;
   Shorter.Demands_.clear();
   Shorter.IsFull_ = false;
+  Shorter.Pressures_.clear();
   return encodeHeartbeat(Shorter);
 }
 
@@ -141,6 +145,7 @@
       !Document[StateName].isUInt() ||
       !readDemands(Document[DemandsName], Result.Demands_) ||
       !readLoads(Document[LoadsName], Result.Loads_) ||
+      !readPressures(Document[PressuresName], Result.Pressures_) ||
       !readEvidence(Document[EvidenceName], Result.Evidence_) ||
       !readTargetRates(Document[TargetRatesName], Result.TargetRates_) ||
       !readTargetLeavings(Document[TargetLeavingsName],
--- a/libs/members/Heartbeat.h
+++ b/libs/members/Heartbeat.h
@@ -73,6 +73,29 @@
 /// datagram.
 inline constexpr std::size_t MaxRuleExecutionTimes = 64;
 
+/// Work that a host's callers asked of a service that lacks capacity, in slots
+/// over about the last second.
+struct ServicePressure {
+  base::ServiceId Service_;
+  /// The only region in which these requests may run, where that is another one
+  /// than the host's; empty: any region, or the host's own.
+  base::RegionId BoundTo_;
+  std::uint32_t Priority_ = 0;
+  double AskedSlots_ = 0;
+  /// Admitted to target selection.
+  double AdmittedSlots_ = 0;
+  /// Of the admitted work, what cannot be answered in time for lack of
+  /// capacity.
+  double LackingSlots_ = 0;
+  /// Fraction of the demand that the host serves, the same for each priority.
+  double Share_ = 1;
+
+  bool operator==(const ServicePressure &) const = default;
+};
+
+/// Largest number of pressures in a heartbeat: about 45 bytes each.
+inline constexpr std::size_t MaxServicePressures = 32;
+
 /// Identity of a host, and the addresses at which callers and other hosts reach
 /// it.
 struct HostDescriptor {
@@ -112,6 +135,8 @@
   std::vector<CustomerDemand> Demands_;
   std::vector<ServiceDemand> Loads_;
   std::vector<retrying::CrashEvidence> Evidence_;
+  /// Only of services that lack capacity, or did a moment ago.
+  std::vector<ServicePressure> Pressures_;
   /// Changes, and now and then those that hold.
   std::vector<TargetRate> TargetRates_;
   std::vector<TargetLeaving> TargetLeavings_;
--- a/libs/members/HostTable.cpp
+++ b/libs/members/HostTable.cpp
@@ -98,11 +98,11 @@
   std::vector<HostView> All;
   for (const auto &[Host, Entry] : Peers_)
     if (isInOwnRegion(Entry) && Now - Entry.ReceivedAt_ < RetentionTime)
-      All.push_back({Entry.Last_.Sender_, Entry.Last_.Ready_,
-                     Entry.Last_.Leaving_, isAlive(Entry, Now),
-                     Now - Entry.ReceivedAt_ < ReservedFor,
-                     Entry.Last_.StoreTrouble_, Entry.Last_.Demands_,
-                     Entry.Last_.Loads_, Entry.Last_.TargetsUnreached_});
+      All.push_back(
+          {Entry.Last_.Sender_, Entry.Last_.Ready_, Entry.Last_.Leaving_,
+           isAlive(Entry, Now), Now - Entry.ReceivedAt_ < ReservedFor,
+           Entry.Last_.StoreTrouble_, Entry.Last_.Demands_, Entry.Last_.Loads_,
+           Entry.Last_.TargetsUnreached_, Entry.Last_.Pressures_});
   for (RemoteHost &Entry : Regions_.hosts(ReservedFor, Now))
     All.push_back({std::move(Entry.Status_.Descriptor_),
                    Entry.Status_.Ready_,
@@ -112,7 +112,8 @@
                    false,
                    {},
                    {},
-                   Entry.Status_.TargetsUnreached_});
+                   Entry.Status_.TargetsUnreached_,
+                   {}});
   return All;
 }
 
--- a/libs/members/HostTable.h
+++ b/libs/members/HostTable.h
@@ -30,6 +30,8 @@
   std::vector<ServiceDemand> Loads_;
   /// The host reaches no targets; it forwards requests to hosts that do.
   bool TargetsUnreached_ = false;
+  /// Empty for hosts of other regions.
+  std::vector<ServicePressure> Pressures_;
 };
 
 /// A host that is listed in the store.
--- a/libs/members/MessageRows.cpp
+++ b/libs/members/MessageRows.cpp
@@ -1,5 +1,8 @@
 #include "members/MessageRows.h"
 
+#include <algorithm>
+#include <array>
+#include <cmath>
 #include <json/json.h>
 #include <memory>
 
@@ -158,6 +161,44 @@
   return true;
 }
 
+void addPressures(std::span<const ServicePressure> All, Json::Value &Into) {
+  for (const ServicePressure &Entry :
+       All.first(std::min(All.size(), MaxServicePressures))) {
+    Json::Value Row(Json::arrayValue);
+    Row.append(Entry.Service_.name());
+    Row.append(Entry.BoundTo_.name());
+    Row.append(Entry.Priority_);
+    for (const double Amount : {Entry.AskedSlots_, Entry.AdmittedSlots_,
+                                Entry.LackingSlots_, Entry.Share_ * Hundredths})
+      Row.append(Json::Int64(std::llround(Amount * Hundredths)));
+    Into.append(Row);
+  }
+}
+
+bool readPressures(const Json::Value &Rows,
+                   std::vector<ServicePressure> &Into) {
+  constexpr Json::ArrayIndex Columns = 7;
+  for (const Json::Value &Row : Rows) {
+    if (Into.size() >= MaxServicePressures)
+      return true;
+    if (!Row.isArray() || Row.size() != Columns || !Row[0].isString() ||
+        !Row[1].isString() || !Row[2].isUInt())
+      return false;
+    std::array<double, 4> Amounts{};
+    for (Json::ArrayIndex Column = 0; Column < Amounts.size(); ++Column) {
+      const Json::Value &Amount = Row[3 + Column];
+      if (!Amount.isInt64() || Amount.asInt64() < 0)
+        return false;
+      Amounts[Column] = double(Amount.asInt64()) / Hundredths;
+    }
+    Into.push_back({base::ServiceId(Row[0].asString()),
+                    base::RegionId(Row[1].asString()), Row[2].asUInt(),
+                    Amounts[0], Amounts[1], Amounts[2],
+                    std::min(1.0, Amounts[3] / Hundredths)});
+  }
+  return true;
+}
+
 void addTimes(std::span<const RuleExecutionTimes> All, Json::Value &Into) {
   for (const RuleExecutionTimes &Entry : All) {
     Json::Value Row(Json::arrayValue);
--- a/libs/members/MessageRows.h
+++ b/libs/members/MessageRows.h
@@ -24,6 +24,9 @@
 
 bool readDemands(const Json::Value &Rows, std::vector<CustomerDemand> &Into);
 bool readLoads(const Json::Value &Rows, std::vector<ServiceDemand> &Into);
+void addPressures(std::span<const ServicePressure> All, Json::Value &Into);
+/// Ignores rows beyond MaxServicePressures.
+bool readPressures(const Json::Value &Rows, std::vector<ServicePressure> &Into);
 void addTimes(std::span<const RuleExecutionTimes> All, Json::Value &Into);
 bool readTimes(const Json::Value &Rows, std::vector<RuleExecutionTimes> &Into);
 void addTargetRates(std::span<const TargetRate> All, Json::Value &Into);
--- a/libs/reporting/DecisionLog.cpp
+++ b/libs/reporting/DecisionLog.cpp
@@ -5,6 +5,7 @@
 #include "reporting/Log.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace lychee::reporting {
@@ -38,6 +39,11 @@
     Line.add(Key, Value);
 }
 
+long long inPercent(double Fraction) {
+  constexpr double Percent = 100;
+  return std::llround(Fraction * Percent);
+}
+
 std::string render(const DecisionRecord &Taken) {
   base::KeyValueLine Line;
   Line.add("event", Taken.Event_).add("request", Taken.Request_.name());
@@ -65,6 +71,11 @@
     Line.add("targets", Taken.Targets_->InUse_)
         .add("ejected", Taken.Targets_->Ejected_)
         .add("probation", Taken.Targets_->OnProbation_);
+  if (Taken.Share_)
+    Line.add("share", inPercent(Taken.Share_->Fraction_))
+        .add("asked", std::llround(Taken.Share_->AskedPerSecond_))
+        .add("threshold", inPercent(Taken.Share_->ServedShare_))
+        .add("ahead", inPercent(Taken.Share_->Ahead_));
   if (Taken.TookMs_ >= 0)
     Line.add("took_ms", Taken.TookMs_);
   if (Taken.Status_ != 0)
--- a/libs/reporting/DecisionLog.h
+++ b/libs/reporting/DecisionLog.h
@@ -65,6 +65,17 @@
     std::uint32_t OnProbation_ = 0;
   };
   std::optional<TargetCounts> Targets_;
+  /// What a request was refused by because its service is full: the fraction of
+  /// its customer's demand that is served, that demand per second, the fraction
+  /// of all demand that is served, and the part of the customer's demand that
+  /// is served before it.
+  struct ShareInputs {
+    double Fraction_ = 1;
+    double AskedPerSecond_ = 0;
+    double ServedShare_ = 1;
+    double Ahead_ = 0;
+  };
+  std::optional<ShareInputs> Share_;
   /// How long a send or request took; negative where it is not told.
   std::int64_t TookMs_ = -1;
   /// The answer's status, where the decision ends the request; else 0.
--- a/libs/steering/Steering.cpp
+++ b/libs/steering/Steering.cpp
@@ -24,6 +24,10 @@
     return "no-healthy-target";
   case Refusal::NoHeadroom:
     return "no-headroom";
+  case Refusal::OverShare:
+    return "over-share";
+  case Refusal::LessUrgent:
+    return "less-urgent";
   case Refusal::TargetRatesUsedUp:
     return "target-rates-used-up";
   case Refusal::TargetsRest:
--- a/libs/steering/Steering.h
+++ b/libs/steering/Steering.h
@@ -115,6 +115,11 @@
   QueueFull,
   NoHealthyTarget,
   NoHeadroom,
+  /// The service lacks capacity, and the customer asks for more than its share.
+  OverShare,
+  /// The service lacks capacity, and the customer's more urgent requests use
+  /// its share.
+  LessUrgent,
   /// The targets that are left state rates, which are used up.
   TargetRatesUsedUp,
   /// All targets have asked this host for a rest.
@@ -163,6 +168,19 @@
   std::uint32_t OnProbation_ = 0;
 };
 
+/// What a request was refused by because its service lacks capacity, for the
+/// log.
+struct ShareInputs {
+  /// Fraction of the customer's demand that is served.
+  double Fraction_ = 1;
+  /// The customer's demand in requests per second; 0: not known.
+  double AskedPerSecond_ = 0;
+  /// Fraction of the demand of all customers that is served.
+  double ServedShare_ = 1;
+  /// Part of the customer's demand that is served before the request.
+  double Ahead_ = 0;
+};
+
 /// What to do with a request now.
 struct Decision {
   enum class Action {
@@ -197,6 +215,8 @@
   std::optional<ChoiceInputs> Inputs_;
   /// Of a refusal for lack of a target; empty where it has another reason.
   std::optional<TargetCounts> Targets_;
+  /// Of a refusal as over-share or less-urgent.
+  std::optional<ShareInputs> Share_;
 
   base::TimePoint WaitUntil_;
 
