Admission: work that is late counts a tenth as lacking capacity

Cause: late work uses slots all the same; counted at 0.75 it reduced the estimated capacity too far.

--- a/libs/dispatch/DispatchAdmission.cpp
+++ b/libs/dispatch/DispatchAdmission.cpp
@@ -14,9 +14,11 @@
 
 namespace {
 
-/// Part of a request's work that counts as lacking where the answer is late:
-/// callers value a late answer at a fifth to a third of one in time.
-constexpr double LateLoss = 0.75;
+/// Part of a request's work that counts as lacking where the answer is late
+/// because it waits. The work uses slots all the same: counted in full, it
+/// would reduce the estimated capacity to a fraction of what targets complete.
+/// A tenth admits less than they complete, so that their queues drain.
+constexpr double LateLoss = 0.1;
 /// Until then the shares are recomputed and a heartbeat of each host arrived.
 /// Callers with the shortest deadline, 1.5 s, wait no longer than 500 ms.
 constexpr base::Duration ShareRetryAfter = std::chrono::milliseconds(400);
