--- a/tests/dispatch/DispatchSimulationTest.cpp
+++ b/tests/dispatch/DispatchSimulationTest.cpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <numeric>
 #include <string>
 #include <vector>
 
@@ -16,6 +17,7 @@
 namespace base = lychee::base;
 namespace dispatch = lychee::dispatch;
 namespace live = lychee::live;
+namespace members = lychee::members;
 namespace steering = lychee::steering;
 using steering::Decision;
 using steering::SendOutcome;
@@ -38,6 +40,19 @@
   base::Duration Deadline_ = 1500ms;
   /// Share of the requests that the first target refuses with slots free.
   double Refused_ = 0;
+  /// Parts of the requests by customer; empty: requests without a customer.
+  std::vector<double> Customers_;
+  /// Parts of the requests by priority; empty: all have priority 0.
+  std::vector<double> Priorities_;
+  bool FairShares_ = false;
+};
+
+/// What one customer, or one priority, got in a run.
+struct PartResult {
+  int Requests_ = 0;
+  int Answered_ = 0;
+  int OverShare_ = 0;
+  double answeredShare() const { return double(Answered_) / Requests_; }
 };
 
 /// What callers got in one run.
@@ -49,7 +64,10 @@
   int ColdRuns_ = 0;
   /// Runs whose request was over before they ended.
   int WastedRuns_ = 0;
+  std::vector<PartResult> Customers_;
+  std::vector<PartResult> Priorities_;
   double inTimeShare() const { return double(InTime_) / Requests_; }
+  double answeredShare() const { return double(InTime_ + Late_) / Requests_; }
 };
 
 /// Simulates several hosts that send one service's requests to targets that
@@ -62,6 +80,8 @@
     auto Intent = std::make_shared<live::Intent>();
     Intent->Version_ = 1;
     Intent->Services_[base::ServiceId("s")].Id_ = base::ServiceId("s");
+    for (std::size_t Index = 0; Index < Load.Customers_.size(); ++Index)
+      Intent->Customers_.emplace_back().Id_ = customerId(Index);
     for (std::size_t Index = 0; Index < Load.Targets_; ++Index)
       Known_.push_back(newTarget(Index));
     Intent_ = Intent;
@@ -69,12 +89,15 @@
       Hosts_.push_back(newHost(Index));
       setTargets(*Hosts_.back());
     }
+    Heartbeats_.resize(Load.Hosts_);
+    for (std::size_t Index = 0; Index < Load.Hosts_; ++Index)
+      Heartbeats_[Index].Descriptor_ = descriptorOf(Index);
     updateHosts();
   }
 
-  /// Restarts all hosts, without their state.
-  void restartHosts() {
-    for (std::size_t Index = 0; Index < Hosts_.size(); ++Index) {
+  /// Restarts the first \p Count hosts, without their state.
+  void restartHosts(std::size_t Count) {
+    for (std::size_t Index = 0; Index < Count; ++Index) {
       // Requests from before the restart still end at the old hosts.
       RetiredHosts_.push_back(std::move(Hosts_[Index]));
       Hosts_[Index] = newHost(Index);
@@ -82,6 +105,14 @@
     }
   }
 
+  /// Cuts the links between the first \p Count hosts and all others.
+  void partitionHosts(std::size_t Count) { Partitioned_ = Count; }
+  /// The first \p Count hosts handle no heartbeat, but serve their callers.
+  void freezeHosts(std::size_t Count) { Frozen_ = Count; }
+  dispatch::DispatchSteering &host(std::size_t Number) {
+    return *Hosts_[Number];
+  }
+
   /// Slows each \p Every'th target down by \p Factor.
   void setSlow(std::size_t Every, double Factor) {
     for (std::size_t Index = 0; Index < Targets_.size(); Index += Every)
@@ -102,9 +133,24 @@
 
   void setPerSecond(double PerSecond) { Load_.PerSecond_ = PerSecond; }
 
+  /// Multiplies the requests of one customer; all others send what they sent.
+  void multiplyCustomer(std::size_t Index, double Factor) {
+    const double Before = sumOf(Load_.Customers_);
+    Load_.Customers_[Index] *= Factor;
+    Load_.PerSecond_ *= sumOf(Load_.Customers_) / Before;
+  }
+
+  /// Calls \p Action at a moment of the next run.
+  void at(double Seconds, std::function<void()> Action) {
+    schedule(Now_ + base::fromSeconds(Seconds), std::move(Action));
+  }
+  const SimulationResult &resultSoFar() const { return Result_; }
+
   /// \returns what the callers of the next \p Seconds got.
   SimulationResult run(double Seconds) {
     Result_ = {};
+    Result_.Customers_.resize(Load_.Customers_.size());
+    Result_.Priorities_.resize(Load_.Priorities_.size());
     const base::TimePoint End = Now_ + base::fromSeconds(Seconds);
     base::TimePoint Next = Now_;
     while (Next < End) {
@@ -118,6 +164,19 @@
   }
 
 private:
+  static base::CustomerId customerId(std::size_t Index) {
+    return base::CustomerId("c" + std::to_string(Index));
+  }
+  static double sumOf(const std::vector<double> &Parts) {
+    return std::accumulate(Parts.begin(), Parts.end(), 0.0);
+  }
+  std::size_t drawPart(const std::vector<double> &Parts) {
+    double Left = base::drawUnit(Random_) * sumOf(Parts);
+    std::size_t Index = 0;
+    while (Index + 1 < Parts.size() && Left >= Parts[Index])
+      Left -= Parts[Index++];
+    return Index;
+  }
   live::KnownTarget newTarget(std::size_t Number) const {
     live::KnownTarget Result;
     Result.Record_.Id_ = base::TargetId("t" + std::to_string(Number));
@@ -127,9 +186,11 @@
     return Result;
   }
   std::unique_ptr<dispatch::DispatchSteering> newHost(std::size_t Number) {
+    live::DeploymentBounds Bounds;
+    Bounds.Features_.FairShares_ = Load_.FairShares_;
     auto Result = std::make_unique<dispatch::DispatchSteering>(
-        dispatch::DispatchSettings{
-            base::RegionId("r"), base::ZoneId("z"), {}, Number + 1},
+        dispatch::DispatchSettings{base::RegionId("r"), base::ZoneId("z"),
+                                   Bounds, Number + 1},
         dispatch::DispatchCallbacks{}, Now_);
     Result->setIntent(Intent_, Now_);
     return Result;
@@ -141,17 +202,48 @@
     Result.Address_ = std::to_string(Number);
     return Result;
   }
-  /// Tells each host of the others, now and from then on.
+  bool isPartitioned(std::size_t Number) const { return Number < Partitioned_; }
+  bool isFrozen(std::size_t Number) const { return Number < Frozen_; }
+  /// Takes the heartbeats of every other host, twice per second each.
+  void takeHeartbeats() {
+    ++Ticks_;
+    for (std::size_t Number = 0; Number < Hosts_.size(); ++Number) {
+      if (isFrozen(Number) || Number % 2 != Ticks_ % 2)
+        continue;
+      members::HostView &View = Heartbeats_[Number];
+      View.Ready_ = true;
+      View.Demands_ = Hosts_[Number]->customerDemands(Now_);
+      View.Loads_ = Hosts_[Number]->serviceDemands(Now_);
+      View.Pressures_ = Hosts_[Number]->servicePressures(Now_);
+      SentAt_[Number] = Now_;
+    }
+  }
+  /// Tells each host of the others, with heartbeats that are 250 to 500 ms old,
+  /// now and from then on.
   void updateHosts() {
     for (std::size_t Number = 0; Number < Hosts_.size(); ++Number) {
+      if (isFrozen(Number))
+        continue;
       dispatch::FleetDemand Fleet;
       Fleet.Self_ = descriptorOf(Number);
-      for (std::size_t Other = 0; Other < Hosts_.size(); ++Other)
-        if (Other != Number)
-          Fleet.OtherHosts_.push_back(
-              {descriptorOf(Other), true, false, true, true, false, {}, {}});
+      Fleet.HostCount_ = Hosts_.size();
+      Fleet.IsCutOff_ = isPartitioned(Number);
+      Fleet.OtherHosts_.swap(Heartbeats_);
+      for (std::size_t Other = 0; Other < Hosts_.size(); ++Other) {
+        members::HostView &View = Fleet.OtherHosts_[Other];
+        View.Alive_ = Now_ - SentAt_[Other] < 2s &&
+                      isPartitioned(Other) == isPartitioned(Number);
+        View.HoldsShare_ = true;
+      }
+      std::swap(Fleet.OtherHosts_[Number], Fleet.OtherHosts_.back());
+      members::HostView Own = std::move(Fleet.OtherHosts_.back());
+      Fleet.OtherHosts_.pop_back();
       Hosts_[Number]->updateFleetDemand(Fleet, Now_);
+      Fleet.OtherHosts_.push_back(std::move(Own));
+      std::swap(Fleet.OtherHosts_[Number], Fleet.OtherHosts_.back());
+      Fleet.OtherHosts_.swap(Heartbeats_);
     }
+    takeHeartbeats();
     schedule(Now_ + 250ms, [this] { updateHosts(); });
   }
   void setTargets(dispatch::DispatchSteering &Host) {
@@ -165,6 +257,8 @@
     base::TimePoint Sent_;
     Decision Decision_;
     bool Ended_ = false;
+    PartResult *Customer_ = nullptr;
+    PartResult *Priority_ = nullptr;
   };
   using Shared = std::shared_ptr<Request>;
   struct Target {
@@ -201,6 +295,19 @@
     Incoming.LatencyObjective_ = Load_.Objective_;
     Incoming.MaxSends_ = 2;
     Incoming.ObjectHash_ = Current->Object_ * 7919;
+    Incoming.Id_ = base::RequestId("q" + std::to_string(++LastRequest_));
+    if (!Load_.Customers_.empty()) {
+      const std::size_t Customer = drawPart(Load_.Customers_);
+      Current->Customer_ = &Result_.Customers_[Customer];
+      ++Current->Customer_->Requests_;
+      Incoming.Customer_ = customerId(Customer);
+    }
+    if (!Load_.Priorities_.empty()) {
+      Incoming.Priority_ =
+          static_cast<std::uint32_t>(drawPart(Load_.Priorities_));
+      Current->Priority_ = &Result_.Priorities_[Incoming.Priority_];
+      ++Current->Priority_->Requests_;
+    }
     Current->Decision_ = Current->Host_->arrive(Incoming, Now_);
     applyDecision(Current);
   }
@@ -208,6 +315,9 @@
   void applyDecision(const Shared &Current) {
     if (Current->Decision_.Action_ != Decision::Action::Send) {
       ++Result_.Refused_;
+      if (Current->Customer_ != nullptr &&
+          Current->Decision_.Refusal_ == steering::Refusal::OverShare)
+        ++Current->Customer_->OverShare_;
       return;
     }
     Current->Sent_ = Now_;
@@ -286,6 +396,9 @@
       return;
     }
     Current->Ended_ = true;
+    for (PartResult *Part : {Current->Customer_, Current->Priority_})
+      if (Part != nullptr && Outcome == SendOutcome::Answered)
+        ++Part->Answered_;
     if (Outcome == SendOutcome::Answered)
       ++(Now_ - Current->Arrived_ <= Load_.Objective_ ? Result_.InTime_
                                                       : Result_.Late_);
@@ -300,6 +413,13 @@
   std::vector<std::unique_ptr<dispatch::DispatchSteering>> RetiredHosts_;
   std::deque<Target> Targets_;
   std::multimap<base::TimePoint, std::function<void()>> Events_;
+  /// Last heartbeat of each host, and when it was sent.
+  std::vector<members::HostView> Heartbeats_;
+  std::map<std::size_t, base::TimePoint> SentAt_;
+  std::size_t Ticks_ = 0;
+  std::size_t Partitioned_ = 0;
+  std::size_t Frozen_ = 0;
+  std::uint64_t LastRequest_ = 0;
   SimulationResult Result_;
 };
 
@@ -392,6 +512,52 @@
   }
 }
 
+/// A service that one customer fills.
+TEST_GROUP(FairShares){
+    // 40 customers, some of whom send ten times as much as others, use two
+    // thirds of the slots warm.
+    static SimulatedLoad busy(std::size_t Hosts){SimulatedLoad Result;
+Result.Hosts_ = Hosts;
+Result.Targets_ = 36;
+Result.Slots_ = 4;
+Result.Objects_ = 250;
+Result.PerSecond_ = 320;
+Result.WarmSeconds_ = 0.3;
+Result.ColdSeconds_ = 0.92;
+Result.Objective_ = 1200ms;
+Result.Deadline_ = 5s;
+Result.FairShares_ = true;
+for (int Customer = 0; Customer < 40; ++Customer)
+  Result.Customers_.push_back(1 + Customer % 10);
+return Result;
+}
+/// \returns what all customers but the first got together.
+static PartResult others(const SimulationResult &Result) {
+  PartResult Sum;
+  for (std::size_t Index = 1; Index < Result.Customers_.size(); ++Index) {
+    Sum.Requests_ += Result.Customers_[Index].Requests_;
+    Sum.Answered_ += Result.Customers_[Index].Answered_;
+    Sum.OverShare_ += Result.Customers_[Index].OverShare_;
+  }
+  return Sum;
+}
+}
+;
+
+// Guards against a customer that takes a full service from the others. All but
+// the first customer ask for less than a fair share, and 12 hosts see little of
+// each.
+TEST(FairShares, customersBelowTheirShareAreServed) {
+  for (std::uint64_t Seed = 1; Seed <= 2; ++Seed) {
+    SimulatedLoad Load = busy(12);
+    Load.Customers_[0] = 6;
+    DispatchSimulation Simulation(Load, Seed);
+    Simulation.run(8);
+    Simulation.multiplyCustomer(0, 60);
+    CHECK(others(Simulation.run(8)).answeredShare() >= 0.9);
+  }
+}
+
 /// A third of a large deployment: each host receives a report of a target every
 /// third second, and runs take half a second warm.
 TEST_GROUP(LargeDispatchSimulation){
