Admission: the capacity estimate falls with 1.5 s and rises by 20% per second

Cause: while a queue drains, less is accepted than targets complete; with a time constant of 500 ms the estimate followed this down to half of the capacity.

--- a/libs/admission/CapacityEstimate.h
+++ b/libs/admission/CapacityEstimate.h
@@ -37,11 +37,12 @@
   /// admission while the service is not full.
   static constexpr double TolerableShortage = 0.05;
   /// Time constant with which the estimate follows a shortage. Bursts of half a
-  /// second may wait at the targets; the least tolerant callers wait 1.5 s.
-  static constexpr base::Duration FallTime = std::chrono::milliseconds(500);
+  /// second may wait at the targets. While a queue drains, less is accepted than
+  /// completed; with 500 ms the estimate fell to half of the capacity.
+  static constexpr base::Duration FallTime = std::chrono::milliseconds(1500);
   /// Increase per second while nothing lacks capacity, less in proportion to
-  /// the shortage: about 5% near an equilibrium at half of the tolerable one.
-  static constexpr double RisePerSecond = 0.1;
+  /// the shortage.
+  static constexpr double RisePerSecond = 0.2;
   /// Minimum part of the demand that is served. Without any, nothing would show
   /// that capacity is available again.
   static constexpr double MinShare = 0.05;
