--- a/apps/lycheed/DecisionReporter.h
+++ b/apps/lycheed/DecisionReporter.h
@@ -45,6 +45,8 @@
   reporting::Counter Refusals_;
   reporting::Counter ScheduledRetries_;
   reporting::Counter RefusedRetries_;
+  reporting::Counter OverShares_;
+  reporting::Counter LessUrgent_;
   reporting::Counter Answers_;
   reporting::Counter Failures_;
   reporting::Counter StatedRates_;
--- a/libs/dispatch/CustomerRateLimiter.h
+++ b/libs/dispatch/CustomerRateLimiter.h
@@ -145,6 +145,10 @@
   std::optional<base::Duration> takeFallback(const base::CustomerId &Customer,
                                              base::TimePoint Now);
 
+  /// \returns the demand of a customer at all hosts, without the part beyond
+  /// its rate; nothing: the customer is not known.
+  std::optional<double> fleetDemand(const base::CustomerId &Customer) const;
+
   /// \returns the demand that this host announces to the others.
   std::vector<members::CustomerDemand> demands(base::TimePoint Now);
 
@@ -171,6 +175,8 @@
     SampleHistory HostDemand_;
     /// Of retries, where they are paced and this host owns the tokens.
     admission::ReturnSchedule Returns_;
+    /// Demand at all hosts.
+    double FleetDemand_ = 0;
 
     double regionRate() const noexcept {
       return Rate_ * RegionShare_ * UsedShare;
--- a/libs/dispatch/DispatchSteering.cpp
+++ b/libs/dispatch/DispatchSteering.cpp
@@ -109,6 +109,8 @@
   Request.Customer_ = Arrived.Customer_;
   Request.IsForwarded_ = !Arrived.ForwardedBy_.empty();
   Request.Rule_ = Arrived.Rule_;
+  Request.Priority_ = Arrived.Priority_;
+  Request.Draw_ = admissionDraw(Arrived.Id_, Ticket);
   Request.Object_ =
       Arrived.ObjectHash_ != 0 ? Arrived.ObjectHash_ : Random_() | 1U;
   Request.Fingerprint_ = Arrived.Fingerprint_;
@@ -158,6 +160,8 @@
   if (!IsBound)
     Service.RegionSplit_.recordRequest(Request.Rule_, RunSeconds);
   claimReturn(Request, Now);
+  if (auto Refused = refuseUnshared(Ticket, Request, Now))
+    return *Refused;
   return send(Ticket, Request, TokenSource::AnyHost, Now);
 }
 
@@ -267,6 +271,7 @@
                                       speedPercentOf(*Chosen),
                                       Target.Speed_.age(Now)};
   recordLateness(Request, *Chosen, Now);
+  recordShortage(Request, *Chosen, Now);
   if (!canAnswerInTime(Request, *Chosen, Now)) {
     if (Selected.TookToken_)
       Target.Stated_->rate().refund();
@@ -462,6 +467,7 @@
                      Report.Outcome_ == SendOutcome::CancelledBeforeWrite;
   const bool TurnedAway = Report.Outcome_ == SendOutcome::Shed ||
                           Report.Outcome_ == SendOutcome::Withheld;
+  recordTurnedAway(Request, Report, Now);
   Decision Result = endRequest(Ticket, !TurnedAway, MinRetryAfter, Now);
   return Ended ? Decision() : Result;
 }
