--- a/libs/dispatch/ServiceSpeeds.cpp
+++ b/libs/dispatch/ServiceSpeeds.cpp
@@ -65,16 +65,18 @@
                                base::TimePoint Now) const noexcept {
   if (!IsStated_)
     return 1;
-  if (Target.factor())
-    return decayed(*Target.factor(), Target.age(Now));
+  const std::optional<double> Stated = Target.factor();
+  if (Stated)
+    return decayed(*Stated, Target.age(Now));
   return Target.hasReported() ? 1 : Usual_;
 }
 
 double ServiceSpeeds::ofRun(double AtStart, const TargetSpeed &Target,
                             base::Duration Took) const noexcept {
-  if (!IsStated_ || !Target.factor())
+  const std::optional<double> Stated = Target.factor();
+  if (!IsStated_ || !Stated)
     return 1;
-  return (AtStart + decayed(*Target.factor(), Took / 2)) / 2;
+  return (AtStart + decayed(*Stated, Took / 2)) / 2;
 }
 
 } // namespace lychee::dispatch
