--- a/libs/admission/CapacityEstimate.cpp
+++ b/libs/admission/CapacityEstimate.cpp
@@ -12,12 +12,13 @@
 
 } // namespace
 
-void CapacityEstimate::update(const WorkPressure &Region,
+void CapacityEstimate::update(const WorkPressure &Region, double SlotShare,
                               base::TimePoint Now) noexcept {
   const double Seconds =
       base::toSeconds(std::clamp(Now - UpdatedAt_, base::Duration(), MaxStep));
   UpdatedAt_ = Now;
   Asked_ = Region.Asked_;
+  LeastShare_ = std::clamp(SlotShare, MinShare, 1.0);
   const bool IsMeasured = Region.Admitted_ >= MinAskedSlots;
   const double Shortage = IsMeasured ? Region.Lacking_ / Region.Admitted_ : 0;
   const bool IsShort = Shortage > TolerableShortage;
@@ -36,7 +37,7 @@
   } else {
     Slots_ *= 1 + RisePerSecond * Seconds * (1 - Shortage / TolerableShortage);
   }
-  Slots_ = std::max(Slots_, Asked_ * MinShare);
+  Slots_ = std::max(Slots_, Asked_ * LeastShare_);
   if (IsShort || Slots_ < Asked_)
     ShortAt_ = Now;
   IsLimited_ = Now - ShortAt_ < ClearTime;
@@ -54,13 +55,13 @@
   // Above a share of 1 the distance to capacity is not known to others.
   if (Share >= 1 && Slots_ >= Asked_)
     return;
-  Slots_ += (std::clamp(Share, MinShare, 1.0) * Asked_ - Slots_) * Weight;
+  Slots_ += (std::clamp(Share, LeastShare_, 1.0) * Asked_ - Slots_) * Weight;
 }
 
 double CapacityEstimate::share() const noexcept {
   if (!IsLimited_ || Asked_ <= 0)
     return 1;
-  return std::clamp(Slots_ / Asked_, MinShare, 1.0);
+  return std::clamp(Slots_ / Asked_, LeastShare_, 1.0);
 }
 
 } // namespace lychee::admission
--- a/libs/admission/CapacityEstimate.h
+++ b/libs/admission/CapacityEstimate.h
@@ -37,8 +37,8 @@
   /// admission while the service is not full.
   static constexpr double TolerableShortage = 0.05;
   /// Time constant with which the estimate follows a shortage. Bursts of half a
-  /// second may wait at the targets. While a queue drains, less is accepted than
-  /// completed; with 500 ms the estimate fell to half of the capacity.
+  /// second may wait at the targets. While a queue drains, less is accepted
+  /// than completed; with 500 ms the estimate fell to half of the capacity.
   static constexpr base::Duration FallTime = std::chrono::milliseconds(1500);
   /// Increase per second while nothing lacks capacity, less in proportion to
   /// the shortage.
@@ -53,7 +53,12 @@
   static constexpr double MinAskedSlots = 0.5;
 
   /// \param Region  sums over the hosts of the region.
-  void update(const WorkPressure &Region, base::TimePoint Now) noexcept;
+  /// \param SlotShare  the fraction of the demand that the targets' slots can
+  /// serve. The estimate never falls below it: in a region with few slots,
+  /// requests wait at targets that others keep full, however few are admitted,
+  /// and the estimate fell to 7% while other regions had free slots.
+  void update(const WorkPressure &Region, double SlotShare,
+              base::TimePoint Now) noexcept;
 
   /// Moves the share by \p Weight (0 to 1) of its distance to \p Share, which
   /// other hosts use. Enters the limited state if necessary.
@@ -70,6 +75,7 @@
   /// Capacity and demand, in slots.
   double Slots_ = 0;
   double Asked_ = 0;
+  double LeastShare_ = MinShare;
   base::TimePoint UpdatedAt_;
   /// Last time at which part of the demand could not be served.
   base::TimePoint ShortAt_;
--- a/libs/admission/ServiceAdmission.cpp
+++ b/libs/admission/ServiceAdmission.cpp
@@ -35,11 +35,15 @@
   if (Capacity_.share() < 1)
     Result = Order_.decide({fractionOf(Query), Query.Priority_,
                             Query.HasOwnPriority_, Query.Draw_});
-  if (Result.Outcome_ == ShareOutcome::Admitted)
-    Own.Admitted_.add(Query.Work_, Now);
   return Result;
 }
 
+void ServiceAdmission::recordAdmission(std::uint32_t Priority,
+                                       base::Duration Work,
+                                       base::TimePoint Now) noexcept {
+  Meters_[priorityIndex(Priority)].Admitted_.add(Work, Now);
+}
+
 void ServiceAdmission::recordShortage(std::uint32_t Priority,
                                       base::Duration Work,
                                       base::TimePoint Now) noexcept {
@@ -77,7 +81,7 @@
     Count(Priority, ownPressure(Priority, Now));
   for (const PriorityPressure &Row : Others.Rows_)
     Count(priorityIndex(Row.Priority_), Row.Work_);
-  Capacity_.update(Sum, Now);
+  Capacity_.update(Sum, Others.SlotShare_, Now);
   followOthers(Others, Now);
   Order_.setDemands(Demands);
   Level_ = std::numeric_limits<double>::infinity();
--- a/libs/admission/ServiceAdmission.h
+++ b/libs/admission/ServiceAdmission.h
@@ -29,6 +29,8 @@
   double ShareSum_ = 0;
   std::size_t Hosts_ = 0;
   std::size_t Reporting_ = 0;
+  /// Fraction of the demand that the targets' slots can serve.
+  double SlotShare_ = 0;
 };
 
 /// A request that asks for admission to a service.
@@ -78,9 +80,13 @@
   static constexpr double ToldShortage =
       CapacityEstimate::TolerableShortage / 5;
 
-  /// Decides on a request and counts it.
+  /// Decides on a request and counts what is asked.
   ShareDecision decide(const ShareQuery &Query, base::TimePoint Now) noexcept;
 
+  /// Counts the work of a request that goes on to target selection.
+  void recordAdmission(std::uint32_t Priority, base::Duration Work,
+                       base::TimePoint Now) noexcept;
+
   /// Records that \p Work of an admitted request lacks capacity.
   void recordShortage(std::uint32_t Priority, base::Duration Work,
                       base::TimePoint Now) noexcept;
--- a/libs/dispatch/DispatchAdmission.cpp
+++ b/libs/dispatch/DispatchAdmission.cpp
@@ -25,6 +25,22 @@
 /// Priority of customers with a weight of 1.
 constexpr double UsualPriority = 1;
 
+/// \returns the fraction of the demand that the slots can serve while few
+/// requests wait for one.
+/// \param BoundTo  the region that the requests are bound to; empty: none.
+double slotShareOf(const std::map<base::RegionId, RegionLoad> &Regions,
+                   const base::RegionId &BoundTo) {
+  double Slots = 0;
+  double Demand = 0;
+  for (const auto &[Region, Load] : Regions) {
+    if (!BoundTo.empty() && Region != BoundTo)
+      continue;
+    Slots += Load.Slots_;
+    Demand += Load.BoundDemand_ + (BoundTo.empty() ? Load.Demand_ : 0);
+  }
+  return Demand > 0 ? RegionSplit::BoundUtilization * Slots / Demand : 1;
+}
+
 double weightOf(const live::CustomerRule &Customer) noexcept {
   const auto Priority = static_cast<double>(std::min<std::uint32_t>(
       Customer.Priority_.value_or(1), admission::PriorityCount - 1));
@@ -53,11 +69,12 @@
   return serviceState(Request.Service_).Admissions_[admissionRegion(Request)];
 }
 
-std::optional<Decision>
-DispatchSteering::refuseUnshared(std::uint64_t Ticket, InFlightRequest &Request,
-                                 base::TimePoint Now) {
+/// A request is refused only where it would wait: while a target has a free
+/// slot, nobody is kept from it, however wrong the estimate of the capacity is.
+void DispatchSteering::decideShare(InFlightRequest &Request,
+                                   base::TimePoint Now) {
   if (!Settings_.Bounds_.Features_.FairShares_)
-    return std::nullopt;
+    return;
   admission::ServiceAdmission &Admission = admissionOf(Request);
   admission::ShareQuery Query;
   Query.Priority_ = Request.Priority_;
@@ -70,18 +87,33 @@
   }
   const admission::ShareDecision Verdict = Admission.decide(Query, Now);
   if (Verdict.Outcome_ == admission::ShareOutcome::Admitted)
-    return std::nullopt;
+    return;
+  Request.OverShare_ = {Verdict.Outcome_ == admission::ShareOutcome::OverShare
+                            ? Refusal::OverShare
+                            : Refusal::LessUrgent,
+                        {Verdict.Fraction_,
+                         Query.Customer_ ? Query.Customer_->PerSecond_ : 0,
+                         Admission.share(), Verdict.Ahead_}};
+}
+
+void DispatchSteering::recordShare(InFlightRequest &Request,
+                                   base::TimePoint Now) {
+  if (!Settings_.Bounds_.Features_.FairShares_ || Request.IsAdmitted_)
+    return;
+  Request.IsAdmitted_ = true;
+  admissionOf(Request).recordAdmission(
+      Request.Priority_,
+      base::fromSeconds(executionTimesOf(Request).meanSeconds()), Now);
+}
+
+Decision DispatchSteering::refuseUnshared(std::uint64_t Ticket,
+                                          const InFlightRequest &Request) {
   if (Request.TookOwnToken_)
     RateLimiter_.refund(Request.Customer_);
+  const ShareRefusal Why = *Request.OverShare_;
   InFlight_.erase(Ticket);
-  Decision Refused =
-      refuse(Verdict.Outcome_ == admission::ShareOutcome::OverShare
-                 ? Refusal::OverShare
-                 : Refusal::LessUrgent,
-             ShareRetryAfter, false);
-  Refused.Share_ = {Verdict.Fraction_,
-                    Query.Customer_ ? Query.Customer_->PerSecond_ : 0,
-                    Admission.share(), Verdict.Ahead_};
+  Decision Refused = refuse(Why.Reason_, ShareRetryAfter, false);
+  Refused.Share_ = Why.Inputs_;
   return Refused;
 }
 
@@ -163,7 +195,9 @@
     Service.Admissions_.try_emplace(base::RegionId());
     for (auto &[BoundTo, Admission] : Service.Admissions_) {
       const bool WasLimited = Admission.isLimited();
-      Admission.update(pressureOf(Id, BoundTo, Fleet), Now);
+      admission::RegionPressure Pressure = pressureOf(Id, BoundTo, Fleet);
+      Pressure.SlotShare_ = slotShareOf(Service.RegionSlots_, BoundTo);
+      Admission.update(Pressure, Now);
       if (Admission.share() < 1)
         Full.push_back(&Admission);
       if (Admission.isLimited() != WasLimited)
--- a/libs/dispatch/DispatchSteering.cpp
+++ b/libs/dispatch/DispatchSteering.cpp
@@ -160,8 +160,7 @@
   if (!IsBound)
     Service.RegionSplit_.recordRequest(Request.Rule_, RunSeconds);
   claimReturn(Request, Now);
-  if (auto Refused = refuseUnshared(Ticket, Request, Now))
-    return *Refused;
+  decideShare(Request, Now);
   return send(Ticket, Request, TokenSource::AnyHost, Now);
 }
 
@@ -271,6 +270,13 @@
                                       speedPercentOf(*Chosen),
                                       Target.Speed_.age(Now)};
   recordLateness(Request, *Chosen, Now);
+  if (Request.OverShare_ && Request.TriedTargets_.empty() &&
+      Chosen->ExpectedWait_ > base::Duration::zero()) {
+    if (Selected.TookToken_)
+      Target.Stated_->rate().refund();
+    return refuseUnshared(Ticket, Request);
+  }
+  recordShare(Request, Now);
   recordShortage(Request, *Chosen, Now);
   if (!canAnswerInTime(Request, *Chosen, Now)) {
     if (Selected.TookToken_)
--- a/libs/dispatch/DispatchSteering.h
+++ b/libs/dispatch/DispatchSteering.h
@@ -214,6 +214,12 @@
   /// Lowest status of an answer that is a failure of the target itself.
   static constexpr int MinServerError = 500;
 
+  /// Why a request is not served while its service lacks capacity.
+  struct ShareRefusal {
+    steering::Refusal Reason_ = steering::Refusal::OverShare;
+    steering::ShareInputs Inputs_;
+  };
+
   /// A request from its arrival to its end.
   struct InFlightRequest {
     base::ServiceId Service_;
@@ -235,7 +241,10 @@
     bool IsDueRetry_ = false;
     /// Number in [0, 1) that stays the same for the request.
     double Draw_ = 0;
-    /// It was counted as lacking capacity.
+    /// Why it may not wait for a slot; nothing: it may, or is not decided yet.
+    std::optional<ShareRefusal> OverShare_;
+    /// It was counted as admitted, and as lacking capacity.
+    bool IsAdmitted_ = false;
     bool LacksCapacity_ = false;
     std::uint64_t Object_ = 0;
     std::uint64_t Fingerprint_ = 0;
@@ -296,6 +305,8 @@
     /// Slots that requests of this host's callers keep busy, by the region that
     /// they are bound to; empty: they may run in any.
     std::map<base::RegionId, DecayingRate> Demands_{};
+    /// Slots and demand of the regions, as last computed.
+    std::map<base::RegionId, RegionLoad> RegionSlots_{};
     /// By the other region that requests are bound to; empty: any, or the own.
     std::map<base::RegionId, admission::ServiceAdmission> Admissions_{};
     /// Share of recent requests that would miss their objective because they
@@ -401,11 +412,14 @@
   /// Decides on a request that passed its customer's rate limit.
   steering::Decision admit(std::uint64_t Ticket, InFlightRequest &Request,
                            base::TimePoint Now);
-  /// \returns the refusal of a request whose service lacks capacity and serves
-  /// others first; nothing: it is admitted.
-  std::optional<steering::Decision> refuseUnshared(std::uint64_t Ticket,
-                                                   InFlightRequest &Request,
-                                                   base::TimePoint Now);
+  /// Decides whether the request may wait for a slot while its service lacks
+  /// capacity, or others come first.
+  void decideShare(InFlightRequest &Request, base::TimePoint Now);
+  /// Counts the request as admitted.
+  void recordShare(InFlightRequest &Request, base::TimePoint Now);
+  /// Refuses a request that may not wait for a slot and finds none free.
+  steering::Decision refuseUnshared(std::uint64_t Ticket,
+                                    const InFlightRequest &Request);
   /// \returns a number in [0, 1) that stays the same for the request.
   double admissionDraw(const base::RequestId &Id, std::uint64_t Ticket) const;
   /// \returns the other region that the request is bound to; empty: any, or
--- a/libs/dispatch/DispatchUpdates.cpp
+++ b/libs/dispatch/DispatchUpdates.cpp
@@ -116,6 +116,7 @@
         Loads[Target.Region_].Slots_ += Target.Record_.Slots_;
     addDemands(Id, Service, Fleet, Now, Loads);
     Service.RegionSplit_.update(Loads, Now);
+    Service.RegionSlots_ = std::move(Loads);
   }
 }
 
