Dispatch: state of a service is constructed; linter findings of the merged parts

Cause: the linter refuses redundant initializers, unchecked optionals and an unused name in what was merged. Change: ServiceState has a constructor; optionals are passed where they were checked. No behaviour changes.

--- a/apps/lycheed/DecisionReporter.cpp
+++ b/apps/lycheed/DecisionReporter.cpp
@@ -140,7 +140,7 @@
     Record.Ran_ = Made.Ran_ == steering::Ran::No ? "no" : "maybe";
     Refusals_.add();
     if (Made.Return_)
-      reportReturn(Made, Record);
+      reportReturn(Made.RetryAfter_, *Made.Return_, Record);
     if (Made.Refusal_ == steering::Refusal::OverShare)
       OverShares_.add();
     if (Made.Refusal_ == steering::Refusal::LessUrgent)
@@ -150,16 +150,16 @@
   Log_.record(Record, base::SystemClock::wallNow());
 }
 
-void DecisionReporter::reportReturn(const steering::Decision &Refused,
+void DecisionReporter::reportReturn(base::Duration RetryAfter,
+                                    const steering::ReturnInfo &Return,
                                     reporting::DecisionRecord &Record) const {
-  const steering::ReturnInfo &Return = *Refused.Return_;
   Record.Return_ = reporting::DecisionRecord::Return{
-      base::toMilliseconds(Refused.RetryAfter_),
+      base::toMilliseconds(RetryAfter),
       Return.Ahead_ ? static_cast<std::int64_t>(*Return.Ahead_) : UnknownAhead,
       Return.IsRetry_};
   if (Return.IsRetry_)
     RefusedRetries_.add();
-  else if (Refused.RetryAfter_ > base::Duration::zero())
+  else if (RetryAfter > base::Duration::zero())
     ScheduledRetries_.add();
 }
 
--- a/apps/lycheed/DecisionReporter.h
+++ b/apps/lycheed/DecisionReporter.h
@@ -34,7 +34,8 @@
 private:
   /// Counts what a refused caller is told about its retry, and notes it in
   /// \p Record.
-  void reportReturn(const steering::Decision &Refused,
+  void reportReturn(base::Duration RetryAfter,
+                    const steering::ReturnInfo &Return,
                     reporting::DecisionRecord &Record) const;
 
   reporting::DecisionLog &Log_;
--- a/libs/dispatch/DispatchAdmission.cpp
+++ b/libs/dispatch/DispatchAdmission.cpp
@@ -107,10 +107,11 @@
 }
 
 Decision DispatchSteering::refuseUnshared(std::uint64_t Ticket,
-                                          const InFlightRequest &Request) {
+                                          const InFlightRequest &Request,
+                                          const ShareRefusal &OverShare) {
   if (Request.TookOwnToken_)
     RateLimiter_.refund(Request.Customer_);
-  const ShareRefusal Why = *Request.OverShare_;
+  const ShareRefusal Why = OverShare;
   InFlight_.erase(Ticket);
   Decision Refused = refuse(Why.Reason_, ShareRetryAfter, false);
   Refused.Share_ = Why.Inputs_;
--- a/libs/dispatch/DispatchSteering.cpp
+++ b/libs/dispatch/DispatchSteering.cpp
@@ -3,6 +3,7 @@
 #include "base/Hash.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace lychee::dispatch {
 
@@ -46,7 +47,9 @@
 std::optional<std::uint32_t> speedPercentOf(const Choice &Chosen) {
   if (!Chosen.Target_->Speed_.factor())
     return std::nullopt;
-  return static_cast<std::uint32_t>(Chosen.RunTimeFactor_ * 100 + 0.5);
+  constexpr double Percent = 100;
+  return static_cast<std::uint32_t>(
+      std::lround(Chosen.RunTimeFactor_ * Percent));
 }
 } // namespace
 
@@ -64,12 +67,9 @@
     return Found->second;
   const live::DeploymentBounds &Bounds = Settings_.Bounds_;
   return Services_
-      .emplace(
-          Service,
-          ServiceState{
-              {},
-              SharedRetryBudget(Bounds.RetryRatio_, Bounds.RetrySlack_),
-              RegionSplit(Settings_.Region_, Bounds.Features_.LeadingSplit_)})
+      .try_emplace(
+          Service, SharedRetryBudget(Bounds.RetryRatio_, Bounds.RetrySlack_),
+          RegionSplit(Settings_.Region_, Bounds.Features_.LeadingSplit_))
       .first->second;
 }
 
@@ -274,7 +274,7 @@
       Chosen->ExpectedWait_ > base::Duration::zero()) {
     if (Selected.TookToken_)
       Target.Stated_->rate().refund();
-    return refuseUnshared(Ticket, Request);
+    return refuseUnshared(Ticket, Request, *Request.OverShare_);
   }
   recordShare(Request, Now);
   recordShortage(Request, *Chosen, Now);
--- a/libs/dispatch/DispatchSteering.h
+++ b/libs/dispatch/DispatchSteering.h
@@ -297,18 +297,21 @@
   };
 
   struct ServiceState {
+    ServiceState(const SharedRetryBudget &Budget, RegionSplit Split)
+        : RetryBudget_(Budget), RegionSplit_(std::move(Split)) {}
+
     std::vector<TargetState> Targets_;
     SharedRetryBudget RetryBudget_;
     RegionSplit RegionSplit_;
-    RegionLoads RegionLoads_{};
-    ServiceSpeeds Speeds_{};
+    RegionLoads RegionLoads_;
+    ServiceSpeeds Speeds_;
     /// Slots that requests of this host's callers keep busy, by the region that
     /// they are bound to; empty: they may run in any.
-    std::map<base::RegionId, DecayingRate> Demands_{};
+    std::map<base::RegionId, DecayingRate> Demands_;
     /// Slots and demand of the regions, as last computed.
-    std::map<base::RegionId, RegionLoad> RegionSlots_{};
+    std::map<base::RegionId, RegionLoad> RegionSlots_;
     /// By the other region that requests are bound to; empty: any, or the own.
-    std::map<base::RegionId, admission::ServiceAdmission> Admissions_{};
+    std::map<base::RegionId, admission::ServiceAdmission> Admissions_;
     /// Share of recent requests that would miss their objective because they
     /// wait for a slot.
     double LateShare_ = 0;
@@ -316,9 +319,9 @@
     base::Duration ColdTime_{};
     /// Until then its requests are not forwarded, unless this host reaches no
     /// target at all.
-    base::TimePoint ForwardingPausedUntil_{};
+    base::TimePoint ForwardingPausedUntil_;
     /// By priority.
-    std::map<std::uint32_t, ServiceReturns> Returns_{};
+    std::map<std::uint32_t, ServiceReturns> Returns_;
   };
 
   /// What a customer's share of a full service is computed from.
@@ -419,7 +422,8 @@
   void recordShare(InFlightRequest &Request, base::TimePoint Now);
   /// Refuses a request that may not wait for a slot and finds none free.
   steering::Decision refuseUnshared(std::uint64_t Ticket,
-                                    const InFlightRequest &Request);
+                                    const InFlightRequest &Request,
+                                    const ShareRefusal &OverShare);
   /// \returns a number in [0, 1) that stays the same for the request.
   double admissionDraw(const base::RequestId &Id, std::uint64_t Ticket) const;
   /// \returns the other region that the request is bound to; empty: any, or
--- a/libs/dispatch/DispatchTokens.cpp
+++ b/libs/dispatch/DispatchTokens.cpp
@@ -8,7 +8,6 @@
 namespace lychee::dispatch {
 
 using steering::Decision;
-using steering::Refusal;
 
 namespace {
 
--- a/standins/target/TargetServer.h
+++ b/standins/target/TargetServer.h
@@ -13,6 +13,7 @@
 #include <list>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 
@@ -33,8 +34,8 @@
   /// Header in which it says that it leaves. \see Faults::Leaving_
   std::string LeavingHeader_ = "Lychee-Target-Leaving";
   /// Header with running, waiting, slots and, in percent of the usual, the time
-  /// that work takes now; empty: none is sent. Health answers carry it, too.
-  std::string LoadHeader_{};
+  /// that work takes now; nothing: none is sent. Health answers carry it, too.
+  std::optional<std::string> LoadHeader_ = std::nullopt;
   /// Work takes SlowPercent of its usual time in about one of SlowOneIn spans
   /// of SlowSpan, drawn by the target's name.
   static constexpr base::Duration SlowSpan = std::chrono::milliseconds(600);
--- a/standins/target/TargetSession.cpp
+++ b/standins/target/TargetSession.cpp
@@ -210,10 +210,10 @@
 }
 
 std::string TargetSession::loadLine() const {
-  const std::string &Header = Server_.Settings_.LoadHeader_;
-  if (Header.empty())
+  const std::optional<std::string> &Header = Server_.Settings_.LoadHeader_;
+  if (!Header)
     return {};
-  return Header + ": " +
+  return *Header + ": " +
          Server_.describeLoad(base::SystemClock::monotonicNow()) + "\r\n";
 }
 
