--- a/tests/members/HeartbeatTest.cpp
+++ b/tests/members/HeartbeatTest.cpp
@@ -29,6 +29,8 @@
                             {5, std::nullopt, 900ms}};
     Message.TargetLeavings_ = {{0xfffffffffffffff1ULL, 30ms}, {6, 2s}};
     Message.Times_ = {{"rule", 0.25, 0.9, 0.4}};
+    Message.Pressures_ = {{base::ServiceId("portal"), base::RegionId("south"),
+                           2, 10.5, 8.25, 1.5, 0.75}};
     Message.LivePeers_ = {"127.0.0.3"};
     return Message;
   }
@@ -48,6 +50,13 @@
   DOUBLES_EQUAL(2.5, Read.Demands_[0].RequestsPerSecond_, 0.01);
   DOUBLES_EQUAL(11.25, Read.Loads_[0].Slots_, 0.01);
   STRCMP_EQUAL("north", Read.Loads_[0].BoundTo_.name().c_str());
+  LONGS_EQUAL(1, Read.Pressures_.size());
+  STRCMP_EQUAL("south", Read.Pressures_[0].BoundTo_.name().c_str());
+  LONGS_EQUAL(2, Read.Pressures_[0].Priority_);
+  DOUBLES_EQUAL(10.5, Read.Pressures_[0].AskedSlots_, 0.01);
+  DOUBLES_EQUAL(8.25, Read.Pressures_[0].AdmittedSlots_, 0.01);
+  DOUBLES_EQUAL(1.5, Read.Pressures_[0].LackingSlots_, 0.01);
+  DOUBLES_EQUAL(0.75, Read.Pressures_[0].Share_, 0.01);
   CHECK(Read.Evidence_[0] == Message.Evidence_[0]);
   CHECK(Read.TargetRates_ == Message.TargetRates_);
   CHECK(Read.TargetLeavings_ == Message.TargetLeavings_);
