--- a/apps/lycheed/LiveFeed.cpp
+++ b/apps/lycheed/LiveFeed.cpp
@@ -41,6 +41,8 @@
 /// A call begun so shortly before another failed is no older than the trouble.
 constexpr base::Duration FreshCall = std::chrono::seconds(1);
 
+constexpr base::Duration IgnoredListLogInterval = std::chrono::seconds(1);
+
 /// Empty where a listed host tells none.
 std::string regionOf(const Json::Value &Content) {
   return Content["region"].isString() ? Content["region"].asString() : "";
@@ -85,6 +87,10 @@
   Heard.Trouble_ = [this, Kind](const base::Error &Why) {
     noteTrouble(Kind, Why);
   };
+  Heard.ListIgnored_ = [this, Kind](const live::ObjectBatch &List,
+                                    std::uint64_t Known) {
+    noteIgnoredList(Kind, List, Known, SystemClock::monotonicNow());
+  };
   return std::make_unique<live::ObjectFollower>(Parts_.Source_, Recovered_,
                                                 std::string(Kind), Pace,
                                                 std::move(Heard), Random_());
@@ -113,6 +119,23 @@
                                             .add("reason", Why.Reason_));
 }
 
+void LiveFeed::noteIgnoredList(std::string_view Kind,
+                               const live::ObjectBatch &List,
+                               std::uint64_t Known, base::TimePoint Now) {
+  Parts_.Gauges_.countIgnoredList(std::string(Kind));
+  Parts_.Gauges_.setStoreEra(List.Era_);
+  base::TimePoint &Logged = IgnoredListLoggedAt_[std::string(Kind)];
+  if (Now - Logged < IgnoredListLogInterval)
+    return;
+  Logged = Now;
+  reporting::logLine(LogLevel::Warning, KeyValueLine()
+                                            .add("event", "store-list-ignored")
+                                            .add("kind", Kind)
+                                            .add("revision", List.Revision_)
+                                            .add("known", Known)
+                                            .add("era", List.Era_));
+}
+
 relaying::RelayRequest LiveFeed::question(base::TimePoint Now) const {
   relaying::RelayRequest Asked;
   Asked.StoreUnavailable_ = Parts_.Role_.isInTrouble(Now);
--- a/apps/lycheed/LiveFeed.h
+++ b/apps/lycheed/LiveFeed.h
@@ -70,6 +70,8 @@
   follow(std::string_view Kind, const live::FollowerTimings &Pace,
          live::FollowerCallbacks Heard);
   void noteTrouble(std::string_view Kind, const base::Error &Why);
+  void noteIgnoredList(std::string_view Kind, const live::ObjectBatch &List,
+                       std::uint64_t Known, base::TimePoint Now);
   void takeIntent(std::span<const live::StoredObject> Heard);
   /// Hands an intent that is in force to those who act by it.
   void applyIntent(const std::shared_ptr<const live::Intent> &Fresh);
@@ -93,6 +95,7 @@
   std::atomic<bool> HasEvacuations_ = false;
   base::Random Random_;
   live::RecoverySignal Recovered_;
+  std::map<std::string, base::TimePoint> IgnoredListLoggedAt_;
   std::vector<std::unique_ptr<live::ObjectFollower>> Followers_;
 };
 
--- a/apps/lycheed/LiveGauges.cpp
+++ b/apps/lycheed/LiveGauges.cpp
@@ -55,6 +55,9 @@
           Metrics.gauge("lychee_targets_unreached",
                         "1 while this host reaches no targets and forwards "
                         "requests to hosts that do")),
+      StoreEra_(Metrics.gauge(
+          "lychee_store_era",
+          "How often the store came back from an older copy; 0: not stated")),
       RelaySound_(relayCounter(Metrics, "sound")),
       RelayUnsound_(relayCounter(Metrics, "unsound")),
       RelayFailed_(relayCounter(Metrics, "failed")),
@@ -108,6 +111,18 @@
   Made.first->second.add();
 }
 
+void LiveGauges::countIgnoredList(const std::string &Kind) const {
+  const std::array<reporting::Label, 1> Labels = {{{"kind", Kind}}};
+  Metrics_
+      .counter("lychee_store_lists_ignored_total",
+               "Lists of the store that were older than what is known", Labels)
+      .add();
+}
+
+void LiveGauges::setStoreEra(std::uint64_t Era) const {
+  StoreEra_.set(static_cast<double>(Era));
+}
+
 void LiveGauges::countRelayAnswer(bool Sound) const {
   (Sound ? RelaySound_ : RelayUnsound_).add();
 }
--- a/apps/lycheed/LiveGauges.h
+++ b/apps/lycheed/LiveGauges.h
@@ -47,6 +47,9 @@
 
   // Calls, each with its end.
   void countStoreCall(const std::string &Kind, bool Came);
+  /// A list of the store that was older than what is known.
+  void countIgnoredList(const std::string &Kind) const;
+  void setStoreEra(std::uint64_t Era) const;
   void countRelayAnswer(bool Sound) const;
   void countRelayFailure() const;
   /// This host told another what changed, in so many bytes.
@@ -69,6 +72,7 @@
   const reporting::Gauge TargetsResting_;
   const reporting::Gauge TargetsEjected_;
   const reporting::Gauge TargetsUnreached_;
+  const reporting::Gauge StoreEra_;
   const reporting::Counter RelaySound_;
   const reporting::Counter RelayUnsound_;
   const reporting::Counter RelayFailed_;
--- a/libs/live/ObjectFollower.cpp
+++ b/libs/live/ObjectFollower.cpp
@@ -107,6 +107,8 @@
   Listed_ = true;
   MissingRevision_.reset();
   const bool IsFirst = Mirror_.isEmpty();
+  if (All->Revision_ < Mirror_.revision() && Callbacks_.ListIgnored_)
+    Callbacks_.ListIgnored_(*All, Mirror_.revision());
   const std::vector<StoredObject> Changes = Mirror_.replaceAll(*All, Now);
   if (IsFirst || !Changes.empty())
     Callbacks_.Changed_(Changes);
--- a/libs/live/ObjectFollower.h
+++ b/libs/live/ObjectFollower.h
@@ -25,6 +25,10 @@
   std::function<void(const base::Error &)> Trouble_;
   /// A call to the store succeeded. May be empty.
   std::function<void()> Succeeded_;
+  /// A list is older than what is known at revision \p Known, and is ignored.
+  /// May be empty.
+  std::function<void(const ObjectBatch &List, std::uint64_t Known)>
+      ListIgnored_;
   /// \returns whether this host reads the store itself; otherwise it waits for
   /// updates from other hosts. Empty: it always reads the store.
   std::function<bool(base::TimePoint Now)> MustReadStore_;
--- a/libs/live/ObjectSource.h
+++ b/libs/live/ObjectSource.h
@@ -37,6 +37,9 @@
 struct ObjectBatch {
   std::vector<StoredObject> Objects_;
   std::uint64_t Revision_ = 0;
+  /// Counts how often the store came back from an older copy of itself; 0 if it
+  /// does not say.
+  std::uint64_t Era_ = 0;
 };
 
 /// Reason why a call failed, as far as its caller distinguishes reasons.
