--- a/standins/platform/StandinObjects.cpp
+++ b/standins/platform/StandinObjects.cpp
@@ -2,6 +2,7 @@
 
 #include "base/SystemClock.h"
 
+#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <json/json.h>
@@ -65,22 +66,94 @@
   return true;
 }
 
-void StandinObjects::change(const std::string &Kind, const std::string &Name,
-                            bool Deleted, const Json::Value &Content) {
+std::optional<StandinObjects::Object>
+StandinObjects::find(const std::string &Kind, const std::string &Name) const {
+  const auto Objects = Kinds_.find(Kind);
+  if (Objects == Kinds_.end())
+    return std::nullopt;
+  const auto Found = Objects->second.find(Name);
+  return Found == Objects->second.end() ? std::nullopt
+                                        : std::optional(Found->second);
+}
+
+void StandinObjects::change(bool ByHost, const std::string &Kind,
+                            const std::string &Name, bool Deleted,
+                            const Json::Value &Content) {
+  Undos_.push_back({base::SystemClock::monotonicNow(), Kind, Name,
+                    find(Kind, Name), ByHost});
   Changes_.push_back({++Revision_, Kind, Name, Deleted, Content});
 }
 
-void StandinObjects::put(const std::string &Kind, const std::string &Name,
-                         const Json::Value &Content) {
+void StandinObjects::putAs(bool ByHost, const std::string &Kind,
+                           const std::string &Name,
+                           const Json::Value &Content) {
   const std::lock_guard Guard(Lock_);
-  change(Kind, Name, false, Content);
+  change(ByHost, Kind, Name, false, Content);
   Kinds_[Kind][Name] = {Content, Revision_};
 }
 
-void StandinObjects::remove(const std::string &Kind, const std::string &Name) {
+void StandinObjects::removeAs(bool ByHost, const std::string &Kind,
+                              const std::string &Name) {
   const std::lock_guard Guard(Lock_);
+  change(ByHost, Kind, Name, true, {});
   Kinds_[Kind].erase(Name);
-  change(Kind, Name, true, {});
+}
+
+void StandinObjects::put(const std::string &Kind, const std::string &Name,
+                         const Json::Value &Content) {
+  putAs(false, Kind, Name, Content);
+}
+
+void StandinObjects::remove(const std::string &Kind, const std::string &Name) {
+  removeAs(false, Kind, Name);
+}
+
+std::vector<LostWrite> StandinObjects::restore(base::Duration Age) {
+  const std::lock_guard Guard(Lock_);
+  const base::TimePoint CopiedAt = base::SystemClock::monotonicNow() - Age;
+  std::map<std::pair<std::string, std::string>, LostWrite> Lost;
+  for (; !Undos_.empty() && Undos_.back().At_ > CopiedAt; Undos_.pop_back()) {
+    const Undo &Last = Undos_.back();
+    const std::optional<Object> Newest = find(Last.Kind_, Last.Name_);
+    // The first one seen is the newest state.
+    if (!Last.ByHost_)
+      Lost.try_emplace(
+          {Last.Kind_, Last.Name_},
+          LostWrite{Last.Kind_, Last.Name_,
+                    Newest ? std::optional(Newest->Content_) : std::nullopt});
+    if (Last.Before_)
+      Kinds_[Last.Kind_][Last.Name_] = *Last.Before_;
+    else
+      Kinds_[Last.Kind_].erase(Last.Name_);
+    --Revision_;
+  }
+  std::erase_if(Changes_, [this](const Change &Each) {
+    return Each.Revision_ > Revision_;
+  });
+  Forgotten_ = std::min(Forgotten_, Revision_);
+  if (Era_)
+    ++*Era_;
+  std::vector<LostWrite> Result;
+  for (auto &[Key, Write] : Lost)
+    Result.push_back(std::move(Write));
+  return Result;
+}
+
+void StandinObjects::writeAgain(const LostWrite &Lost) {
+  if (Lost.Content_)
+    put(Lost.Kind_, Lost.Name_, *Lost.Content_);
+  else
+    remove(Lost.Kind_, Lost.Name_);
+}
+
+void StandinObjects::setEra(std::optional<std::uint64_t> Era) {
+  const std::lock_guard Guard(Lock_);
+  Era_ = Era;
+}
+
+std::size_t StandinObjects::calls() const {
+  const std::lock_guard Guard(Lock_);
+  return Calls_;
 }
 
 void StandinObjects::setFaults(const ObjectFaults &Faults) {
@@ -118,8 +191,9 @@
   Json::Value Body;
   Body["events"] = Json::Value(Json::arrayValue);
   Body["at"] = Json::UInt64(Revision_);
-  Any = Since < Forgotten_ || Faults_.Down_ || Faults_.Busy_;
-  if (Since < Forgotten_)
+  const bool IsUnknown = Since < Forgotten_ || Since > Revision_;
+  Any = IsUnknown || Faults_.Down_ || Faults_.Busy_;
+  if (IsUnknown)
     return answerOf(410);
   if (Faults_.Deaf_)
     return answerOf(200, Body);
@@ -171,13 +245,22 @@
   if (Asked.Method_ != "POST" && !Exists)
     return answerOf(404);
   if (Asked.Method_ == "DELETE")
-    remove(Kind, Name);
+    removeAs(true, Kind, Name);
   else
-    put(Kind, Name, Written["spec"]);
+    putAs(true, Kind, Name, Written["spec"]);
   return answerOf(200, Written);
 }
 
 asio::awaitable<HttpAnswer> StandinObjects::answer(HttpRequest Asked) {
+  HttpAnswer Answer = co_await answerCall(std::move(Asked));
+  const std::lock_guard Guard(Lock_);
+  ++Calls_;
+  if (Era_)
+    Answer.Headers_.push_back({"Store-Era", std::to_string(*Era_)});
+  co_return Answer;
+}
+
+asio::awaitable<HttpAnswer> StandinObjects::answerCall(HttpRequest Asked) {
   const ObjectFaults Faults = [this] {
     const std::lock_guard Guard(Lock_);
     return Faults_;
--- a/standins/platform/StandinObjects.h
+++ b/standins/platform/StandinObjects.h
@@ -1,6 +1,7 @@
 #ifndef LYCHEE_STANDINS_PLATFORM_STANDINOBJECTS_H
 #define LYCHEE_STANDINS_PLATFORM_STANDINOBJECTS_H
 
+#include "base/Time.h"
 #include "transport/HttpServer.h"
 
 #include <boost/asio/io_context.hpp>
@@ -8,6 +9,7 @@
 #include <json/value.h>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -24,6 +26,13 @@
   bool Deaf_ = false;
 };
 
+/// State of an object that a restore took back; without content it was deleted.
+struct LostWrite {
+  std::string Kind_;
+  std::string Name_;
+  std::optional<Json::Value> Content_;
+};
+
 /// The users' platform's store of objects by kind, in memory: lists, watches,
 /// creates, replaces and deletes, with its faults. On a thread of its own.
 class StandinObjects {
@@ -43,7 +52,18 @@
   /// Forgets what changed before: older watches are told so.
   void forgetHistory();
 
+  /// Puts the state of \p Age ago back, as if from a copy: revisions are given
+  /// out again, and the era rises by one.
+  /// \returns what operators and endpoints wrote since, to be written again
+  /// with writeAgain(); what hosts wrote is gone.
+  std::vector<LostWrite> restore(base::Duration Age);
+  void writeAgain(const LostWrite &Lost);
+  /// \param Era  stated in all answers; nothing: none is stated.
+  void setEra(std::optional<std::uint64_t> Era);
+
   std::size_t count(const std::string &Kind) const;
+  /// \returns how many calls were answered or refused so far.
+  std::size_t calls() const;
 
 private:
   struct Object {
@@ -58,22 +78,41 @@
     Json::Value Content_;
   };
 
+  /// What an object was before a change.
+  struct Undo {
+    base::TimePoint At_;
+    std::string Kind_;
+    std::string Name_;
+    std::optional<Object> Before_;
+    bool ByHost_ = false;
+  };
+
   boost::asio::awaitable<transport::HttpAnswer>
   answer(transport::HttpRequest Asked);
   boost::asio::awaitable<transport::HttpAnswer>
+  answerCall(transport::HttpRequest Asked);
+  boost::asio::awaitable<transport::HttpAnswer>
   watch(std::string Kind, std::uint64_t Since, std::int64_t WaitMilliseconds);
   transport::HttpAnswer list(const std::string &Kind) const;
   transport::HttpAnswer write(const transport::HttpRequest &Asked,
                               const std::string &Kind, std::string Name);
   transport::HttpAnswer changesSince(const std::string &Kind,
                                      std::uint64_t Since, bool &Any) const;
-  void change(const std::string &Kind, const std::string &Name, bool Deleted,
-              const Json::Value &Content);
+  void putAs(bool ByHost, const std::string &Kind, const std::string &Name,
+             const Json::Value &Content);
+  void removeAs(bool ByHost, const std::string &Kind, const std::string &Name);
+  void change(bool ByHost, const std::string &Kind, const std::string &Name,
+              bool Deleted, const Json::Value &Content);
+  std::optional<Object> find(const std::string &Kind,
+                             const std::string &Name) const;
 
   boost::asio::io_context Context_{1};
   mutable std::mutex Lock_;
   std::map<std::string, std::map<std::string, Object>> Kinds_;
   std::vector<Change> Changes_;
+  std::vector<Undo> Undos_;
+  std::optional<std::uint64_t> Era_ = 1;
+  std::size_t Calls_ = 0;
   std::uint64_t Revision_ = 1;
   std::uint64_t Forgotten_ = 0;
   ObjectFaults Faults_;
