--- a/libs/live/TargetRegistry.cpp
+++ b/libs/live/TargetRegistry.cpp
@@ -6,19 +6,23 @@
 namespace lychee::live {
 
 void TargetRegistry::put(const TargetRecord &Record, base::TimePoint Now) {
+  Doubted_.erase(Record.Id_);
+  Ended_.erase(Record.Id_);
   Entry &Stored = Entries_[Record.Id_];
   const bool IsSame = Stored.Known_.Record_ == Record && !Stored.ExpiresAt_;
   if (IsSame)
     return;
   Stored.ExpiresAt_.reset();
+  Stored.AwaitsRewrite_ = false;
   Stored.Known_.Record_ = Record;
   Stored.Known_.ColdUntil_ = Now + Record.ColdLeft_;
   Changed_ = true;
 }
 
 void TargetRegistry::markMissing(Entry &Stored, base::TimePoint Now) {
-  if (Stored.ExpiresAt_)
+  if (Stored.ExpiresAt_ && !Stored.AwaitsRewrite_)
     return;
+  Stored.AwaitsRewrite_ = false;
   const bool MayComeBack = LastFailure_ &&
                            Now - *LastFailure_ < FailureWindow &&
                            !Stored.Known_.Record_.Leaving_;
@@ -26,6 +30,7 @@
 }
 
 void TargetRegistry::remove(const base::TargetId &Target, base::TimePoint Now) {
+  Doubted_.erase(Target);
   const auto Found = Entries_.find(Target);
   if (Found == Entries_.end())
     return;
@@ -33,20 +38,93 @@
   expire(Now);
 }
 
-void TargetRegistry::apply(std::span<const TargetChange> Changes,
-                           base::TimePoint Now) {
-  for (const TargetChange &Change : Changes)
-    if (Change.Record_)
+void TargetRegistry::awaitRewrite(Entry &Stored, base::TimePoint Now) {
+  Stored.AwaitsRewrite_ = true;
+  Stored.ExpiresAt_ = Now + MaxGrace;
+}
+
+std::optional<TargetKept> TargetRegistry::restore(const TargetRecord &Record,
+                                                  base::TimePoint Now) {
+  const auto Found = Entries_.find(Record.Id_);
+  if (Found != Entries_.end()) {
+    const TargetRecord &Known = Found->second.Known_.Record_;
+    if (Record.Started_ < Known.Started_) {
+      awaitRewrite(Found->second, Now);
+      return TargetKept::LaterStart;
+    }
+    if (Record.Started_ == Known.Started_ && Known.Leaving_ && !Record.Leaving_)
+      return TargetKept::Leaving;
+  }
+  const auto Left = Ended_.find(Record.Id_);
+  if (Found == Entries_.end() && Left != Ended_.end() &&
+      Record.Started_ <= Left->second.Started_) {
+    Doubted_[Record.Id_] = {Record, Now + DeadEntryTime};
+    return TargetKept::Gone;
+  }
+  put(Record, Now);
+  return std::nullopt;
+}
+
+std::optional<TargetKept>
+TargetRegistry::restoreMissing(const base::TargetId &Target,
+                               base::TimePoint Now) {
+  Doubted_.erase(Target);
+  const auto Found = Entries_.find(Target);
+  if (Found == Entries_.end())
+    return std::nullopt;
+  if (Found->second.Known_.Record_.Leaving_) {
+    remove(Target, Now);
+    return std::nullopt;
+  }
+  awaitRewrite(Found->second, Now);
+  return TargetKept::Missing;
+}
+
+std::vector<KeptTarget>
+TargetRegistry::apply(std::span<const TargetChange> Changes,
+                      base::TimePoint Now) {
+  std::vector<KeptTarget> AllKept;
+  for (const TargetChange &Change : Changes) {
+    std::optional<TargetKept> Kept;
+    if (Change.Restored_)
+      Kept = Change.Record_ ? restore(*Change.Record_, Now)
+                            : restoreMissing(Change.Target_, Now);
+    else if (Change.Record_)
       put(*Change.Record_, Now);
     else
       remove(Change.Target_, Now);
+    if (Kept)
+      AllKept.push_back({Change.Target_, *Kept});
+  }
+  return AllKept;
+}
+
+void TargetRegistry::noteRestore(base::TimePoint Now) {
+  for (auto &[Id, Stored] : Entries_)
+    if (Stored.AwaitsRewrite_)
+      awaitRewrite(Stored, Now);
+  for (auto &[Id, Held] : Doubted_)
+    Held.BelievedAt_ = Now + DeadEntryTime;
 }
 
 void TargetRegistry::expire(base::TimePoint Now) {
-  const auto Removed = std::erase_if(Entries_, [Now](const auto &Item) {
-    return Item.second.ExpiresAt_ && *Item.second.ExpiresAt_ <= Now;
+  const auto Removed = std::erase_if(Entries_, [&](const auto &Item) {
+    const bool IsGone =
+        Item.second.ExpiresAt_ && *Item.second.ExpiresAt_ <= Now;
+    if (IsGone)
+      Ended_[Item.first] = {Item.second.Known_.Record_.Started_, Now};
+    return IsGone;
   });
   Changed_ = Changed_ || Removed > 0;
+  std::vector<TargetRecord> Believed;
+  for (const auto &[Id, Held] : Doubted_)
+    if (Held.BelievedAt_ <= Now)
+      Believed.push_back(Held.Record_);
+  for (const TargetRecord &Record : Believed)
+    put(Record, Now);
+  std::erase_if(Ended_, [Now](const auto &Item) {
+    return Now - Item.second.At_ > EndedMemory;
+  });
 }
 
 bool TargetRegistry::takeChanged() noexcept {
--- a/libs/live/TargetRegistry.h
+++ b/libs/live/TargetRegistry.h
@@ -21,6 +21,27 @@
 struct TargetChange {
   base::TargetId Target_;
   std::optional<TargetRecord> Record_;
+  /// \see StoredObject::Restored_
+  bool Restored_ = false;
+};
+
+/// Reason why the state known of a target outlasts that in a restored store.
+enum class TargetKept {
+  /// The target said that it leaves.
+  Leaving,
+  /// The store has an earlier start of the target.
+  LaterStart,
+  /// The target is gone.
+  Gone,
+  /// The store has no entry, and the target may write it again.
+  Missing,
+};
+
+/// Decision about a target on which a restored store differs from what is
+/// known.
+struct KeptTarget {
+  base::TargetId Target_;
+  TargetKept Reason_ = TargetKept::Missing;
 };
 
 /// Tracks the targets that registered themselves.
@@ -36,6 +57,14 @@
 /// failure, the grace period ends before the time after which leaving targets
 /// must get no more requests.
 ///
+/// Failure: the store comes back from an older copy, in which a target that has
+/// left since is ready, and one that registered since is missing. Without a
+/// safeguard the first gets requests and the second none. What a target said
+/// later, by its start and its leaving, therefore outlasts the copy. A target
+/// that is gone stays so for as long as the platform keeps the entry of a dead
+/// target, and a missing one is kept until it should have written its entry
+/// again.
+///
 /// Not thread-safe; used on the control loop's thread.
 class TargetRegistry {
 public:
@@ -47,6 +76,11 @@
   /// takes to read and act (up to 0.7 s at a tenth of a core).
   static constexpr base::Duration PropagationTime =
       std::chrono::milliseconds(1200);
+  /// The store drops the entry of a target that is silent for three heartbeats
+  /// (1.5 s each); one that is still there after this time is alive.
+  static constexpr base::Duration DeadEntryTime = std::chrono::seconds(6);
+  /// Targets that ended are remembered for longer than copies are old.
+  static constexpr base::Duration EndedMemory = std::chrono::seconds(60);
   /// An older failure does not explain a missing entry: three heartbeats of
   /// targets (1.5 s each), after which the platform drops an entry.
   static constexpr base::Duration FailureWindow = std::chrono::seconds(5);
@@ -64,10 +98,16 @@
 
   /// Applies changes in the order in which they happened. One batch may hold
   /// both an entry's last change and its deletion.
-  void apply(std::span<const TargetChange> Changes, base::TimePoint Now);
+  /// \returns the decisions against a restored store.
+  std::vector<KeptTarget> apply(std::span<const TargetChange> Changes,
+                                base::TimePoint Now);
   void put(const TargetRecord &Record, base::TimePoint Now);
   void remove(const base::TargetId &Target, base::TimePoint Now);
 
+  /// Records that the store came back from a copy, perhaps again: entries that
+  /// are to be written again get the whole time for it.
+  void noteRestore(base::TimePoint Now);
+
   /// Removes targets whose grace period has ended. To be called every 100 ms.
   void expire(base::TimePoint Now);
 
@@ -81,12 +121,30 @@
   struct Entry {
     KnownTarget Known_;
     std::optional<base::TimePoint> ExpiresAt_;
+    /// The entry is missing from a restored store.
+    bool AwaitsRewrite_ = false;
+  };
+  struct Ended {
+    std::int64_t Started_ = 0;
+    base::TimePoint At_;
+  };
+  /// An entry of a restored store that is not believed yet.
+  struct Doubted {
+    TargetRecord Record_;
+    base::TimePoint BelievedAt_;
   };
 
   void markMissing(Entry &Stored, base::TimePoint Now);
+  std::optional<TargetKept> restore(const TargetRecord &Record,
+                                    base::TimePoint Now);
+  std::optional<TargetKept> restoreMissing(const base::TargetId &Target,
+                                           base::TimePoint Now);
+  static void awaitRewrite(Entry &Stored, base::TimePoint Now);
 
   const base::Duration Grace_;
   std::map<base::TargetId, Entry> Entries_;
+  std::map<base::TargetId, Ended> Ended_;
+  std::map<base::TargetId, Doubted> Doubted_;
   std::optional<base::TimePoint> LastFailure_;
   bool Changed_ = false;
 };
--- a/tests/live/TargetRegistryTest.cpp
+++ b/tests/live/TargetRegistryTest.cpp
@@ -111,3 +111,105 @@
   Targets_.put(Cold, Now_);
   CHECK(Targets_.targets()[0].ColdUntil_ == Now_ + 3s);
 }
+
+/// A registry whose store comes back from an older copy at Now_.
+TEST_GROUP(RestoredTargetRegistry) {
+  TargetRegistry Targets_{2500ms};
+  base::TimePoint Now_ = base::TimePoint(100s);
+
+  static TargetRecord recordOf(std::int64_t Started, bool Leaving = false) {
+    TargetRecord Result;
+    Result.Id_ = base::TargetId("t1");
+    Result.Address_ = "127.0.0.1:80";
+    Result.Started_ = Started;
+    Result.Leaving_ = Leaving;
+    return Result;
+  }
+  void put(const TargetRecord &Record) { Targets_.put(Record, Now_); }
+  /// The copy holds \p Record, or no entry.
+  void restore(const std::optional<TargetRecord> &Record) {
+    Targets_.noteTrouble(Now_);
+    const lychee::live::TargetChange Change{base::TargetId("t1"), Record, true};
+    Targets_.apply({&Change, 1}, Now_);
+  }
+  std::size_t countAfter(base::Duration Time) {
+    Targets_.expire(Now_ + Time);
+    return Targets_.size();
+  }
+};
+
+TEST(RestoredTargetRegistry, leavingTargetIsNotReadyAgain) {
+  put(recordOf(1, true));
+  restore(recordOf(1));
+  CHECK(Targets_.targets()[0].Record_.Leaving_);
+  Targets_.noteRestore(Now_ + 1s);
+  CHECK_EQUAL(1, countAfter(60s));
+  CHECK(Targets_.targets()[0].Record_.Leaving_);
+}
+
+TEST(RestoredTargetRegistry, targetThatIsGoneDoesNotReturn) {
+  put(recordOf(1));
+  Targets_.remove(base::TargetId("t1"), Now_ - 5s);
+  restore(recordOf(1));
+  LONGS_EQUAL(0, countAfter(5900ms));
+  // The store drops the entry of a dead target; a living one writes it again.
+  Targets_.remove(base::TargetId("t1"), Now_ + 5900ms);
+  LONGS_EQUAL(0, countAfter(10s));
+  put(recordOf(1));
+  LONGS_EQUAL(1, countAfter(10s));
+}
+
+TEST(RestoredTargetRegistry, entryThatStaysIsBelieved) {
+  put(recordOf(1));
+  Targets_.remove(base::TargetId("t1"), Now_ - 5s);
+  restore(recordOf(1));
+  LONGS_EQUAL(1, countAfter(6s));
+}
+
+TEST(RestoredTargetRegistry, newStartAtTheSameIdIsUsed) {
+  put(recordOf(1, true));
+  restore(recordOf(2));
+  CHECK_FALSE(Targets_.targets()[0].Record_.Leaving_);
+  Targets_.remove(base::TargetId("t1"), Now_ + 20s);
+  restore(recordOf(3));
+  LONGS_EQUAL(1, Targets_.size());
+}
+
+TEST(RestoredTargetRegistry, laterStartStaysUntilItShouldBeWrittenAgain) {
+  put(recordOf(2));
+  restore(recordOf(1));
+  LONGS_EQUAL(2, Targets_.targets()[0].Record_.Started_);
+  LONGS_EQUAL(1, countAfter(2s));
+  LONGS_EQUAL(0, countAfter(2200ms));
+}
+
+TEST(RestoredTargetRegistry, missingTargetHasTimeToWriteItsEntryAgain) {
+  put(recordOf(1));
+  restore(std::nullopt);
+  LONGS_EQUAL(1, countAfter(2s));
+  put(recordOf(1));
+  LONGS_EQUAL(1, countAfter(60s));
+}
+
+TEST(RestoredTargetRegistry, missingTargetThatIsNotWrittenAgainIsGone) {
+  put(recordOf(1));
+  restore(std::nullopt);
+  LONGS_EQUAL(0, countAfter(2200ms));
+}
+
+TEST(RestoredTargetRegistry, secondRestoreGivesTheWholeTimeAgain) {
+  put(recordOf(1));
+  restore(std::nullopt);
+  Targets_.noteRestore(Now_ + 2s);
+  LONGS_EQUAL(1, countAfter(4s));
+  LONGS_EQUAL(0, countAfter(4200ms));
+}
+
+// The target leaves without notice after the restore: the usual time counts,
+// not the one for entries that the copy lacks.
+TEST(RestoredTargetRegistry, deletionAfterTheRestoreCountsAsUsual) {
+  put(recordOf(1));
+  restore(std::nullopt);
+  Targets_.remove(base::TargetId("t1"), Now_ + 100ms);
+  LONGS_EQUAL(0, countAfter(1500ms));
+}
