--- a/apps/lycheed/HostRegistration.cpp
+++ b/apps/lycheed/HostRegistration.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <utility>
 
 namespace lychee::daemon {
 
@@ -16,6 +17,8 @@
 using reporting::LogLevel;
 
 asio::awaitable<void> HostRegistration::enter() {
+  if (std::exchange(Entering_, true))
+    co_return;
   asio::steady_timer Timer(co_await asio::this_coro::executor);
   store::Backoff Pause;
   base::Random Random(drawSeed());
@@ -27,8 +30,10 @@
     base::Error Last;
     const bool Written = co_await Store_.write(
         platform::HostKind, Self_.Host_.name(), Content, Last);
-    if (Written)
+    if (Written) {
+      Entering_ = false;
       co_return;
+    }
     reporting::logLine(LogLevel::Warning, KeyValueLine()
                                               .add("event", "register-failed")
                                               .add("step", Last.Step_)
--- a/apps/lycheed/HostRegistration.h
+++ b/apps/lycheed/HostRegistration.h
@@ -19,7 +19,8 @@
   HostRegistration(const HostRegistration &) = delete;
   HostRegistration &operator=(const HostRegistration &) = delete;
 
-  /// Writes the entry, and tries again until it stands.
+  /// Writes the entry, and tries again until it stands; does nothing while it
+  /// is being written.
   boost::asio::awaitable<void> enter();
   /// Removes it; an entry that stays only costs others a datagram now and then.
   boost::asio::awaitable<void> leave();
@@ -27,6 +28,7 @@
 private:
   live::ObjectSource &Store_;
   const members::HostDescriptor Self_;
+  bool Entering_ = false;
 };
 
 } // namespace lychee::daemon
--- a/apps/lycheed/LiveDaemon.cpp
+++ b/apps/lycheed/LiveDaemon.cpp
@@ -214,7 +214,12 @@
             relaying::freshnessTimeoutsFor(Bounds.ChangeInForce_)),
       Feed_({Objects_, Intents_, Steering_, Gateway_, Hosts_, Role_, Gauges_,
              Live_.Zones_, Bounds.TargetDrain_,
-             relaying::freshnessTimeoutsFor(Bounds.ChangeInForce_)},
+             relaying::freshnessTimeoutsFor(Bounds.ChangeInForce_),
+             [this] {
+               if (!Entry_.leaving())
+                 spawnLogged(Control_, Registration_.enter(),
+                             "register-failed");
+             }},
             drawSeed()),
       Relays_(Control_.get_executor(), Role_, Live.Relays_.Port_,
               {[this](base::TimePoint Now) { return Feed_.question(Now); },
@@ -436,7 +441,8 @@
                Asking_, Heard_.size(), Feed_.targetCount(),
                Feed_.evacuatedCount(), Steering_.limitedTargetCount(),
                Steering_.restingTargetCount(Now),
-               Steering_.ejectedTargetCount(Now), !Steering_.reachesTargets()});
+               Steering_.ejectedTargetCount(Now), !Steering_.reachesTargets(),
+               Feed_.storeEra()});
   for (const auto &[Service, Share] : Steering_.admittedShares())
     Gauges_.setAdmittedShare(Service, Share);
 }
--- a/apps/lycheed/LiveFeed.cpp
+++ b/apps/lycheed/LiveFeed.cpp
@@ -43,6 +43,28 @@
 
 constexpr base::Duration IgnoredListLogInterval = std::chrono::seconds(1);
 
+std::string_view reasonOf(live::TargetKept Kept) {
+  switch (Kept) {
+  case live::TargetKept::Leaving:
+    return "leaving";
+  case live::TargetKept::LaterStart:
+    return "later-start";
+  case live::TargetKept::Gone:
+    return "gone";
+  case live::TargetKept::Missing:
+    break;
+  }
+  return "missing";
+}
+
+void logKept(const live::KeptTarget &Kept) {
+  reporting::logLine(LogLevel::Info,
+                     KeyValueLine()
+                         .add("event", "target-kept")
+                         .add("target", Kept.Target_.name())
+                         .add("reason", reasonOf(Kept.Reason_)));
+}
+
 /// Empty where a listed host tells none.
 std::string regionOf(const Json::Value &Content) {
   return Content["region"].isString() ? Content["region"].asString() : "";
@@ -88,9 +110,15 @@
     noteTrouble(Kind, Why);
   };
   Heard.ListIgnored_ = [this, Kind](const live::ObjectBatch &List,
-                                    std::uint64_t Known) {
+                                    live::StoreRevision Known) {
     noteIgnoredList(Kind, List, Known, SystemClock::monotonicNow());
   };
+  Heard.EraSeen_ = [this](std::uint64_t Era) {
+    noteEra(Era, SystemClock::monotonicNow());
+  };
+  Heard.Restored_ = [Kind](const live::RestoreReport &Done) {
+    logRestore(Kind, Done);
+  };
   return std::make_unique<live::ObjectFollower>(Parts_.Source_, Recovered_,
                                                 std::string(Kind), Pace,
                                                 std::move(Heard), Random_());
@@ -121,19 +149,61 @@
 
 void LiveFeed::noteIgnoredList(std::string_view Kind,
                                const live::ObjectBatch &List,
-                               std::uint64_t Known, base::TimePoint Now) {
+                               live::StoreRevision Known, base::TimePoint Now) {
   Parts_.Gauges_.countIgnoredList(std::string(Kind));
-  Parts_.Gauges_.setStoreEra(List.Era_);
   base::TimePoint &Logged = IgnoredListLoggedAt_[std::string(Kind)];
   if (Now - Logged < IgnoredListLogInterval)
     return;
   Logged = Now;
+  reporting::logLine(LogLevel::Warning,
+                     KeyValueLine()
+                         .add("event", "store-list-ignored")
+                         .add("kind", Kind)
+                         .add("revision", List.Revision_.Number_)
+                         .add("era", List.Revision_.Era_)
+                         .add("known", Known.Number_)
+                         .add("known_era", Known.Era_));
+}
+
+std::uint64_t LiveFeed::storeEra() const noexcept {
+  std::uint64_t Era = NotedEra_;
+  for (const auto &Each : Followers_)
+    Era = std::max(Era, Each->revision().Era_);
+  return Era;
+}
+
+void LiveFeed::noteEra(std::uint64_t Era, base::TimePoint Now) {
+  const std::uint64_t Known = storeEra();
+  const bool KnowsNothing = Followers_.front()->revision().Number_ == 0;
+  if (Era <= Known || KnowsNothing)
+    return;
+  NotedEra_ = Era;
+  Parts_.Gauges_.countStoreRestore();
   reporting::logLine(LogLevel::Warning, KeyValueLine()
-                                            .add("event", "store-list-ignored")
-                                            .add("kind", Kind)
-                                            .add("revision", List.Revision_)
-                                            .add("known", Known)
-                                            .add("era", List.Era_));
+                                            .add("event", "store-era-changed")
+                                            .add("from", Known)
+                                            .add("to", Era));
+  Targets_.noteTrouble(Now);
+  Targets_.noteRestore(Now);
+  Evacuations_.noteRestore(Now);
+  for (const auto &Each : Followers_)
+    Each->noteEra(Era);
+  // Calls that began before may speak of the earlier era, or hang.
+  Parts_.Source_.cancelStartedBefore(Now);
+}
+
+void LiveFeed::logRestore(std::string_view Kind,
+                          const live::RestoreReport &Done) {
+  reporting::logLine(LogLevel::Warning,
+                     KeyValueLine()
+                         .add("event", "store-compared")
+                         .add("kind", Kind)
+                         .add("revision", Done.After_.Number_)
+                         .add("era", Done.After_.Era_)
+                         .add("known", Done.Before_.Number_)
+                         .add("known_era", Done.Before_.Era_)
+                         .add("different", Done.Different_)
+                         .add("missing", Done.Missing_));
 }
 
 relaying::RelayRequest LiveFeed::question(base::TimePoint Now) const {
@@ -145,7 +215,7 @@
 }
 
 live::ObjectUpdate LiveFeed::newsFor(const live::ObjectFollower &Told,
-                                     std::uint64_t Since, bool Refused,
+                                     live::StoreRevision Since, bool Refused,
                                      base::TimePoint Now) {
   const std::size_t Bytes = Told.updateBytesSince(Since);
   const bool Whole = Copies_.tryAcquire(Bytes, Refused, Now);
@@ -153,7 +223,8 @@
     reporting::logLine(LogLevel::Info, KeyValueLine()
                                            .add("event", "change-left-out")
                                            .add("kind", Told.kind())
-                                           .add("since", Since)
+                                           .add("since", Since.Number_)
+                                           .add("since_era", Since.Era_)
                                            .add("bytes", Bytes)
                                            .add("refused", Refused ? 1 : 0));
   return Told.updateSince(Since, Whole, Now);
@@ -161,6 +232,8 @@
 
 relaying::RelayResponse LiveFeed::answer(const relaying::RelayRequest &Asked,
                                          base::TimePoint Now) {
+  for (const auto &[Kind, Known] : Asked.Known_)
+    noteEra(Known.Era_, Now);
   relaying::RelayResponse Told;
   Told.IsSynced_ = !Parts_.Role_.isInTrouble(Now);
   if (const auto Trouble = Parts_.Role_.lastTrouble())
@@ -181,6 +254,8 @@
                     base::TimePoint AskedAt, base::TimePoint Now) {
   if (Told.TroubleAge_)
     Targets_.noteTrouble(AskedAt - *Told.TroubleAge_);
+  for (const live::ObjectUpdate &News : Told.Updates_)
+    noteEra(News.Changes_.Revision_.Era_, Now);
   for (const live::ObjectUpdate &News : Told.Updates_)
     for (const auto &Each : Followers_)
       if (Each->kind() == News.Kind_)
@@ -195,11 +270,12 @@
     base::Error Why;
     const auto Read = platform::decodeIntent(Each.Content_, Why);
     if (!Read) {
-      reporting::logLine(LogLevel::Error, KeyValueLine()
-                                              .add("event", "intent-refused")
-                                              .add("revision", Each.Revision_)
-                                              .add("where", Why.Peer_)
-                                              .add("reason", Why.Reason_));
+      reporting::logLine(LogLevel::Error,
+                         KeyValueLine()
+                             .add("event", "intent-refused")
+                             .add("revision", Each.Revision_.Number_)
+                             .add("where", Why.Peer_)
+                             .add("reason", Why.Reason_));
       continue;
     }
     const auto Fresh = std::make_shared<const live::Intent>(*Read);
@@ -212,7 +288,8 @@
         KeyValueLine()
             .add("event", Newer ? "intent-in-force" : "intent-old")
             .add("version", Fresh->Version_)
-            .add("revision", Each.Revision_)
+            .add("revision", Each.Revision_.Number_)
+            .add("restored", Each.Restored_ ? 1 : 0)
             .add("rules", Fresh->Routes_.size())
             .add("took_ms", base::toMilliseconds(Took)));
   }
@@ -235,9 +312,12 @@
   const base::TimePoint Now = SystemClock::monotonicNow();
   std::vector<live::TargetChange> Changes;
   Changes.reserve(Heard.size());
-  for (const live::StoredObject &Each : Heard)
+  for (const live::StoredObject &Each : Heard) {
     Changes.push_back(readTarget(Each));
-  Targets_.apply(Changes, Now);
+    Changes.back().Restored_ = Each.Restored_;
+  }
+  for (const live::KeptTarget &Kept : Targets_.apply(Changes, Now))
+    logKept(Kept);
   HasTargets_ = true;
   expire(Now);
 }
@@ -246,10 +326,12 @@
 live::TargetChange LiveFeed::readTarget(const live::StoredObject &Entry) {
   const base::TargetId Target(Entry.Name_);
   if (Entry.Deleted_) {
-    reporting::logLine(LogLevel::Info, KeyValueLine()
-                                           .add("event", "target-gone")
-                                           .add("target", Entry.Name_)
-                                           .add("revision", Entry.Revision_));
+    reporting::logLine(LogLevel::Info,
+                       KeyValueLine()
+                           .add("event", "target-gone")
+                           .add("target", Entry.Name_)
+                           .add("restored", Entry.Restored_ ? 1 : 0)
+                           .add("revision", Entry.Revision_.Number_));
     return {Target, std::nullopt};
   }
   base::Error Why;
@@ -271,29 +353,38 @@
           .add("zone", Read->Zone_.name())
           .add("start", Read->Started_)
           .add("cold_ms", base::toMilliseconds(Read->ColdLeft_))
-          .add("revision", Entry.Revision_));
+          .add("restored", Entry.Restored_ ? 1 : 0)
+          .add("revision", Entry.Revision_.Number_));
   return {Target, std::move(Read)};
 }
 
 void LiveFeed::takeEvacuations(std::span<const live::StoredObject> Heard) {
+  const base::TimePoint Now = SystemClock::monotonicNow();
   for (const live::StoredObject &Each : Heard) {
-    if (Each.Deleted_)
-      Evacuated_.erase(base::ZoneId(Each.Name_));
-    else
-      Evacuated_.emplace(Each.Name_);
+    const bool IsKept = Evacuations_.set(base::ZoneId(Each.Name_),
+                                         !Each.Deleted_, Each.Restored_, Now);
     reporting::logLine(
         LogLevel::Info,
         KeyValueLine()
             .add("event", Each.Deleted_ ? "zone-taken-back" : "zone-evacuated")
             .add("zone", Each.Name_)
-            .add("revision", Each.Revision_));
+            .add("restored", Each.Restored_ ? 1 : 0)
+            .add("waits", IsKept ? 1 : 0)
+            .add("revision", Each.Revision_.Number_));
   }
   HasEvacuations_ = true;
-  Parts_.Steering_.setEvacuated(Evacuated_, SystemClock::monotonicNow());
+  pushEvacuations(Now);
+}
+
+void LiveFeed::pushEvacuations(base::TimePoint Now) {
+  if (Evacuations_.takeChanged())
+    Parts_.Steering_.setEvacuated(Evacuations_.zones(), Now);
 }
 
 void LiveFeed::takeHosts(std::span<const live::StoredObject> Heard) {
+  bool IsRestored = false;
   for (const live::StoredObject &Each : Heard) {
+    IsRestored = IsRestored || Each.Restored_;
     if (Each.Deleted_ || !Each.Content_.isObject() ||
         !Each.Content_["address"].isString())
       Listed_.erase(Each.Name_);
@@ -306,12 +397,16 @@
   for (const auto &[Name, Host] : Listed_)
     Hosts.push_back(Host);
   Parts_.Hosts_.setListed(Hosts);
+  if (IsRestored && !Listed_.contains(Parts_.Hosts_.self().Host_.name()))
+    Parts_.OnUnlisted_();
 }
 
 void LiveFeed::expire(base::TimePoint Now) {
   Targets_.expire(Now);
   if (Targets_.takeChanged())
     pushTargets(Now);
+  Evacuations_.expire(Now);
+  pushEvacuations(Now);
 }
 
 void LiveFeed::pushTargets(base::TimePoint Now) {
--- a/apps/lycheed/LiveFeed.h
+++ b/apps/lycheed/LiveFeed.h
@@ -4,6 +4,7 @@
 #include "dispatch/DispatchSteering.h"
 #include "gateway/Gateway.h"
 #include "live/ActiveIntent.h"
+#include "live/EvacuationRegistry.h"
 #include "live/ObjectFollower.h"
 #include "live/TargetRegistry.h"
 #include "lycheed/LiveGauges.h"
@@ -13,6 +14,7 @@
 #include "relaying/RelayRole.h"
 
 #include <atomic>
+#include <functional>
 #include <memory>
 #include <set>
 #include <span>
@@ -33,6 +35,8 @@
   /// After this a leaving target must get nothing more.
   base::Duration DrainBound_{};
   relaying::FreshnessTimeouts Pace_;
+  /// Called when a restored store does not list this host.
+  std::function<void()> OnUnlisted_;
 };
 
 /// Keeps the host's knowledge of intent, targets, zones to keep clear and
@@ -58,7 +62,12 @@
             base::TimePoint Now);
 
   std::size_t targetCount() const noexcept { return Targets_.size(); }
-  std::size_t evacuatedCount() const noexcept { return Evacuated_.size(); }
+  std::size_t evacuatedCount() const noexcept {
+    return Evacuations_.zones().size();
+  }
+  /// \returns the latest era of the store that anything known is of; 0: the
+  /// store states none.
+  std::uint64_t storeEra() const noexcept;
 
   /// \returns whether everything that a request needs has been heard once.
   bool knowsAll() const noexcept {
@@ -70,32 +79,39 @@
   follow(std::string_view Kind, const live::FollowerTimings &Pace,
          live::FollowerCallbacks Heard);
   void noteTrouble(std::string_view Kind, const base::Error &Why);
+  /// Has all kinds compared with the store once it is known to have come back
+  /// from an older copy, from whomever that is heard.
+  void noteEra(std::uint64_t Era, base::TimePoint Now);
+  static void logRestore(std::string_view Kind,
+                         const live::RestoreReport &Done);
   void noteIgnoredList(std::string_view Kind, const live::ObjectBatch &List,
-                       std::uint64_t Known, base::TimePoint Now);
+                       live::StoreRevision Known, base::TimePoint Now);
   void takeIntent(std::span<const live::StoredObject> Heard);
   /// Hands an intent that is in force to those who act by it.
   void applyIntent(const std::shared_ptr<const live::Intent> &Fresh);
   /// \param Refused  the store does not answer the host that asks.
   live::ObjectUpdate newsFor(const live::ObjectFollower &Told,
-                             std::uint64_t Since, bool Refused,
+                             live::StoreRevision Since, bool Refused,
                              base::TimePoint Now);
   static live::TargetChange readTarget(const live::StoredObject &Entry);
   void takeTargets(std::span<const live::StoredObject> Heard);
   void takeEvacuations(std::span<const live::StoredObject> Heard);
   void takeHosts(std::span<const live::StoredObject> Heard);
   void pushTargets(base::TimePoint Now);
+  void pushEvacuations(base::TimePoint Now);
 
   const LiveFeedParts Parts_;
   live::ActiveIntent &Intents_;
   live::TargetRegistry Targets_;
   relaying::RelayCopyLimiter Copies_;
-  std::set<base::ZoneId> Evacuated_;
+  live::EvacuationRegistry Evacuations_;
   std::map<std::string, members::ListedHost> Listed_;
   std::atomic<bool> HasTargets_ = false;
   std::atomic<bool> HasEvacuations_ = false;
   base::Random Random_;
   live::RecoverySignal Recovered_;
   std::map<std::string, base::TimePoint> IgnoredListLoggedAt_;
+  std::uint64_t NotedEra_ = 0;
   std::vector<std::unique_ptr<live::ObjectFollower>> Followers_;
 };
 
--- a/apps/lycheed/LiveGauges.cpp
+++ b/apps/lycheed/LiveGauges.cpp
@@ -58,6 +58,9 @@
       StoreEra_(Metrics.gauge(
           "lychee_store_era",
           "How often the store came back from an older copy; 0: not stated")),
+      StoreRestores_(Metrics.counter(
+          "lychee_store_restores_total",
+          "Times that the store came back from an older copy of itself")),
       RelaySound_(relayCounter(Metrics, "sound")),
       RelayUnsound_(relayCounter(Metrics, "unsound")),
       RelayFailed_(relayCounter(Metrics, "failed")),
@@ -84,6 +87,7 @@
   TargetsResting_.set(static_cast<double>(Read.TargetsResting_));
   TargetsEjected_.set(static_cast<double>(Read.TargetsEjected_));
   TargetsUnreached_.set(Read.TargetsUnreached_ ? 1 : 0);
+  StoreEra_.set(static_cast<double>(Read.StoreEra_));
 }
 
 void LiveGauges::setAdmittedShare(const base::ServiceId &Service,
@@ -119,10 +123,6 @@
       .add();
 }
 
-void LiveGauges::setStoreEra(std::uint64_t Era) const {
-  StoreEra_.set(static_cast<double>(Era));
-}
-
 void LiveGauges::countRelayAnswer(bool Sound) const {
   (Sound ? RelaySound_ : RelayUnsound_).add();
 }
--- a/apps/lycheed/LiveGauges.h
+++ b/apps/lycheed/LiveGauges.h
@@ -32,6 +32,8 @@
   std::size_t TargetsEjected_ = 0;
   /// This host reaches no targets and forwards requests to hosts that do.
   bool TargetsUnreached_ = false;
+  /// As the store states it; 0: it states none.
+  std::uint64_t StoreEra_ = 0;
 };
 
 /// The metrics of such a host beside those of its requests.
@@ -49,7 +51,8 @@
   void countStoreCall(const std::string &Kind, bool Came);
   /// A list of the store that was older than what is known.
   void countIgnoredList(const std::string &Kind) const;
-  void setStoreEra(std::uint64_t Era) const;
+  /// The store came back from an older copy of itself.
+  void countStoreRestore() const { StoreRestores_.add(); }
   void countRelayAnswer(bool Sound) const;
   void countRelayFailure() const;
   /// This host told another what changed, in so many bytes.
@@ -73,6 +76,7 @@
   const reporting::Gauge TargetsEjected_;
   const reporting::Gauge TargetsUnreached_;
   const reporting::Gauge StoreEra_;
+  const reporting::Counter StoreRestores_;
   const reporting::Counter RelaySound_;
   const reporting::Counter RelayUnsound_;
   const reporting::Counter RelayFailed_;
--- a/libs/live/ObjectFollower.cpp
+++ b/libs/live/ObjectFollower.cpp
@@ -87,6 +87,8 @@
 }
 
 void ObjectFollower::confirm(base::TimePoint Time) {
+  if (RestoredAt_ && Time < *RestoredAt_ + RewriteTime)
+    Time = std::min(Time, *RestoredAt_);
   if (ConfirmedAt_ && *ConfirmedAt_ >= Time)
     return;
   ConfirmedAt_ = Time;
@@ -97,21 +99,33 @@
 asio::awaitable<bool> ObjectFollower::listOnce() {
   base::Error Last;
   CallStartedAt_ = SystemClock::monotonicNow();
+  Interrupted_ = false;
   const std::optional<ObjectBatch> All = co_await Source_.list(Kind_, Last);
+  if (!All && std::exchange(Interrupted_, false))
+    co_return true;
   if (!All) {
     Callbacks_.Trouble_(Last);
     co_return false;
   }
+  const StoreRevision Before = Mirror_.revision();
+  if (All->Revision_ < Before && Callbacks_.ListIgnored_)
+    Callbacks_.ListIgnored_(*All, Before);
+  if (All->Revision_.Era_ < Before.Era_) {
+    Callbacks_.Trouble_({"store.list", "store", "its era went back"});
+    co_return false;
+  }
+  noteEraOf(*All);
   const base::TimePoint Now = SystemClock::monotonicNow();
   succeeded(base::Duration::zero(), Now);
   Listed_ = true;
+  HasWatched_ = false;
   MissingRevision_.reset();
   const bool IsFirst = Mirror_.isEmpty();
-  if (All->Revision_ < Mirror_.revision() && Callbacks_.ListIgnored_)
-    Callbacks_.ListIgnored_(*All, Mirror_.revision());
   const std::vector<StoredObject> Changes = Mirror_.replaceAll(*All, Now);
-  if (IsFirst || !Changes.empty())
+  if (IsFirst)
     Callbacks_.Changed_(Changes);
+  else
+    report(Changes, Before, Now);
   confirm(CallStartedAt_);
   if (IsFirst)
     co_await sleepFor(Timings_.StartupDelay_);
@@ -122,13 +136,19 @@
   base::Error Last;
   SourceFault Fault = SourceFault::Trouble;
   CallStartedAt_ = SystemClock::monotonicNow();
+  Interrupted_ = false;
   const base::Duration Wait = ConfirmSoon_ ? ShortWatch : Timings_.Watch_;
   const std::optional<ObjectBatch> Result = co_await Source_.watch(
       Kind_, Mirror_.revision(), {Wait, watchGrace()}, Fault, Last);
   if (!Result && Fault == SourceFault::HistoryGone) {
     Listed_ = false;
+    // A list that is too old at once must not be followed by another forever.
+    if (!HasWatched_)
+      co_await pause();
     co_return;
   }
+  if (!Result && std::exchange(Interrupted_, false))
+    co_return;
   if (!Result) {
     Listed_ = false;
     Callbacks_.Trouble_(Last);
@@ -137,6 +157,13 @@
   }
   const base::TimePoint Now = SystemClock::monotonicNow();
   succeeded(Wait, Now);
+  // Changes of another era do not follow on the known state.
+  if (Result->Revision_.Era_ != Mirror_.revision().Era_) {
+    Listed_ = false;
+    noteEraOf(*Result);
+    co_return;
+  }
+  HasWatched_ = true;
   MissingRevision_.reset();
   const bool HasChanges = !Result->Objects_.empty();
   const std::vector<StoredObject> Changes = Mirror_.apply(*Result, Now);
@@ -158,7 +185,36 @@
     co_await sleepFor(Timings_.BatchDelay_);
 }
 
-ObjectUpdate ObjectFollower::updateSince(std::uint64_t Since, bool WithChanges,
+void ObjectFollower::noteEraOf(const ObjectBatch &Batch) const {
+  if (!Mirror_.isEmpty() && Callbacks_.EraSeen_ &&
+      Batch.Revision_.Era_ > Mirror_.revision().Era_)
+    Callbacks_.EraSeen_(Batch.Revision_.Era_);
+}
+
+void ObjectFollower::noteEra(std::uint64_t Era) noexcept {
+  if (Mirror_.isEmpty() || Era <= Mirror_.revision().Era_)
+    return;
+  Listed_ = false;
+  Interrupted_ = true;
+}
+
+void ObjectFollower::report(std::span<const StoredObject> Changes,
+                            StoreRevision Before, base::TimePoint Now) {
+  if (Mirror_.revision().Era_ > Before.Era_) {
+    RestoredAt_ = Now;
+    RestoreReport Report{Before, Mirror_.revision()};
+    for (const StoredObject &Entry : Changes) {
+      Report.Different_ += Entry.Restored_ ? 1 : 0;
+      Report.Missing_ += Entry.Restored_ && Entry.Deleted_ ? 1 : 0;
+    }
+    if (Callbacks_.Restored_)
+      Callbacks_.Restored_(Report);
+  }
+  if (!Changes.empty())
+    Callbacks_.Changed_(Changes);
+}
+
+ObjectUpdate ObjectFollower::updateSince(StoreRevision Since, bool WithChanges,
                                          base::TimePoint Now) const {
   ObjectUpdate Update;
   Update.Kind_ = Kind_;
@@ -168,12 +224,13 @@
   std::optional<ObjectBatch> History =
       WithChanges ? Mirror_.changesSince(Since) : std::nullopt;
   Update.MustRelist_ = !History;
+  Update.Changes_.Revision_ = Mirror_.revision();
   if (History)
     Update.Changes_ = std::move(*History);
   return Update;
 }
 
-void ObjectFollower::noteMissing(std::uint64_t Revision) {
+void ObjectFollower::noteMissing(StoreRevision Revision) {
   MissingRevision_ = std::max(MissingRevision_.value_or(Revision), Revision);
 }
 
@@ -183,6 +240,9 @@
   // Changes cannot be applied before the first list.
   if (Mirror_.isEmpty())
     return;
+  // A state of an earlier era is older, whatever its revision and age.
+  if (Update.Changes_.Revision_.Era_ < Mirror_.revision().Era_)
+    return;
   if (Update.MustRelist_) {
     // A call that succeeded after the request may have returned what the other
     // host leaves out.
@@ -190,9 +250,14 @@
       noteMissing(Update.NewestRevision_);
     return;
   }
+  const StoreRevision Before = Mirror_.revision();
   const std::vector<StoredObject> Changes = Mirror_.apply(Update.Changes_, Now);
-  if (!Changes.empty())
-    Callbacks_.Changed_(Changes);
+  report(Changes, Before, Now);
+  if (Mirror_.takeIncomplete()) {
+    Listed_ = false;
+    noteMissing(Update.NewestRevision_);
+    return;
+  }
   if (!Mirror_.covers(Update.NewestRevision_)) {
     if (IsSynced)
       noteMissing(Update.NewestRevision_);
--- a/libs/live/ObjectFollower.h
+++ b/libs/live/ObjectFollower.h
@@ -13,6 +13,18 @@
 
 namespace lychee::live {
 
+/// Result of comparing the known state with a copy that the store came back
+/// from.
+struct RestoreReport {
+  /// Revision known before.
+  StoreRevision Before_;
+  /// Revision of the list, or of the update that held it.
+  StoreRevision After_;
+  /// Number of objects whose state differs, including missing ones.
+  std::size_t Different_ = 0;
+  std::size_t Missing_ = 0;
+};
+
 /// Callbacks of a follower. All are called on its executor.
 struct FollowerCallbacks {
   /// Reports changes in order, each change once. After the first list it
@@ -27,8 +39,14 @@
   std::function<void()> Succeeded_;
   /// A list is older than what is known at revision \p Known, and is ignored.
   /// May be empty.
-  std::function<void(const ObjectBatch &List, std::uint64_t Known)>
+  std::function<void(const ObjectBatch &List, StoreRevision Known)>
       ListIgnored_;
+  /// The store came back from an older copy; answers state this era. Called for
+  /// each answer until the state is of that era. May be empty.
+  std::function<void(std::uint64_t Era)> EraSeen_;
+  /// The state was compared with the copy. Called before the differences are
+  /// reported. May be empty.
+  std::function<void(const RestoreReport &)> Restored_;
   /// \returns whether this host reads the store itself; otherwise it waits for
   /// updates from other hosts. Empty: it always reads the store.
   std::function<bool(base::TimePoint Now)> MustReadStore_;
@@ -77,6 +95,10 @@
   /// the call. A short watch brings a newer confirmation before the old one
   /// expires.
   static constexpr base::Duration ShortWatch = std::chrono::milliseconds(50);
+  /// Time within which operators and targets write again what a restored store
+  /// lacks. What is read before that may lack acknowledged changes, so it
+  /// confirms the state only as of the restore.
+  static constexpr base::Duration RewriteTime = std::chrono::seconds(2);
 
   /// \param Source,Recovery must outlive this; \p Recovery is shared by all
   /// kinds of objects.
@@ -98,7 +120,7 @@
   boost::asio::awaitable<void> run();
 
   const std::string &kind() const noexcept { return Kind_; }
-  std::uint64_t revision() const noexcept { return Mirror_.revision(); }
+  StoreRevision revision() const noexcept { return Mirror_.revision(); }
   /// \returns whether the last call to the store succeeded and no change may
   /// have been missed.
   bool isSynced() const noexcept { return Listed_ && !Failing_; }
@@ -110,15 +132,20 @@
     return LastContact_;
   }
 
+  /// Records that the store came back from an older copy as era \p Era. The
+  /// call in progress may still speak of an earlier one: its caller cancels it,
+  /// and a list is read next. \see ObjectSource::cancelStartedBefore
+  void noteEra(std::uint64_t Era) noexcept;
+
   /// \returns the size of the changes in updateSince() as text.
-  std::size_t updateBytesSince(std::uint64_t Since) const noexcept {
+  std::size_t updateBytesSince(StoreRevision Since) const noexcept {
     return Mirror_.changeBytesSince(Since);
   }
 
   /// \returns the update for a host that knows everything up to \p Since.
   /// \param WithChanges include the changes; otherwise the host is to fetch
   /// them from the store.
-  ObjectUpdate updateSince(std::uint64_t Since, bool WithChanges,
+  ObjectUpdate updateSince(StoreRevision Since, bool WithChanges,
                            base::TimePoint Now) const;
 
   /// Applies an update that another host sent in response to a request made at
@@ -138,9 +165,15 @@
   void succeeded(base::Duration Wait, base::TimePoint Now);
   base::Duration watchGrace() const;
   void confirm(base::TimePoint Time);
+  /// Reports the era of an answer if it is later than that of the state.
+  void noteEraOf(const ObjectBatch &Batch) const;
   /// Records that another host knows of a change up to \p Revision that this
   /// one is missing.
-  void noteMissing(std::uint64_t Revision);
+  void noteMissing(StoreRevision Revision);
+  /// Reports what replaceAll() or apply() returned.
+  /// \param Before revision before the changes.
+  void report(std::span<const StoredObject> Changes, StoreRevision Before,
+              base::TimePoint Now);
 
   ObjectSource &Source_;
   const std::string Kind_;
@@ -156,7 +189,7 @@
   /// Another host knows of changes up to this revision and did not send all of
   /// them. A host that has just listed watches from its list's revision, which
   /// is one call; a list of several hundred objects is several calls.
-  std::optional<std::uint64_t> MissingRevision_;
+  std::optional<StoreRevision> MissingRevision_;
   std::optional<base::TimePoint> ConfirmedAt_;
   std::optional<base::TimePoint> LastContact_;
   /// Time that the store took for its last response, beyond the requested wait.
@@ -165,6 +198,11 @@
   base::TimePoint CallStartedAt_;
   /// The last confirmation is for a time that is long past.
   bool ConfirmSoon_ = false;
+  /// The store has answered a watch since the last list.
+  bool HasWatched_ = false;
+  /// The call in progress is cancelled because the store's era rose.
+  bool Interrupted_ = false;
+  std::optional<base::TimePoint> RestoredAt_;
 };
 
 } // namespace lychee::live
--- a/libs/live/ObjectMirror.h
+++ b/libs/live/ObjectMirror.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace lychee::live {
@@ -20,6 +21,11 @@
 /// received the same changes in other batches. All of it is turned into changes
 /// in the order in which they happened, each reported once.
 ///
+/// The first list of a new era is compared with what is known by content, as
+/// its revisions have nothing to do with the earlier ones. Differences are
+/// reported as restored. Other hosts get the whole list, without the contents
+/// that have not changed. \see StoreRevision
+///
 /// Not thread-safe. \see ObjectFollower
 class ObjectMirror {
 public:
@@ -32,64 +38,82 @@
   std::vector<StoredObject> replaceAll(const ObjectBatch &List,
                                        base::TimePoint Now);
 
-  /// Applies changes.
+  /// Applies changes. Those of an earlier era than the state are ignored.
   /// \returns those that were not known yet, in order.
   std::vector<StoredObject> apply(const ObjectBatch &Changes,
                                   base::TimePoint Now);
 
+  /// \returns whether changes were not applied since the last call, because
+  /// they leave out contents that are not known here.
+  bool takeIncomplete() noexcept { return std::exchange(Incomplete_, false); }
+
   /// \returns the store's revision up to which everything is known; 0 before
   /// the first list.
-  std::uint64_t revision() const noexcept { return Revision_; }
-  bool isEmpty() const noexcept { return Revision_ == 0; }
+  StoreRevision revision() const noexcept { return Revision_; }
+  bool isEmpty() const noexcept { return Revision_ == StoreRevision(); }
 
   /// \returns the revision of the last change received.
-  std::uint64_t newestRevision() const noexcept { return NewestRevision_; }
+  StoreRevision newestRevision() const noexcept { return NewestRevision_; }
 
   /// \returns whether a change of this revision, which another host received,
   /// is known here from a watch, another host or a list.
-  bool covers(std::uint64_t Revision) const noexcept {
+  bool covers(StoreRevision Revision) const noexcept {
     return Revision <= std::max(NewestRevision_, ListedRevision_);
   }
 
   /// \returns the changes after \p Since; nothing if the history does not go
   /// back that far.
-  std::optional<ObjectBatch> changesSince(std::uint64_t Since) const;
+  std::optional<ObjectBatch> changesSince(StoreRevision Since) const;
   /// \returns the size of the contents of changesSince() as text; 0 if it
   /// returns nothing.
-  std::size_t changeBytesSince(std::uint64_t Since) const noexcept;
+  std::size_t changeBytesSince(StoreRevision Since) const noexcept;
 
 private:
   struct ChangeBatch {
     /// Everything up to this revision is in this batch or an earlier one.
-    std::uint64_t Revision_ = 0;
+    StoreRevision Revision_;
     base::TimePoint ReceivedAt_;
     std::vector<StoredObject> Objects_;
   };
 
+  struct KnownObject {
+    StoreRevision Revision_;
+    std::uint64_t ContentHash_ = 0;
+  };
+
   /// Marks a deleted object; older changes of the object may still arrive.
   struct Tombstone {
-    std::uint64_t Revision_ = 0;
+    StoreRevision Revision_;
     base::TimePoint ReceivedAt_;
   };
 
   bool isKnown(const StoredObject &Object) const;
   /// \returns whether the history lacks changes after \p Since.
-  bool isTrimmed(std::uint64_t Since) const noexcept {
-    return Revision_ == 0 || Since < HistoryStart_;
+  bool isTrimmed(StoreRevision Since) const noexcept {
+    return isEmpty() || Since < HistoryStart_;
   }
-  void markDeleted(const std::string &Name, std::uint64_t Revision,
+  bool hasContent(const StoredObject &Object) const;
+  /// Records the state of an object that is not known yet.
+  void store(const StoredObject &Object, base::TimePoint Now);
+  /// \returns deletions of the objects that only an earlier era had.
+  std::vector<StoredObject> deleteEarlierThan(StoreRevision Revision,
+                                              base::TimePoint Now);
+  std::vector<StoredObject> restoreAll(const ObjectBatch &List,
+                                       base::TimePoint Now);
+  void markDeleted(const std::string &Name, StoreRevision Revision,
                    base::TimePoint Now);
-  void appendHistory(std::vector<StoredObject> Changes, std::uint64_t Revision,
+  void appendHistory(std::vector<StoredObject> Changes, StoreRevision Revision,
                      base::TimePoint Now);
 
-  std::uint64_t Revision_ = 0;
-  std::uint64_t NewestRevision_ = 0;
-  std::uint64_t ListedRevision_ = 0;
+  StoreRevision Revision_;
+  StoreRevision NewestRevision_;
+  StoreRevision ListedRevision_;
   /// Changes after this revision are in the history.
-  std::uint64_t HistoryStart_ = 0;
-  std::map<std::string, std::uint64_t> Revisions_;
+  StoreRevision HistoryStart_;
+  std::map<std::string, KnownObject> Objects_;
   std::map<std::string, Tombstone> Tombstones_;
   std::deque<ChangeBatch> History_;
+  bool Incomplete_ = false;
 };
 
 } // namespace lychee::live
--- a/libs/live/ObjectSource.h
+++ b/libs/live/ObjectSource.h
@@ -3,6 +3,7 @@
 
 #include "base/Error.h"
 #include "base/Time.h"
+#include "live/StoreRevision.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <cstddef>
@@ -18,12 +19,18 @@
 /// A named object of one kind, as held by the store.
 struct StoredObject {
   std::string Name_;
-  std::uint64_t Revision_ = 0;
+  StoreRevision Revision_;
   Json::Value Content_;
   /// The object was deleted.
   bool Deleted_ = false;
   /// Size of Content_ as text.
   std::size_t Bytes_ = 0;
+  /// The state comes from an older copy that the store came back from, so what
+  /// is known may be newer. It is written again soon if it is.
+  bool Restored_ = false;
+  /// Set instead of Content_ for a restored object whose content is the one
+  /// that was known before: hash of that content.
+  std::optional<std::uint64_t> ContentHash_ = std::nullopt;
 };
 
 /// \returns the size of a value in the text that it was parsed from; 0 if it
@@ -36,10 +43,7 @@
 /// All objects of a kind, or changes to them, as of a revision of the store.
 struct ObjectBatch {
   std::vector<StoredObject> Objects_;
-  std::uint64_t Revision_ = 0;
-  /// Counts how often the store came back from an older copy of itself; 0 if it
-  /// does not say.
-  std::uint64_t Era_ = 0;
+  StoreRevision Revision_;
 };
 
 /// Reason why a call failed, as far as its caller distinguishes reasons.
@@ -77,7 +81,7 @@
   /// \returns the changes, which are empty if the time passed without one;
   /// nothing, with \p Fault and \p Last filled, on failure.
   virtual boost::asio::awaitable<std::optional<ObjectBatch>>
-  watch(std::string_view Kind, std::uint64_t Since, WatchSpan Timeouts,
+  watch(std::string_view Kind, StoreRevision Since, WatchSpan Timeouts,
         SourceFault &Fault, base::Error &Last) = 0;
 
   /// Cancels all calls started before \p Time; each of them fails with
--- a/libs/live/ObjectUpdate.h
+++ b/libs/live/ObjectUpdate.h
@@ -3,7 +3,6 @@
 
 #include "live/ObjectSource.h"
 
-#include <cstdint>
 #include <optional>
 #include <vector>
 
@@ -17,7 +16,7 @@
   /// Revision of the last change that the other host received. If that change
   /// is neither in Changes_ nor known here, a store that stopped delivering
   /// changes has withheld it.
-  std::uint64_t NewestRevision_ = 0;
+  StoreRevision NewestRevision_;
   /// The other host no longer has the changes, or omits them because they are
   /// large: they must be fetched from the store.
   bool MustRelist_ = false;
--- /dev/null
+++ b/libs/live/StoreRevision.h
@@ -0,0 +1,29 @@
+#ifndef LYCHEE_LIVE_STOREREVISION_H
+#define LYCHEE_LIVE_STOREREVISION_H
+
+#include <compare>
+#include <cstdint>
+
+namespace lychee::live {
+
+/// Position in the store's history of changes.
+///
+/// Failure: the store comes back from an older copy of itself and gives its
+/// revision numbers out again. Compared by number alone, new changes would
+/// count as known. The store's era rises each time, so a revision is compared
+/// by its era first.
+struct StoreRevision {
+  /// \param Era 0: the store does not state its era.
+  constexpr StoreRevision(std::uint64_t Number = 0,
+                          std::uint64_t Era = 0) noexcept
+      : Era_(Era), Number_(Number) {}
+
+  std::uint64_t Era_;
+  std::uint64_t Number_;
+
+  auto operator<=>(const StoreRevision &) const = default;
+};
+
+} // namespace lychee::live
+
+#endif
--- a/libs/relaying/RelayMessages.cpp
+++ b/libs/relaying/RelayMessages.cpp
@@ -30,27 +30,60 @@
   return std::nullopt;
 }
 
+/// Elements of an object's row; a restored object has one more.
+constexpr Json::ArrayIndex RowSize = 5;
+constexpr Json::ArrayIndex RestoredRowSize = 6;
+
+/// The last element of a restored object's row is the hash of the content that
+/// is left out, or null.
 Json::Value encodeObject(const StoredObject &Object) {
   Json::Value Row(Json::arrayValue);
   Row.append(Object.Name_);
-  Row.append(Json::UInt64(Object.Revision_));
+  Row.append(Json::UInt64(Object.Revision_.Number_));
   Row.append(Object.Deleted_);
   Row.append(Object.Deleted_ ? Json::Value() : Object.Content_);
+  Row.append(Json::UInt64(Object.Revision_.Era_));
+  if (Object.Restored_)
+    Row.append(Object.ContentHash_
+                   ? Json::Value(Json::UInt64(*Object.ContentHash_))
+                   : Json::Value());
   return Row;
 }
 
 std::optional<StoredObject> decodeObject(const Json::Value &Row) {
-  if (!Row.isArray() || Row.size() != 4 || !Row[0].isString() ||
-      !Row[1].isUInt64() || !Row[2].isBool())
+  if (!Row.isArray() || Row.size() < RowSize || Row.size() > RestoredRowSize ||
+      !Row[0].isString() || !Row[1].isUInt64() || !Row[2].isBool() ||
+      !Row[4].isUInt64())
     return std::nullopt;
-  return StoredObject{Row[0].asString(), Row[1].asUInt64(), Row[3],
-                      Row[2].asBool(), live::parsedBytes(Row[3])};
+  StoredObject Object{Row[0].asString(),
+                      {Row[1].asUInt64(), Row[4].asUInt64()},
+                      Row[3],
+                      Row[2].asBool(),
+                      live::parsedBytes(Row[3])};
+  Object.Restored_ = Row.size() == RestoredRowSize;
+  if (Object.Restored_ && Row[5].isUInt64())
+    Object.ContentHash_ = Row[5].asUInt64();
+  return Object;
+}
+
+Json::Value encodeRevision(const live::StoreRevision &Revision) {
+  Json::Value Pair(Json::arrayValue);
+  Pair.append(Json::UInt64(Revision.Era_));
+  Pair.append(Json::UInt64(Revision.Number_));
+  return Pair;
+}
+
+std::optional<live::StoreRevision> decodeRevision(const Json::Value &Pair) {
+  if (!Pair.isArray() || Pair.size() != 2 || !Pair[0].isUInt64() ||
+      !Pair[1].isUInt64())
+    return std::nullopt;
+  return live::StoreRevision(Pair[1].asUInt64(), Pair[0].asUInt64());
 }
 
 Json::Value encodeUpdate(const ObjectUpdate &Update) {
   Json::Value Document;
-  Document["at"] = Json::UInt64(Update.Changes_.Revision_);
-  Document["newest"] = Json::UInt64(Update.NewestRevision_);
+  Document["at"] = encodeRevision(Update.Changes_.Revision_);
+  Document["newest"] = encodeRevision(Update.NewestRevision_);
   if (Update.MustRelist_)
     Document["list"] = true;
   if (Update.Age_)
@@ -64,11 +97,14 @@
                                          const Json::Value &Document) {
   ObjectUpdate Result;
   Result.Kind_ = Kind;
-  if (!Document.isObject() || !Document["at"].isUInt64() ||
-      !Document["newest"].isUInt64())
+  if (!Document.isObject())
+    return std::nullopt;
+  const auto Revision = decodeRevision(Document["at"]);
+  const auto Newest = decodeRevision(Document["newest"]);
+  if (!Revision || !Newest)
     return std::nullopt;
-  Result.Changes_.Revision_ = Document["at"].asUInt64();
-  Result.NewestRevision_ = Document["newest"].asUInt64();
+  Result.Changes_.Revision_ = *Revision;
+  Result.NewestRevision_ = *Newest;
   Result.MustRelist_ = Document["list"] == Json::Value(true);
   // Rounded up, so that an update never appears more recent than it is.
   if (Document["age"].isInt64())
@@ -89,7 +125,7 @@
   if (Request.StoreUnavailable_)
     Document["refused"] = true;
   for (const auto &[Kind, Revision] : Request.Known_)
-    Document["known"][Kind] = Json::UInt64(Revision);
+    Document["known"][Kind] = encodeRevision(Revision);
   return writeJson(Document);
 }
 
@@ -120,8 +156,8 @@
   }
   Result.StoreUnavailable_ = (*Document)["refused"] == Json::Value(true);
   for (const std::string &Kind : Known.getMemberNames())
-    if (Known[Kind].isUInt64())
-      Result.Known_[Kind] = Known[Kind].asUInt64();
+    if (const auto Revision = decodeRevision(Known[Kind]))
+      Result.Known_[Kind] = *Revision;
   return Result;
 }
 
--- a/libs/relaying/RelayMessages.h
+++ b/libs/relaying/RelayMessages.h
@@ -4,7 +4,6 @@
 #include "base/Error.h"
 #include "live/ObjectUpdate.h"
 
-#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -16,7 +15,7 @@
 /// Request for the changes since the revisions that the sender knows, by kind
 /// of object.
 struct RelayRequest {
-  std::map<std::string, std::uint64_t> Known_;
+  std::map<std::string, live::StoreRevision> Known_;
   /// The store does not respond to the sender.
   bool StoreUnavailable_ = false;
 };
--- a/tests/live/ObjectFollowerTest.cpp
+++ b/tests/live/ObjectFollowerTest.cpp
@@ -21,18 +21,23 @@
 
 namespace {
 
+constexpr std::uint64_t LaterEra = 1;
+
 /// Responds according to a script with one entry per call, and ends the loop
 /// after the last one.
 class ScriptedSource final : public live::ObjectSource {
 public:
   explicit ScriptedSource(asio::io_context &Loop) : Loop_(Loop) {}
 
-  /// "list", "watch", "gone" or "trouble", in order.
+  /// "list", "watch", "gone" or "trouble", in order. "restored": a list or a
+  /// watch of a later era than the others.
   std::deque<std::string> Script_;
   std::vector<std::string> Calls_;
   std::vector<live::WatchSpan> Timeouts_;
   /// How long a list takes.
   base::Duration ListTime_{};
+  /// Called with the number of the call before it is answered.
+  std::function<void(std::size_t)> BeforeAnswer_;
 
   asio::awaitable<std::optional<live::ObjectBatch>>
   list(std::string_view /*Kind*/, base::Error & /*Last*/) override {
@@ -41,14 +46,14 @@
     asio::steady_timer Timer(Loop_);
     Timer.expires_after(ListTime_);
     co_await Timer.async_wait(asio::use_awaitable);
-    if (Answer != "list")
+    if (Answer != "list" && Answer != "restored")
       co_return std::nullopt;
     live::ObjectBatch All;
-    All.Revision_ = 5;
+    All.Revision_ = Answer == "restored" ? live::StoreRevision(3, LaterEra) : 5;
     co_return All;
   }
   asio::awaitable<std::optional<live::ObjectBatch>>
-  watch(std::string_view /*Kind*/, std::uint64_t /*Since*/,
+  watch(std::string_view /*Kind*/, live::StoreRevision /*Since*/,
         live::WatchSpan Timeouts, live::SourceFault &Fault,
         base::Error & /*Last*/) override {
     co_await endWithScript();
@@ -56,9 +61,14 @@
     Timeouts_.push_back(Timeouts);
     Fault = Answer == "gone" ? live::SourceFault::HistoryGone
                              : live::SourceFault::Trouble;
-    if (Answer != "watch")
+    if (Answer != "watch" && Answer != "restored")
       co_return std::nullopt;
     live::ObjectBatch Callbacks;
+    if (Answer == "restored") {
+      Callbacks.Objects_.push_back({"two", {4, LaterEra}, {}, false});
+      Callbacks.Revision_ = {4, LaterEra};
+      co_return Callbacks;
+    }
     Callbacks.Objects_.push_back({"one", 6, {}, false});
     Callbacks.Revision_ = 6;
     co_return Callbacks;
@@ -88,6 +98,8 @@
 
   std::string next(const char *Call) {
     Calls_.emplace_back(Call);
+    if (BeforeAnswer_)
+      BeforeAnswer_(Calls_.size());
     std::string Answer = Script_.front();
     Script_.pop_front();
     return Answer;
@@ -105,6 +117,9 @@
   std::unique_ptr<live::ObjectFollower> Follower_;
   int Changed_ = 0;
   int Failures_ = 0;
+  int ErasSeen_ = 0;
+  std::size_t Missing_ = 0;
+  base::TimePoint RestoredAt_;
   base::TimePoint ConfirmedAt_;
   std::function<bool(base::TimePoint)> MustReadStore_;
   std::function<double(base::TimePoint)> BackoffFactor_;
@@ -134,6 +149,11 @@
     live::FollowerCallbacks Callbacks;
     Callbacks.Changed_ = [this](const auto &) { ++Changed_; };
     Callbacks.Confirmed_ = [this](base::TimePoint At) { ConfirmedAt_ = At; };
+    Callbacks.EraSeen_ = [this](std::uint64_t) { ++ErasSeen_; };
+    Callbacks.Restored_ = [this](const live::RestoreReport &Done) {
+      Missing_ += Done.Missing_;
+      RestoredAt_ = base::SystemClock::monotonicNow();
+    };
     Callbacks.MustReadStore_ = MustReadStore_;
     Callbacks.BackoffFactor_ = BackoffFactor_;
     Callbacks.Trouble_ = [this](const auto &) { ++Failures_; };
@@ -355,3 +375,61 @@
   };
   STRCMP_EQUAL("list list ", play({"list", "list"}).c_str());
 }
+
+// A watch that hung through the restore answers with changes of the new era,
+// without those between the copy and the revision that it began at.
+TEST(ObjectFollower, watchOfALaterEraIsNotAppliedButListed) {
+  STRCMP_EQUAL("list watch watch list ",
+               play({"list", "watch", "restored", "restored"}).c_str());
+  // The watched object, and its absence from the copy.
+  LONGS_EQUAL(3, Changed_);
+  LONGS_EQUAL(2, ErasSeen_);
+  LONGS_EQUAL(1, Missing_);
+}
+
+// Guards against a host that takes a list of a later era for a list that was
+// delayed, lists again and again, and follows the store no more.
+TEST(ObjectFollower, listOfALaterEraIsFollowedWhateverItsRevision) {
+  STRCMP_EQUAL("list watch list watch ",
+               play({"list", "gone", "restored", "restored"}).c_str());
+  CHECK(Follower_->revision() == live::StoreRevision(4, LaterEra));
+  CHECK(Follower_->isSynced());
+}
+
+TEST(ObjectFollower, answersOfAnEarlierEraAreFailures) {
+  play({"restored", "watch", "list", "restored"});
+  LONGS_EQUAL(1, Failures_);
+  CHECK(Follower_->revision() == live::StoreRevision(3, LaterEra));
+}
+
+TEST(ObjectFollower, updateOfAnEarlierEraConfirmsNothing) {
+  MustReadStore_ = [&, Checks = 0](base::TimePoint Now) mutable {
+    if (++Checks != 2)
+      return true;
+    const base::TimePoint Before = ConfirmedAt_;
+    receiveChange(9, Now + 1h);
+    CHECK(ConfirmedAt_ == Before);
+    return true;
+  };
+  play({"restored", "restored"});
+  CHECK(Follower_->revision() == live::StoreRevision(4, LaterEra));
+}
+
+// The copy may lack a withdrawal that was acknowledged before the restore, and
+// that operators have not written again yet.
+TEST(ObjectFollower, restoredStoreConfirmsNothingLaterThanTheRestore) {
+  Timings_.Watch_ = 0s;
+  play({"list", "gone", "restored", "restored", "restored"});
+  CHECK(RestoredAt_ > base::TimePoint());
+  CHECK(ConfirmedAt_ <= RestoredAt_);
+}
+
+TEST(ObjectFollower, callCancelledForALaterEraIsNoFailure) {
+  Source_.BeforeAnswer_ = [this](std::size_t Call) {
+    if (Call == 2)
+      Follower_->noteEra(LaterEra);
+  };
+  STRCMP_EQUAL("list watch list watch ",
+               play({"list", "trouble", "restored", "restored"}).c_str());
+  LONGS_EQUAL(0, Failures_);
+}
--- a/tests/live/ObjectMirrorTest.cpp
+++ b/tests/live/ObjectMirrorTest.cpp
@@ -6,6 +6,7 @@
 using lychee::live::ObjectBatch;
 using lychee::live::ObjectMirror;
 using lychee::live::StoredObject;
+using lychee::live::StoreRevision;
 using namespace std::chrono_literals;
 
 namespace {
@@ -17,6 +18,13 @@
   return {Name, Revision, {}, true};
 }
 
+StoredObject holding(const char *Name, StoreRevision Revision,
+                     const char *Content) {
+  return {Name, Revision, Content, false};
+}
+
+constexpr std::uint64_t Restored = 1;
+
 } // namespace
 
 TEST_GROUP(ObjectMirror) {
@@ -109,3 +117,118 @@
   Mirror_.apply({{changed("a", 11)}, 11}, Now_);
   CHECK(Mirror_.replaceAll({{changed("a", 3)}, 9}, Now_).empty());
 }
+
+/// A host that has read up to revision 20 before the store comes back from a
+/// copy at revision 12, and another host that knows the same.
+TEST_GROUP(RestoredObjectMirror) {
+  base::TimePoint Now_ = base::TimePoint(100s);
+  ObjectMirror Mirror_;
+  ObjectMirror Other_;
+  const ObjectBatch Before_{{holding("a", 3, "old"), holding("b", 18, "new"),
+                             holding("c", 19, "late")},
+                            20};
+  const ObjectBatch Copy_{
+      {holding("a", {3, Restored}, "old"), holding("b", {5, Restored}, "old")},
+      {12, Restored}};
+
+  void setup() override {
+    Mirror_.replaceAll(Before_, Now_);
+    Other_.replaceAll(Before_, Now_);
+  }
+
+  /// \returns names with their states, such as "b=old c-".
+  static std::string describe(const std::vector<StoredObject> &Changes) {
+    std::string Text;
+    for (const StoredObject &Entry : Changes)
+      Text += Entry.Name_ +
+              (Entry.Deleted_ ? "-" : "=" + Entry.Content_.asString()) +
+              (Entry.Restored_ ? "? " : " ");
+    return Text;
+  }
+};
+
+TEST(RestoredObjectMirror, listBelowTheKnownRevisionIsCompared) {
+  STRCMP_EQUAL("b=old? c-? ",
+               describe(Mirror_.replaceAll(Copy_, Now_)).c_str());
+  CHECK(Mirror_.revision() == StoreRevision(12, Restored));
+}
+
+TEST(RestoredObjectMirror, changeUnderARevisionGivenOutAgainIsReported) {
+  Mirror_.replaceAll(Copy_, Now_);
+  const auto Changes = Mirror_.apply({{holding("b", {18, Restored}, "newer"),
+                                       holding("d", {19, Restored}, "x")},
+                                      {19, Restored}},
+                                     Now_);
+  STRCMP_EQUAL("b=newer d=x ", describe(Changes).c_str());
+}
+
+TEST(RestoredObjectMirror, newsOfTheEarlierEraAreIgnored) {
+  Mirror_.replaceAll(Copy_, Now_);
+  CHECK(Mirror_.apply({{holding("b", 30, "lost")}, 30}, Now_).empty());
+  CHECK(Mirror_.replaceAll({{holding("b", 30, "lost")}, 30}, Now_).empty());
+  CHECK_FALSE(Mirror_.covers({30, Restored}));
+}
+
+TEST(RestoredObjectMirror, otherHostLearnsTheDifferences) {
+  // The other host heard of an object that this one never did.
+  Other_.apply({{holding("e", 21, "unheard")}, 21}, Now_);
+  Mirror_.replaceAll(Copy_, Now_);
+  Mirror_.apply({{holding("c", {13, Restored}, "late")}, {13, Restored}}, Now_);
+  const auto News = Mirror_.changesSince(Other_.revision());
+  CHECK(News.has_value());
+  const auto Changes = Other_.apply(News.value_or(ObjectBatch()), Now_);
+  STRCMP_EQUAL("b=old? c-? c=late e-? ", describe(Changes).c_str());
+  CHECK(Other_.revision() == Mirror_.revision());
+  CHECK_FALSE(Other_.takeIncomplete());
+}
+
+// A change that only this host heard before the restore reaches the other one
+// before the state of the copy does.
+TEST(RestoredObjectMirror, otherHostLearnsWhatItMissedBefore) {
+  Mirror_.apply({{holding("a", 21, "newest")}, 21}, Now_);
+  Mirror_.replaceAll(Copy_, Now_);
+  const auto News = Mirror_.changesSince(Other_.revision());
+  STRCMP_EQUAL(
+      "a=newest a=old? b=old? c-? ",
+      describe(Other_.apply(News.value_or(ObjectBatch()), Now_)).c_str());
+}
+
+TEST(RestoredObjectMirror, unchangedContentsAreLeftOut) {
+  Mirror_.replaceAll(Copy_, Now_);
+  const auto News = Mirror_.changesSince(20).value_or(ObjectBatch());
+  for (const StoredObject &Entry : News.Objects_)
+    CHECK_EQUAL(Entry.Name_ == "a", Entry.ContentHash_.has_value());
+}
+
+// What is left out is not known to a host that knew another content.
+TEST(RestoredObjectMirror, hostWithAnotherContentNeedsTheList) {
+  Other_.apply({{holding("a", 21, "newest")}, 21}, Now_);
+  Mirror_.replaceAll(Copy_, Now_);
+  Other_.apply(Mirror_.changesSince(21).value_or(ObjectBatch()), Now_);
+  CHECK(Other_.takeIncomplete());
+  CHECK(Other_.revision() == StoreRevision(21));
+  STRCMP_EQUAL("a=old? b=old? c-? ",
+               describe(Other_.replaceAll(Copy_, Now_)).c_str());
+}
+
+TEST(RestoredObjectMirror, secondRestoreIsComparedWithTheFirst) {
+  Mirror_.replaceAll(Copy_, Now_);
+  Mirror_.apply({{holding("d", {13, Restored}, "x")}, {13, Restored}}, Now_);
+  ObjectBatch Again{{holding("a", {3, 2}, "old"), holding("b", {5, 2}, "old")},
+                    {12, 2}};
+  STRCMP_EQUAL("d-? ", describe(Mirror_.replaceAll(Again, Now_)).c_str());
+  const auto News = Mirror_.changesSince(Other_.revision());
+  STRCMP_EQUAL(
+      "b=old? c-? d=x d-? ",
+      describe(Other_.apply(News.value_or(ObjectBatch()), Now_)).c_str());
+}
+
+// The copy is older than everything that the host has read.
+TEST(RestoredObjectMirror, emptyCopyMissesAllObjects) {
+  STRCMP_EQUAL("a-? b-? c-? ",
+               describe(Mirror_.replaceAll({{}, {1, Restored}}, Now_)).c_str());
+  const auto News = Mirror_.changesSince(Other_.revision());
+  STRCMP_EQUAL(
+      "a-? b-? c-? ",
+      describe(Other_.apply(News.value_or(ObjectBatch()), Now_)).c_str());
+}
--- a/tests/process/RestoredStoreTest.cpp
+++ b/tests/process/RestoredStoreTest.cpp
@@ -2,11 +2,14 @@
 #include "support/TestFleet.h"
 
 #include <chrono>
+#include <functional>
 #include <memory>
+#include <thread>
 #include <unistd.h>
 
 #include "CppUTest/TestHarness.h"
 
+namespace base = lychee::base;
 namespace standins = lychee::standins;
 namespace tests = lychee::tests;
 using tests::LiveFleet;
@@ -23,8 +26,8 @@
 } // namespace
 
 /// The real hosts of one region, two of which read the store, while the store
-/// comes back from an older copy. Both targets' entries, and versions 2 to 4 of
-/// the configuration, are not in the copy.
+/// comes back from an older copy. The targets' entries are in the copy;
+/// versions 2 to 4 of the configuration are not.
 TEST_GROUP(RestoredStore) {
   std::unique_ptr<LiveFleet> Fleet_;
   std::vector<standins::LostWrite> Lost_;
@@ -44,13 +47,52 @@
   void teardown() override { Fleet_.reset(); }
 
   /// The store goes away for a moment and comes back from the copy.
-  void restore() {
+  void restore(base::Duration Age = CopyAge) {
     Fleet_->objects().setFaults({.Down_ = true});
     std::this_thread::sleep_for(300ms);
-    Lost_ = Fleet_->objects().restore(CopyAge);
+    Lost_ = Fleet_->objects().restore(Age);
     Fleet_->objects().setFaults({});
   }
 
+  /// Operators and targets write again what was lost.
+  void writeAgain() {
+    for (const standins::LostWrite &Each : Lost_)
+      Fleet_->objects().writeAgain(Each);
+  }
+
+  /// \returns whether \p Holds is true each time until operators and targets
+  /// would have written again.
+  static bool holdsMeanwhile(const std::function<bool()> &Holds) {
+    for (int Poll = 0; Poll < 15; ++Poll) {
+      if (!Holds())
+        return false;
+      std::this_thread::sleep_for(100ms);
+    }
+    return true;
+  }
+
+  bool haveAllTargets(double Count) const {
+    for (std::size_t Host = 0; Host < HostCount; ++Host)
+      if (Fleet_->metric(Host, "lychee_targets_known") != Count)
+        return false;
+    return true;
+  }
+
+  bool haveAllSeenRestores(double Count) const {
+    for (std::size_t Host = 0; Host < HostCount; ++Host)
+      if (Fleet_->metric(Host, "lychee_store_restores_total") != Count)
+        return false;
+    return true;
+  }
+
+  /// \returns a host that does not read the store itself.
+  std::size_t toldHost() const {
+    std::size_t Host = 0;
+    while (Fleet_->metric(Host, "lychee_asks_store") == 1)
+      ++Host;
+    return Host;
+  }
+
   bool haveAllVersion(double Version) const {
     for (std::size_t Host = 0; Host < HostCount; ++Host)
       if (Fleet_->metric(Host, "lychee_settings_version") != Version)
@@ -88,3 +130,95 @@
   std::this_thread::sleep_for(2s);
   CHECK(Fleet_->objects().calls() - Before < HostCount * 10);
 }
+
+TEST(RestoredStore, aWithdrawnKeyStaysWithdrawn) {
+  Fleet_->writeIntent(5, "second-key");
+  CHECK(TestFleet::waitFor([&] { return haveAllVersion(5); }));
+  restore();
+  CHECK(holdsMeanwhile(
+      [&] { return allAnswer(Key, 401) && allAnswer("second-key", 200); }));
+  writeAgain();
+  CHECK(TestFleet::waitFor([&] { return haveAllSeenRestores(1); }));
+  CHECK(allAnswer(Key, 401) && allAnswer("second-key", 200));
+}
+
+TEST(RestoredStore, aTargetThatLeftBeforeItGetsNothing) {
+  Fleet_->writeEntry(0, "draining");
+  CHECK(TestFleet::waitFor([&] { return Fleet_->getsNothing(0, Key); }));
+  restore();
+  CHECK(holdsMeanwhile([&] { return Fleet_->getsNothing(0, Key); }));
+  writeAgain();
+  CHECK(TestFleet::waitFor([&] { return haveAllSeenRestores(1); }));
+  CHECK(Fleet_->getsNothing(0, Key));
+}
+
+TEST(RestoredStore, aTargetThatTheCopyLacksIsUsedUntilItIsWrittenAgain) {
+  Fleet_->objects().remove("servers", "t1");
+  CHECK(TestFleet::waitFor([&] { return haveAllTargets(1); }));
+  std::this_thread::sleep_for(CopyAge);
+  Fleet_->writeEntry(1, "ready", 0, 2);
+  CHECK(TestFleet::waitFor([&] { return haveAllTargets(2); }));
+  restore(1500ms);
+  CHECK(holdsMeanwhile([&] { return haveAllTargets(2); }));
+  writeAgain();
+  CHECK(TestFleet::waitFor([&] { return haveAllSeenRestores(1); }));
+  std::this_thread::sleep_for(1s);
+  CHECK(haveAllTargets(2));
+}
+
+TEST(RestoredStore, aTargetThatIsNotWrittenAgainIsGone) {
+  Fleet_->objects().remove("servers", "t1");
+  CHECK(TestFleet::waitFor([&] { return haveAllTargets(1); }));
+  std::this_thread::sleep_for(CopyAge);
+  Fleet_->writeEntry(1, "ready", 0, 2);
+  CHECK(TestFleet::waitFor([&] { return haveAllTargets(2); }));
+  restore(1500ms);
+  CHECK(TestFleet::waitFor([&] { return haveAllTargets(1); }));
+}
+
+TEST(RestoredStore, aHostThatTheStoreRefusesHearsOfItFromOthers) {
+  const std::size_t Refused = toldHost();
+  Fleet_->storeLink(Refused).setFaults({.Refuses_ = true});
+  Fleet_->storeLink(Refused).resetAll();
+  restore();
+  Fleet_->writeIntent(5, "second-key");
+  CHECK(TestFleet::waitFor([&] { return haveAllVersion(5); }));
+  CHECK(haveAllSeenRestores(1));
+}
+
+TEST(RestoredStore, aHostThatStartsAfterItTakesNoWithdrawnKey) {
+  Fleet_->writeIntent(5, "second-key");
+  CHECK(TestFleet::waitFor([&] { return haveAllVersion(5); }));
+  Fleet_->killHost(4);
+  restore();
+  CHECK(TestFleet::waitFor([&] {
+    return Fleet_->log(0).find("event=intent-old") != std::string::npos;
+  }));
+  Fleet_->startHost(4);
+  CHECK(holdsMeanwhile([&] { return Fleet_->ask(4, Key).Status_ != 200; }));
+  writeAgain();
+  CHECK(TestFleet::waitFor([&] { return allAnswer("second-key", 200); }));
+}
+
+TEST(RestoredStore, aSecondOneWithinSecondsIsFollowed) {
+  restore();
+  Fleet_->writeIntent(5, "second-key");
+  std::this_thread::sleep_for(700ms);
+  restore(1500ms);
+  writeAgain();
+  Fleet_->writeIntent(6, "third-key");
+  CHECK(TestFleet::waitFor([&] { return haveAllVersion(6); }));
+  CHECK(allAnswer("third-key", 200));
+}
+
+// Hosts that wrote their entries after the copy write them again.
+TEST(RestoredStore, hostsAreListedAgain) {
+  Fleet_->killHost(4);
+  Fleet_->objects().remove("lychee-hosts", "host-4");
+  std::this_thread::sleep_for(CopyAge);
+  Fleet_->startHost(4);
+  CHECK(TestFleet::waitFor([&] { return Fleet_->isReady(4); }));
+  restore(CopyAge);
+  CHECK(TestFleet::waitFor(
+      [&] { return Fleet_->objects().count("lychee-hosts") == HostCount; }));
+}
--- a/tests/relaying/RelayMessagesTest.cpp
+++ b/tests/relaying/RelayMessagesTest.cpp
@@ -45,8 +45,8 @@
   CHECK(Decoded.ContactAge_.value_or(0ns) >= 1500us);
   LONGS_EQUAL(1, Decoded.Updates_.size());
   const live::ObjectUpdate &DecodedUpdate = Decoded.Updates_.front();
-  LONGS_EQUAL(9, DecodedUpdate.NewestRevision_);
-  LONGS_EQUAL(12, DecodedUpdate.Changes_.Revision_);
+  CHECK(DecodedUpdate.NewestRevision_ == 9);
+  CHECK(DecodedUpdate.Changes_.Revision_ == 12);
   CHECK(DecodedUpdate.Age_.value_or(0ns) >= 1500us);
   LONGS_EQUAL(2, DecodedUpdate.Changes_.Objects_.size());
   CHECK(DecodedUpdate.Changes_.Objects_[0].Content_ == Content);
@@ -68,3 +68,31 @@
   base::Error Last;
   CHECK_FALSE(relaying::decodeRequest("{}", Last).has_value());
 }
+
+TEST(RelayMessages, decodingRestoresErasAndObjectsWithoutContent) {
+  relaying::RelayResponse Response;
+  live::ObjectUpdate Update;
+  Update.Kind_ = "targets";
+  Update.Changes_.Revision_ = {12, 2};
+  live::StoredObject Unchanged{"t1", {8, 2}, {}, false};
+  Unchanged.Restored_ = true;
+  Unchanged.ContentHash_ = ~std::uint64_t{0};
+  live::StoredObject Missing{"t2", {12, 2}, {}, true};
+  Missing.Restored_ = true;
+  Update.Changes_.Objects_ = {{"t1", {30, 1}, 7, false}, Unchanged, Missing};
+  Response.Updates_ = {Update};
+  base::Error Last;
+  const auto Decoded =
+      relaying::decodeResponse(relaying::encodeResponse(Response), Last)
+          .value_or(relaying::RelayResponse());
+  LONGS_EQUAL(1, Decoded.Updates_.size());
+  const live::ObjectBatch &Changes = Decoded.Updates_.front().Changes_;
+  CHECK(Changes.Revision_ == live::StoreRevision(12, 2));
+  LONGS_EQUAL(3, Changes.Objects_.size());
+  CHECK(Changes.Objects_[0].Revision_ == live::StoreRevision(30, 1));
+  CHECK_FALSE(Changes.Objects_[0].Restored_);
+  CHECK(Changes.Objects_[1].Restored_);
+  CHECK(Changes.Objects_[1].ContentHash_ == Unchanged.ContentHash_);
+  CHECK(Changes.Objects_[2].Deleted_);
+  CHECK_FALSE(Changes.Objects_[2].ContentHash_.has_value());
+}
