Intent: hosts announce a newer version than a restored store shows

What callers would see: a host that starts after the store came back from a copy, and before the operator has written the newest configuration again, takes a key that was withdrawn since the copy. Cause: it knows nothing but the copy. Hosts that hold a newer version than the store shows say so in their heartbeats for 5 s, and a host with an older version trusts no keys until it has it, or nobody says so for 2 s. What remains: the tens of milliseconds until the first heartbeat.

--- a/apps/lycheed/LiveDaemon.cpp
+++ b/apps/lycheed/LiveDaemon.cpp
@@ -233,7 +233,7 @@
                [this](const std::string &Address, const base::Error &Why) {
                  noteRelayTrouble(Address, Why);
                }}),
-      Reports_({Entry_, Hosts_, Role_, Steering_}),
+      Reports_({Entry_, Intents_, Hosts_, Role_, Steering_}),
       Tokens_(
           Control_.get_executor(), Live.Relays_, Hosts_.self().Incarnation_,
           {[this](const members::TokenRequest &Wanted, base::TimePoint Now) {
@@ -275,6 +275,8 @@
 
 void LiveDaemon::hearHeartbeat(const members::Heartbeat &Said, bool News,
                                base::TimePoint Now) {
+  if (Said.VersionAhead_)
+    Intents_.noteAnnouncedVersion(*Said.VersionAhead_, Now);
   if (!Said.Evidence_.empty())
     Steering_.mergeCrashEvidence(Said.Evidence_, Now);
   if (!Said.TargetRates_.empty())
--- a/apps/lycheed/LiveFeed.cpp
+++ b/apps/lycheed/LiveFeed.cpp
@@ -279,7 +279,7 @@
       continue;
     }
     const auto Fresh = std::make_shared<const live::Intent>(*Read);
-    const bool Newer = Intents_.offer(Fresh);
+    const bool Newer = Intents_.offer(Fresh, Begun);
     if (Newer)
       applyIntent(Fresh);
     const base::Duration Took = SystemClock::monotonicNow() - Begun;
--- a/apps/lycheed/LiveReports.cpp
+++ b/apps/lycheed/LiveReports.cpp
@@ -9,6 +9,7 @@
   Said.Leaving_ = Own.Leaving_;
   Said.TargetsUnreached_ = Own.TargetsUnreached_;
   Said.StoreTrouble_ = Others_.Role_.isInTrouble(Now);
+  Said.VersionAhead_ = Others_.Intents_.versionAheadOfStore(Now);
   Said.Loads_ = Others_.Steering_.serviceDemands(Now);
   Said.Pressures_ = Others_.Steering_.servicePressures(Now);
   Said.Evidence_ = Others_.Steering_.crashEvidence(Now);
--- a/apps/lycheed/LiveReports.h
+++ b/apps/lycheed/LiveReports.h
@@ -21,6 +21,7 @@
   /// All outlive this.
   struct Parts {
     const LiveEntry &Entry_;
+    const live::ActiveIntent &Intents_;
     const members::HostTable &Hosts_;
     const relaying::RelayRole &Role_;
     dispatch::DispatchSteering &Steering_;
--- a/libs/live/ActiveIntent.cpp
+++ b/libs/live/ActiveIntent.cpp
@@ -37,17 +37,37 @@
   return Result;
 }
 
-bool ActiveIntent::offer(std::shared_ptr<const Intent> Candidate) {
+bool ActiveIntent::offer(std::shared_ptr<const Intent> Candidate,
+                         base::TimePoint Now) {
   Snapshot Result = makeSnapshot(std::move(Candidate));
   const std::lock_guard Guard(Lock_);
-  if (Current_.Intent_ &&
-      Result.Intent_->Version_ <= Current_.Intent_->Version_)
+  const std::uint64_t Known = Current_.Intent_ ? Current_.Intent_->Version_ : 0;
+  AheadSince_ =
+      Result.Intent_->Version_ < Known ? std::optional(Now) : std::nullopt;
+  if (Current_.Intent_ && Result.Intent_->Version_ <= Known)
     return false;
   Current_ = std::move(Result);
   Balancers_.clear();
   return true;
 }
 
+std::optional<std::uint64_t>
+ActiveIntent::versionAheadOfStore(base::TimePoint Now) const {
+  const std::lock_guard Guard(Lock_);
+  if (!AheadSince_ || Now - *AheadSince_ >= AnnouncementTime)
+    return std::nullopt;
+  return Current_.Intent_->Version_;
+}
+
+void ActiveIntent::noteAnnouncedVersion(std::uint64_t Version,
+                                        base::TimePoint Now) {
+  const std::lock_guard Guard(Lock_);
+  if (Version < AnnouncedVersion_ && Now - AnnouncedAt_ < AnnouncementMemory)
+    return;
+  AnnouncedVersion_ = Version;
+  AnnouncedAt_ = Now;
+}
+
 void ActiveIntent::confirm(base::TimePoint Time) {
   const std::lock_guard Guard(Lock_);
   if (!ConfirmedAt_ || Time > *ConfirmedAt_)
@@ -60,8 +80,12 @@
 }
 
 bool ActiveIntent::isTrusted(base::TimePoint Now) const {
-  const std::optional<base::Duration> Age = age(Now);
-  return Age && *Age < KeyTrust_;
+  const std::lock_guard Guard(Lock_);
+  if (!ConfirmedAt_ || !Current_.Intent_)
+    return false;
+  const bool IsOutdated = Current_.Intent_->Version_ < AnnouncedVersion_ &&
+                          Now - AnnouncedAt_ < AnnouncementMemory;
+  return !IsOutdated && Now - *ConfirmedAt_ < KeyTrust_;
 }
 
 std::optional<base::Duration> ActiveIntent::age(base::TimePoint Now) const {
--- a/libs/live/ActiveIntent.h
+++ b/libs/live/ActiveIntent.h
@@ -26,10 +26,23 @@
 /// it. This is sufficient, because an intent that is the newest at time C
 /// cannot have been replaced before C.
 ///
+/// Failure: the store comes back from an older copy, and a host starts before
+/// the operator has written the newest intent again. It knows nothing newer
+/// than the copy, in which a withdrawn key is valid. Hosts that hold a newer
+/// intent than the store therefore announce its version, and a host with an
+/// older one trusts no keys meanwhile.
+///
 /// Thread-safe. \see gateway::RequestRouter, gateway::Authenticator
 class ActiveIntent final : public gateway::RequestRouter,
                            public gateway::Authenticator {
 public:
+  /// A newer intent than the store's is announced for this long after the store
+  /// showed the older one; operators write theirs again within 2 s.
+  static constexpr base::Duration AnnouncementTime = std::chrono::seconds(5);
+  /// An announcement counts for this long; heartbeats repeat it twice per
+  /// second.
+  static constexpr base::Duration AnnouncementMemory = std::chrono::seconds(2);
+
   /// \param KeyTrust how long keys are trusted after a confirmation. Must be
   /// less than the promised bound by the time that a send takes to reach its
   /// target.
@@ -38,7 +51,14 @@
   /// Puts \p Candidate in force.
   /// \returns false if it is not newer than the intent in force, which then
   /// stays.
-  bool offer(std::shared_ptr<const Intent> Candidate);
+  bool offer(std::shared_ptr<const Intent> Candidate, base::TimePoint Now);
+
+  /// \returns the version in force if it is newer than the one that the store
+  /// has shown within AnnouncementTime.
+  std::optional<std::uint64_t> versionAheadOfStore(base::TimePoint Now) const;
+
+  /// Records that another host announced its version as newer than the store's.
+  void noteAnnouncedVersion(std::uint64_t Version, base::TimePoint Now);
 
   /// Records that the intent in force was the newest at \p Time.
   void confirm(base::TimePoint Time);
@@ -93,6 +113,10 @@
   Snapshot Current_;
   std::unordered_map<std::string, WeightedRoundRobin> Balancers_;
   std::optional<base::TimePoint> ConfirmedAt_;
+  /// Set while the store shows an older intent than the one in force.
+  std::optional<base::TimePoint> AheadSince_;
+  std::uint64_t AnnouncedVersion_ = 0;
+  base::TimePoint AnnouncedAt_;
 };
 
 } // namespace lychee::live
--- a/libs/members/Heartbeat.cpp
+++ b/libs/members/Heartbeat.cpp
@@ -29,6 +29,7 @@
 constexpr const char *TargetRatesName = "r";
 constexpr const char *TargetLeavingsName = "g";
 constexpr const char *PressuresName = "p";
+constexpr const char *VersionAheadName = "v";
 constexpr const char *RegionName = "region";
 constexpr const char *ZoneName = "zone";
 constexpr const char *AddressName = "at";
@@ -93,6 +94,8 @@
   Document[StateName] = stateBits(Message);
   if (Message.HasDescriptor_)
     addDescriptor(Message.Sender_, Document);
+  if (Message.VersionAhead_)
+    Document[VersionAheadName] = Json::UInt64(*Message.VersionAhead_);
   // Empty fields are omitted.
   if (!Message.Demands_.empty())
     addDemands(Message.Demands_, Document[DemandsName]);
@@ -155,6 +158,8 @@
     return std::nullopt;
   Result.Sequence_ = Document[SequenceName].asUInt64();
   readState(Document[StateName].asUInt(), Result);
+  if (Document[VersionAheadName].isUInt64())
+    Result.VersionAhead_ = Document[VersionAheadName].asUInt64();
   return Result;
 }
 
--- a/libs/members/Heartbeat.h
+++ b/libs/members/Heartbeat.h
@@ -129,6 +129,9 @@
   bool StoreTrouble_ = false;
   /// The host reaches no targets.
   bool TargetsUnreached_ = false;
+  /// Version of the host's intent, if it is newer than the one that the store
+  /// shows since it came back from an older copy.
+  std::optional<std::uint64_t> VersionAhead_;
   /// Whether Demands_ holds all demands; otherwise only those that changed
   /// since the last full update. \see DemandDeltaEncoder
   bool IsFull_ = true;
--- a/tests/live/ActiveIntentTest.cpp
+++ b/tests/live/ActiveIntentTest.cpp
@@ -39,7 +39,7 @@
   base::TimePoint Now_ = base::TimePoint(100s);
 
   bool offer(const live::Intent &Candidate) {
-    return Active_.offer(std::make_shared<const live::Intent>(Candidate));
+    return Active_.offer(std::make_shared<const live::Intent>(Candidate), Now_);
   }
   std::string routeOf(std::string_view Path) {
     const auto Found = Active_.route({"", "a.example", Path, "GET", 0});
@@ -123,3 +123,33 @@
   }
   LONGS_EQUAL(20, New);
 }
+
+TEST(ActiveIntent, newerVersionThanTheRestoredStoresIsAnnouncedForAWhile) {
+  offer(intentOf(5));
+  CHECK_FALSE(Active_.versionAheadOfStore(Now_).has_value());
+  offer(intentOf(3));
+  LONGS_EQUAL(5, Active_.versionAheadOfStore(Now_).value_or(0));
+  LONGS_EQUAL(5, Active_.settingsVersion());
+  CHECK_FALSE(Active_.versionAheadOfStore(Now_ + 5s).has_value());
+  offer(intentOf(3));
+  offer(intentOf(5));
+  CHECK_FALSE(Active_.versionAheadOfStore(Now_).has_value());
+}
+
+// Guards against a withdrawn key that works again at a host that starts after
+// the store came back from a copy in which the key is valid.
+TEST(ActiveIntent, keysAreNotTrustedWhileOthersHoldANewerVersionThanTheStore) {
+  offer(intentOf(3));
+  Active_.confirm(Now_);
+  Active_.noteAnnouncedVersion(5, Now_);
+  CHECK_FALSE(Active_.isTrusted(Now_ + 1s));
+  offer(intentOf(5));
+  CHECK(Active_.isTrusted(Now_ + 1s));
+}
+
+TEST(ActiveIntent, announcementEndsWhenItIsNotRepeated) {
+  offer(intentOf(3));
+  Active_.confirm(Now_);
+  Active_.noteAnnouncedVersion(5, Now_);
+  CHECK(Active_.isTrusted(Now_ + 2s));
+}
--- a/tests/members/HeartbeatTest.cpp
+++ b/tests/members/HeartbeatTest.cpp
@@ -69,6 +69,17 @@
 
 // Anyone can send a datagram to the port. A text that is not a heartbeat must
 // be rejected with a reason.
+TEST(Heartbeat, versionAheadOfTheStoreIsOptional) {
+  members::Heartbeat Message = sample();
+  const auto Decoded = [&] {
+    return members::decodeHeartbeat(members::encodeHeartbeat(Message), Last_)
+        .value_or(members::Heartbeat());
+  };
+  CHECK_FALSE(Decoded().VersionAhead_.has_value());
+  Message.VersionAhead_ = 27;
+  LONGS_EQUAL(27, Decoded().VersionAhead_.value_or(0));
+}
+
 TEST(Heartbeat, otherTextsAreRejected) {
   for (const char *Text :
        {"", "no json", "[]", "{}", R"({"h":1})", R"({"h":"a","s":"1"})",
