--- a/libs/live/EvacuationRegistry.cpp
+++ b/libs/live/EvacuationRegistry.cpp
@@ -26,13 +26,13 @@
     change(Zone, Evacuated, Now);
     return false;
   }
-  Doubted_[Zone] = {Evacuated, Now + RewriteTime};
+  Doubted_[Zone] = {Evacuated, Now + DoubtTime};
   return true;
 }
 
 void EvacuationRegistry::noteRestore(base::TimePoint Now) {
   for (auto &[Zone, Entry] : Doubted_)
-    Entry.CountsAt_ = Now + RewriteTime;
+    Entry.CountsAt_ = Now + DoubtTime;
 }
 
 void EvacuationRegistry::expire(base::TimePoint Now) {
--- a/libs/live/EvacuationRegistry.h
+++ b/libs/live/EvacuationRegistry.h
@@ -3,6 +3,7 @@
 
 #include "base/Id.h"
 #include "base/Time.h"
+#include "live/StoreRevision.h"
 
 #include <map>
 #include <set>
@@ -16,13 +17,13 @@
 /// is missing, or in which one that was lifted is there again. Without a
 /// safeguard an evacuated zone gets requests, or a healthy zone gets none,
 /// until operators have written their orders again. What is known therefore
-/// outlasts the copy for RewriteTime; after that the store's state counts.
+/// outlasts the copy for DoubtTime; after that the store's state counts.
 ///
 /// Not thread-safe; used on the control loop's thread. \see TargetRegistry
 class EvacuationRegistry {
 public:
-  /// Operators write lost orders again within this time of the restore.
-  static constexpr base::Duration RewriteTime = std::chrono::milliseconds(2100);
+  /// Time after which the state of a restored store counts.
+  static constexpr base::Duration DoubtTime = RewriteTime + RewriteLearningTime;
   /// Lifted evacuations are remembered for longer than copies are old.
   static constexpr base::Duration LiftedMemory = std::chrono::seconds(60);
 
--- a/libs/live/ObjectFollower.h
+++ b/libs/live/ObjectFollower.h
@@ -95,10 +95,6 @@
   /// the call. A short watch brings a newer confirmation before the old one
   /// expires.
   static constexpr base::Duration ShortWatch = std::chrono::milliseconds(50);
-  /// Time within which operators and targets write again what a restored store
-  /// lacks. What is read before that may lack acknowledged changes, so it
-  /// confirms the state only as of the restore.
-  static constexpr base::Duration RewriteTime = std::chrono::seconds(2);
 
   /// \param Source,Recovery must outlive this; \p Recovery is shared by all
   /// kinds of objects.
@@ -202,6 +198,8 @@
   bool HasWatched_ = false;
   /// The call in progress is cancelled because the store's era rose.
   bool Interrupted_ = false;
+  /// What is read within RewriteTime of this may lack acknowledged changes, so
+  /// it confirms the state as of this time only.
   std::optional<base::TimePoint> RestoredAt_;
 };
 
--- a/libs/live/StoreRevision.h
+++ b/libs/live/StoreRevision.h
@@ -1,6 +1,8 @@
 #ifndef LYCHEE_LIVE_STOREREVISION_H
 #define LYCHEE_LIVE_STOREREVISION_H
 
+#include "base/Time.h"
+
 #include <compare>
 #include <cstdint>
 
@@ -24,6 +26,15 @@
   auto operator<=>(const StoreRevision &) const = default;
 };
 
+/// Operators and targets write again within this time what a store lacks that
+/// came back from an older copy.
+inline constexpr base::Duration RewriteTime = std::chrono::seconds(2);
+
+/// Time until a change is known on every host: a pause of half a second between
+/// two watches, and a poll of a host that reads the store.
+inline constexpr base::Duration RewriteLearningTime =
+    std::chrono::milliseconds(900);
+
 } // namespace lychee::live
 
 #endif
--- a/libs/live/TargetRegistry.cpp
+++ b/libs/live/TargetRegistry.cpp
@@ -40,7 +40,7 @@
 
 void TargetRegistry::awaitRewrite(Entry &Stored, base::TimePoint Now) {
   Stored.AwaitsRewrite_ = true;
-  Stored.ExpiresAt_ = Now + MaxGrace;
+  Stored.ExpiresAt_ = Now + RestoreGrace;
 }
 
 std::optional<TargetKept> TargetRegistry::restore(const TargetRecord &Record,
--- a/libs/live/TargetRegistry.h
+++ b/libs/live/TargetRegistry.h
@@ -1,6 +1,7 @@
 #ifndef LYCHEE_LIVE_TARGETREGISTRY_H
 #define LYCHEE_LIVE_TARGETREGISTRY_H
 
+#include "live/StoreRevision.h"
 #include "live/TargetRecord.h"
 
 #include <algorithm>
@@ -76,6 +77,10 @@
   /// takes to read and act (up to 0.7 s at a tenth of a core).
   static constexpr base::Duration PropagationTime =
       std::chrono::milliseconds(1200);
+  /// Grace period of entries that a restored store lacks. It may exceed the
+  /// drain bound: no target has said that it leaves.
+  static constexpr base::Duration RestoreGrace =
+      RewriteTime + RewriteLearningTime;
   /// The store drops the entry of a target that is silent for three heartbeats
   /// (1.5 s each); one that is still there after this time is alive.
   static constexpr base::Duration DeadEntryTime = std::chrono::seconds(6);
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -99,6 +99,15 @@
   std::vector<std::thread> Threads_;
 };
 
+/// Each host has the newest configuration and all targets.
+bool allFollow(const LiveFleet &Fleet, int Version) {
+  for (std::size_t Host = 0; Host < Fleet.hostCount(); ++Host)
+    if (Fleet.metric(Host, "lychee_settings_version") != Version ||
+        Fleet.metric(Host, "lychee_targets_known") != Fleet.targetCount())
+      return false;
+  return true;
+}
+
 bool allServe(const LiveFleet &Fleet, const std::string &Key) {
   for (std::size_t Host = 0; Host < Fleet.hostCount(); ++Host)
     if (!Fleet.isReady(Host) || Fleet.ask(Host, Key).Status_ != 200)
@@ -133,6 +142,9 @@
     Trouble.play(SystemClock::monotonicNow() +
                  base::fromSeconds(Settings.Seconds_));
     Check("not-served-after-the-troubles");
+    if (!TestFleet::waitFor(
+            [&] { return allFollow(Fleet, Trouble.version()); }))
+      Result.Broken_.emplace_back("store-not-followed-after-the-troubles");
     std::this_thread::sleep_for(Aftermath);
     const std::string Key = Trouble.key();
     const Ledger::Cut Played = Trouble.cutSomeHosts(CutTime);
--- a/tests/soak/Troubles.h
+++ b/tests/soak/Troubles.h
@@ -35,6 +35,9 @@
   /// The key that was withdrawn last; empty before.
   std::string withdrawnKey() const;
 
+  /// The configuration's version that was written last. Thread-safe.
+  int version() const;
+
   /// \returns what was done, in order: "1.2s kill-host-2 ...".
   const std::string &history() const noexcept { return History_; }
 
@@ -71,6 +74,7 @@
   std::function<void()> storeDown(std::size_t Ignored);
   std::function<void()> storeBusy(std::size_t Ignored);
   std::function<void()> storeForgets(std::size_t Ignored);
+  std::function<void()> storeRestored(std::size_t Ignored);
   std::function<void()> withdrawKey(std::size_t Ignored);
   std::function<void()> targetLeaves(std::size_t Target);
   std::function<void()> targetDown(std::size_t Target);
@@ -100,6 +104,8 @@
   std::string History_;
   mutable std::mutex KeyLock_;
   int Version_ = 1;
+  /// Start of the target that came back last.
+  std::int64_t TargetStart_ = 1;
   std::string Key_ = "first-key";
   std::string Withdrawn_;
 };
