--- a/tests/process/LiveHostTest.cpp
+++ b/tests/process/LiveHostTest.cpp
@@ -99,6 +99,16 @@
   LONGS_EQUAL(200, Fleet_->ask(0, "second-key").Status_);
 }
 
+TEST(LiveHost, aStoreThatStatesNoEraIsFollowed) {
+  Fleet_->objects().setEra(std::nullopt);
+  Fleet_->writeIntent(2, "second-key");
+  CHECK(TestFleet::waitFor([&] { return Fleet_->ask(0, Key).Status_ == 401; }));
+  Fleet_->killHost(1);
+  Fleet_->startHost(1);
+  CHECK(TestFleet::waitFor(
+      [&] { return Fleet_->ask(1, "second-key").Status_ == 200; }));
+}
+
 // A target says that it leaves. Its entry alone tells; it gets nothing more.
 TEST(LiveHost, aLeavingTargetGetsNothingMore) {
   Fleet_->writeEntry(0, "draining");
--- a/tests/process/RestoredStoreTest.cpp
+++ b/tests/process/RestoredStoreTest.cpp
@@ -123,6 +123,24 @@
   CHECK(Fleet_->objects().calls() - Before < HostCount * 10);
 }
 
+// Hosts that are told by others need not list by themselves.
+TEST(RestoredStore, hostsCallTheStoreNoOftenerThanAfterAnOutage) {
+  const auto CallsDuring = [&](const std::function<void()> &Trouble) {
+    const std::size_t Before = Fleet_->objects().calls();
+    Trouble();
+    std::this_thread::sleep_for(3s);
+    return Fleet_->objects().calls() - Before;
+  };
+  const std::size_t AfterAnOutage = CallsDuring([&] {
+    Fleet_->objects().setFaults({.Down_ = true});
+    std::this_thread::sleep_for(300ms);
+    Fleet_->objects().setFaults({});
+  });
+  const std::size_t AfterARestore = CallsDuring([&] { restore(); });
+  CHECK(haveAllSeenRestores(1));
+  CHECK(AfterARestore <= AfterAnOutage);
+}
+
 TEST(RestoredStore, aWithdrawnKeyStaysWithdrawn) {
   Fleet_->writeIntent(5, "second-key");
   CHECK(TestFleet::waitFor([&] { return haveAllVersion(5); }));
