--- a/tests/live/RestoredStoreSimulationTest.cpp
+++ b/tests/live/RestoredStoreSimulationTest.cpp
@@ -208,8 +208,7 @@
 
   /// Each start of a target leaves before the next one begins.
   void changeTarget(const std::string &Name) {
-    const std::uint64_t State = newest(Targets, Name);
-    set(Targets, Name, State % 2 == 0 ? State + 1 : State + 1);
+    set(Targets, Name, newest(Targets, Name) + 1);
   }
 
   void comeBack(base::Duration Age) {
--- a/tests/process/LiveHostTest.cpp
+++ b/tests/process/LiveHostTest.cpp
@@ -107,6 +107,13 @@
   Fleet_->startHost(1);
   CHECK(TestFleet::waitFor(
       [&] { return Fleet_->ask(1, "second-key").Status_ == 200; }));
+  // The host that started hears of an era from the other one only.
+  CHECK(TestFleet::waitFor(
+      [&] { return Fleet_->metric(1, "lychee_store_era") == 1; }));
+  Fleet_->killHost(0);
+  Fleet_->writeIntent(3, "third-key");
+  CHECK(TestFleet::waitFor(
+      [&] { return Fleet_->ask(1, "third-key").Status_ == 200; }));
 }
 
 // A target says that it leaves. Its entry alone tells; it gets nothing more.
