--- a/libs/live/ObjectMirror.cpp
+++ b/libs/live/ObjectMirror.cpp
@@ -9,10 +9,12 @@
 
 namespace {
 
-std::uint64_t contentHash(const Json::Value &Content) {
+std::optional<std::uint64_t> contentHash(const StoredObject &Object) {
+  if (Object.Bytes_ > ObjectMirror::MaxHashedBytes)
+    return std::nullopt;
   Json::StreamWriterBuilder Builder;
   Builder["indentation"] = "";
-  return base::stableHash(Json::writeString(Builder, Content));
+  return base::stableHash(Json::writeString(Builder, Object.Content_));
 }
 
 } // namespace
@@ -33,7 +35,7 @@
 
 bool ObjectMirror::hasContent(const StoredObject &Object) const {
   const auto Known = Objects_.find(Object.Name_);
-  return Known != Objects_.end() &&
+  return Known != Objects_.end() && Object.ContentHash_ &&
          Known->second.ContentHash_ == Object.ContentHash_;
 }
 
@@ -48,9 +50,9 @@
     markDeleted(Object.Name_, Object.Revision_, Now);
     return;
   }
-  const std::uint64_t Hash =
-      Object.ContentHash_.value_or(contentHash(Object.Content_));
-  Objects_[Object.Name_] = {Object.Revision_, Hash};
+  Objects_[Object.Name_] = {Object.Revision_, Object.ContentHash_
+                                                  ? Object.ContentHash_
+                                                  : contentHash(Object)};
 }
 
 void ObjectMirror::appendHistory(std::vector<StoredObject> Changes,
@@ -107,7 +109,7 @@
   ObjectBatch Restored = List;
   for (StoredObject &Entry : Restored.Objects_) {
     Entry.Restored_ = true;
-    Entry.ContentHash_ = contentHash(Entry.Content_);
+    Entry.ContentHash_ = contentHash(Entry);
     if (hasContent(Entry)) {
       Entry.Content_ = Json::Value();
       Entry.Bytes_ = 0;
--- a/libs/live/ObjectMirror.h
+++ b/libs/live/ObjectMirror.h
@@ -32,6 +32,9 @@
   /// Hosts poll for changes several times per second, so each has done so
   /// within this time; one that has not lists the kind.
   static constexpr base::Duration HistoryRetention = std::chrono::seconds(10);
+  /// Larger contents count as changed whenever they are compared: to hash each
+  /// of their changes would take longer.
+  static constexpr std::size_t MaxHashedBytes = std::size_t{32} << 10;
 
   /// Replaces the state by a list of all objects.
   /// \returns the changes, including deletions.
@@ -78,7 +81,8 @@
 
   struct KnownObject {
     StoreRevision Revision_;
-    std::uint64_t ContentHash_ = 0;
+    /// Nothing if the content is larger than MaxHashedBytes.
+    std::optional<std::uint64_t> ContentHash_;
   };
 
   /// Marks a deleted object; older changes of the object may still arrive.
--- a/tests/live/ObjectMirrorTest.cpp
+++ b/tests/live/ObjectMirrorTest.cpp
@@ -232,3 +232,13 @@
       "a-? b-? c-? ",
       describe(Other_.apply(News.value_or(ObjectBatch()), Now_)).c_str());
 }
+
+TEST(RestoredObjectMirror, largeContentCountsAsChanged) {
+  StoredObject Large = holding("a", 21, "large");
+  Large.Bytes_ = ObjectMirror::MaxHashedBytes + 1;
+  Mirror_.apply({{Large}, 21}, Now_);
+  Large.Revision_ = {3, Restored};
+  STRCMP_EQUAL(
+      "a=large? b-? c-? ",
+      describe(Mirror_.replaceAll({{Large}, {12, Restored}}, Now_)).c_str());
+}
