Relays: hosts read the store themselves before a leaving target's bound

Cause: the time after which a host that hears nothing reads the store itself followed the bound of configurations alone, at most 4 s of it: 3.2 s, later than the bound of targets, 3 s on the deployments of 60 machines and more. Change: the strictest of both bounds counts: 2.4 s where targets have 3 s. RelayRole.hostsReadTheStoreBeforeTheStrictestBound failed before. Deployments whose bounds are equal, as on sites/, are not changed.

--- a/apps/lycheed/LiveDaemon.cpp
+++ b/apps/lycheed/LiveDaemon.cpp
@@ -210,11 +210,10 @@
           {Steering_, Intents_, Intents_, Entry_, *Claims_, Reporter_, *Polls_},
           drawSeed()),
       Gauges_(Metrics_),
-      Role_(Hosts_.self(),
-            relaying::freshnessTimeoutsFor(Bounds.ChangeInForce_)),
+      Role_(Hosts_.self(), relaying::freshnessTimeoutsFor(Bounds)),
       Feed_({Objects_, Intents_, Steering_, Gateway_, Hosts_, Role_, Gauges_,
              Live_.Zones_, Bounds.TargetDrain_,
-             relaying::freshnessTimeoutsFor(Bounds.ChangeInForce_),
+             relaying::freshnessTimeoutsFor(Bounds),
              [this] {
                if (!Entry_.leaving())
                  spawnLogged(Control_, Registration_.enter(),
--- a/libs/relaying/FreshnessTimeouts.h
+++ b/libs/relaying/FreshnessTimeouts.h
@@ -2,6 +2,7 @@
 #define LYCHEE_RELAYING_FRESHNESSTIMEOUTS_H
 
 #include "base/Time.h"
+#include "live/Intent.h"
 
 #include <algorithm>
 
@@ -28,17 +29,23 @@
   base::Duration ReadStoreSpread_{};
 };
 
-/// \param ChangeInForce time within which a change must be in force.
-inline FreshnessTimeouts
-freshnessTimeoutsFor(base::Duration ChangeInForce) noexcept {
-  // Changes of targets and zones use the same path and may have less time.
+/// \param Bound time within which a change must be known everywhere.
+inline FreshnessTimeouts freshnessTimeoutsFor(base::Duration Bound) noexcept {
   constexpr base::Duration MaxTime = std::chrono::seconds(4);
-  const double Seconds = base::toSeconds(std::min(ChangeInForce, MaxTime));
+  const double Seconds = base::toSeconds(std::min(Bound, MaxTime));
   return {base::fromSeconds(Seconds * 0.3), base::fromSeconds(Seconds * 0.125),
           base::fromSeconds(Seconds * 0.5), base::fromSeconds(Seconds * 0.8),
           base::fromSeconds(Seconds * 0.05)};
 }
 
+/// Changes of the intent and of targets take the same path, so the strictest of
+/// their bounds counts.
+inline FreshnessTimeouts
+freshnessTimeoutsFor(const live::DeploymentBounds &Bounds) noexcept {
+  return freshnessTimeoutsFor(
+      std::min(Bounds.ChangeInForce_, Bounds.TargetDrain_));
+}
+
 } // namespace lychee::relaying
 
 #endif
--- a/tests/relaying/RelayRoleTest.cpp
+++ b/tests/relaying/RelayRoleTest.cpp
@@ -26,7 +26,8 @@
 }
 
 constexpr int HostCount = 10;
-const auto Timeouts = lychee::relaying::freshnessTimeoutsFor(4s);
+const auto Timeouts =
+    lychee::relaying::freshnessTimeoutsFor(base::Duration(4s));
 
 } // namespace
 
@@ -186,3 +187,15 @@
   Role.noteResponse("127.0.0.2", Now_, Now_);
   CHECK_FALSE(Role.mustReadStore(Now_));
 }
+
+// Guards against requests to a target that left while the hosts that read the
+// store do not answer: the others must read it before the target's bound.
+TEST(RelayRole, hostsReadTheStoreBeforeTheStrictestBound) {
+  for (const base::Duration Drain : {2000ms, 2500ms, 3000ms, 4000ms}) {
+    lychee::live::DeploymentBounds Bounds;
+    Bounds.ChangeInForce_ = 5s;
+    Bounds.TargetDrain_ = Drain;
+    const auto Strict = lychee::relaying::freshnessTimeoutsFor(Bounds);
+    CHECK(Strict.ReadStoreAfter_ + Strict.ReadStoreSpread_ < Drain);
+  }
+}
