--- a/tests/live/ObjectMirrorTest.cpp
+++ b/tests/live/ObjectMirrorTest.cpp
@@ -163,9 +163,11 @@
 }
 
 TEST(RestoredObjectMirror, newsOfTheEarlierEraAreIgnored) {
+  const ObjectBatch Lost{{holding("b", 30, "lost"), holding("z", 31, "lost")},
+                         31};
   Mirror_.replaceAll(Copy_, Now_);
-  CHECK(Mirror_.apply({{holding("b", 30, "lost")}, 30}, Now_).empty());
-  CHECK(Mirror_.replaceAll({{holding("b", 30, "lost")}, 30}, Now_).empty());
+  CHECK(Mirror_.apply(Lost, Now_).empty());
+  CHECK(Mirror_.replaceAll(Lost, Now_).empty());
   CHECK_FALSE(Mirror_.covers({30, Restored}));
 }
 
