Tell how many sends an attempt had, and which of them is a second copy

Callers' attempts ran on more targets than their rules allow, and no line told it: each host wrote a line a send, without its number, what is left, or that it was sent once more as its connection stayed silent (no line at all).

Lines of a send have sends and sends_left, event=hedge tells a second copy, the end of a request how many sends this host made, and the end of a forwarded one how many the other host made (host_sends). For that, an answer to a forwarded request states them (Lychee-Sends-Made); nothing decides by it yet. Metric: lychee_hedges_total. No decision changes.

Tests: DecisionLog, HostForwarding; both suites pass.

--- a/apps/lycheed/DecisionReporter.cpp
+++ b/apps/lycheed/DecisionReporter.cpp
@@ -26,6 +26,15 @@
   return Record;
 }
 
+/// Notes how many sends the request has had, where the steering counts them.
+void noteSends(const steering::Decision &Made,
+               reporting::DecisionRecord &Record) {
+  if (Made.Sends_ + Made.SendsLeft_ == 0)
+    return;
+  Record.Sends_ = Made.Sends_;
+  Record.SendsLeft_ = Made.SendsLeft_;
+}
+
 reporting::Counter shareCounter(reporting::Metrics &Metrics,
                                 steering::Refusal Reason) {
   const std::array<reporting::Label, 1> Labels = {
@@ -66,6 +75,9 @@
       ForwardedArrivals_(
           Metrics.counter("lychee_forwarded_arrivals_total",
                           "Requests that other hosts forwarded to this one")),
+      Hedges_(Metrics.counter(
+          "lychee_hedges_total",
+          "Requests sent once more, as their connection stayed silent")),
       Waits_(Metrics.counter("lychee_waits_total",
                              "Requests that waited for room")),
       Refusals_(Metrics.counter("lychee_refusals_total", "Requests refused")),
@@ -128,6 +140,7 @@
     Record.Event_ = "send";
     Record.Object_ = Request.ObjectHash_;
     Record.Host_ = Made.Host_;
+    noteSends(Made, Record);
     (Made.Host_.empty() ? Sends_ : Forwards_).add();
     break;
   case steering::Decision::Action::Wait:
@@ -163,6 +176,20 @@
     ScheduledRetries_.add();
 }
 
+void DecisionReporter::hedged(const steering::Request &Request,
+                              const steering::Decision &Sent,
+                              base::TimePoint /*Now*/) {
+  Hedges_.add();
+  reporting::DecisionRecord Record = recordOf(Request);
+  Record.Event_ = "hedge";
+  Record.Region_ = Sent.Region_;
+  Record.Target_ = Sent.Target_;
+  Record.Host_ = Sent.Host_;
+  noteSends(Sent, Record);
+  Record.SettingsVersion_ = Sent.SettingsVersion_;
+  Log_.record(Record, base::SystemClock::wallNow());
+}
+
 void DecisionReporter::sendEnded(const steering::Request &Request,
                                  const steering::Decision &Sent,
                                  const steering::SendReport &Report,
@@ -179,6 +206,7 @@
   Record.Host_ = Sent.Host_;
   Record.Reason_ = retrying::nameOf(Report.Outcome_);
   Record.Status_ = Report.Status_;
+  Record.HostSends_ = Report.HostSends_;
   Record.StatedRate_ = describe(Report.Statement_.Rate_);
   if (!Record.StatedRate_.empty())
     StatedRates_.add();
@@ -193,15 +221,16 @@
 }
 
 void DecisionReporter::requestEnded(const steering::Request &Request,
-                                    int Status, std::string_view Outcome,
+                                    const gateway::RequestEnd &End,
                                     base::TimePoint Now) {
   if (!Request.ForwardedBy_.empty())
     ForwardedArrivals_.add();
   reporting::DecisionRecord Record = recordOf(Request);
   Record.Event_ = "end";
   Record.TookMs_ = base::toMilliseconds(Now - Request.ArrivedAt_);
-  Record.Reason_ = Outcome;
-  Record.Status_ = Status;
+  Record.Reason_ = End.Outcome_;
+  Record.Status_ = End.Status_;
+  Record.Sends_ = End.Sends_;
   Log_.record(Record, base::SystemClock::wallNow());
 }
 
--- a/apps/lycheed/DecisionReporter.h
+++ b/apps/lycheed/DecisionReporter.h
@@ -24,12 +24,15 @@
 
   void decided(const steering::Request &Request, const steering::Decision &Made,
                base::TimePoint Now) override;
+  void hedged(const steering::Request &Request, const steering::Decision &Sent,
+              base::TimePoint Now) override;
   void sendEnded(const steering::Request &Request,
                  const steering::Decision &Sent,
                  const steering::SendReport &Report,
                  base::TimePoint Now) override;
-  void requestEnded(const steering::Request &Request, int Status,
-                    std::string_view Outcome, base::TimePoint Now) override;
+  void requestEnded(const steering::Request &Request,
+                    const gateway::RequestEnd &End,
+                    base::TimePoint Now) override;
 
 private:
   /// Counts what a refused caller is told about its retry, and notes it in
@@ -42,6 +45,7 @@
   reporting::Counter Sends_;
   reporting::Counter Forwards_;
   reporting::Counter ForwardedArrivals_;
+  reporting::Counter Hedges_;
   reporting::Counter Waits_;
   reporting::Counter Refusals_;
   reporting::Counter ScheduledRetries_;
--- a/bench/gateway/Main.cpp
+++ b/bench/gateway/Main.cpp
@@ -90,7 +90,9 @@
                base::TimePoint) override {}
   void sendEnded(const steering::Request &, const steering::Decision &,
                  const steering::SendReport &, base::TimePoint) override {}
-  void requestEnded(const steering::Request &, int, std::string_view,
+  void hedged(const steering::Request &, const steering::Decision &,
+              base::TimePoint) override {}
+  void requestEnded(const steering::Request &, const gateway::RequestEnd &,
                     base::TimePoint) override {}
   void observed(const gateway::TargetObservation &, base::TimePoint) override {}
 
--- a/libs/dispatch/DispatchForwarding.cpp
+++ b/libs/dispatch/DispatchForwarding.cpp
@@ -102,6 +102,7 @@
   Result.Address_ = Host->CallerAddress_;
   Result.Region_ = Host->Region_;
   Result.Reason_ = "targets-unreached";
+  Result.Sends_ = Request.Sends_;
   Result.SendsLeft_ = Request.MaxSends_ - Request.Sends_;
   Result.SettingsVersion_ = Intent_ ? Intent_->Version_ : 0;
   return Result;
--- a/libs/dispatch/DispatchSteering.cpp
+++ b/libs/dispatch/DispatchSteering.cpp
@@ -304,6 +304,8 @@
   Result.Target_ = Target.Record_.Id_;
   Result.Address_ = Target.Record_.Address_;
   Result.ExpectedTarget_ = Target.Record_.Id_.name();
+  Result.Sends_ = Request.Sends_;
+  Result.SendsLeft_ = Request.MaxSends_ - Request.Sends_;
   Result.Region_ = Target.Region_;
   Result.Reason_ = Chosen->Reason_;
   Result.PassedOverTargets_ = TargetChooser::passedOverForStatements(
--- a/libs/gateway/CallerAnswer.cpp
+++ b/libs/gateway/CallerAnswer.cpp
@@ -59,10 +59,10 @@
   return Read_.KeepAlive_ && Home_.shared().isServing() && Reader_.isWhole();
 }
 
-std::optional<std::uint64_t> CallerAnswer::toldVersion() const {
+std::optional<ToldToHost> CallerAnswer::toldToHost() const {
   if (Read_.ForwardedBy_.empty())
     return std::nullopt;
-  return Home_.shared().Others_.Router_.settingsVersion();
+  return ToldToHost{Home_.shared().Others_.Router_.settingsVersion(), Sends_};
 }
 
 Task<void> CallerAnswer::sendContinue() {
@@ -103,7 +103,7 @@
 Task<Ending> CallerAnswer::refuse(ProblemDocument Problem) {
   co_await dropSmallBody();
   Problem.RequestId_ = Id_.name();
-  Problem.SettingsVersion_ = toldVersion();
+  Problem.ToHost_ = toldToHost();
   Status_ = Problem.Status_;
   Outcome_ = Problem.Reason_;
   const bool KeepAlive = keepsAlive();
@@ -168,8 +168,7 @@
   const bool KeepAlive = keepsAlive();
   const bool WithoutBody = isHead() || hasNoBody(Head.result_int());
   const std::string Text = answerHeadFor(
-      Head,
-      {Id_.name(), framingOf(Send, WithoutBody), KeepAlive, toldVersion()},
+      Head, {Id_.name(), framingOf(Send, WithoutBody), KeepAlive, toldToHost()},
       names());
   bound();
   const std::array Pieces{bufferOf(Text), bufferOf(Send.heldBody())};
@@ -185,8 +184,8 @@
   Outcome_ = "answer-cut";
   const bool KeepAlive = keepsAlive();
   const Framing Body = framingOf(Send, false);
-  const std::string Text = answerHeadFor(
-      Head, {Id_.name(), Body, KeepAlive, toldVersion()}, names());
+  const std::string Text =
+      answerHeadFor(Head, {Id_.name(), Body, KeepAlive, toldToHost()}, names());
   End = steering::SendOutcome::Cancelled;
   bound();
   const std::array First{bufferOf(Text)};
--- a/libs/gateway/CallerAnswer.h
+++ b/libs/gateway/CallerAnswer.h
@@ -51,6 +51,11 @@
   /// the target ended.
   Task<Ending> relay(TargetSend &Send, steering::SendOutcome &End);
 
+  /// The request was written to a target, at least in part.
+  void noteSend() noexcept { ++Sends_; }
+  /// Sends to targets so far.
+  std::uint32_t sends() const noexcept { return Sends_; }
+
   /// What the caller was told; 0 where it heard nothing.
   int status() const noexcept { return Status_; }
   /// One word for the log.
@@ -62,9 +67,8 @@
   Task<Ending> writeText(const std::string &Text, bool KeepAlive);
   void bound();
   bool keepsAlive() const;
-  /// \returns the settings' version that a host that forwarded the request is
-  /// told.
-  std::optional<std::uint64_t> toldVersion() const;
+  /// \returns nothing where no host forwarded the request.
+  std::optional<ToldToHost> toldToHost() const;
   const Vocabulary &names() const;
   bool isHead() const noexcept { return Read_.Method_ == "HEAD"; }
 
@@ -74,6 +78,7 @@
   const CallerRequest &Read_;
   const base::RequestId &Id_;
   bool ContinueSent_ = false;
+  std::uint32_t Sends_ = 0;
   int Status_ = 0;
   std::string Outcome_ = "hung-up";
 };
--- a/libs/gateway/DecisionListener.h
+++ b/libs/gateway/DecisionListener.h
@@ -4,10 +4,20 @@
 #include "base/Time.h"
 #include "steering/Steering.h"
 
+#include <cstdint>
 #include <string_view>
 
 namespace lychee::gateway {
 
+/// How a request ended.
+struct RequestEnd {
+  /// What the caller was told; 0 where it heard nothing.
+  int Status_ = 0;
+  std::string_view Outcome_;
+  /// Sends to targets that this host made for it.
+  std::uint32_t Sends_ = 0;
+};
+
 /// Hears of each decision on a request, for the log and for explain. Called
 /// from several threads, in order for one request. Neither a key nor a header
 /// of the caller is handed over, but for method and path of the request.
@@ -22,6 +32,11 @@
   virtual void decided(const steering::Request &Request,
                        const steering::Decision &Made, base::TimePoint Now) = 0;
 
+  /// The request is sent once more to where \p Sent sends it, on a new
+  /// connection, since the first one stayed silent.
+  virtual void hedged(const steering::Request &Request,
+                      const steering::Decision &Sent, base::TimePoint Now) = 0;
+
   /// A send that was decided on ended.
   virtual void sendEnded(const steering::Request &Request,
                          const steering::Decision &Sent,
@@ -29,9 +44,8 @@
                          base::TimePoint Now) = 0;
 
   /// The caller has its final answer, or hung up.
-  /// \param Status  what the caller was told; 0 where it heard nothing.
-  virtual void requestEnded(const steering::Request &Request, int Status,
-                            std::string_view Outcome, base::TimePoint Now) = 0;
+  virtual void requestEnded(const steering::Request &Request,
+                            const RequestEnd &End, base::TimePoint Now) = 0;
 };
 
 } // namespace lychee::gateway
--- a/libs/gateway/Forwarding.cpp
+++ b/libs/gateway/Forwarding.cpp
@@ -118,7 +118,7 @@
   noteDecision(Now);
   const Ending End = co_await followDecisions();
   Home_.shared().Others_.Listener_.requestEnded(
-      Request_, Answer_.status(), Answer_.outcome(),
+      Request_, {Answer_.status(), Answer_.outcome(), Answer_.sends()},
       base::SystemClock::monotonicNow());
   co_return End;
 }
@@ -286,6 +286,8 @@
     Failed = co_await hedge(Send);
   else if (!Failed && Send.saysNotRun())
     Failed = SendOutcome::Shed;
+  if (Send.hasWritten() && !ToHost)
+    Answer_.noteSend();
   if (Send.hasWritten() && Failed != SendOutcome::Shed)
     Ran_ = steering::Ran::Maybe;
   if (Failed)
@@ -295,6 +297,8 @@
 
 Task<TargetSend::Failure> Forwarding::hedge(TargetSend &Send) {
   Caller_.watch().rearm();
+  Home_.shared().Others_.Listener_.hedged(Request_, Decision_,
+                                          base::SystemClock::monotonicNow());
   TargetSend::Failure Failed = co_await Send.reopen();
   if (!Failed)
     Failed = withhold(Send);
--- a/libs/gateway/HeaderPolicy.cpp
+++ b/libs/gateway/HeaderPolicy.cpp
@@ -39,8 +39,9 @@
 /// \returns whether only the gateway sets the header, so that neither side can
 /// pose as it.
 bool isReserved(std::string_view Name, const Vocabulary &Names) {
-  for (const std::string *Each : {&Names.ForwardedBy_, &Names.SendsLeft_,
-                                  &Names.Reason_, &Names.SettingsVersion_})
+  for (const std::string *Each :
+       {&Names.ForwardedBy_, &Names.SendsLeft_, &Names.SendsMade_,
+        &Names.Reason_, &Names.SettingsVersion_})
     if (iequals(Name, *Each))
       return true;
   const std::string_view Prefix = Names.ReservedPrefix_;
@@ -115,6 +116,17 @@
     appendField(Text, "Authorization", "Bearer " + std::string(Added.Key_));
 }
 
+/// \returns the number that \p Text is; nothing where it is none.
+template <typename Number>
+std::optional<Number> numberOf(std::string_view Text) {
+  Number Read = 0;
+  const auto [End, Error] =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Read);
+  if (Error != std::errc() || End != Text.data() + Text.size())
+    return std::nullopt;
+  return Read;
+}
+
 /// \returns the value of the first of \p Fields that is present.
 std::optional<std::string_view>
 firstValueOf(const AnswerReader::Message &Head,
@@ -198,9 +210,8 @@
   Text += "\r\n";
   appendFields(Text, Head, {}, Names);
   appendField(Text, Names.RequestId_, Added.RequestId_);
-  if (Added.SettingsVersion_)
-    appendField(Text, Names.SettingsVersion_,
-                std::to_string(*Added.SettingsVersion_));
+  if (Added.ToHost_)
+    Text += headerLinesFor(*Added.ToHost_, Names);
   if (!Added.KeepAlive_)
     appendField(Text, "Connection", "close");
   appendFraming(Text, Added.Body_);
@@ -208,6 +219,14 @@
   return Text;
 }
 
+std::string headerLinesFor(const ToldToHost &Told, const Vocabulary &Names) {
+  std::string Text;
+  appendField(Text, Names.SettingsVersion_,
+              std::to_string(Told.SettingsVersion_));
+  appendField(Text, Names.SendsMade_, std::to_string(Told.Sends_));
+  return Text;
+}
+
 std::string chunkSizeLine(std::size_t Bytes) {
   std::array<char, 16> Digits{};
   const auto Written =
@@ -245,13 +264,12 @@
 
 std::optional<std::uint64_t>
 settingsVersionOf(const AnswerReader::Message &Head, const Vocabulary &Names) {
-  const std::string_view Text = viewOf(Head[Names.SettingsVersion_]);
-  std::uint64_t Version = 0;
-  const auto [End, Error] =
-      std::from_chars(Text.data(), Text.data() + Text.size(), Version);
-  if (Error != std::errc() || End != Text.data() + Text.size())
-    return std::nullopt;
-  return Version;
+  return numberOf<std::uint64_t>(viewOf(Head[Names.SettingsVersion_]));
+}
+
+std::optional<std::uint32_t> sendsMadeOf(const AnswerReader::Message &Head,
+                                         const Vocabulary &Names) {
+  return numberOf<std::uint32_t>(viewOf(Head[Names.SendsMade_]));
 }
 
 std::optional<steering::TargetLoad> loadOf(const AnswerReader::Message &Head,
--- a/libs/gateway/HeaderPolicy.h
+++ b/libs/gateway/HeaderPolicy.h
@@ -2,6 +2,7 @@
 #define LYCHEE_GATEWAY_HEADERPOLICY_H
 
 #include "gateway/CallerRequest.h"
+#include "gateway/ToldToHost.h"
 #include "gateway/Vocabulary.h"
 #include "steering/Steering.h"
 
@@ -49,8 +50,8 @@
   std::string_view RequestId_;
   Framing Body_;
   bool KeepAlive_ = true;
-  /// Told to a host that forwarded the request.
-  std::optional<std::uint64_t> SettingsVersion_;
+  /// Nothing: the request came from its caller.
+  std::optional<ToldToHost> ToHost_;
 };
 
 /// \returns the lines of the caller's headers that go to the target: without
@@ -72,6 +73,9 @@
                           const ForwardedAnswer &Added,
                           const Vocabulary &Names);
 
+/// \returns the header lines of what an answer states for a host.
+std::string headerLinesFor(const ToldToHost &Told, const Vocabulary &Names);
+
 /// \returns the line that begins a chunk of \p Bytes, which is not 0.
 std::string chunkSizeLine(std::size_t Bytes);
 
@@ -91,6 +95,11 @@
 std::optional<std::uint64_t>
 settingsVersionOf(const AnswerReader::Message &Head, const Vocabulary &Names);
 
+/// \returns the number of sends to targets that the host that answers made,
+/// where it states it.
+std::optional<std::uint32_t> sendsMadeOf(const AnswerReader::Message &Head,
+                                         const Vocabulary &Names);
+
 /// \returns what the answer tells of the target's load, where it tells it.
 std::optional<steering::TargetLoad> loadOf(const AnswerReader::Message &Head,
                                            const Vocabulary &Names);
--- a/libs/gateway/ProblemDocument.cpp
+++ b/libs/gateway/ProblemDocument.cpp
@@ -1,5 +1,7 @@
 #include "gateway/ProblemDocument.h"
 
+#include "gateway/HeaderPolicy.h"
+
 #include <array>
 #include <boost/beast/http/status.hpp>
 #include <charconv>
@@ -170,9 +172,8 @@
   Text += ranText(Ran_);
   Text += "\r\n" + Names.Reason_ + ": " + Reason_;
   Text += "\r\n" + Names.RequestId_ + ": " + RequestId_ + "\r\n";
-  if (SettingsVersion_)
-    Text += Names.SettingsVersion_ + ": " + std::to_string(*SettingsVersion_) +
-            "\r\n";
+  if (ToHost_)
+    Text += headerLinesFor(*ToHost_, Names);
   if (RetryAfter_ > base::Duration::zero())
     Text += "Retry-After: " + retryAfterText(RetryAfter_, Names) + "\r\n";
   if (Status_ == 401)
--- a/libs/gateway/ProblemDocument.h
+++ b/libs/gateway/ProblemDocument.h
@@ -2,6 +2,7 @@
 #define LYCHEE_GATEWAY_PROBLEMDOCUMENT_H
 
 #include "base/Time.h"
+#include "gateway/ToldToHost.h"
 #include "gateway/Vocabulary.h"
 #include "steering/Steering.h"
 
@@ -25,8 +26,8 @@
   /// How the work that the caller asks for again was answered when it ran; 0
   /// where that is not known.
   int OutcomeStatus_ = 0;
-  /// Told to a host that forwarded the request.
-  std::optional<std::uint64_t> SettingsVersion_;
+  /// Nothing: the request came from its caller.
+  std::optional<ToldToHost> ToHost_;
 
   /// \returns the whole answer, head and body.
   std::string render(const Vocabulary &Names, bool KeepAlive,
--- a/libs/gateway/TargetSend.cpp
+++ b/libs/gateway/TargetSend.cpp
@@ -349,6 +349,14 @@
   return Made;
 }
 
+std::optional<std::uint32_t> TargetSend::hostSends() const {
+  if (!hasWritten())
+    return 0;
+  if (!Reader_ || !AnswerSeen_)
+    return std::nullopt;
+  return sendsMadeOf(Reader_->message(), Home_.shared().Settings_.Names_);
+}
+
 steering::SendReport TargetSend::report(steering::SendOutcome End) const {
   steering::SendReport Made;
   Made.Outcome_ = End;
@@ -361,8 +369,10 @@
   Made.AnswerBytes_ = Received_;
   Made.TimedOut_ = LostPatience_;
   Made.NewConnection_ = Connection_ && !Connection_->isReused();
+  const Vocabulary &Names = Home_.shared().Settings_.Names_;
+  if (ToHost_)
+    Made.HostSends_ = hostSends();
   if (Reader_ && AnswerSeen_ && !ToHost_) {
-    const Vocabulary &Names = Home_.shared().Settings_.Names_;
     Made.Load_ = loadOf(Reader_->message(), Names);
     const steering::AnswerHead Head = answerHead();
     Made.Statement_ = Head.Statement_;
--- a/libs/gateway/TargetSend.h
+++ b/libs/gateway/TargetSend.h
@@ -110,6 +110,8 @@
   Task<Failure> connect();
   Task<bool> skipInterim(ReadEnd &End, bool WithoutBody);
   steering::AnswerHead answerHead() const;
+  /// \returns the sends to targets that the other host made.
+  std::optional<std::uint32_t> hostSends() const;
   Task<bool> skipForeign(ReadEnd &End, bool WithoutBody);
   bool isForeign() const;
   Task<bool> writeWhileSilent(std::string_view Body);
--- a/libs/gateway/Vocabulary.h
+++ b/libs/gateway/Vocabulary.h
@@ -37,6 +37,8 @@
   std::string ForwardedBy_ = "Lychee-Forwarded-By";
   /// Number of targets that the request may be sent to.
   std::string SendsLeft_ = "Lychee-Sends-Left";
+  /// Of an answer to it: number of sends to targets that were made for it.
+  std::string SendsMade_ = "Lychee-Sends-Made";
   /// Why a host refuses a request.
   std::string Reason_ = "Lychee-Reason";
   /// Of a request: the oldest version of the settings by which it may be
--- a/libs/reporting/DecisionLog.cpp
+++ b/libs/reporting/DecisionLog.cpp
@@ -39,6 +39,12 @@
     Line.add(Key, Value);
 }
 
+void addIfKnown(base::KeyValueLine &Line, std::string_view Key,
+                std::optional<std::uint32_t> Count) {
+  if (Count)
+    Line.add(Key, *Count);
+}
+
 long long inPercent(double Fraction) {
   constexpr double Percent = 100;
   return std::llround(Fraction * Percent);
@@ -79,6 +85,9 @@
         .add("asked", std::llround(Taken.Share_->AskedPerSecond_))
         .add("threshold", inPercent(Taken.Share_->ServedShare_))
         .add("ahead", inPercent(Taken.Share_->Ahead_));
+  addIfKnown(Line, "sends", Taken.Sends_);
+  addIfKnown(Line, "sends_left", Taken.SendsLeft_);
+  addIfKnown(Line, "host_sends", Taken.HostSends_);
   if (Taken.TookMs_ >= 0)
     Line.add("took_ms", Taken.TookMs_);
   if (Taken.Status_ != 0)
--- a/libs/reporting/DecisionLog.h
+++ b/libs/reporting/DecisionLog.h
@@ -80,6 +80,13 @@
     double Ahead_ = 0;
   };
   std::optional<ShareInputs> Share_;
+  /// Sends to targets that the request has had, as far as this host knows.
+  std::optional<std::uint32_t> Sends_;
+  /// Of a send: how many it may have after it.
+  std::optional<std::uint32_t> SendsLeft_;
+  /// Of the end of a send to another host: the sends that that host made, as
+  /// far as it states them.
+  std::optional<std::uint32_t> HostSends_;
   /// How long a send or request took; negative where it is not told.
   std::int64_t TookMs_ = -1;
   /// The answer's status, where the decision ends the request; else 0.
--- a/libs/steering/Steering.h
+++ b/libs/steering/Steering.h
@@ -220,7 +220,9 @@
   /// The host that sends it to a target for this one; empty: it goes to
   /// Target_.
   base::HostId Host_;
-  /// Number of targets that Host_ may send it to.
+  /// Sends to targets that the request has had, this one included, and how many
+  /// it may have after it: in the case of a host, those that Host_ may make.
+  std::uint32_t Sends_ = 0;
   std::uint32_t SendsLeft_ = 0;
   std::string Address_;
   /// The expected incarnation of the target; empty: any that answers there.
@@ -282,6 +284,9 @@
   bool NewConnection_ = false;
   /// Another target than the expected one answered at the address.
   bool WrongTarget_ = false;
+  /// Of a send to another host: the sends to targets that it made for the
+  /// request; empty where it does not state them.
+  std::optional<std::uint32_t> HostSends_ = std::nullopt;
   std::optional<TargetLoad> Load_ = std::nullopt;
   TargetStatement Statement_ = {};
 };
--- a/tests/gateway/FakeSteering.cpp
+++ b/tests/gateway/FakeSteering.cpp
@@ -49,7 +49,7 @@
                               base::TimePoint,
                               std::vector<steering::Wakeup> &Woken) {
   const std::lock_guard Guard(Lock_);
-  Ends_.push_back(Report.Outcome_);
+  Reports_.push_back(Report);
   const Ticket Described = Sent_[Number];
   const bool NotRun = Report.Outcome_ == SendOutcome::Shed ||
                       Report.Outcome_ == SendOutcome::ConnectFailed ||
@@ -112,9 +112,16 @@
   }
 }
 
-std::vector<SendOutcome> FakeSteering::ends() const {
+std::vector<steering::SendReport> FakeSteering::reports() const {
   const std::lock_guard Guard(Lock_);
-  return Ends_;
+  return Reports_;
+}
+
+std::vector<SendOutcome> FakeSteering::ends() const {
+  std::vector<SendOutcome> Ends;
+  for (const steering::SendReport &Each : reports())
+    Ends.push_back(Each.Outcome_);
+  return Ends;
 }
 
 std::size_t FakeSteering::openTickets() const {
--- a/tests/gateway/FakeSteering.h
+++ b/tests/gateway/FakeSteering.h
@@ -50,6 +50,7 @@
   void tick(base::TimePoint Now, std::vector<steering::Wakeup> &Woken) override;
 
   std::vector<steering::SendOutcome> ends() const;
+  std::vector<steering::SendReport> reports() const;
   std::vector<steering::AnswerHead> heads() const;
   std::size_t openTickets() const;
   std::size_t waiting() const;
@@ -72,7 +73,7 @@
   std::map<std::uint64_t, Ticket> Sent_;
   std::deque<std::uint64_t> Waiting_;
   std::map<std::uint64_t, Ticket> WaitingTickets_;
-  std::vector<steering::SendOutcome> Ends_;
+  std::vector<steering::SendReport> Reports_;
   std::vector<steering::AnswerHead> Heads_;
   int Arrivals_ = 0;
   std::atomic<int> Writes_ = 0;
--- a/tests/gateway/Fakes.h
+++ b/tests/gateway/Fakes.h
@@ -129,11 +129,16 @@
                base::TimePoint) override {}
   void sendEnded(const steering::Request &, const steering::Decision &,
                  const steering::SendReport &, base::TimePoint) override {}
-  void requestEnded(const steering::Request &, int, std::string_view Outcome,
+  void hedged(const steering::Request &, const steering::Decision &,
+              base::TimePoint) override {
+    ++Hedges_;
+  }
+  void requestEnded(const steering::Request &, const gateway::RequestEnd &End,
                     base::TimePoint) override {
     const std::lock_guard Guard(Lock_);
-    Outcomes_.emplace_back(Outcome);
+    Outcomes_.emplace_back(End.Outcome_);
   }
+  int hedges() const noexcept { return Hedges_; }
   std::vector<std::string> outcomes() const {
     const std::lock_guard Guard(Lock_);
     return Outcomes_;
@@ -142,6 +147,7 @@
 private:
   mutable std::mutex Lock_;
   std::vector<std::string> Outcomes_;
+  std::atomic<int> Hedges_ = 0;
 };
 
 class FakeObserver : public gateway::TargetObserver {
--- a/tests/gateway/HostForwardingTest.cpp
+++ b/tests/gateway/HostForwardingTest.cpp
@@ -2,7 +2,11 @@
 #include "gateway/RawTarget.h"
 #include "gateway/VersionFloor.h"
 
+#include <atomic>
+#include <map>
 #include <mutex>
+#include <optional>
+#include <thread>
 #include <vector>
 
 #include "CppUTest/TestHarness.h"
@@ -10,6 +14,7 @@
 namespace base = lychee::base;
 namespace tests = lychee::tests;
 using lychee::gateway::VersionFloor;
+using lychee::steering::Refusal;
 using lychee::steering::SendOutcome;
 using tests::Fixture;
 using tests::RawAnswer;
@@ -24,20 +29,27 @@
   std::mutex Lock_;
   std::vector<std::string> Heads_;
   std::string Answer_;
+  /// The other host takes this long to answer.
+  std::atomic<std::chrono::milliseconds> AnswerDelay_{};
+  /// It takes more than one request on a connection.
+  std::atomic<bool> KeepsOpen_ = false;
 
   /// Starts a gateway whose requests go to another host first, and then to a
   /// target. \param Answer  of the other host.
   void start(const std::string &Answer) {
     Answer_ = Answer;
     Other_ = std::make_unique<RawTarget>([this](RawTarget::Socket &From) {
-      const std::string Head = RawTarget::readHead(From);
-      if (Head.empty())
-        return;
-      {
-        const std::lock_guard Guard(Lock_);
-        Heads_.push_back(Head);
-      }
-      RawTarget::send(From, Answer_);
+      do {
+        const std::string Head = RawTarget::readHead(From);
+        if (Head.empty())
+          return;
+        {
+          const std::lock_guard Guard(Lock_);
+          Heads_.push_back(Head);
+        }
+        std::this_thread::sleep_for(AnswerDelay_.load());
+        RawTarget::send(From, Answer_);
+      } while (KeepsOpen_);
     });
     Fixture_ = std::make_unique<Fixture>(1);
     Fixture_->Settings_.Threads_ = 1;
@@ -53,6 +65,10 @@
     Fixture_.reset();
     Other_.reset();
   }
+  std::size_t headCount() {
+    const std::lock_guard Guard(Lock_);
+    return Heads_.size();
+  }
   std::string head(std::size_t Index) {
     const std::lock_guard Guard(Lock_);
     return Heads_.at(Index);
@@ -112,6 +128,46 @@
   LONGS_EQUAL(1, Fixture_->Steering_->ends().size());
 }
 
+// Guards against a forwarding host that cannot tell how many sends are left.
+TEST(HostForwarding, anAnswerStatesTheSendsThatWereMadeForIt) {
+  start("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  Fixture_->Steering_->HostAddress_.clear();
+  RawClient Caller(Fixture_->address());
+  const std::string Forwarded = "Lychee-Forwarded-By: edge-2\r\n";
+  const auto Made = [&] {
+    return Caller.request("GET", "/s/x", Forwarded).header("lychee-sends-made");
+  };
+  STRCMP_EQUAL("1", Made().c_str());
+  STRCMP_EQUAL("1", Made().c_str());
+  // The first address of two sheds, so that it takes two.
+  Answer_ = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: no\r\n"
+            "Content-Length: 0\r\n\r\n";
+  STRCMP_EQUAL("2", Made().c_str());
+  Fixture_->Steering_->RefuseAll_ = Refusal::NoHeadroom;
+  STRCMP_EQUAL("0", Made().c_str());
+  STRCMP_EQUAL(
+      "", Caller.request("GET", "/s/x").header("lychee-sends-made").c_str());
+}
+
+// Guards against sends of the other host that the steering does not count.
+TEST(HostForwarding, theSteeringIsToldTheSendsThatTheOtherHostMade) {
+  const std::string Refused = "HTTP/1.1 503 Service Unavailable\r\n"
+                              "Lychee-Reason: targets-unreached\r\n";
+  for (const auto &[Line, Expected] :
+       std::map<std::string, std::optional<std::uint32_t>>{
+           {"", std::nullopt},
+           {"Lychee-Sends-Made: 2\r\n", 2},
+           {"Lychee-Sends-Made: 0\r\n", 0},
+           {"Lychee-Sends-Made: two\r\n", std::nullopt},
+           {"Lychee-Sends-Made: -1\r\n", std::nullopt}}) {
+    start(Refused + Line + "Content-Length: 0\r\n\r\n");
+    RawClient Caller(Fixture_->address());
+    LONGS_EQUAL(200, Caller.request("GET", "/s/x").Status_);
+    CHECK(Fixture_->Steering_->reports().at(0).HostSends_ == Expected);
+    teardown();
+  }
+}
+
 // Guards against headers of callers that reach targets as if a host had set
 // them.
 TEST(HostForwarding, targetsGetNoneOfTheHeadersBetweenHosts) {
--- a/tests/reporting/DecisionLogTest.cpp
+++ b/tests/reporting/DecisionLogTest.cpp
@@ -52,6 +52,20 @@
                Log_.explain(base::RequestId("r1")).at(0).c_str());
 }
 
+// Guards against lines that do not tell how many targets an attempt was sent
+// to.
+TEST(DecisionLog, aSendTellsWhichOfHowManyItIs) {
+  DecisionRecord Record = recordOf("r1");
+  Record.Sends_ = 1;
+  Record.SendsLeft_ = 2;
+  Log_.record(Record, Now);
+  Record = recordOf("r1");
+  Record.HostSends_ = 0;
+  Log_.record(Record, Now);
+  STRCMP_CONTAINS("sends=1 sends_left=2 settings=7", Lines_.at(0).c_str());
+  STRCMP_CONTAINS("host_sends=0 settings=7", Lines_.at(1).c_str());
+}
+
 // Guards against refusals that do not tell a host without reach from one whose
 // targets are full.
 TEST(DecisionLog, aRefusalTellsWhatTheTargetsAreTakenFor) {
