Tests: an attempt that goes through two hosts runs on more targets than allowed, known red

The simulation asks for second copies as the gateway does. LiveFleet has a rule with a bound of one target.

--- a/tests/dispatch/ForwardingTest.cpp
+++ b/tests/dispatch/ForwardingTest.cpp
@@ -259,9 +259,11 @@
   Decision arrive(const Request &Incoming) {
     return Steering_.arrive(Incoming, Now_);
   }
-  Decision finish(const Decision &Sent, SendOutcome End) {
+  Decision finish(const Decision &Sent, SendOutcome End,
+                  std::optional<std::uint32_t> HostSends = 0) {
     SendReport Report;
     Report.Outcome_ = End;
+    Report.HostSends_ = HostSends;
     return Steering_.finish(Sent.Ticket_, Report, Now_, Woken_);
   }
   void reportProbes(bool Connected) {
@@ -359,6 +361,46 @@
   CHECK(Last.Refusal_ == Refusal::TargetsUnreached);
 }
 
+// Guards against two copies of an attempt, each of which may go to as many
+// targets as the attempt.
+TEST(Forwarding, whatAnotherHostWorksOnIsNotSentOnceMore) {
+  loseReach();
+  Request Asked = requestOf();
+  Asked.Idempotent_ = true;
+  const Decision Made = arrive(Asked);
+  CHECK_FALSE(Made.Host_.empty());
+  CHECK_FALSE(Steering_.mayHedge(Made.Ticket_, Now_));
+  CHECK_FALSE(Steering_.mayAbandonSend(Made.Ticket_, Now_));
+}
+
+// Guards against a next host that is told of sends which the one before made.
+TEST(Forwarding, theNextHostMayMakeTheSendsThatAreLeft) {
+  Fleet_.OtherHosts_.push_back(hostView("third", "north"));
+  update();
+  loseReach();
+  const Decision Made = arrive(requestOf());
+  LONGS_EQUAL(0, Made.Sends_);
+  LONGS_EQUAL(3, Made.SendsLeft_);
+  const Decision Next = finish(Made, SendOutcome::Shed, 2);
+  LONGS_EQUAL(2, Next.Sends_);
+  LONGS_EQUAL(1, Next.SendsLeft_);
+  const Decision Last = finish(Next, SendOutcome::Shed, 1);
+  CHECK(Last.Action_ == Decision::Action::Refuse);
+}
+
+TEST(Forwarding, aHostThatDoesNotStateItsSendsHasMadeAllThatItMight) {
+  Fleet_.OtherHosts_.push_back(hostView("third", "north"));
+  update();
+  loseReach();
+  for (const std::optional<std::uint32_t> Stated :
+       {std::optional<std::uint32_t>(), std::optional<std::uint32_t>(7)}) {
+    const Decision Made = arrive(requestOf());
+    const Decision Next = finish(Made, SendOutcome::Shed, Stated);
+    CHECK(Next.Action_ == Decision::Action::Refuse);
+    Now_ += ForwardingHosts::FailurePause;
+  }
+}
+
 // Guards against a healthy fleet that is probed as if it had restarted.
 TEST(Forwarding, afterACutTargetsAreUsedAsBefore) {
   loseReach();
--- a/tests/dispatch/ReachSimulation.cpp
+++ b/tests/dispatch/ReachSimulation.cpp
@@ -20,12 +20,15 @@
 constexpr base::Duration HeartbeatDelay = 5ms;
 constexpr base::Duration RegionUpdateDelay = 600ms;
 constexpr base::Duration RunTime = 150ms;
+constexpr base::Duration FailureTime = 5ms;
 constexpr base::Duration ConnectTimeout = 250ms;
 constexpr base::Duration RefusalDelay = 1ms;
 constexpr base::Duration LookupTime = 1s;
 constexpr base::Duration BookingTime = 3s;
 constexpr base::Duration ReuseIdleLimit = 5s;
 constexpr base::Duration ProvenLifeLimit = 100ms;
+/// Time without an answer after which a host takes a connection for silent.
+constexpr base::Duration HedgeDelay = 200ms;
 /// How often an answer that is held back is tried again.
 constexpr base::Duration RetransmitPace = 50ms;
 constexpr std::uint32_t Slots = 9;
@@ -201,6 +204,21 @@
   return std::nullopt;
 }
 
+void ReachSimulation::degradeTargets(double Factor, std::size_t Group) {
+  Slowness_ = Factor;
+  FailingGroup_ = Group;
+}
+
+bool ReachSimulation::failsAt(std::size_t Target) const {
+  return FailingGroup_ > 0 && Target % FailingGroup_ == 0;
+}
+
+base::Duration ReachSimulation::runTimeAt(std::size_t Target) const {
+  return failsAt(Target)
+             ? FailureTime
+             : base::fromSeconds(base::toSeconds(RunTime) * Slowness_);
+}
+
 base::Duration ReachSimulation::delay(const Host &From,
                                       std::size_t Target) const {
   return From.Descriptor_.Region_ == regionOf(Target, Size_.Regions_)
@@ -266,7 +284,7 @@
   First.Attempt_ = Attempts_.size() - 1;
   First.Host_ = Made.Host_;
   First.Deadline_ = Now_ + (Made.Idempotent_ ? LookupTime : BookingTime);
-  start(std::make_shared<Leg>(First), 2);
+  start(std::make_shared<Leg>(First), Size_.MaxSends_);
 }
 
 void ReachSimulation::start(const LegPointer &Begun, std::uint32_t MaxSends) {
@@ -300,10 +318,35 @@
   Next.From_ = Asked;
   Next.FromTicket_ = Made.Ticket_;
   Next.MayHaveRun_ = false;
-  schedule(2 * delay(Hosts_[Asked->Host_], Hosts_[Next.Host_]),
-           [this, Next, MaxSends = Made.SendsLeft_] {
-             start(std::make_shared<Leg>(Next), MaxSends);
-           });
+  Next.Sends_ = 0;
+  ++Forwards_;
+  begin(std::make_shared<Leg>(Next), Made.SendsLeft_);
+}
+
+void ReachSimulation::begin(const LegPointer &Begun, std::uint32_t MaxSends) {
+  const base::Duration Way =
+      2 * delay(Hosts_[Begun->From_->Host_], Hosts_[Begun->Host_]);
+  schedule(Way, [this, Begun, MaxSends] { start(Begun, MaxSends); });
+  if (Attempts_[Begun->Attempt_].Idempotent_)
+    schedule(Way + HedgeDelay,
+             [this, Begun, MaxSends] { hedge(Begun, MaxSends); });
+}
+
+void ReachSimulation::hedge(const LegPointer &Silent, std::uint32_t MaxSends) {
+  if (Silent->IsOver_ || !Hosts_[Silent->From_->Host_].Steering_->mayHedge(
+                             Silent->FromTicket_, Now_))
+    return;
+  ++ForwardsBrokenOff_;
+  Leg Copy = *Silent;
+  Copy.Sends_ = 0;
+  Silent->IsOver_ = true;
+  std::vector<std::uint64_t> Open;
+  for (const auto &[Id, Each] : Sends_)
+    if (Each.Leg_ == Silent)
+      Open.push_back(Id);
+  for (const std::uint64_t Id : Open)
+    end(Id, SendOutcome::Cancelled);
+  begin(std::make_shared<Leg>(Copy), MaxSends);
 }
 
 void ReachSimulation::sendToTarget(const LegPointer &Asked,
@@ -356,8 +399,9 @@
     return;
   }
   ++Attempts_[Open.Leg_->Attempt_].Runs_;
+  Attempts_[Open.Leg_->Attempt_].Targets_.insert(Open.Target_);
   ++Running_[Open.Target_];
-  schedule(RunTime + 2 * delay(From, Open.Target_),
+  schedule(runTimeAt(Open.Target_) + 2 * delay(From, Open.Target_),
            [this, Id, Target = Open.Target_] {
              --Running_[Target];
              answer(Id);
@@ -398,23 +442,32 @@
   Report.TimedOut_ = TimedOut;
   Report.NewConnection_ = Open.NewConnection_;
   if (Outcome == SendOutcome::Answered) {
-    Report.Status_ = 200;
+    Report.Status_ = failsAt(Open.Target_) ? 500 : 200;
     Report.Took_ = Now_ - Open.SentAt_;
     Report.Load_ = steering::TargetLoad{
         static_cast<std::uint32_t>(Running_[Open.Target_]), 0, Slots};
   }
   if (Outcome == SendOutcome::LostBeforeResponse)
     Open.Leg_->MayHaveRun_ = true;
+  if (Outcome != SendOutcome::ConnectFailed)
+    ++Open.Leg_->Sends_;
   std::vector<steering::Wakeup> Woken;
   const Decision Next = Hosts_[Open.Leg_->Host_].Steering_->finish(
       Open.Ticket_, Report, Now_, Woken);
-  if (Outcome == SendOutcome::Answered || Outcome == SendOutcome::Cancelled)
-    conclude(Open.Leg_, {Outcome == SendOutcome::Answered, false, {}});
+  const bool IsServed =
+      Outcome == SendOutcome::Answered && Report.Status_ == 200;
+  const bool IsOver =
+      Outcome == SendOutcome::Answered || Outcome == SendOutcome::Cancelled;
+  if (IsOver && Next.Action_ != Decision::Action::Send)
+    conclude(Open.Leg_, {IsServed, false, {}});
   else
     apply(Open.Leg_, Next);
 }
 
 void ReachSimulation::conclude(const LegPointer &Ended, const LegEnd &How) {
+  if (Ended->IsOver_)
+    return;
+  Ended->IsOver_ = true;
   if (Ended->From_) {
     schedule(delay(Hosts_[Ended->Host_], Hosts_[Ended->From_->Host_]),
              [this, Ended, How] { tellForwarder(Ended, How); });
@@ -434,6 +487,7 @@
   steering::SendReport Report;
   Report.Outcome_ = ForItself ? SendOutcome::Shed : SendOutcome::Answered;
   Report.Status_ = How.Served_ ? 200 : 503;
+  Report.HostSends_ = Ended->Sends_;
   std::vector<steering::Wakeup> Woken;
   const Decision Next = Hosts_[Ended->From_->Host_].Steering_->finish(
       Ended->FromTicket_, Report, Now_, Woken);
@@ -464,6 +518,13 @@
       }));
 }
 
+int ReachSimulation::attemptsOverBound() const {
+  return static_cast<int>(std::count_if(
+      Attempts_.begin(), Attempts_.end(), [this](const Attempt &Each) {
+        return Each.Targets_.size() > Size_.MaxSends_;
+      }));
+}
+
 double ReachSimulation::slowestRefusal(base::TimePoint Since) const {
   base::Duration Slowest{};
   for (const Attempt &Each : Attempts_)
--- a/tests/dispatch/ReachSimulation.h
+++ b/tests/dispatch/ReachSimulation.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -21,6 +22,8 @@
   /// Requests per second of all callers.
   double PerSecond_ = 210;
   std::uint64_t Objects_ = 60;
+  /// Targets that one attempt may be sent to.
+  std::uint32_t MaxSends_ = 2;
 };
 
 /// What a host that is cut from targets sees of its connections to them.
@@ -53,6 +56,8 @@
     /// It was refused with the promise that it did not run and never will.
     bool RefusedAsNotRun_ = false;
     int Runs_ = 0;
+    /// The targets that ran it.
+    std::set<std::size_t> Targets_;
   };
   struct Tally {
     int Sent_ = 0;
@@ -72,6 +77,9 @@
   /// targets of this region only; empty: from all.
   void cut(std::size_t Number, CutKind Kind, const base::RegionId &Region = {});
   void heal(std::size_t Number);
+  /// From now on requests take \p Factor times as long at all targets but the
+  /// first of each \p Group, which answers at once with a failure of its own.
+  void degradeTargets(double Factor, std::size_t Group);
   /// All targets accept nothing and lose what runs, until startTargets().
   void stopTargets();
   void startTargets();
@@ -86,6 +94,12 @@
   int brokenPromises() const;
   /// \returns the longest time in seconds from a request to its refusal.
   double slowestRefusal(base::TimePoint Since) const;
+  /// \returns the requests that ran on more targets than they may.
+  int attemptsOverBound() const;
+  /// \returns the requests that were forwarded, and those of them that were
+  /// broken off while a target worked on them, to be forwarded once more.
+  int forwards() const noexcept { return Forwards_; }
+  int forwardsBrokenOff() const noexcept { return ForwardsBrokenOff_; }
   int connectsAttempted() const noexcept { return Connects_; }
   dispatch::DispatchSteering &steering(std::size_t Number) {
     return *Hosts_[Number].Steering_;
@@ -118,6 +132,9 @@
     std::uint64_t FromTicket_ = 0;
     /// A send from this host was lost.
     bool MayHaveRun_ = false;
+    /// Sends from this host that were written to a target.
+    std::uint32_t Sends_ = 0;
+    bool IsOver_ = false;
   };
   using LegPointer = std::shared_ptr<Leg>;
   /// How a request ended at a host.
@@ -148,6 +165,11 @@
   void apply(const LegPointer &Asked, const steering::Decision &Made);
   void sendToTarget(const LegPointer &Asked, const steering::Decision &Made);
   void forward(const LegPointer &Asked, const steering::Decision &Made);
+  void begin(const LegPointer &Begun, std::uint32_t MaxSends);
+  /// The first host hears nothing of a request that it forwarded.
+  void hedge(const LegPointer &Silent, std::uint32_t MaxSends);
+  base::Duration runTimeAt(std::size_t Target) const;
+  bool failsAt(std::size_t Target) const;
   bool isCut(const Host &From, std::size_t Target, CutKind Kind) const;
   /// \returns how long a connect takes to fail; nothing: it succeeds.
   std::optional<base::Duration> connectFailure(const Host &From,
@@ -176,6 +198,11 @@
   std::uint64_t LastSend_ = 0;
   bool TargetsDown_ = false;
   int Connects_ = 0;
+  int Forwards_ = 0;
+  int ForwardsBrokenOff_ = 0;
+  double Slowness_ = 1;
+  /// 0: no target fails.
+  std::size_t FailingGroup_ = 0;
   std::multimap<base::TimePoint, std::function<void()>> Events_;
 };
 
--- a/tests/dispatch/TargetReachTest.cpp
+++ b/tests/dispatch/TargetReachTest.cpp
@@ -77,6 +77,27 @@
     checkServed(Fleet, Others, Begin, End);
 }
 
+/// Cuts hosts from all targets, of which some fail and the others are slow, and
+/// checks on how many of them attempts ran, and that no host broke off what
+/// another one worked on.
+void playSlowTargets(const ReachFleet &Size,
+                     const std::vector<std::size_t> &Hosts, CutKind Kind,
+                     std::uint64_t Seed) {
+  ReachSimulation Fleet(Size, Seed);
+  Fleet.run(4);
+  Fleet.degradeTargets(4, 3);
+  for (const std::size_t Each : Hosts)
+    Fleet.cut(Each, Kind);
+  Fleet.run(6);
+  for (const std::size_t Each : Hosts)
+    Fleet.heal(Each);
+  Fleet.run(4);
+  CHECK(Fleet.forwards() > 0);
+  LONGS_EQUAL(0, Fleet.attemptsOverBound());
+  LONGS_EQUAL(0, Fleet.forwardsBrokenOff());
+  LONGS_EQUAL(0, Fleet.brokenPromises());
+}
+
 } // namespace
 
 /// Hosts that are cut from targets, while callers and other hosts reach them.
@@ -146,6 +167,26 @@
   }
 }
 
+// Guards against a request that is sent to more targets than it may be, as each
+// host that passes it on counts its own sends only.
+TEST(TargetReach, besideSlowTargetsNoAttemptRunsOnMoreTargetsThanAllowed) {
+  for (const CutKind Kind : Kinds)
+    for (const std::uint32_t Bound : {1, 2, 3})
+      for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+        ReachFleet Size;
+        Size.MaxSends_ = Bound;
+        playSlowTargets(Size, {0, 1, 3, 4, 6, 8}, Kind, Seed);
+      }
+}
+
+TEST(TargetReach, atThreeHundredHostsNoAttemptRunsOnMoreTargetsThanAllowed) {
+  for (const std::uint32_t Bound : {1, 2, 3}) {
+    ReachFleet Size = largeFleet();
+    Size.MaxSends_ = Bound;
+    playSlowTargets(Size, firstHosts(100), CutKind::Hangs, 1);
+  }
+}
+
 // Guards against requests that wait, or go from host to host, where nobody
 // reaches a target.
 TEST(TargetReach, whereAllHostsAreCutRequestsAreRefusedAtOnce) {
--- a/tests/gateway/HostForwardingTest.cpp
+++ b/tests/gateway/HostForwardingTest.cpp
@@ -128,6 +128,22 @@
   LONGS_EQUAL(1, Fixture_->Steering_->ends().size());
 }
 
+// Guards against a slow target of the other host that is taken for a silent
+// connection, by which an attempt runs on more targets than it may.
+TEST(HostForwarding, aHostThatTakesLongToAnswerGetsTheRequestOnce) {
+  KeepsOpen_ = true;
+  start("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  Fixture_->Steering_->HostAddress_ = Other_->address();
+  RawClient Caller(Fixture_->address());
+  LONGS_EQUAL(200, Caller.request("GET", "/s/warm").Status_);
+  AnswerDelay_ = 500ms;
+  // The first address of two is the other host's.
+  LONGS_EQUAL(200, Caller.request("GET", "/s/target").Status_);
+  LONGS_EQUAL(200, Caller.request("GET", "/s/x").Status_);
+  LONGS_EQUAL(2, headCount());
+  LONGS_EQUAL(0, Fixture_->Listener_.hedges());
+}
+
 // Guards against a forwarding host that cannot tell how many sends are left.
 TEST(HostForwarding, anAnswerStatesTheSendsThatWereMadeForIt) {
   start("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
--- a/tests/process/LiveReachTest.cpp
+++ b/tests/process/LiveReachTest.cpp
@@ -3,6 +3,7 @@
 #include "support/LiveFleet.h"
 #include "support/TestFleet.h"
 
+#include <atomic>
 #include <memory>
 #include <thread>
 #include <unistd.h>
@@ -52,17 +53,23 @@
   int lookUp(std::size_t Host) {
     return Fleet_->ask(Host, Key, nextId()).Status_;
   }
-  tests::CallerRequest nextBooking() {
+  static tests::CallerRequest requestFor(const std::string &Method,
+                                         const std::string &Prefix,
+                                         const std::string &Id) {
     tests::CallerRequest Request;
-    const std::string Id = nextId();
-    Request.Method_ = "POST";
-    Request.Target_ = "/y/" + Id;
-    Request.Body_ = Id;
+    Request.Method_ = Method;
+    Request.Target_ = Prefix + Id;
     Request.Headers_ = {{"Host", "a.example"},
                         {"Authorization", std::string("Bearer ") + Key},
                         {lychee::platform::vocabulary().RequestId_, Id},
                         // The stand-in counts by this one.
                         {"Lychee-Request-Id", Id}};
+    return Request;
+  }
+  tests::CallerRequest nextBooking() {
+    const std::string Id = nextId();
+    tests::CallerRequest Request = requestFor("POST", "/y/", Id);
+    Request.Body_ = Id;
     Booked_.push_back(Id);
     return Request;
   }
@@ -90,6 +97,19 @@
       Runs += Fleet_->target(Each).counts().runsOfRequest(Id);
     return Runs;
   }
+  /// \returns the number of targets that ran it.
+  int targetsOf(const std::string &Id) {
+    int Targets = 0;
+    for (std::size_t Each = 0; Each < TargetCount; ++Each)
+      Targets += Fleet_->target(Each).counts().runsOfRequest(Id) > 0 ? 1 : 0;
+    return Targets;
+  }
+  void slowDownTargets(base::Duration By) {
+    lychee::standins::target::Faults Set;
+    Set.Slow_ = By;
+    for (std::size_t Each = 0; Each < TargetCount; ++Each)
+      Fleet_->target(Each).setFaults(Set);
+  }
   bool arrivedAfter(const std::string &Id, base::TimePoint Moment) {
     for (std::size_t Each = 0; Each < TargetCount; ++Each)
       for (const auto &Arrived :
@@ -140,6 +160,40 @@
   playCut({.Refuses_ = true}, false);
 }
 
+// Guards against a slow target of the other host that is taken for a silent
+// connection, by which an attempt runs on more targets than it may.
+TEST(LiveReach, besideSlowTargetsAnAttemptRunsOnAsManyTargetsAsItMay) {
+  constexpr int CallerCount = 8;
+  constexpr int AttemptsEach = 4;
+  Fleet_->setTargetLinks(0, {.Drops_ = true});
+  CHECK(servesInARow(0));
+  slowDownTargets(std::chrono::milliseconds(600));
+  std::vector<std::string> Ids;
+  std::atomic<int> Served = 0;
+  {
+    std::vector<std::jthread> Callers;
+    for (int Each = 0; Each < CallerCount; ++Each) {
+      std::vector<std::string> Own;
+      for (int Times = 0; Times < AttemptsEach; ++Times)
+        Own.push_back(nextId());
+      Ids.insert(Ids.end(), Own.begin(), Own.end());
+      Callers.emplace_back([this, Own, &Served] {
+        for (const std::string &Id : Own)
+          Served +=
+              call(Fleet_->callers(0), requestFor("GET", "/z/", Id)).Status_ ==
+                      200
+                  ? 1
+                  : 0;
+      });
+    }
+  }
+  slowDownTargets({});
+  Fleet_->setTargetLinks(0, {});
+  CHECK(Served > 0);
+  for (const std::string &Id : Ids)
+    CHECK_COMPARE(targetsOf(Id), <=, 1);
+}
+
 // Guards against requests that a cut held up, and that run when it ends, long
 // after their callers were answered.
 TEST(LiveReach, whatACutHeldUpDoesNotRunAfterIt) {
--- a/tests/support/LiveFleet.cpp
+++ b/tests/support/LiveFleet.cpp
@@ -132,10 +132,13 @@
   Made["routes"]["columns"] =
       listOf({"name", "host", "pathPrefix", "kind", "timeoutMs", "maxAttempts",
               "service", "priority"});
+  Made["routes"]["rows"].append(listOf({"r-1", "a.example", "/x/", "idempotent",
+                                        2000, MostTargets, "portal", 1}));
   Made["routes"]["rows"].append(
-      listOf({"r-1", "a.example", "/x/", "idempotent", 2000, 2, "portal", 1}));
-  Made["routes"]["rows"].append(listOf(
-      {"r-2", "a.example", "/y/", "non_idempotent", 2000, 2, "portal", 0}));
+      listOf({"r-2", "a.example", "/y/", "non_idempotent", 2000, MostTargets,
+              "portal", 0}));
+  Made["routes"]["rows"].append(
+      listOf({"r-3", "a.example", "/z/", "idempotent", 2000, 1, "portal", 1}));
   for (std::size_t Each = 0; Each < MoreRules; ++Each) {
     const std::string Name = "more-" + std::to_string(Each);
     Made["routes"]["rows"].append(listOf({Name, "a.example", "/" + Name + "/",
--- a/tests/support/LiveFleet.h
+++ b/tests/support/LiveFleet.h
@@ -27,9 +27,13 @@
 
 /// Real hosts on the stand-in of the users' platform, with targets in this
 /// process. One customer "parish"; requests to /x/ may be repeated, those to
-/// /y/ may not. \see TestFleet, hosts of the operators' own tree
+/// /y/ may not, and those to /z/ may, but on one target only.
+/// \see TestFleet, hosts of the operators' own tree
 class LiveFleet {
 public:
+  /// Targets that one attempt at /x/ or /y/ may be sent to.
+  static constexpr std::size_t MostTargets = 2;
+
   explicit LiveFleet(LiveFleetSize Size);
   LiveFleet(const LiveFleet &) = delete;
   LiveFleet &operator=(const LiveFleet &) = delete;
