--- a/tests/soak/Ledger.cpp
+++ b/tests/soak/Ledger.cpp
@@ -1,7 +1,10 @@
 #include "soak/Ledger.h"
 
+#include "support/LiveFleet.h"
+
 #include <algorithm>
 #include <array>
+#include <numeric>
 
 namespace lychee::soak {
 
@@ -60,14 +63,23 @@
 }
 
 std::vector<std::string> Ledger::broken(
-    const std::function<std::uint64_t(const std::string &Id)> &RunsOf) const {
+    const std::function<std::vector<std::uint64_t>(const std::string &Id)>
+        &RunsOf) const {
   const std::lock_guard Guard(Lock_);
   std::vector<std::string> Found;
   for (const Attempt &Each : Attempts_) {
-    const std::uint64_t Runs = RunsOf(Each.Id_);
-    const std::string What = " request=" + Each.Id_ +
-                             " status=" + std::to_string(Each.Status_) +
-                             " runs=" + std::to_string(Runs);
+    const std::vector<std::uint64_t> ByTarget = RunsOf(Each.Id_);
+    const std::uint64_t Runs =
+        std::accumulate(ByTarget.begin(), ByTarget.end(), std::uint64_t{0});
+    const auto Targets =
+        ByTarget.size() -
+        static_cast<std::size_t>(
+            std::count(ByTarget.begin(), ByTarget.end(), std::uint64_t{0}));
+    const std::string What =
+        " request=" + Each.Id_ + " status=" + std::to_string(Each.Status_) +
+        " runs=" + std::to_string(Runs) + " targets=" + std::to_string(Targets);
+    if (Targets > tests::LiveFleet::MostTargets)
+      Found.push_back("ran-on-too-many-targets" + What);
     if (Each.IsBooking_ && Runs > 1)
       Found.push_back("ran-twice" + What);
     if (promisesNotRun(Each.Status_) && Runs > 0)
--- a/tests/soak/Ledger.h
+++ b/tests/soak/Ledger.h
@@ -31,6 +31,8 @@
 /// - a booking runs once at most;
 /// - what was refused as not run (429, 503, 408, 421) has not run;
 /// - what was answered with success has run;
+/// - no attempt runs on more targets than its rule allows, whatever hosts it
+///   went through;
 /// - nothing runs for a key that was withdrawn longer ago than promised.
 ///
 /// Thread-safe.
@@ -59,10 +61,11 @@
   /// \returns when hosts started again.
   std::vector<base::TimePoint> hostStarts() const;
 
-  /// \param RunsOf  how often all targets together ran a request.
+  /// \param RunsOf  how often each of the targets ran a request.
   /// \returns a line for each promise that was broken.
-  std::vector<std::string> broken(
-      const std::function<std::uint64_t(const std::string &Id)> &RunsOf) const;
+  std::vector<std::string>
+  broken(const std::function<std::vector<std::uint64_t>(const std::string &Id)>
+             &RunsOf) const;
 
   /// A span in which some hosts are cut from all targets and nothing else is
   /// wrong.
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -154,9 +154,9 @@
   }
   std::this_thread::sleep_for(Aftermath);
   const auto RunsOf = [&Fleet](const std::string &Id) {
-    std::uint64_t Runs = 0;
+    std::vector<std::uint64_t> Runs;
     for (std::size_t Each = 0; Each < Fleet.targetCount(); ++Each)
-      Runs += Fleet.target(Each).counts().runsOfRequest(Id);
+      Runs.push_back(Fleet.target(Each).counts().runsOfRequest(Id));
     return Runs;
   };
   for (std::string &Each : Book.broken(RunsOf))
