Gateway, steering: what another host works on is not sent once more by time

Cause: HedgePolicy takes the time to the first byte for a sign of a silent connection. On a connection between hosts it is the whole work of the second host's target. The second copy was granted for a token of the retry budget alone, and each copy had as many sends as the whole attempt: the bound that one host counts was lost in the second hand.

Change: no second copy to a host. A forwarded request goes on a connection that is new or has just shown life, as a booking does, since it cannot be sent once more; older idle connections to that host are closed.

Served first tries at cut hosts (the other TargetReach and LiveReach tests) pass as before.

--- a/libs/dispatch/DispatchSteering.cpp
+++ b/libs/dispatch/DispatchSteering.cpp
@@ -359,8 +359,6 @@
   if (Found == InFlight_.end())
     return false;
   ServiceState &Service = serviceState(Found->second.Service_);
-  if (!Found->second.SentToHost_.empty())
-    return Service.RetryBudget_.trySpend();
   TargetState *Target = lastTargetInUse(Found->second, Now);
   if (Target == nullptr || !Service.RetryBudget_.hasToken())
     return false;
--- a/libs/gateway/TargetSend.cpp
+++ b/libs/gateway/TargetSend.cpp
@@ -54,12 +54,17 @@
 Task<TargetSend::Failure> TargetSend::open(bool Idempotent) {
   const GatewaySettings &Settings = Home_.shared().Settings_;
   const base::TimePoint Now = base::SystemClock::monotonicNow();
+  // A host is as silent as the target that works for it, and a second copy
+  // would have sends of its own.
+  const bool MayHedge = Idempotent && !ToHost_;
   const base::Duration Limit =
-      Idempotent ? Settings.ReuseIdleLimit_ : Settings.ProvenLifeLimit_;
+      MayHedge ? Settings.ReuseIdleLimit_ : Settings.ProvenLifeLimit_;
+  if (ToHost_)
+    Pool_->closeOlderThan(Now - Limit);
   Connection_ = Pool_->takeIdle(Home_.index(), Now - Limit, Now);
   if (!Connection_)
     co_return co_await connect();
-  if (Idempotent)
+  if (MayHedge)
     HedgeDelay_ = Pool_->hedgeDelay(Now - Connection_->lastLife(),
                                     Settings.HedgeIdleLimit_);
   co_return std::nullopt;
--- a/libs/gateway/TargetSend.h
+++ b/libs/gateway/TargetSend.h
@@ -63,7 +63,8 @@
   }
 
   /// Takes an idle connection or opens one. \param Idempotent  a request that
-  /// is not goes only on one that is new or has just shown life.
+  /// is not, or that goes to another host, goes only on one that is new or has
+  /// just shown life.
   Task<Failure> open(bool Idempotent);
 
   /// Moves the deadline: while an upload goes on, its progress bounds it.
--- a/libs/steering/Steering.h
+++ b/libs/steering/Steering.h
@@ -338,8 +338,8 @@
     return true;
   }
 
-  /// Called when a reused connection shows no sign of life and the request is
-  /// to be sent again, on a new connection to the same target.
+  /// Called when a reused connection to a target shows no sign of life and the
+  /// request is to be sent again, on a new connection to the same target.
   /// \returns whether to do so; otherwise the first send goes on.
   virtual bool mayHedge(std::uint64_t Ticket, base::TimePoint Now) {
     (void)Ticket;
--- a/tests/soak/Ledger.cpp
+++ b/tests/soak/Ledger.cpp
@@ -1,7 +1,5 @@
 #include "soak/Ledger.h"
 
-#include "support/LiveFleet.h"
-
 #include <algorithm>
 #include <array>
 #include <numeric>
@@ -78,7 +76,7 @@
     const std::string What =
         " request=" + Each.Id_ + " status=" + std::to_string(Each.Status_) +
         " runs=" + std::to_string(Runs) + " targets=" + std::to_string(Targets);
-    if (Targets > tests::LiveFleet::MostTargets)
+    if (Targets > Each.MostTargets_)
       Found.push_back("ran-on-too-many-targets" + What);
     if (Each.IsBooking_ && Runs > 1)
       Found.push_back("ran-twice" + What);
@@ -102,7 +100,7 @@
   for (const Attempt &Each : Attempts_) {
     const bool AtCutHost = std::find(Played.Hosts_.begin(), Played.Hosts_.end(),
                                      Each.Host_) != Played.Hosts_.end();
-    if (!AtCutHost || Each.Key_ != Key ||
+    if (!AtCutHost || Each.Key_ != Key || Each.MostTargets_ == 1 ||
         Each.SentAt_ < Played.Begin_ + CutBound || Each.SentAt_ > Played.End_)
       continue;
     ++Sent;
--- a/tests/soak/Ledger.h
+++ b/tests/soak/Ledger.h
@@ -20,6 +20,8 @@
   std::size_t Host_ = 0;
   /// It may run once at most.
   bool IsBooking_ = false;
+  /// Targets that its rule lets it be sent to.
+  std::size_t MostTargets_ = 1;
   std::string Key_;
   base::TimePoint SentAt_;
   /// 0: the connection ended without an answer.
@@ -76,7 +78,8 @@
   };
   /// \returns a line where first tries at the hosts failed: more than 10 and
   /// one in 50 of those sent later than CutBound after the begin. Those with
-  /// other keys than \p Key do not count.
+  /// other keys than \p Key do not count, nor those that may go to one target
+  /// only, which may ask for a rest.
   std::optional<std::string> failedIn(const Cut &Played,
                                       const std::string &Key) const;
   static constexpr base::Duration CutBound = std::chrono::seconds(3);
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -36,6 +36,9 @@
 /// Some hosts are cut from all targets for so long, after the troubles.
 constexpr std::chrono::seconds CutTime(6);
 
+/// The same beside slow targets and a host that starts again.
+constexpr std::chrono::seconds SlowTime(4);
+
 /// Callers that send reads and bookings to all hosts, each waiting for its
 /// answer, and write down what they got.
 class Callers {
@@ -68,6 +71,8 @@
       Made.Host_ = Host;
       Made.Id_ = std::to_string(Number) + "-" + std::to_string(Count);
       Made.IsBooking_ = Random() % 2 == 0;
+      Made.MostTargets_ =
+          !Made.IsBooking_ && Random() % 3 == 0 ? 1 : LiveFleet::MostTargets;
       Made.Key_ = Number == StaleCaller ? Keys_.withdrawnKey() : Keys_.key();
       Made.SentAt_ = SystemClock::monotonicNow();
       Made.Status_ = Kept->send(requestOf(Made)).Status_;
@@ -81,7 +86,10 @@
   static tests::CallerRequest requestOf(const Attempt &Made) {
     tests::CallerRequest Request;
     Request.Method_ = Made.IsBooking_ ? "POST" : "GET";
-    Request.Target_ = (Made.IsBooking_ ? "/y/" : "/x/") + Made.Id_;
+    Request.Target_ = (Made.IsBooking_          ? "/y/"
+                       : Made.MostTargets_ == 1 ? "/z/"
+                                                : "/x/") +
+                      Made.Id_;
     if (Made.IsBooking_)
       Request.Body_ = Made.Id_;
     Request.Headers_ = {{"Host", "a.example"},
@@ -151,6 +159,8 @@
     Check("not-served-after-the-cut");
     if (auto Failed = Book.failedIn(Played, Key))
       Result.Broken_.push_back(std::move(*Failed));
+    Trouble.cutBesideSlowTargets(SlowTime);
+    Check("not-served-after-slow-targets");
   }
   std::this_thread::sleep_for(Aftermath);
   const auto RunsOf = [&Fleet](const std::string &Id) {
--- a/tests/soak/Troubles.cpp
+++ b/tests/soak/Troubles.cpp
@@ -228,6 +228,21 @@
   return Played;
 }
 
+void Troubles::cutBesideSlowTargets(base::Duration For) {
+  for (std::size_t Each = 0; Each < Targets_; ++Each)
+    targetSlow(Each);
+  const std::size_t First = Random_() % Fleet_.hostCount();
+  const auto Restart = killHost((First + 1) % Fleet_.hostCount());
+  const auto Heal = hangTargets(First);
+  History_ += "cut-beside-slow-targets host-" + std::to_string(First) + "; ";
+  std::this_thread::sleep_for(For / 2);
+  Restart();
+  std::this_thread::sleep_for(For / 2);
+  Heal();
+  for (std::size_t Each = 0; Each < Targets_; ++Each)
+    Fleet_.target(Each).setFaults({});
+}
+
 // The store.
 
 std::function<void()> Troubles::setStore(const ObjectFaults &Set) {
--- a/tests/soak/Troubles.h
+++ b/tests/soak/Troubles.h
@@ -30,6 +30,10 @@
   /// Cuts some hosts, not all, from all targets for a while, and nothing else.
   Ledger::Cut cutSomeHosts(base::Duration For);
 
+  /// Does so while all targets are slow, and one of the other hosts is killed
+  /// and starts again.
+  void cutBesideSlowTargets(base::Duration For);
+
   /// The key that is in force. Thread-safe.
   std::string key() const;
   /// The key that was withdrawn last; empty before.
