Steering: a host is told of the sends that are left after those of the host before

Callers saw: an attempt that one host gave back (it lost its reach, its keys or its settings meanwhile) was forwarded to the next one, which might make as many sends as the first, whatever that had made.

Change: a host states in its answer how many sends it made (Lychee-Sends-Made), and they count as the attempt's.

Failed before, pass now: Forwarding.theNextHostMayMakeTheSendsThatAreLeft (0 of 2 counted), Forwarding.aHostThatDoesNotStateItsSendsHasMadeAllThatItMight. The other Forwarding and TargetReach tests pass.

--- a/libs/dispatch/DispatchForwarding.cpp
+++ b/libs/dispatch/DispatchForwarding.cpp
@@ -142,6 +142,8 @@
                                            base::TimePoint Now) {
   const base::HostId Host = std::exchange(Request.SentToHost_, {});
   Forwarders_.recordEnd(Host);
+  const std::uint32_t Granted = Request.MaxSends_ - Request.Sends_;
+  Request.Sends_ += std::min(Granted, Report.HostSends_.value_or(Granted));
   if (Report.Outcome_ == SendOutcome::Answered ||
       Report.Outcome_ == SendOutcome::Cancelled ||
       Report.Outcome_ == SendOutcome::CancelledBeforeWrite) {
