Steering: an attempt that goes through several hosts costs its customer one token

Callers saw: of a customer near its rate, requests of the first second of a cut cost two tokens: one that another host had granted to the first host, which then forwarded the request, and one at the host that sent it; or one at a second host that lost its reach as well. Within its rate the customer was refused as over-rate.

Change: a token goes back to where it came from, also to the host that granted it (one datagram, no answer; a lost one costs the token, as before), when the request is forwarded or refused as unreached and has not run. Where two owners were asked, it is not known which one granted it, and it is not returned.

With the returns taken out (trial) Forwarding.aTokenOfAnotherHostGoesBackToIt and aRequestThatIsRefusedAsUnreachedCostsNoToken fail; they pass now.

--- a/apps/lycheed/LiveDaemon.cpp
+++ b/apps/lycheed/LiveDaemon.cpp
@@ -175,25 +175,31 @@
                Settings.StoreTimeout_),
       Intents_(Bounds.KeyWithdrawal_ - KeyMargin),
       Hosts_(cardOf(Settings, Live)),
-      Steering_(dispatchSettings(Settings, Bounds),
-                {[this](const std::string &Owner, std::uint64_t Number,
-                        const members::TokenRequest &Wanted) {
-                   asio::post(Control_, [this, Owner, Number, Wanted] {
-                     Gauges_.countTokenAsked();
-                     Tokens_.ask(Owner, Number, Wanted);
-                   });
-                 },
-                 logStatement,
-                 [this](const dispatch::ReachChange &Change) {
-                   logReach(Change);
-                   asio::post(Control_, [this] {
-                     const base::TimePoint Now = SystemClock::monotonicNow();
-                     Heartbeats_.sendNow(Now);
-                     News_.sendNow(Now);
-                   });
-                 },
-                 logCapacity},
-                SystemClock::monotonicNow()),
+      Steering_(
+          dispatchSettings(Settings, Bounds),
+          {[this](const std::string &Owner, std::uint64_t Number,
+                  const members::TokenRequest &Wanted) {
+             asio::post(Control_, [this, Owner, Number, Wanted] {
+               Gauges_.countTokenAsked();
+               Tokens_.ask(Owner, Number, Wanted);
+             });
+           },
+           [this](const std::string &Owner, const base::CustomerId &Customer) {
+             asio::post(Control_, [this, Owner, Customer] {
+               Tokens_.refund(Owner, Customer);
+             });
+           },
+           logStatement,
+           [this](const dispatch::ReachChange &Change) {
+             logReach(Change);
+             asio::post(Control_, [this] {
+               const base::TimePoint Now = SystemClock::monotonicNow();
+               Heartbeats_.sendNow(Now);
+               News_.sendNow(Now);
+             });
+           },
+           logCapacity},
+          SystemClock::monotonicNow()),
       Registration_(Objects_, Hosts_.self()),
       Entry_({Hosts_, Intents_, [this] { return Feed_.knowsAll(); },
               [this] { return Steering_.reachesTargets(); },
@@ -246,6 +252,9 @@
              std::vector<steering::Wakeup> Woken;
              Steering_.handleTokenResponse(Number, Wait, Now, Woken);
              Gateway_.deliver(Woken, Now);
+           },
+           [this](const base::CustomerId &Customer) {
+             Steering_.takeBackToken(Customer);
            }}),
       Heartbeats_(
           Control_.get_executor(), Hosts_, Live.Heartbeats_,
--- a/libs/dispatch/DispatchForwarding.cpp
+++ b/libs/dispatch/DispatchForwarding.cpp
@@ -89,8 +89,7 @@
   if (!Host)
     return std::nullopt;
   // The other host takes a token for it.
-  if (std::exchange(Request.TookOwnToken_, false))
-    RateLimiter_.refund(Request.Customer_);
+  refundToken(Request);
   Forwarders_.recordSend(Host->Host_);
   Request.TriedHosts_.push_back(Host->Host_);
   Request.SentToHost_ = Host->Host_;
@@ -123,8 +122,10 @@
 Decision DispatchSteering::refuseUnreached(std::uint64_t Ticket,
                                            base::TimePoint Now) {
   const auto Found = InFlight_.find(Ticket);
-  const InFlightRequest &Request = Found->second;
+  InFlightRequest &Request = Found->second;
   const bool MayHaveRun = Request.MayHaveRun_;
+  if (!MayHaveRun)
+    refundToken(Request);
   const steering::TargetCounts Counts = targetCountsFor(Request, Now);
   if (Request.RetryReserved_)
     serviceState(Request.Service_).RetryBudget_.refund();
@@ -136,6 +137,14 @@
   return Refused;
 }
 
+void DispatchSteering::refundToken(InFlightRequest &Request) {
+  if (std::exchange(Request.TookOwnToken_, false))
+    RateLimiter_.refund(Request.Customer_);
+  if (!Request.TokenGranter_.empty())
+    Callbacks_.RefundToken_(std::exchange(Request.TokenGranter_, {}),
+                            Request.Customer_);
+}
+
 Decision DispatchSteering::finishForwarded(std::uint64_t Ticket,
                                            InFlightRequest &Request,
                                            const SendReport &Report,
--- a/libs/dispatch/DispatchSteering.cpp
+++ b/libs/dispatch/DispatchSteering.cpp
@@ -390,6 +390,8 @@
   const bool Doubtful = areTargetsDoubtful(Found->second, Now);
   if (Found->second.RetryReserved_)
     serviceState(Found->second.Service_).RetryBudget_.refund();
+  if (Doubtful && !MayHaveRun && !ByTarget && !AfterRest)
+    refundToken(Found->second);
   const ReturnTurn Turn = MayHaveRun || ByTarget || AfterRest || Doubtful
                               ? ReturnTurn()
                               : reserveReturn(Found->second, Now);
--- a/libs/dispatch/DispatchSteering.h
+++ b/libs/dispatch/DispatchSteering.h
@@ -80,6 +80,9 @@
   std::function<void(const std::string &Owner, std::uint64_t Number,
                      const members::TokenRequest &Wanted)>
       RequestToken_ = [](const auto &, auto, const auto &) {};
+  /// Returns a customer's token to the host at \p Owner that granted it.
+  std::function<void(const std::string &Owner, const base::CustomerId &)>
+      RefundToken_ = [](const auto &, const auto &) {};
   std::function<void(const TargetStatementChange &Change)> OnStatement_ =
       [](const auto &) {};
   std::function<void(const ReachChange &Change)> OnReach_ = [](const auto &) {};
@@ -183,6 +186,8 @@
   /// \returns nothing: a token was taken; else the time until there is one.
   std::optional<base::Duration> grantToken(const members::TokenRequest &Wanted,
                                            base::TimePoint Now);
+  /// Takes back a customer's token that another host did not need.
+  void takeBackToken(const base::CustomerId &Customer);
   /// Handles an owner's response for a request that waits.
   /// \param Number  as passed to DispatchCallbacks::RequestToken_.
   /// \param Wait  time until there is a token; nothing: it was granted.
@@ -226,6 +231,8 @@
     base::CustomerId Customer_;
     /// A token of the customer's rate was taken at this host.
     bool TookOwnToken_ = false;
+    /// Address of the host that granted a token of it; empty: none did.
+    std::string TokenGranter_;
     /// Another host forwarded it.
     bool IsForwarded_ = false;
     /// The host that it was forwarded to last; empty: it went to a target.
@@ -364,6 +371,8 @@
     base::TargetId Target_;
     /// As passed to DispatchCallbacks::RequestToken_.
     std::uint64_t Number_ = 0;
+    /// Address of the only host that may answer; empty: there are several.
+    std::string Owner_;
     /// Address of the host to ask next; empty: none.
     std::string BackupOwner_;
     base::TimePoint TimeoutAt_;
@@ -538,6 +547,9 @@
                                                        InFlightRequest &Request,
                                                        base::TimePoint Now);
   steering::Decision refuseUnreached(std::uint64_t Ticket, base::TimePoint Now);
+  /// Returns the token that was taken for a request which this host does not
+  /// send, to where it came from.
+  void refundToken(InFlightRequest &Request);
   steering::Decision finishForwarded(std::uint64_t Ticket,
                                      InFlightRequest &Request,
                                      const steering::SendReport &Report,
--- a/libs/dispatch/DispatchTokens.cpp
+++ b/libs/dispatch/DispatchTokens.cpp
@@ -35,6 +35,7 @@
                                       base::TimePoint Now) {
   TokenWait Pending;
   Pending.Customer_ = Customer;
+  Pending.Owner_ = Verdict.Owner_;
   Pending.BackupOwner_ = Verdict.BackupOwner_;
   Pending.Number_ = tokenNumber(Ticket, 0);
   Callbacks_.RequestToken_(
@@ -55,12 +56,15 @@
 Decision DispatchSteering::endTokenWait(std::uint64_t Ticket,
                                         std::optional<base::Duration> Wait,
                                         base::TimePoint Now) {
+  const std::string Owner = TokenWaits_[Ticket].Owner_;
   TokenWaits_.erase(Ticket);
   const auto Found = InFlight_.find(Ticket);
   if (Found == InFlight_.end())
     return {};
-  return Wait ? refuseRateLimited(Ticket, *Wait, std::nullopt, Now)
-              : admit(Ticket, Found->second, Now);
+  if (Wait)
+    return refuseRateLimited(Ticket, *Wait, std::nullopt, Now);
+  Found->second.TokenGranter_ = Owner;
+  return admit(Ticket, Found->second, Now);
 }
 
 Decision DispatchSteering::awaitTargetToken(std::uint64_t Ticket,
@@ -115,6 +119,11 @@
   return takeCustomerToken(Wanted, Now);
 }
 
+void DispatchSteering::takeBackToken(const base::CustomerId &Customer) {
+  const std::lock_guard Guard(Lock_);
+  RateLimiter_.refund(Customer);
+}
+
 void DispatchSteering::handleTokenResponse(
     std::uint64_t Number, std::optional<base::Duration> Wait,
     base::TimePoint Now, std::vector<steering::Wakeup> &Woken) {
@@ -145,6 +154,7 @@
   for (auto &[Ticket, Pending] : TokenWaits_) {
     if (Now < Pending.TimeoutAt_)
       continue;
+    Pending.Owner_.clear();
     if (Pending.BackupOwner_.empty()) {
       TimedOut.push_back(Ticket);
       continue;
--- a/libs/members/TokenExchange.cpp
+++ b/libs/members/TokenExchange.cpp
@@ -27,19 +27,30 @@
                   Ignored);
 }
 
-void TokenExchange::ask(const std::string &Address, std::uint64_t Ticket,
-                        const TokenRequest &Wanted) {
+void TokenExchange::sendTo(const std::string &Address,
+                           const TokenMessage &Message) {
   boost::system::error_code Failure;
   const auto Receiver = asio::ip::make_address(Address, Failure);
   if (!Failure)
-    send({Incarnation_, Ticket, Wanted, std::nullopt},
-         {Receiver, Listen_.Port_});
+    send(Message, {Receiver, Listen_.Port_});
+}
+
+void TokenExchange::ask(const std::string &Address, std::uint64_t Ticket,
+                        const TokenRequest &Wanted) {
+  sendTo(Address, {Incarnation_, Ticket, Wanted, std::nullopt});
+}
+
+void TokenExchange::refund(const std::string &Address,
+                           const base::CustomerId &Customer) {
+  sendTo(Address, {Incarnation_, 0, {}, std::nullopt, Customer});
 }
 
 void TokenExchange::handle(const TokenMessage &Message,
                            const udp::endpoint &Sender) {
   const base::TimePoint Now = SystemClock::monotonicNow();
-  if (!Message.Wanted_.empty())
+  if (!Message.Refunded_.empty())
+    Callbacks_.OnRefund_(Message.Refunded_);
+  else if (!Message.Wanted_.empty())
     send({Message.Incarnation_,
           Message.Ticket_,
           {},
--- a/libs/members/TokenExchange.h
+++ b/libs/members/TokenExchange.h
@@ -28,6 +28,9 @@
     std::function<void(std::uint64_t Ticket, std::optional<base::Duration> Wait,
                        base::TimePoint)>
         OnAnswer_;
+    /// Called with a customer's token that another host did not need.
+    std::function<void(const base::CustomerId &)> OnRefund_ = [](const auto &) {
+    };
   };
 
   /// \param Listen address for datagrams; all hosts use its port.
@@ -46,12 +49,17 @@
   void ask(const std::string &Address, std::uint64_t Ticket,
            const TokenRequest &Wanted);
 
+  /// Returns a customer's token to the host at \p Address that granted it. To
+  /// be called on the executor's thread.
+  void refund(const std::string &Address, const base::CustomerId &Customer);
+
   /// Runs until the executor ends.
   boost::asio::awaitable<void> receiveAll();
 
 private:
   void handle(const TokenMessage &Message,
               const boost::asio::ip::udp::endpoint &Sender);
+  void sendTo(const std::string &Address, const TokenMessage &Message);
   void send(const TokenMessage &Message,
             const boost::asio::ip::udp::endpoint &Receiver);
 
--- a/libs/members/TokenMessages.cpp
+++ b/libs/members/TokenMessages.cpp
@@ -39,6 +39,8 @@
     Document["return"] = rowOf(*Message.Wanted_.Return_);
   if (Message.Wait_)
     Document["wait_ms"] = Json::Int64(base::toMilliseconds(*Message.Wait_));
+  if (!Message.Refunded_.empty())
+    Document["refund"] = Message.Refunded_.name();
   Json::StreamWriterBuilder Builder;
   Builder["indentation"] = "";
   return Json::writeString(Builder, Document);
@@ -65,6 +67,8 @@
   Result.Wanted_.Return_ = readReturnTerms(Document["return"]);
   if (Document["wait_ms"].isInt64())
     Result.Wait_ = std::chrono::milliseconds(Document["wait_ms"].asInt64());
+  if (Document["refund"].isString())
+    Result.Refunded_ = base::CustomerId(Document["refund"].asString());
   return Result;
 }
 
--- a/libs/members/TokenMessages.h
+++ b/libs/members/TokenMessages.h
@@ -37,18 +37,20 @@
   bool empty() const noexcept { return Customer_.empty() && !Target_; }
 };
 
-/// A request to another host for a token of a shared rate, or the answer to
-/// one.
+/// A request to another host for a token of a shared rate, the answer to one,
+/// or a token that was not needed.
 struct TokenMessage {
   /// Incarnation of the requesting host, so that answers to an earlier one are
   /// ignored; Ticket_ identifies the request there.
   std::uint64_t Incarnation_ = 0;
   std::uint64_t Ticket_ = 0;
-  /// Empty in an answer.
+  /// Empty in all but a request.
   TokenRequest Wanted_;
   /// In an answer: time until a token is available; nothing: a token was
   /// granted; zero: none is available before the time of ReturnTerms is over.
   std::optional<base::Duration> Wait_;
+  /// The customer whose token goes back; empty: none does.
+  base::CustomerId Refunded_ = {};
 };
 
 std::string encodeTokenMessage(const TokenMessage &Message);
--- a/tests/dispatch/ForwardingTest.cpp
+++ b/tests/dispatch/ForwardingTest.cpp
@@ -210,11 +210,22 @@
   base::TimePoint Now_ = base::TimePoint(100s);
   dispatch::DispatchSteering Steering_{
       {base::RegionId("north"), base::ZoneId("north-a"), {}, 1},
-      {},
+      callbacks(),
       base::TimePoint(100s)};
   dispatch::FleetDemand Fleet_;
   std::vector<lychee::steering::Wakeup> Woken_;
-
+  std::uint64_t LastAsked_ = 0;
+  std::vector<std::string> Refunds_;
+
+  dispatch::DispatchCallbacks callbacks() {
+    dispatch::DispatchCallbacks Made;
+    Made.RequestToken_ = [this](const auto &, std::uint64_t Number,
+                                const auto &) { LastAsked_ = Number; };
+    Made.RefundToken_ = [this](const std::string &Owner, const auto &) {
+      Refunds_.push_back(Owner);
+    };
+    return Made;
+  }
   void setup() override {
     auto Intent = std::make_shared<live::Intent>();
     Intent->Version_ = 3;
@@ -338,6 +349,49 @@
   }
 }
 
+// Guards against a customer that pays at this host and at the next one for a
+// request that this one did not send.
+TEST(Forwarding, aTokenOfAnotherHostGoesBackToIt) {
+  Fleet_.Self_.Address_ = "127.0.0.1";
+  Fleet_.OtherHosts_[0].Descriptor_.Address_ = "127.0.0.2";
+  // The owner of a customer's tokens is elected by the hosts' names.
+  Decision Made;
+  for (int Times = 0; Made.Action_ != Decision::Action::Wait; ++Times) {
+    CHECK(Times < 100);
+    Fleet_.Self_.Host_ = base::HostId("self-" + std::to_string(Times));
+    update();
+    Made = arrive(requestOf("parish"));
+    if (Made.Action_ != Decision::Action::Wait)
+      finish(Made, SendOutcome::Cancelled);
+  }
+  Steering_.handleTokenResponse(LastAsked_, std::nullopt, Now_, Woken_);
+  Decision Sent = Woken_.at(0).Decision_;
+  for (int Times = 0; Times < 2; ++Times)
+    Sent = finish(Sent, SendOutcome::ConnectFailed);
+  CHECK_FALSE(Sent.Host_.empty());
+  LONGS_EQUAL(1, Refunds_.size());
+  STRCMP_EQUAL("127.0.0.2", Refunds_[0].c_str());
+}
+
+// Guards against a customer that pays at the second host, which loses its
+// reach, and again at the third.
+TEST(Forwarding, aRequestThatIsRefusedAsUnreachedCostsNoToken) {
+  Request Forwarded = requestOf("parish");
+  Forwarded.ForwardedBy_ = base::HostId("third");
+  Decision Made = arrive(Forwarded);
+  for (; Made.Action_ == Decision::Action::Send; Made = arrive(Forwarded))
+    finish(Made, SendOutcome::Answered);
+  CHECK(Made.Refusal_ == Refusal::RateLimited);
+  // Until there is one token.
+  for (; Made.Action_ != Decision::Action::Send; Made = arrive(Forwarded))
+    Now_ += 1ms;
+  for (int Times = 0; Times < 2; ++Times)
+    Made = finish(Made, SendOutcome::ConnectFailed);
+  CHECK(Made.Refusal_ == Refusal::TargetsUnreached);
+  Forwarded.ForwardedBy_ = {};
+  CHECK(arrive(Forwarded).Action_ == Decision::Action::Send);
+}
+
 // Guards against a booking that is sent again after it may have run.
 TEST(Forwarding, aBookingWhoseAnswerIsLostIsNotSentAgain) {
   loseReach();
--- a/tests/members/TokenExchangeTest.cpp
+++ b/tests/members/TokenExchangeTest.cpp
@@ -54,6 +54,13 @@
   CHECK(Target.Age_ == base::Duration(40ms));
 }
 
+TEST(TokenMessages, decodingRestoresATokenThatGoesBack) {
+  const TokenMessage Refund =
+      read({7, 0, {}, std::nullopt, base::CustomerId("parish")});
+  CHECK(Refund.Wanted_.empty());
+  STRCMP_EQUAL("parish", Refund.Refunded_.name().c_str());
+}
+
 TEST(TokenMessages, otherTextsAreRejected) {
   for (const char *Text : {"", "[]", "{}", "x", R"({"start":"7","ticket":1})",
                            R"({"start":7})", R"({"start":7,"ticket":-1})"})
