Steering: a send is given up only where its request is sent again

Callers saw: a read whose target was slow ended as 502 after some 0.6 s, with time left and one send left. The host broke off what the target worked on and then found no target that it would send to.

Cause: mayAbandonSend asked whether another target can answer by the request's deadline, send() whether it can by the latest time that waiting for a slot is worth, which is sooner where requests are late. Both ask the same now.

DispatchSteering.aSendIsAbandonedOnlyWhereTheRequestIsSentAgain failed before.

--- a/libs/dispatch/DispatchSteering.cpp
+++ b/libs/dispatch/DispatchSteering.cpp
@@ -326,8 +326,7 @@
   if (!Request.SentToHost_.empty())
     return false;
   const auto Other = chooseTarget(Request, TokenSource::Nowhere, Now).Choice_;
-  const bool OtherCanAnswer =
-      Other && Now + Other->ExpectedResponseTime_ < Request.Deadline_;
+  const bool OtherCanAnswer = Other && canAnswerInTime(Request, *Other, Now);
   if (!(Reach_.isReached() ? OtherCanAnswer
                            : chooseHost(Request, Now).has_value()))
     return false;
--- a/tests/dispatch/DispatchSteeringTest.cpp
+++ b/tests/dispatch/DispatchSteeringTest.cpp
@@ -173,6 +173,23 @@
   CHECK_FALSE(Steering_.mayAbandonSend(Second.Ticket_, Now_ + 790ms));
 }
 
+// Guards against work that is broken off although its request is then refused,
+// as the other targets are too full to answer it soon enough.
+TEST(DispatchSteering, aSendIsAbandonedOnlyWhereTheRequestIsSentAgain) {
+  Request Asked = requestOf(true);
+  Asked.LatencyObjective_ = 200ms;
+  Asked.ArrivedAt_ = Now_;
+  const Decision Sent = arrive(Asked);
+  CHECK(Sent.Action_ == Decision::Action::Send);
+  Decision Filler = arrive(Asked);
+  for (; Filler.Action_ == Decision::Action::Send; Filler = arrive(Asked))
+    ++Asked.ObjectHash_;
+  CHECK(Filler.Refusal_ == Refusal::NoHeadroom);
+  if (Steering_.mayAbandonSend(Sent.Ticket_, Now_))
+    CHECK(finish(Sent, SendOutcome::LostBeforeResponse, 0, true).Action_ ==
+          Decision::Action::Send);
+}
+
 // A look-up runs cold at its target, which takes 3.3 times as long as a warm
 // run and is no failure. Abandoned, its work would be lost and done once more.
 TEST(DispatchSteering, theResponseTimeoutAllowsForAColdRun) {
