--- a/tests/gateway/HostForwardingTest.cpp
+++ b/tests/gateway/HostForwardingTest.cpp
@@ -33,12 +33,16 @@
   std::atomic<std::chrono::milliseconds> AnswerDelay_{};
   /// It takes more than one request on a connection.
   std::atomic<bool> KeepsOpen_ = false;
+  std::atomic<int> Sessions_ = 0;
+  /// The first connections to it, so many, are silent from now on.
+  std::atomic<int> SilentSessions_ = 0;
 
   /// Starts a gateway whose requests go to another host first, and then to a
   /// target. \param Answer  of the other host.
   void start(const std::string &Answer) {
     Answer_ = Answer;
     Other_ = std::make_unique<RawTarget>([this](RawTarget::Socket &From) {
+      const int Session = ++Sessions_;
       do {
         const std::string Head = RawTarget::readHead(From);
         if (Head.empty())
@@ -47,6 +51,10 @@
           const std::lock_guard Guard(Lock_);
           Heads_.push_back(Head);
         }
+        if (Session <= SilentSessions_) {
+          RawTarget::waitForEnd(From);
+          return;
+        }
         std::this_thread::sleep_for(AnswerDelay_.load());
         RawTarget::send(From, Answer_);
       } while (KeepsOpen_);
@@ -144,6 +152,21 @@
   LONGS_EQUAL(0, Fixture_->Listener_.hedges());
 }
 
+// Guards against a connection between hosts that went silent, and on which a
+// request that is not sent once more waits until its time is over.
+TEST(HostForwarding, aRequestGoesOnNoConnectionThatShowedNoLifeLately) {
+  KeepsOpen_ = true;
+  start("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  RawClient Caller(Fixture_->address());
+  LONGS_EQUAL(200, Caller.request("GET", "/s/warm").Status_);
+  SilentSessions_ = 1;
+  std::this_thread::sleep_for(Fixture_->Settings_.ProvenLifeLimit_ + 50ms);
+  LONGS_EQUAL(200, Caller.request("GET", "/s/target").Status_);
+  LONGS_EQUAL(200, Caller.request("GET", "/s/x").Status_);
+  LONGS_EQUAL(2, Sessions_);
+  LONGS_EQUAL(2, headCount());
+}
+
 // Guards against a forwarding host that cannot tell how many sends are left.
 TEST(HostForwarding, anAnswerStatesTheSendsThatWereMadeForIt) {
   start("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
