--- a/libs/members/TokenExchange.cpp
+++ b/libs/members/TokenExchange.cpp
@@ -48,8 +48,8 @@
 void TokenExchange::handle(const TokenMessage &Message,
                            const udp::endpoint &Sender) {
   const base::TimePoint Now = SystemClock::monotonicNow();
-  if (!Message.Refunded_.empty())
-    Callbacks_.OnRefund_(Message.Refunded_);
+  if (Message.Refunded_)
+    Callbacks_.OnRefund_(*Message.Refunded_);
   else if (!Message.Wanted_.empty())
     send({Message.Incarnation_,
           Message.Ticket_,
--- a/libs/members/TokenMessages.cpp
+++ b/libs/members/TokenMessages.cpp
@@ -39,8 +39,8 @@
     Document["return"] = rowOf(*Message.Wanted_.Return_);
   if (Message.Wait_)
     Document["wait_ms"] = Json::Int64(base::toMilliseconds(*Message.Wait_));
-  if (!Message.Refunded_.empty())
-    Document["refund"] = Message.Refunded_.name();
+  if (Message.Refunded_)
+    Document["refund"] = Message.Refunded_->name();
   Json::StreamWriterBuilder Builder;
   Builder["indentation"] = "";
   return Json::writeString(Builder, Document);
--- a/libs/members/TokenMessages.h
+++ b/libs/members/TokenMessages.h
@@ -49,8 +49,8 @@
   /// In an answer: time until a token is available; nothing: a token was
   /// granted; zero: none is available before the time of ReturnTerms is over.
   std::optional<base::Duration> Wait_;
-  /// The customer whose token goes back; empty: none does.
-  base::CustomerId Refunded_ = {};
+  /// The customer whose token goes back; nothing: none does.
+  std::optional<base::CustomerId> Refunded_ = std::nullopt;
 };
 
 std::string encodeTokenMessage(const TokenMessage &Message);
--- a/tests/members/TokenExchangeTest.cpp
+++ b/tests/members/TokenExchangeTest.cpp
@@ -58,7 +58,8 @@
   const TokenMessage Refund =
       read({7, 0, {}, std::nullopt, base::CustomerId("parish")});
   CHECK(Refund.Wanted_.empty());
-  STRCMP_EQUAL("parish", Refund.Refunded_.name().c_str());
+  STRCMP_EQUAL("parish",
+               Refund.Refunded_.value_or(base::CustomerId()).name().c_str());
 }
 
 TEST(TokenMessages, otherTextsAreRejected) {
