--- a/tests/gateway/HostForwardingTest.cpp
+++ b/tests/gateway/HostForwardingTest.cpp
@@ -30,7 +30,7 @@
   std::vector<std::string> Heads_;
   std::string Answer_;
   /// The other host takes this long to answer.
-  std::atomic<std::chrono::milliseconds> AnswerDelay_{};
+  std::atomic<std::chrono::milliseconds> AnswerDelay_;
   /// It takes more than one request on a connection.
   std::atomic<bool> KeepsOpen_ = false;
   std::atomic<int> Sessions_ = 0;
