--- a/tests/process/LiveReachTest.cpp
+++ b/tests/process/LiveReachTest.cpp
@@ -172,8 +172,10 @@
   std::atomic<int> Served = 0;
   {
     std::vector<std::jthread> Callers;
+    Callers.reserve(CallerCount);
     for (int Each = 0; Each < CallerCount; ++Each) {
       std::vector<std::string> Own;
+      Own.reserve(AttemptsEach);
       for (int Times = 0; Times < AttemptsEach; ++Times)
         Own.push_back(nextId());
       Ids.insert(Ids.end(), Own.begin(), Own.end());
