--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -165,6 +165,7 @@
   std::this_thread::sleep_for(Aftermath);
   const auto RunsOf = [&Fleet](const std::string &Id) {
     std::vector<std::uint64_t> Runs;
+    Runs.reserve(Fleet.targetCount());
     for (std::size_t Each = 0; Each < Fleet.targetCount(); ++Each)
       Runs.push_back(Fleet.target(Each).counts().runsOfRequest(Id));
     return Runs;
