--- a/review/1/Case.cpp
+++ b/review/1/Case.cpp
@@ -96,6 +96,8 @@
     return 2;
   Record Log(Words[2]);
   const bool Troubled = isTroubled();
+  Log.say(Troubled ? "TROUBLE=1: with the disruption"
+                   : "TROUBLE=0: without the disruption");
   Ledger Seen(Log);
   Fleet Made(Words[1], HostCount, {});
   std::atomic<double> Begin = 1e18;
--- a/review/3/Case.cpp
+++ b/review/3/Case.cpp
@@ -30,6 +30,8 @@
     return 2;
   Record Log(Words[2]);
   const bool Troubled = isTroubled();
+  Log.say(Troubled ? "TROUBLE=1: with the disruption"
+                   : "TROUBLE=0: without the disruption");
   // Beside the case: an endpoint that answers 200 early and stores later.
   const bool Accepts = std::getenv("EARLY_ACCEPTS") != nullptr;
   Fleet Made(Words[1], HostCount, {});
--- a/review/standin/run-case.sh
+++ b/review/standin/run-case.sh
@@ -1,4 +1,5 @@
-# Read by the run.sh of each case, which sets Case to its folder's number.
+# Read by the run.sh of each case, which sets Case to its folder's number and
+# exports TROUBLE, which the case's program reads.
 # Exit: 1 the rule was broken, 0 it held, 2 the case could not run.
 set -u
 Here="$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)"
@@ -10,7 +11,6 @@
   fi
 done
 Folder=$(mktemp -d) || exit 2
-export TROUBLE="${TROUBLE:-1}"
 # The hosts end with the program that started them.
 timeout -k 2 110 "review/bin/case-$Case" "$Folder" "review/$Case/record.txt"
 Result=$?
