Forwarding: a request whose body is no longer held is not sent again

Cause: whether a request can be sent again stood in Forwarding, and each way to a second send had to ask for itself. The one after a target's own failure did not; the others threw the steering's decision away after it had taken a token of the retry budget and a place. Of a body in chunks, what was held was moved away with the first write.

Evidence: the first target runs the whole body, the second one exactly what is held; bodies up to the limit were sent again unchanged.

Change: one notion, BodyGone_, set with the first byte read beyond what is held, told to the steering with the end of each send. evaluateRetry forbids the retry, so that no token is spent and the caller gets the target's own answer, or a refusal that says "not run" where the target proved it. Forwarding drops any decision to send again all the same. What is held is kept until it cannot be sent again, and then freed. The line of a send's end has body_gone=1.

Why it works: every second send goes through a decision of finish(), or asks the same flag first.

--- a/apps/lycheed/DecisionReporter.cpp
+++ b/apps/lycheed/DecisionReporter.cpp
@@ -207,6 +207,7 @@
   Record.Reason_ = retrying::nameOf(Report.Outcome_);
   Record.Status_ = Report.Status_;
   Record.HostSends_ = Report.HostSends_;
+  Record.BodyGone_ = Report.BodyGone_;
   Record.StatedRate_ = describe(Report.Statement_.Rate_);
   if (!Record.StatedRate_.empty())
     StatedRates_.add();
--- a/libs/dispatch/DispatchForwarding.cpp
+++ b/libs/dispatch/DispatchForwarding.cpp
@@ -172,9 +172,8 @@
   if (Report.Outcome_ == SendOutcome::Shed)
     serviceState(Request.Service_).ForwardingPausedUntil_ =
         Now + ForwardingPause;
-  if (auto Next = forward(Ticket, Request, Now))
-    return *Next;
-  return refuseUnreached(Ticket, Now);
+  auto Next = Report.BodyGone_ ? std::nullopt : forward(Ticket, Request, Now);
+  return Next ? *Next : refuseUnreached(Ticket, Now);
 }
 
 std::vector<retrying::CrashEvidence>
--- a/libs/dispatch/DispatchSteering.cpp
+++ b/libs/dispatch/DispatchSteering.cpp
@@ -417,9 +417,11 @@
   const bool OwnFailure = Report.Outcome_ == SendOutcome::Answered &&
                           Report.Status_ >= MinServerError;
   if (OwnFailure)
-    return Request.Idempotent_ && Request.Sends_ < Request.MaxSends_;
-  const retrying::RetryVerdict Verdict = retrying::evaluateRetry(
-      {Report.Outcome_, Request.Idempotent_, Report.AnswerStarted_});
+    return Request.Idempotent_ && !Report.BodyGone_ &&
+           Request.Sends_ < Request.MaxSends_;
+  const retrying::RetryVerdict Verdict =
+      retrying::evaluateRetry({Report.Outcome_, Request.Idempotent_,
+                               Report.AnswerStarted_, Report.BodyGone_});
   return Verdict.mayRetry() && Request.Sends_ < Request.MaxSends_;
 }
 
--- a/libs/gateway/Forwarding.cpp
+++ b/libs/gateway/Forwarding.cpp
@@ -256,13 +256,14 @@
   Send.bePatientUntil(Decision_.ResponseDeadline_, [this] {
     // A host that stops gives up nothing that a target works on.
     GatewayState &Shared = Home_.shared();
-    return Shared.isServing() &&
+    return Shared.isServing() && !BodyGone_ &&
            Shared.Others_.Steering_.mayAbandonSend(
                Decision_.Ticket_, base::SystemClock::monotonicNow());
   });
   Send.repeatIf([this] {
-    return Home_.shared().Others_.Steering_.mayHedge(
-        Decision_.Ticket_, base::SystemClock::monotonicNow());
+    return !BodyGone_ &&
+           Home_.shared().Others_.Steering_.mayHedge(
+               Decision_.Ticket_, base::SystemClock::monotonicNow());
   });
   Send.onAnswerHead([this](const steering::AnswerHead &Head) {
     Home_.shared().Others_.Steering_.recordAnswerHead(
@@ -282,7 +283,7 @@
                                                Home_.shared().Settings_.Names_))
       Home_.shared().Versions_.noteAnswer(*Version,
                                           base::SystemClock::monotonicNow());
-  if (Failed && Send.isSilent() && !Streamed_)
+  if (Failed && Send.isSilent() && !BodyGone_)
     Failed = co_await hedge(Send);
   else if (!Failed && Send.saysNotRun())
     Failed = SendOutcome::Shed;
@@ -370,34 +371,48 @@
 
 Task<TargetSend::Failure> Forwarding::streamBody(TargetSend &Send) {
   const bool Chunked = Reader_.isChunked();
-  Streamed_ = true;
   co_await Answer_.sendContinue();
-  std::string Piece = Chunked ? std::move(Held_) : std::string();
   TargetSend::Failure Failed;
-  while (true) {
-    // An empty chunk would end the body.
-    const bool HasChunk = Chunked && !Piece.empty();
-    const std::string SizeLine = HasChunk ? chunkSizeLine(Piece.size()) : "";
-    if (HasChunk)
-      Piece += "\r\n";
-    const bool Last = !Chunked && Reader_.isWhole();
-    if (!Piece.empty())
-      Failed = co_await Send.write(SizeLine, Piece, Last);
-    if (Failed)
-      co_return Failed;
-    if (Reader_.isWhole())
-      break;
-    Piece.resize(StreamBytes);
-    Caller_.watch().expireAt(base::SystemClock::monotonicNow() +
-                             Home_.shared().Settings_.ProgressTimeout_);
-    std::size_t Got = 0;
-    BodyEnd_ = co_await Reader_.readBody(Piece, Got);
-    if (BodyEnd_ != ReadEnd::Ok)
-      co_return SendOutcome::Cancelled;
-    Piece.resize(Got);
-  }
   if (Chunked)
-    co_return co_await Send.write("0\r\n\r\n", {}, true);
+    Failed = co_await writePiece(Send, Held_, false);
+  std::string Piece;
+  while (!Failed && !Reader_.isWhole()) {
+    Failed = co_await readPiece(Piece);
+    if (!Failed)
+      Failed = co_await writePiece(Send, Piece, Reader_.isWhole());
+  }
+  if (!Failed && Chunked)
+    Failed = co_await Send.write("0\r\n\r\n", {}, true);
+  co_return Failed;
+}
+
+Task<TargetSend::Failure>
+Forwarding::writePiece(TargetSend &Send, std::string_view Piece, bool Last) {
+  // An empty chunk would end the body.
+  if (Piece.empty())
+    co_return std::nullopt;
+  if (!Reader_.isChunked())
+    co_return co_await Send.write({}, Piece, Last);
+  const std::string SizeLine = chunkSizeLine(Piece.size());
+  TargetSend::Failure Failed = co_await Send.write(SizeLine, Piece, false);
+  if (!Failed)
+    Failed = co_await Send.write("\r\n", {}, false);
+  co_return Failed;
+}
+
+Task<TargetSend::Failure> Forwarding::readPiece(std::string &Piece) {
+  Piece.resize(StreamBytes);
+  Caller_.watch().expireAt(base::SystemClock::monotonicNow() +
+                           Home_.shared().Settings_.ProgressTimeout_);
+  std::size_t Got = 0;
+  BodyEnd_ = co_await Reader_.readBody(Piece, Got);
+  if (BodyEnd_ != ReadEnd::Ok)
+    co_return SendOutcome::Cancelled;
+  Piece.resize(Got);
+  if (Got > 0 && !BodyGone_) {
+    BodyGone_ = true;
+    Held_ = std::string();
+  }
   co_return std::nullopt;
 }
 
@@ -449,19 +464,6 @@
     co_return co_await endCancelled(Send);
   Caller_.watch().rearm();
   Again = true;
-  const bool SendsAgain =
-      Decision_.Action_ != steering::Decision::Action::Refuse;
-  if (!SendsAgain || !Streamed_)
-    co_return Ending::Close;
-  // Part of the body is gone: it cannot be sent again, whatever was decided.
-  if (Decision_.Action_ == steering::Decision::Action::Send)
-    finish({.Outcome_ = SendOutcome::Cancelled});
-  else
-    Home_.shared().Others_.Steering_.cancel(Decision_.Ticket_,
-                                            base::SystemClock::monotonicNow());
-  Decision_ = {};
-  Decision_.Refusal_ = steering::Refusal::TargetFailed;
-  Decision_.Ran_ = provesNotRun(End) ? steering::Ran::No : steering::Ran::Maybe;
   co_return Ending::Close;
 }
 
@@ -476,13 +478,16 @@
                                        Ran);
 }
 
-void Forwarding::finish(const steering::SendReport &Report) {
+void Forwarding::finish(steering::SendReport Report) {
   GatewayState &Shared = Home_.shared();
   const base::TimePoint Now = base::SystemClock::monotonicNow();
+  Report.BodyGone_ = BodyGone_;
   Shared.Others_.Listener_.sendEnded(Request_, Decision_, Report, Now);
   std::vector<steering::Wakeup> Woken;
   Decision_ =
       Shared.Others_.Steering_.finish(Decision_.Ticket_, Report, Now, Woken);
+  if (BodyGone_ && Decision_.Action_ != steering::Decision::Action::Refuse)
+    dropDecision();
   if (Report.Outcome_ != SendOutcome::Answered &&
       Report.Outcome_ != SendOutcome::Cancelled)
     noteDecision(Now);
@@ -490,6 +495,22 @@
     Home_.deliver(Woken, Now);
 }
 
+void Forwarding::dropDecision() {
+  steering::Steering &Steering = Home_.shared().Others_.Steering_;
+  const base::TimePoint Now = base::SystemClock::monotonicNow();
+  std::vector<steering::Wakeup> Woken;
+  if (Decision_.Action_ == steering::Decision::Action::Send)
+    Steering.finish(Decision_.Ticket_, {.Outcome_ = SendOutcome::Cancelled},
+                    Now, Woken);
+  else
+    Steering.cancel(Decision_.Ticket_, Now);
+  if (!Woken.empty())
+    Home_.deliver(Woken, Now);
+  Decision_ = {};
+  Decision_.Refusal_ = steering::Refusal::TargetFailed;
+  Decision_.Ran_ = Ran_;
+}
+
 void Forwarding::settle(ClaimEnd End, int Status) {
   if (!Claimed_)
     return;
--- a/libs/gateway/Forwarding.h
+++ b/libs/gateway/Forwarding.h
@@ -43,13 +43,19 @@
   Task<TargetSend::Failure> writeRequest(TargetSend &Send);
   HostForwarding hostForwarding(base::TimePoint Now) const;
   Task<TargetSend::Failure> streamBody(TargetSend &Send);
+  Task<TargetSend::Failure> writePiece(TargetSend &Send, std::string_view Piece,
+                                       bool Last);
+  /// Reads a piece of the body that is not held.
+  Task<TargetSend::Failure> readPiece(std::string &Piece);
   Task<Ending> answer(TargetSend &Send, bool &Again);
   /// \returns the refusal where the key does not hold any more.
   std::optional<steering::Decision> recheckKey();
   Task<Ending> handleFailure(TargetSend &Send, steering::SendOutcome End,
                              bool &Again);
   Task<Ending> endCancelled(const TargetSend &Send);
-  void finish(const steering::SendReport &Report);
+  void finish(steering::SendReport Report);
+  /// Drops a decision to send the request again.
+  void dropDecision();
   void settle(ClaimEnd End, int Status);
   void noteDecision(base::TimePoint Now);
   std::uint64_t fingerprint() const;
@@ -65,16 +71,17 @@
   steering::Decision Decision_;
   /// The caller's headers as they go to a target.
   std::string Fields_;
-  /// The body, or its beginning where it is longer than may be held.
+  /// The body, or its beginning where it is longer than may be held; empty once
+  /// BodyGone_ is set.
   std::string Held_;
   ClaimRequest Claim_;
   bool NeedsClaim_ = false;
   bool Claimed_ = false;
   /// How a request with the same idempotency key was answered; 0: not known.
   int RecordedStatus_ = 0;
-  /// Bytes of the body went to a target that are not held any more, so that
-  /// it cannot be sent a second time.
-  bool Streamed_ = false;
+  /// Part of the body was read and is no longer held, so that the request
+  /// cannot be sent again.
+  bool BodyGone_ = false;
   /// How the caller's body broke while it streamed; Ok where it did not.
   ReadEnd BodyEnd_ = ReadEnd::Ok;
   /// It was written to a target at least in part, so it may have run.
--- a/libs/reporting/DecisionLog.cpp
+++ b/libs/reporting/DecisionLog.cpp
@@ -88,6 +88,8 @@
   addIfKnown(Line, "sends", Taken.Sends_);
   addIfKnown(Line, "sends_left", Taken.SendsLeft_);
   addIfKnown(Line, "host_sends", Taken.HostSends_);
+  if (Taken.BodyGone_)
+    Line.add("body_gone", 1);
   if (Taken.TookMs_ >= 0)
     Line.add("took_ms", Taken.TookMs_);
   if (Taken.Status_ != 0)
--- a/libs/reporting/DecisionLog.h
+++ b/libs/reporting/DecisionLog.h
@@ -87,6 +87,9 @@
   /// Of the end of a send to another host: the sends that that host made, as
   /// far as it states them.
   std::optional<std::uint32_t> HostSends_;
+  /// Of the end of a send: part of the request's body is no longer held, so
+  /// that the request is not sent again.
+  bool BodyGone_ = false;
   /// How long a send or request took; negative where it is not told.
   std::int64_t TookMs_ = -1;
   /// The answer's status, where the decision ends the request; else 0.
--- a/libs/retrying/RetryVerdict.cpp
+++ b/libs/retrying/RetryVerdict.cpp
@@ -38,6 +38,8 @@
     return RetryRule::ForbiddenCancelled;
   if (Facts.AnswerStarted_)
     return RetryRule::ForbiddenAnswerStarted;
+  if (Facts.BodyGone_)
+    return RetryRule::ForbiddenBodyGone;
   if (Row.Ran_ == Ran::No)
     return RetryRule::Allowed;
   return Facts.Idempotent_ ? RetryRule::AllowedAsIdempotent
@@ -62,9 +64,9 @@
 }
 
 std::string_view nameOf(RetryRule Rule) noexcept {
-  static constexpr std::array<std::string_view, 6> Names = {
-      "not-needed",   "not-run",        "idempotent",
-      "may-have-run", "answer-started", "cancelled",
+  static constexpr std::array<std::string_view, 7> Names = {
+      "not-needed",     "not-run",   "idempotent", "may-have-run",
+      "answer-started", "body-gone", "cancelled",
   };
   return Names[static_cast<std::size_t>(Rule)];
 }
--- a/libs/retrying/RetryVerdict.h
+++ b/libs/retrying/RetryVerdict.h
@@ -55,6 +55,8 @@
   /// Bytes of the response were already forwarded to the caller, so that a
   /// second response cannot follow.
   ForbiddenAnswerStarted,
+  /// Part of the request's body is no longer held.
+  ForbiddenBodyGone,
   /// The caller no longer waits for the response.
   ForbiddenCancelled,
 };
@@ -65,6 +67,8 @@
   bool Idempotent_ = false;
   /// True if bytes of the response were already forwarded to the caller.
   bool AnswerStarted_ = false;
+  /// True if part of the request's body was sent and is no longer held.
+  bool BodyGone_ = false;
 };
 
 /// Whether a request ran and whether it may be sent again.
--- a/libs/steering/ServiceSteering.cpp
+++ b/libs/steering/ServiceSteering.cpp
@@ -385,8 +385,9 @@
                                        PendingRequest &Failed,
                                        const SendReport &Report,
                                        base::TimePoint Now) {
-  const retrying::RetryVerdict Verdict = retrying::evaluateRetry(
-      {Report.Outcome_, Failed.Request_.Idempotent_, Report.AnswerStarted_});
+  const retrying::RetryVerdict Verdict =
+      retrying::evaluateRetry({Report.Outcome_, Failed.Request_.Idempotent_,
+                               Report.AnswerStarted_, Report.BodyGone_});
   if (Verdict.Retry_ == retrying::RetryRule::NotNeeded)
     return refuse(Refusal::None, Ran::Maybe);
   Failed.MayHaveRun_ = Failed.MayHaveRun_ || Verdict.Ran_ != retrying::Ran::No;
--- a/libs/steering/Steering.h
+++ b/libs/steering/Steering.h
@@ -276,6 +276,9 @@
   base::Duration Took_{};
   /// Whether bytes of the response have already been forwarded to the caller.
   bool AnswerStarted_ = false;
+  /// Whether part of the request's body was sent and is no longer held, so that
+  /// the request cannot be sent again.
+  bool BodyGone_ = false;
   std::uint64_t AnswerBytes_ = 0;
   /// Whether the send ended because nothing arrived for too long, rather than
   /// because the connection closed: a time-out is no evidence of a crash.
@@ -320,8 +323,9 @@
 
   /// Reports the end of a send.
   /// \returns Send to retry the request, also where the target answered with a
-  /// failure of its own; after a response any other decision lets that response
-  /// go to the caller, and without one Refuse says what to answer the caller.
+  /// failure of its own, but never where its body is gone; after a response any
+  /// other decision lets that response go to the caller, and without one Refuse
+  /// says what to answer the caller.
   /// \param Wakeups  receives the decisions for waiting requests that can go on
   /// with the freed slots.
   virtual Decision finish(std::uint64_t Ticket, const SendReport &Report,
--- a/tests/dispatch/DispatchSteeringTest.cpp
+++ b/tests/dispatch/DispatchSteeringTest.cpp
@@ -150,6 +150,24 @@
         Decision::Action::Send);
 }
 
+// A part of a body is no request: the target's own answer is what there is, and
+// no token of the retry budget is spent on it.
+TEST(DispatchSteering, aRequestWhoseBodyIsGoneIsNotRetried) {
+  for (const SendOutcome End :
+       {SendOutcome::Answered, SendOutcome::Shed, SendOutcome::ConnectFailed,
+        SendOutcome::LostAfterPartialWrite, SendOutcome::LostBeforeResponse}) {
+    const Decision Sent = arrive(requestOf(true));
+    SendReport Report;
+    Report.Outcome_ = End;
+    Report.Status_ = End == SendOutcome::Answered ? 500 : 0;
+    Report.BodyGone_ = true;
+    const Decision After = Steering_.finish(Sent.Ticket_, Report, Now_, Woken_);
+    CHECK(After.Action_ == Decision::Action::Refuse);
+    CHECK_EQUAL(End == SendOutcome::Shed,
+                After.Refusal_ == Refusal::NoHeadroom);
+  }
+}
+
 // A request that no target can answer in time is refused at once, with a time
 // to retry after; held, it would take a slot from one that can be answered.
 TEST(DispatchSteering, aRequestThatCannotMeetItsDeadlineIsRefusedAtOnce) {
--- a/tests/gateway/FakeSteering.cpp
+++ b/tests/gateway/FakeSteering.cpp
@@ -55,10 +55,13 @@
                       Report.Outcome_ == SendOutcome::ConnectFailed ||
                       Report.Outcome_ == SendOutcome::ClosedBeforeWrite ||
                       Report.Outcome_ == SendOutcome::Withheld;
+  const bool FailedItself = RetriesFailures_ &&
+                            Report.Outcome_ == SendOutcome::Answered &&
+                            Report.Status_ >= 500;
   const bool Over = Report.Outcome_ == SendOutcome::Answered ||
                     Report.Outcome_ == SendOutcome::Cancelled;
-  if (!Over && !Report.AnswerStarted_ && (NotRun || Described.Idempotent_) &&
-      Described.Sends_ < MaximumSends_)
+  if ((!Over || FailedItself) && !Report.AnswerStarted_ &&
+      (NotRun || Described.Idempotent_) && Described.Sends_ < MaximumSends_)
     return send(Number);
   Sent_.erase(Number);
   wake(Woken);
--- a/tests/gateway/FakeSteering.h
+++ b/tests/gateway/FakeSteering.h
@@ -27,6 +27,9 @@
   steering::Refusal RefuseAll_ = steering::Refusal::None;
   base::Duration WaitLimit_ = std::chrono::seconds(10);
   bool MayRepeat_ = true;
+  /// Idempotent requests go to the next address after a target's own failure,
+  /// whatever is left of their bodies.
+  bool RetriesFailures_ = false;
   /// The address of these that is another host's; empty: all are targets.
   std::string HostAddress_;
   /// Which of all writes is withheld from its target, counted from 1; 0: none.
--- a/tests/gateway/Fakes.h
+++ b/tests/gateway/Fakes.h
@@ -32,7 +32,7 @@
   }
 };
 
-/// One service takes every path below /s/ and has GET and HEAD idempotent.
+/// One service takes every path below /s/ and has GET, HEAD and PUT idempotent.
 class FakeRouter : public gateway::RequestRouter {
 public:
   base::Duration Deadline_ = std::chrono::seconds(10);
@@ -44,7 +44,8 @@
     gateway::Route Made;
     Made.Service_ = base::ServiceId("s");
     Made.Deadline_ = Deadline_;
-    Made.Idempotent_ = Query.Method_ == "GET" || Query.Method_ == "HEAD";
+    Made.Idempotent_ = Query.Method_ == "GET" || Query.Method_ == "HEAD" ||
+                       Query.Method_ == "PUT";
     return Made;
   }
 };
--- a/tests/reporting/DecisionLogTest.cpp
+++ b/tests/reporting/DecisionLogTest.cpp
@@ -61,9 +61,10 @@
   Log_.record(Record, Now);
   Record = recordOf("r1");
   Record.HostSends_ = 0;
+  Record.BodyGone_ = true;
   Log_.record(Record, Now);
   STRCMP_CONTAINS("sends=1 sends_left=2 settings=7", Lines_.at(0).c_str());
-  STRCMP_CONTAINS("host_sends=0 settings=7", Lines_.at(1).c_str());
+  STRCMP_CONTAINS("host_sends=0 body_gone=1 settings=7", Lines_.at(1).c_str());
 }
 
 // Guards against refusals that do not tell a host without reach from one whose
--- a/tests/retrying/RetryVerdictTest.cpp
+++ b/tests/retrying/RetryVerdictTest.cpp
@@ -85,6 +85,17 @@
     }
 }
 
+// A second target would run the part that is left as the whole request.
+TEST(RetryVerdict, noRetryOnceTheBodyIsGone) {
+  for (const Row &Each : Rows)
+    for (const bool Idempotent : {true, false}) {
+      const RetryVerdict Found =
+          evaluateRetry({Each.Outcome_, Idempotent, false, true});
+      CHECK_FALSE(Found.mayRetry());
+      CHECK(Found.Ran_ == Each.Ran_);
+    }
+}
+
 TEST(RetryVerdict, aRequestThatMayHaveRunIsRetriedOnlyIfIdempotent) {
   for (const Row &Each : Rows) {
     const RetryVerdict Found = evaluateRetry({Each.Outcome_, false, false});
