Target sends: after an early answer a target gets no further bytes of the body

Callers saw: 502.

Cause: a write that stops because an answer is there returned success, and the stream went on with the next piece of the body. In chunks, a size line stood inside the chunk before, and a last chunk ended the body.

Evidence: the target reads whole runs of the body in order, each beginning with a piece of the stream; bodies that are held whole are a prefix and nothing more.

Change: after an early answer no write writes anything, and the caller's body is read no further. An interim answer or a success does not end the body: the target gets the rest as long as it takes it within half of the time left. Every write but the first looks for an answer while it waits for room.

Why it works: what is written is a prefix by construction, and the connection is reset unless the whole request went out.

--- a/libs/gateway/Forwarding.cpp
+++ b/libs/gateway/Forwarding.cpp
@@ -355,7 +355,7 @@
   const std::string_view First =
       HeldIsChunk ? std::string_view() : std::string_view(Held_);
   TargetSend::Failure Failed = co_await Send.write(Head, First, !Streams);
-  if (Failed || !Streams)
+  if (Failed || !Streams || Send.hasAnsweredEarly())
     co_return Failed;
   // Where the caller names no deadline, the service's own counts from the end
   // of a long upload: how long that takes is the caller's line's affair, and
@@ -376,7 +376,7 @@
   if (Chunked)
     Failed = co_await writePiece(Send, Held_, false);
   std::string Piece;
-  while (!Failed && !Reader_.isWhole()) {
+  while (!Failed && !Send.hasAnsweredEarly() && !Reader_.isWhole()) {
     Failed = co_await readPiece(Piece);
     if (!Failed)
       Failed = co_await writePiece(Send, Piece, Reader_.isWhole());
--- a/libs/gateway/TargetSend.cpp
+++ b/libs/gateway/TargetSend.cpp
@@ -18,10 +18,9 @@
 constexpr int MaximumInterimAnswers = 8;
 /// Late answers to earlier requests before ours; more is a fault.
 constexpr int MaximumForeignAnswers = 4;
-/// A body longer than this is written in pieces, and the target may answer in
-/// between. Shorter ones go into the connection's buffers whole.
+/// A body longer than this may fill the connection, and the target may answer
+/// meanwhile. Shorter ones go into the connection's buffers whole.
 constexpr std::size_t WatchedBodyBytes = 16UL * 1024;
-constexpr std::size_t BodyPieceBytes = 16UL * 1024;
 /// A request that is written this shortly before its target closes the
 /// connection may be lost: the way there, and the wait for a processor.
 constexpr base::Duration ReuseMargin = std::chrono::milliseconds(300);
@@ -101,27 +100,29 @@
 
 Task<TargetSend::Failure> TargetSend::write(std::string_view Head,
                                             std::string_view Body, bool Last) {
+  if (AnsweredEarly_)
+    co_return std::nullopt;
   bound(Home_.shared().Settings_.ProgressTimeout_);
-  if (Written_ == 0)
+  const bool IsFirst = Written_ == 0;
+  if (IsFirst)
     FirstWrite_ = base::SystemClock::monotonicNow();
   Connection_->beginRequest();
-  const std::string_view First =
-      Body.size() > WatchedBodyBytes ? std::string_view() : Body;
-  const std::array Pieces{
-      boost::asio::const_buffer(Head.data(), Head.size()),
-      boost::asio::const_buffer(First.data(), First.size())};
-  const auto [Error, Count] =
-      co_await boost::asio::async_write(Connection_->socket(), Pieces, Await);
-  Written_ += Count;
-  if (Error || Caller_.watch().fired())
-    co_return failed();
-  if (First.size() != Body.size()) {
-    const bool Whole = co_await writeWhileSilent(Body);
-    if (AnsweredEarly_)
-      co_return std::nullopt;
-    if (!Whole)
+  const bool IsWatched = Body.size() > WatchedBodyBytes;
+  if (IsFirst) {
+    const std::string_view Small = IsWatched ? std::string_view() : Body;
+    const std::array Pieces{
+        boost::asio::const_buffer(Head.data(), Head.size()),
+        boost::asio::const_buffer(Small.data(), Small.size())};
+    const auto [Error, Count] =
+        co_await boost::asio::async_write(Connection_->socket(), Pieces, Await);
+    Written_ += Count;
+    if (Error || Caller_.watch().fired())
       co_return failed();
   }
+  if (!IsFirst && !co_await writeWhileSilent(Head))
+    co_return AnsweredEarly_ ? std::nullopt : failed();
+  if ((!IsFirst || IsWatched) && !co_await writeWhileSilent(Body))
+    co_return AnsweredEarly_ ? std::nullopt : failed();
   RequestWhole_ = Last;
   co_return std::nullopt;
 }
@@ -130,33 +131,59 @@
 /// a write that waits for room would then wait until the deadline, and the
 /// answer that lies ready would be lost. So room to write and an answer are
 /// waited for together.
-Task<bool> TargetSend::writeWhileSilent(std::string_view Body) {
-  using boost::asio::experimental::awaitable_operators::operator||;
+Task<bool> TargetSend::writeWhileSilent(std::string_view Text) {
   Socket &Peer = Connection_->socket();
-  Peer.non_blocking(true);
-  while (!Body.empty()) {
+  if (!Peer.non_blocking())
+    Peer.non_blocking(true);
+  while (!Text.empty()) {
     ErrorCode Error;
-    const std::size_t Count = Peer.write_some(
-        boost::asio::buffer(Body.data(), std::min(Body.size(), BodyPieceBytes)),
-        Error);
+    const std::size_t Count =
+        Peer.write_some(boost::asio::buffer(Text.data(), Text.size()), Error);
     Written_ += Count;
-    Body.remove_prefix(Count);
+    Text.remove_prefix(Count);
     if (!Error)
       continue;
     if (Error != boost::asio::error::would_block)
       co_return false;
-    const auto Ready = co_await (Peer.async_wait(Socket::wait_write, Await) ||
-                                 Peer.async_wait(Socket::wait_read, Await));
-    if (Caller_.watch().fired())
-      co_return false;
-    AnsweredEarly_ = Ready.index() == 1;
-    if (AnsweredEarly_)
+    co_await waitForRoom();
+    if (AnsweredEarly_ || Caller_.watch().fired())
       co_return false;
     bound(Home_.shared().Settings_.ProgressTimeout_);
   }
   co_return true;
 }
 
+Task<void> TargetSend::waitForRoom() {
+  using boost::asio::experimental::awaitable_operators::operator||;
+  Socket &Peer = Connection_->socket();
+  const auto Ready = co_await (Peer.async_wait(Socket::wait_write, Await) ||
+                               Peer.async_wait(Socket::wait_read, Await));
+  if (Ready.index() == 0 || Caller_.watch().fired())
+    co_return;
+  if (!wantsRestOfBody()) {
+    AnsweredEarly_ = true;
+    co_return;
+  }
+  // Half of the time that is left: the answer must reach the caller in time.
+  const base::Duration Left = Deadline_ - base::SystemClock::monotonicNow();
+  Timer Patience(Peer.get_executor(),
+                 std::min(Home_.shared().Settings_.ProgressTimeout_, Left / 2));
+  const auto Room = co_await (Peer.async_wait(Socket::wait_write, Await) ||
+                              Patience.async_wait(Await));
+  AnsweredEarly_ = Room.index() == 1;
+}
+
+bool TargetSend::wantsRestOfBody() {
+  constexpr std::string_view Version = "HTTP/1.1 ";
+  std::array<char, Version.size() + 1> Text{};
+  ErrorCode Error;
+  const std::size_t Count = Connection_->socket().receive(
+      boost::asio::buffer(Text), Socket::message_peek, Error);
+  const std::string_view Begin(Text.data(), Error ? 0 : Count);
+  return Begin.size() == Text.size() && Begin.starts_with(Version) &&
+         (Begin.back() == '1' || Begin.back() == '2');
+}
+
 Task<bool> TargetSend::skipInterim(ReadEnd &End, bool WithoutBody) {
   for (int Interim = 0; Interim <= MaximumInterimAnswers; ++Interim) {
     Reader_ = std::make_unique<AnswerReader>(
--- a/libs/gateway/TargetSend.h
+++ b/libs/gateway/TargetSend.h
@@ -70,9 +70,14 @@
   /// Moves the deadline: while an upload goes on, its progress bounds it.
   void setDeadline(base::TimePoint Deadline) noexcept { Deadline_ = Deadline; }
 
-  /// Writes a piece of the request. \param Last  the request ends with it.
+  /// Writes a piece of the request, and nothing once hasAnsweredEarly().
+  /// \param Last  the request ends with it.
   Task<Failure> write(std::string_view Head, std::string_view Body, bool Last);
 
+  /// \returns whether the target answered before it had the whole request, and
+  /// gets no more of it.
+  bool hasAnsweredEarly() const noexcept { return AnsweredEarly_; }
+
   /// Reads the answer's head, and its body while that is within the limit for
   /// held ones. \param WithoutBody  the request was a HEAD.
   Task<Failure> readAnswer(bool WithoutBody);
@@ -115,7 +120,14 @@
   std::optional<std::uint32_t> hostSends() const;
   Task<bool> skipForeign(ReadEnd &End, bool WithoutBody);
   bool isForeign() const;
-  Task<bool> writeWhileSilent(std::string_view Body);
+  /// \returns whether all was written.
+  Task<bool> writeWhileSilent(std::string_view Text);
+  /// Waits for room to write, or an answer that ends the request.
+  Task<void> waitForRoom();
+  /// \returns whether bytes of an answer are there that does not end the
+  /// request: an interim one, or a success, whose body the target may still
+  /// read.
+  bool wantsRestOfBody();
   Failure failed();
   void watchPatience();
   void bound(base::Duration Progress);
@@ -136,7 +148,8 @@
   std::uint64_t Written_ = 0;
   std::uint64_t Received_ = 0;
   bool RequestWhole_ = false;
-  /// The target answered before it had the whole request.
+  /// The target answered before it had the whole request, or ended the
+  /// connection. What went out is a prefix of the request.
   bool AnsweredEarly_ = false;
   bool Unusable_ = false;
   bool ToHost_ = false;
