Target sends: the answer of a target that answers and closes reaches the caller

Callers saw: 502 for a long request that its target had answered, such as with 413, and whose connection it closed.

Cause: the write under way fails, and the send counted as lost although the answer had come.

Change: where a write fails after bytes went out and bytes of an answer are there, the answer is read. A write that fails before any byte went out counts as not run, as before.

--- a/libs/gateway/TargetSend.cpp
+++ b/libs/gateway/TargetSend.cpp
@@ -117,16 +117,26 @@
         co_await boost::asio::async_write(Connection_->socket(), Pieces, Await);
     Written_ += Count;
     if (Error || Caller_.watch().fired())
-      co_return failed();
+      co_return writeEnded();
   }
   if (!IsFirst && !co_await writeWhileSilent(Head))
-    co_return AnsweredEarly_ ? std::nullopt : failed();
+    co_return writeEnded();
   if ((!IsFirst || IsWatched) && !co_await writeWhileSilent(Body))
-    co_return AnsweredEarly_ ? std::nullopt : failed();
+    co_return writeEnded();
   RequestWhole_ = Last;
   co_return std::nullopt;
 }
 
+/// A write fails where the target closes right after its answer, and the answer
+/// is there all the same.
+TargetSend::Failure TargetSend::writeEnded() {
+  ErrorCode Ignored;
+  if (Written_ > 0 && !Caller_.watch().fired() &&
+      Connection_->socket().available(Ignored) > 0)
+    AnsweredEarly_ = true;
+  return AnsweredEarly_ ? std::nullopt : failed();
+}
+
 /// A target may refuse a long request before it has read it, and stop reading:
 /// a write that waits for room would then wait until the deadline, and the
 /// answer that lies ready would be lost. So room to write and an answer are
--- a/libs/gateway/TargetSend.h
+++ b/libs/gateway/TargetSend.h
@@ -129,6 +129,9 @@
   /// read.
   bool wantsRestOfBody();
   Failure failed();
+  /// \returns how a write ended that did not write all; nothing where an answer
+  /// is there.
+  Failure writeEnded();
   void watchPatience();
   void bound(base::Duration Progress);
   void sawLife();
--- a/tests/gateway/EarlyAnswerTest.cpp
+++ b/tests/gateway/EarlyAnswerTest.cpp
@@ -151,8 +151,19 @@
   for (const char *Status : {"200 OK", "413 Content Too Large"}) {
     start({.Answer_ = tests::emptyAnswer(Status),
            .Early_ = true,
-           .ReadsOn_ = false});
+           .Then_ = UploadTarget::Behaviour::Then::ReadNothing});
     LONGS_EQUAL(std::atoi(Status), upload(false).Status_);
     stop();
   }
 }
+
+// A write fails as the target has closed, and its answer was thrown away.
+TEST(EarlyAnswer, anAnswerOfATargetThatClosesArrives) {
+  for (int Try = 0; Try < 20; ++Try) {
+    start({.Answer_ = tests::emptyAnswer("413 Content Too Large"),
+           .Early_ = true,
+           .Then_ = UploadTarget::Behaviour::Then::Close});
+    LONGS_EQUAL(413, upload(Try % 2 == 0).Status_);
+    stop();
+  }
+}
--- a/tests/gateway/UploadTarget.cpp
+++ b/tests/gateway/UploadTarget.cpp
@@ -30,10 +30,10 @@
     if (How_.Early_) {
       RawTarget::send(From, How_.Answer_);
       std::this_thread::sleep_for(How_.Pause_);
-      if (!How_.ReadsOn_) {
+      if (How_.Then_ == Behaviour::Then::ReadNothing)
         waitFor([this] { return Over_.load(); });
+      if (How_.Then_ != Behaviour::Then::ReadOn)
         return;
-      }
     }
     while (!Parser.is_done() && !Failure)
       http::read_some(From, Buffer, Parser, Failure);
--- a/tests/gateway/UploadTarget.h
+++ b/tests/gateway/UploadTarget.h
@@ -30,8 +30,9 @@
     bool Early_ = false;
     /// How long it reads nothing after an early answer.
     std::chrono::milliseconds Pause_{};
-    /// After that pause it reads on.
-    bool ReadsOn_ = true;
+    enum class Then { ReadOn, ReadNothing, Close };
+    /// What it does after that pause.
+    Then Then_ = Then::ReadOn;
   };
 
   explicit UploadTarget(Behaviour How);
