Messages between hosts: nothing that others send ends a loop or keeps a connection

Callers saw nothing of it where nobody sent such a message. With one: a host that heard no heartbeats, news of regions or tokens until its restart, or answered no other host, and stayed ready.

The JSON parser throws beyond 1,000 nested arrays, and nothing on the way caught that; a loop that receives datagrams ended by any failure, and the server forgot no connection whose handler failed.

Change: datagrams, relay messages, loads of targets, the settings store and the messages of the operators' tree are read by base::parseJson. A datagram or a handler that fails nevertheless is logged; the loop goes on, and the caller gets 500.

--- a/libs/base/JsonText.cpp
+++ b/libs/base/JsonText.cpp
@@ -41,20 +41,20 @@
 
 /// \returns the length of the character that \p Text begins with; 0: none.
 std::size_t characterLength(std::string_view Text) noexcept {
-  const auto byteAt = [Text](std::size_t Index) {
+  const auto ByteAt = [Text](std::size_t Index) {
     return static_cast<unsigned char>(Text[Index]);
   };
-  if (byteAt(0) < FirstNonAscii)
+  if (ByteAt(0) < FirstNonAscii)
     return 1;
   for (const LeadByte &Each : LeadBytes) {
-    if (byteAt(0) < Each.First_ || byteAt(0) > Each.Last_)
+    if (ByteAt(0) < Each.First_ || ByteAt(0) > Each.Last_)
       continue;
     const auto Length = static_cast<std::size_t>(Each.Followers_) + 1;
-    if (Text.size() < Length || byteAt(1) < Each.SecondFirst_ ||
-        byteAt(1) > Each.SecondLast_)
+    if (Text.size() < Length || ByteAt(1) < Each.SecondFirst_ ||
+        ByteAt(1) > Each.SecondLast_)
       return 0;
     for (std::size_t Index = 2; Index < Length; ++Index)
-      if (byteAt(Index) < 0x80 || byteAt(Index) > 0xBF)
+      if (ByteAt(Index) < 0x80 || ByteAt(Index) > 0xBF)
         return 0;
     return Length;
   }
--- a/libs/fleet/Codec.cpp
+++ b/libs/fleet/Codec.cpp
@@ -1,6 +1,6 @@
 #include "fleet/Codec.h"
 
-#include <memory>
+#include "base/JsonText.h"
 
 namespace lychee::fleet {
 
@@ -144,16 +144,8 @@
 }
 
 std::optional<Json::Value> Codec::parse(std::string_view Text) {
-  Json::Value Result;
-  Json::CharReaderBuilder Builder;
-  Builder["collectComments"] = false;
-  const std::unique_ptr<Json::CharReader> Reader(Builder.newCharReader());
-  const bool IsValid =
-      Reader->parse(Text.data(), Text.data() + Text.size(), &Result, nullptr) &&
-      Result.isObject();
-  if (!IsValid)
-    return std::nullopt;
-  return Result;
+  std::string Ignored;
+  return base::parseJsonObject(Text, Ignored);
 }
 
 } // namespace lychee::fleet
--- a/libs/gateway/TargetPoll.cpp
+++ b/libs/gateway/TargetPoll.cpp
@@ -1,12 +1,12 @@
 #include "gateway/TargetPoll.h"
 
+#include "base/JsonText.h"
 #include "base/SystemClock.h"
 #include "gateway/TargetAddress.h"
 #include "gateway/Worker.h"
 
 #include <boost/asio/write.hpp>
 #include <json/json.h>
-#include <sstream>
 
 namespace lychee::gateway {
 
@@ -16,12 +16,11 @@
 constexpr MessageLimits PollLimits{8UL * 1024, 64UL * 1024};
 
 void readLoad(const std::string &Body, TargetObservation &Seen) {
-  Json::Value Load;
-  std::string Errors;
-  std::istringstream Text(Body);
-  if (!Json::parseFromStream(Json::CharReaderBuilder(), Text, &Load, &Errors) ||
-      !Load.isObject())
+  std::string Why;
+  const auto Parsed = base::parseJsonObject(Body, Why);
+  if (!Parsed)
     return;
+  const Json::Value &Load = *Parsed;
   for (const char *Name : {"running", "waiting", "slots"})
     if (!Load[Name].isUInt())
       return;
--- a/libs/members/DatagramSocket.cpp
+++ b/libs/members/DatagramSocket.cpp
@@ -1,5 +1,7 @@
 #include "members/DatagramSocket.h"
 
+#include "reporting/Log.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -57,7 +59,12 @@
       co_await Pause.async_wait(AsTuple);
       continue;
     }
-    OnDatagram({Buffer.data(), Count}, Sender);
+    // No datagram ends the loop, whoever sent it.
+    try {
+      OnDatagram({Buffer.data(), Count}, Sender);
+    } catch (...) {
+      reporting::logThrown("datagram-failed", std::current_exception());
+    }
   }
 }
 
--- a/libs/members/MessageRows.cpp
+++ b/libs/members/MessageRows.cpp
@@ -1,10 +1,11 @@
 #include "members/MessageRows.h"
 
+#include "base/JsonText.h"
+
 #include <algorithm>
 #include <array>
 #include <cmath>
 #include <json/json.h>
-#include <memory>
 
 namespace lychee::members {
 
@@ -31,16 +32,7 @@
 
 std::optional<Json::Value> parseObject(std::string_view Text,
                                        base::Error &Last) {
-  Json::Value Document;
-  const Json::CharReaderBuilder Builder;
-  const std::unique_ptr<Json::CharReader> Reader(Builder.newCharReader());
-  if (Reader->parse(Text.data(), Text.data() + Text.size(), &Document,
-                    &Last.Reason_) &&
-      Document.isObject())
-    return Document;
-  if (Last.Reason_.empty())
-    Last.Reason_ = "no JSON object";
-  return std::nullopt;
+  return base::parseJsonObject(Text, Last.Reason_);
 }
 
 void addDemands(std::span<const CustomerDemand> All, Json::Value &Into) {
--- a/libs/members/TokenMessages.cpp
+++ b/libs/members/TokenMessages.cpp
@@ -1,9 +1,9 @@
 #include "members/TokenMessages.h"
 
+#include "base/JsonText.h"
 #include "members/MessageRows.h"
 
 #include <json/json.h>
-#include <memory>
 
 namespace lychee::members {
 
@@ -49,14 +49,14 @@
 std::optional<TokenMessage> decodeTokenMessage(std::string_view Text,
                                                base::Error &Last) {
   Last = {"token.decode", "", "not a message about tokens"};
-  Json::Value Document;
-  const Json::CharReaderBuilder Builder;
-  const std::unique_ptr<Json::CharReader> Reader(Builder.newCharReader());
-  if (!Reader->parse(Text.data(), Text.data() + Text.size(), &Document,
-                     &Last.Reason_) ||
-      !Document.isObject() || !Document["start"].isUInt64() ||
-      !Document["ticket"].isUInt64())
+  const auto Parsed = base::parseJsonObject(Text, Last.Reason_);
+  if (!Parsed)
+    return std::nullopt;
+  const Json::Value &Document = *Parsed;
+  if (!Document["start"].isUInt64() || !Document["ticket"].isUInt64()) {
+    Last.Reason_ = "not a message about tokens";
     return std::nullopt;
+  }
   TokenMessage Result;
   Result.Incarnation_ = Document["start"].asUInt64();
   Result.Ticket_ = Document["ticket"].asUInt64();
--- a/libs/relaying/RelayMessages.cpp
+++ b/libs/relaying/RelayMessages.cpp
@@ -1,7 +1,8 @@
 #include "relaying/RelayMessages.h"
 
+#include "base/JsonText.h"
+
 #include <json/json.h>
-#include <memory>
 
 namespace lychee::relaying {
 
@@ -18,16 +19,11 @@
 
 std::optional<Json::Value> parse(std::string_view Text, const char *Step,
                                  base::Error &Last) {
-  Json::Value Document;
-  const Json::CharReaderBuilder Builder;
-  const std::unique_ptr<Json::CharReader> Reader(Builder.newCharReader());
-  std::string Reason;
-  if (Reader->parse(Text.data(), Text.data() + Text.size(), &Document,
-                    &Reason) &&
-      Document.isObject())
-    return Document;
-  Last = {Step, "host", Reason.empty() ? "no JSON object" : Reason};
-  return std::nullopt;
+  std::string Why;
+  auto Document = base::parseJsonObject(Text, Why);
+  if (!Document)
+    Last = {Step, "host", Why};
+  return Document;
 }
 
 /// Elements of an object's row; a restored object has one more.
--- a/libs/store/HttpStore.cpp
+++ b/libs/store/HttpStore.cpp
@@ -1,5 +1,7 @@
 #include "store/HttpStore.h"
 
+#include "base/JsonText.h"
+
 #include <charconv>
 #include <json/json.h>
 
@@ -37,16 +39,14 @@
 std::optional<std::vector<Object>> parseListing(const HttpAnswer &Answer,
                                                 const std::string &Peer,
                                                 base::Error &Last) {
-  const std::string &Body = Answer.Body_;
-  Json::Value Document;
-  const Json::CharReaderBuilder Builder;
-  const std::unique_ptr<Json::CharReader> Reader(Builder.newCharReader());
   Last = {"store.list", Peer, statusReason(Answer)};
-  if (Answer.Status_ != StatusOk ||
-      !Reader->parse(Body.data(), Body.data() + Body.size(), &Document,
-                     nullptr) ||
-      !Document.isObject() || !Document["objects"].isArray())
+  if (Answer.Status_ != StatusOk)
+    return std::nullopt;
+  std::string Why;
+  const auto Parsed = base::parseJsonObject(Answer.Body_, Why);
+  if (!Parsed || !(*Parsed)["objects"].isArray())
     return std::nullopt;
+  const Json::Value &Document = *Parsed;
   std::vector<Object> Found;
   for (const Json::Value &Entry : Document["objects"]) {
     if (!Entry.isObject() || !Entry["path"].isString() ||
--- a/libs/transport/HttpServer.cpp
+++ b/libs/transport/HttpServer.cpp
@@ -1,5 +1,7 @@
 #include "transport/HttpServer.h"
 
+#include "reporting/Log.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -24,6 +26,8 @@
 
 constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
 
+constexpr unsigned StatusInternalError = 500;
+
 using Stream = std::shared_ptr<beast::tcp_stream>;
 
 HttpRequest fromBeast(http::request<http::string_body> Message) {
@@ -135,7 +139,14 @@
       // The handler has bounds of its own, and may wait for long in a watch.
       Served.expires_never();
       HttpRequest Request = fromBeast(Parser.release());
-      Answer = co_await Answers_(std::move(Request));
+      // A handler that fails must not cost the connection's place.
+      try {
+        Answer = co_await Answers_(std::move(Request));
+      } catch (...) {
+        reporting::logThrown("handler-failed", std::current_exception());
+        Answer = {};
+        Answer.Status_ = StatusInternalError;
+      }
     }
     if (Answer.Lost_)
       co_return false;
--- a/tests/members/HeartbeatTest.cpp
+++ b/tests/members/HeartbeatTest.cpp
@@ -1,6 +1,8 @@
 #include "members/Heartbeat.h"
 
 #include "members/HostTable.h"
+#include "members/RegionUpdate.h"
+#include "members/TokenMessages.h"
 
 #include "CppUTest/TestHarness.h"
 
@@ -148,3 +150,16 @@
   CHECK_FALSE(Receive(false));
   CHECK(Receive(true));
 }
+
+// The parser throws beyond a depth of its own, and the receiving loop ended.
+TEST(Heartbeat, aDatagramOfNestedArraysIsRefused) {
+  for (const std::size_t Depth : {300UL, 1100UL, 30'000UL}) {
+    const std::string Nested =
+        std::string(Depth, '[') + std::string(Depth, ']');
+    for (const std::string &Text : {Nested, R"({"a":)" + Nested + "}"}) {
+      CHECK_FALSE(members::decodeHeartbeat(Text, Last_).has_value());
+      CHECK_FALSE(members::decodeRegionUpdate(Text, Last_).has_value());
+      CHECK_FALSE(members::decodeTokenMessage(Text, Last_).has_value());
+    }
+  }
+}
--- a/tests/relaying/RelayMessagesTest.cpp
+++ b/tests/relaying/RelayMessagesTest.cpp
@@ -96,3 +96,17 @@
   CHECK(Changes.Objects_[2].Deleted_);
   CHECK_FALSE(Changes.Objects_[2].ContentHash_.has_value());
 }
+
+// The parser throws beyond a depth of its own, and the server lost a connection
+// with each such message.
+TEST(RelayMessages, aMessageOfNestedArraysIsRefused) {
+  base::Error Last;
+  for (const std::size_t Depth : {300UL, 1100UL, 30'000UL}) {
+    const std::string Nested =
+        std::string(Depth, '[') + std::string(Depth, ']');
+    for (const std::string &Text : {Nested, R"({"a":)" + Nested + "}"}) {
+      CHECK_FALSE(relaying::decodeRequest(Text, Last).has_value());
+      CHECK_FALSE(relaying::decodeResponse(Text, Last).has_value());
+    }
+  }
+}
