Answers: a body without end is passed on until the request's deadline

Callers saw: an answer that went on past their deadline and their route's timeout, for as long as the target sent; or 504, where the target sent another request's answer without end and a second target would have answered.

Cause: an answer that is passed on was bounded by the progress of each step and not as a whole; an answer that is skipped was read to its end.

Change: where the caller or the route states a time, the answer ends with it, by a reset. An answer to another request is skipped up to 4 MiB.

Failed before: EndlessAnswer, both tests, with bodies by chunks and with another request's answer. They pass, and all tests of the gateway.

Why it works: a caller that states a time waits no longer, so that no sound answer is cut that it would have taken.

--- a/libs/gateway/CallerAnswer.cpp
+++ b/libs/gateway/CallerAnswer.cpp
@@ -4,6 +4,7 @@
 #include "gateway/HeaderPolicy.h"
 #include "gateway/Worker.h"
 
+#include <algorithm>
 #include <array>
 
 namespace lychee::gateway {
@@ -46,13 +47,14 @@
   return Home_.shared().Settings_.Names_;
 }
 
-void CallerAnswer::bound() {
+void CallerAnswer::bound(base::TimePoint Limit) {
   Watch &Bound = Caller_.watch();
   if (Bound.cause() == Watch::Cause::Expired)
     Bound.rearm();
   Bound.watchHangUp(-1);
-  Bound.expireAt(base::SystemClock::monotonicNow() +
-                 Home_.shared().Settings_.ProgressTimeout_);
+  Bound.expireAt(
+      std::min(Limit, base::SystemClock::monotonicNow() +
+                          Home_.shared().Settings_.ProgressTimeout_));
 }
 
 bool CallerAnswer::keepsAlive() const {
@@ -178,7 +180,8 @@
   co_return KeepAlive ? Ending::KeepAlive : Ending::Close;
 }
 
-Task<Ending> CallerAnswer::relay(TargetSend &Send, steering::SendOutcome &End) {
+Task<Ending> CallerAnswer::relay(TargetSend &Send, base::TimePoint Limit,
+                                 steering::SendOutcome &End) {
   const auto &Head = Send.answer().message();
   Status_ = static_cast<int>(Head.result_int());
   Outcome_ = "answer-cut";
@@ -187,7 +190,7 @@
   const std::string Text =
       answerHeadFor(Head, {Id_.name(), Body, KeepAlive, toldToHost()}, names());
   End = steering::SendOutcome::Cancelled;
-  bound();
+  bound(Limit);
   const std::array First{bufferOf(Text)};
   bool Written = co_await Caller_.write(First);
   if (!Written)
@@ -199,7 +202,7 @@
     const std::string_view After = HasChunk ? "\r\n" : "";
     const std::array Pieces{bufferOf(SizeLine), bufferOf(Piece),
                             bufferOf(After)};
-    bound();
+    bound(Limit);
     if (!Piece.empty())
       Written = co_await Caller_.write(Pieces);
     if (!Written)
@@ -208,7 +211,7 @@
       break;
     Piece.resize(RelayBytes);
     std::size_t Got = 0;
-    bound();
+    bound(Limit);
     const TargetSend::Failure Cut = co_await Send.readOn(Piece, Got);
     if (Cut) {
       End = *Cut;
--- a/libs/gateway/CallerAnswer.h
+++ b/libs/gateway/CallerAnswer.h
@@ -47,9 +47,11 @@
   /// Passes on an answer that is held whole.
   Task<Ending> sendHeld(const TargetSend &Send);
 
-  /// Passes on an answer piece by piece. \param End  becomes how the send to
+  /// Passes on an answer piece by piece. \param Limit  ends it, whole or not: a
+  /// target's bytes may come without end. \param End  becomes how the send to
   /// the target ended.
-  Task<Ending> relay(TargetSend &Send, steering::SendOutcome &End);
+  Task<Ending> relay(TargetSend &Send, base::TimePoint Limit,
+                     steering::SendOutcome &End);
 
   /// The request was written to a target, at least in part.
   void noteSend() noexcept { ++Sends_; }
@@ -65,7 +67,7 @@
 private:
   Task<bool> dropSmallBody();
   Task<Ending> writeText(const std::string &Text, bool KeepAlive);
-  void bound();
+  void bound(base::TimePoint Limit = base::TimePoint::max());
   bool keepsAlive() const;
   /// \returns nothing where no host forwarded the request.
   std::optional<ToldToHost> toldToHost() const;
--- a/libs/gateway/Forwarding.cpp
+++ b/libs/gateway/Forwarding.cpp
@@ -72,6 +72,7 @@
   base::Duration Allowed = Read.Deadline_.value_or(ServiceDeadline_);
   if (Found.Timeout_)
     Allowed = std::min(Allowed, *Found.Timeout_);
+  IsTimeStated_ = Read.Deadline_ || Found.Timeout_;
   Request_.ArrivedAt_ = Now;
   Request_.Deadline_ = Now + Allowed;
   Request_.StatedTime_ = Read.Deadline_.value_or(base::Duration::zero());
@@ -447,7 +448,7 @@
     co_return co_await Answer_.sendHeld(Send);
   }
   SendOutcome End = SendOutcome::Answered;
-  const Ending Ended = co_await Answer_.relay(Send, End);
+  const Ending Ended = co_await Answer_.relay(Send, answerLimit(), End);
   steering::SendReport Report = Send.report(End);
   Report.AnswerStarted_ = true;
   finish(Report);
@@ -457,6 +458,10 @@
   co_return Ended;
 }
 
+base::TimePoint Forwarding::answerLimit() const {
+  return IsTimeStated_ ? Request_.Deadline_ : base::TimePoint::max();
+}
+
 Task<Ending> Forwarding::handleFailure(TargetSend &Send, SendOutcome End,
                                        bool &Again) {
   finish(Send.report(End));
--- a/libs/gateway/Forwarding.h
+++ b/libs/gateway/Forwarding.h
@@ -48,6 +48,9 @@
   /// Reads a piece of the body that is not held.
   Task<TargetSend::Failure> readPiece(std::string &Piece);
   Task<Ending> answer(TargetSend &Send, bool &Again);
+  /// \returns until when an answer may go on. A service's own deadline bounds
+  /// no long answer, as its progress is bounded.
+  base::TimePoint answerLimit() const;
   /// \returns the refusal where the key does not hold any more.
   std::optional<steering::Decision> recheckKey();
   Task<Ending> handleFailure(TargetSend &Send, steering::SendOutcome End,
@@ -68,6 +71,8 @@
   const Identity Identity_;
   steering::Request Request_;
   base::Duration ServiceDeadline_{};
+  /// The caller or the route states how long the request may take.
+  bool IsTimeStated_ = false;
   steering::Decision Decision_;
   /// The caller's headers as they go to a target.
   std::string Fields_;
--- a/libs/gateway/TargetSend.cpp
+++ b/libs/gateway/TargetSend.cpp
@@ -18,6 +18,8 @@
 constexpr int MaximumInterimAnswers = 8;
 /// Late answers to earlier requests before ours; more is a fault.
 constexpr int MaximumForeignAnswers = 4;
+/// Of such an answer; a longer one may have no end.
+constexpr std::size_t MaximumForeignBytes = 4UL << 20;
 /// A body longer than this may fill the connection, and the target may answer
 /// meanwhile. Shorter ones go into the connection's buffers whole.
 constexpr std::size_t WatchedBodyBytes = 16UL * 1024;
@@ -237,12 +239,16 @@
       co_return Came;
     if (Reader_->endsWithConnection())
       break;
-    while (!Reader_->isWhole()) {
+    std::size_t Total = 0;
+    while (!Reader_->isWhole() && Total < MaximumForeignBytes) {
       std::size_t Got = 0;
       End = co_await Reader_->readBody(Unwanted, Got);
       if (End != ReadEnd::Ok)
         co_return false;
+      Total += Got;
     }
+    if (!Reader_->isWhole())
+      break;
   }
   Unusable_ = true;
   co_return false;
