--- a/tests/gateway/SentAgainTest.cpp
+++ b/tests/gateway/SentAgainTest.cpp
@@ -7,7 +7,6 @@
 #include "CppUTest/TestHarness.h"
 
 namespace tests = lychee::tests;
-using lychee::steering::SendReport;
 using tests::Fixture;
 using tests::RawAnswer;
 using tests::RawClient;
--- a/tests/platform/ObjectClientTest.cpp
+++ b/tests/platform/ObjectClientTest.cpp
@@ -139,16 +139,17 @@
   static void checkOthersHold(const std::optional<live::ObjectBatch> &Read,
                               const BadText &Bad) {
     CHECK_TRUE_TEXT(Read.has_value(), Bad.Why_);
+    const live::ObjectBatch Batch = Read.value_or(live::ObjectBatch());
     std::map<std::string, Json::Value> Found;
-    for (const live::StoredObject &Each : Read->Objects_)
+    for (const live::StoredObject &Each : Batch.Objects_)
       Found[Each.Name_] = Each.Content_;
     LONGS_EQUAL_TEXT(3, Found.size(), Bad.Why_);
     LONGS_EQUAL_TEXT(3, Found["t1"]["slots"].asInt(), Bad.Why_);
     LONGS_EQUAL_TEXT(4, Found["t3"]["slots"].asInt(), Bad.Why_);
     CHECK_TRUE_TEXT(Found["t2"].isNull(), Bad.Why_);
-    STRCMP_EQUAL("t2", Read->Unreadable_.Name_.c_str());
-    LONGS_EQUAL(1, Read->Unreadable_.Count_);
-    CHECK_FALSE(Read->Unreadable_.Reason_.empty());
+    STRCMP_EQUAL("t2", Batch.Unreadable_.Name_.c_str());
+    LONGS_EQUAL(1, Batch.Unreadable_.Count_);
+    CHECK_FALSE(Batch.Unreadable_.Reason_.empty());
   }
 };
 
@@ -176,8 +177,9 @@
         std::string(R"({"metadata":{"name":5}})")}) {
     const auto Read = list({{listOf({Bad, Good, Bad}), ""}});
     CHECK_TRUE(Read.has_value());
-    LONGS_EQUAL(1, Read->Objects_.size());
-    LONGS_EQUAL(2, Read->Unreadable_.Count_);
+    const live::ObjectBatch Batch = Read.value_or(live::ObjectBatch());
+    LONGS_EQUAL(1, Batch.Objects_.size());
+    LONGS_EQUAL(2, Batch.Unreadable_.Count_);
   }
 }
 
