Stop: say what each request that is cut was waiting for

The hypotheses on requests lost at a stop could not be told apart: a stop-cut line named an id only, and a send that the host gave up looked like one that its target lost.

stop-cut has the stage (reading, waiting, at-target, answering) and the age, send-failed has timed_out=1 where the host gave it up.

--- a/apps/lycheed/DaemonParts.cpp
+++ b/apps/lycheed/DaemonParts.cpp
@@ -105,10 +105,13 @@
 }
 
 void tellStop(const gateway::StopSummary &Summary) {
-  for (const std::string &Each : Summary.CutRequests_)
-    reporting::logLine(
-        LogLevel::Warning,
-        base::KeyValueLine().add("event", "stop-cut").add("request", Each));
+  for (const gateway::CutRequest &Each : Summary.CutRequests_)
+    reporting::logLine(LogLevel::Warning,
+                       base::KeyValueLine()
+                           .add("event", "stop-cut")
+                           .add("request", Each.Id_)
+                           .add("stage", gateway::nameOf(Each.Stage_))
+                           .add("age_ms", base::toMilliseconds(Each.Age_)));
   reporting::logLine(LogLevel::Info,
                      base::KeyValueLine()
                          .add("event", "stop-ended")
--- a/apps/lycheed/DecisionReporter.cpp
+++ b/apps/lycheed/DecisionReporter.cpp
@@ -208,6 +208,7 @@
   Record.Status_ = Report.Status_;
   Record.HostSends_ = Report.HostSends_;
   Record.BodyGone_ = Report.BodyGone_;
+  Record.TimedOut_ = Report.TimedOut_;
   Record.StatedRate_ = describe(Report.Statement_.Rate_);
   if (!Record.StatedRate_.empty())
     StatedRates_.add();
--- a/libs/gateway/CallerAnswer.cpp
+++ b/libs/gateway/CallerAnswer.cpp
@@ -92,6 +92,7 @@
 }
 
 Task<Ending> CallerAnswer::writeText(const std::string &Text, bool KeepAlive) {
+  Caller_.noteStage(RequestStage::Answering);
   bound();
   const std::array Pieces{bufferOf(Text)};
   const bool Written = co_await Caller_.write(Pieces);
@@ -164,6 +165,7 @@
 }
 
 Task<Ending> CallerAnswer::sendHeld(const TargetSend &Send) {
+  Caller_.noteStage(RequestStage::Answering);
   const auto &Head = Send.answer().message();
   Status_ = static_cast<int>(Head.result_int());
   Outcome_ = "answered";
@@ -182,6 +184,7 @@
 
 Task<Ending> CallerAnswer::relay(TargetSend &Send, base::TimePoint Limit,
                                  steering::SendOutcome &End) {
+  Caller_.noteStage(RequestStage::Answering);
   const auto &Head = Send.answer().message();
   Status_ = static_cast<int>(Head.result_int());
   Outcome_ = "answer-cut";
--- a/libs/gateway/CallerConnection.cpp
+++ b/libs/gateway/CallerConnection.cpp
@@ -29,6 +29,19 @@
     Interrupt_();
 }
 
+void CallerConnection::noteRequest(std::string_view Id, base::TimePoint Now) {
+  RequestId_ = Id;
+  Stage_ = RequestStage::Reading;
+  RequestSince_ = Now;
+}
+
+std::optional<CutRequest>
+CallerConnection::requestInProgress(base::TimePoint Now) const {
+  if (RequestId_.empty())
+    return std::nullopt;
+  return CutRequest{RequestId_, Stage_, Now - RequestSince_};
+}
+
 Task<bool>
 CallerConnection::write(std::span<const boost::asio::const_buffer> Pieces) {
   if (Watch_.cause() == Watch::Cause::HungUp)
--- a/libs/gateway/CallerConnection.h
+++ b/libs/gateway/CallerConnection.h
@@ -3,11 +3,13 @@
 
 #include "base/Time.h"
 #include "gateway/AsioTypes.h"
+#include "gateway/RequestStage.h"
 #include "gateway/Watch.h"
 
 #include <boost/intrusive/list.hpp>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -47,9 +49,12 @@
   void markBusy() noexcept { IdleSince_ = base::TimePoint::max(); }
   base::TimePoint idleSince() const noexcept { return IdleSince_; }
 
-  /// The request in progress, for the account of a stop that cuts it.
-  void noteRequest(std::string_view Id) { RequestId_ = Id; }
-  const std::string &requestId() const noexcept { return RequestId_; }
+  /// The request in progress, for the account of a stop that cuts it; empty:
+  /// none is.
+  void noteRequest(std::string_view Id, base::TimePoint Now);
+  void noteStage(RequestStage Stage) noexcept { Stage_ = Stage; }
+  /// \returns the request in progress; nothing where none is.
+  std::optional<CutRequest> requestInProgress(base::TimePoint Now) const;
 
   /// Ends the connection with a reset where \p Visibly, so that the caller
   /// cannot take what it has for a whole answer.
@@ -64,6 +69,8 @@
   std::uint32_t Address_ = 0;
   std::function<void()> Interrupt_;
   std::string RequestId_;
+  RequestStage Stage_ = RequestStage::Reading;
+  base::TimePoint RequestSince_;
   base::TimePoint IdleSince_ = base::TimePoint::max();
 };
 
--- a/libs/gateway/Exchange.cpp
+++ b/libs/gateway/Exchange.cpp
@@ -11,12 +11,12 @@
                    RequestReader &Reader)
     : Home_(Home), Caller_(Caller), Reader_(Reader), Id_(Home.makeRequestId()),
       Answer_(Home, Caller, Reader, Read_, Id_) {
-  Caller_.noteRequest(Id_.name());
+  Caller_.noteRequest(Id_.name(), base::SystemClock::monotonicNow());
   Home_.shared().InFlight_.fetch_add(1);
 }
 
 Exchange::~Exchange() {
-  Caller_.noteRequest({});
+  Caller_.noteRequest({}, base::SystemClock::monotonicNow());
   Home_.shared().InFlight_.fetch_sub(1);
 }
 
@@ -25,7 +25,7 @@
                                         Home_.shared().Settings_.Names_, Read_);
   if (!Read_.RequestId_.empty()) {
     Id_ = base::RequestId(Read_.RequestId_);
-    Caller_.noteRequest(Id_.name());
+    Caller_.noteRequest(Id_.name(), base::SystemClock::monotonicNow());
   }
   if (Fault) {
     ProblemDocument Problem;
--- a/libs/gateway/Forwarding.cpp
+++ b/libs/gateway/Forwarding.cpp
@@ -188,6 +188,7 @@
   GatewayState &Shared = Home_.shared();
   const std::uint64_t Ticket = Decision_.Ticket_;
   const auto Turn = Shared.Waiting_.enter(Ticket, Home_.executor());
+  Caller_.noteStage(RequestStage::Waiting);
   Caller_.interruptAlso([Turn] { Turn->wake(); });
   Caller_.watch().expireAt(Decision_.WaitUntil_ + WaitSlack);
   if (Reader_.isWhole())
@@ -219,6 +220,7 @@
 Task<std::optional<steering::Decision>> Forwarding::claim() {
   if (!NeedsClaim_ || Claimed_)
     co_return std::nullopt;
+  Caller_.noteStage(RequestStage::Waiting);
   const base::TimePoint Limit =
       base::SystemClock::monotonicNow() + ClaimTimeout;
   const ClaimAnswer Answered = co_await acquireClaim(
@@ -247,6 +249,7 @@
 }
 
 Task<Ending> Forwarding::send(bool &Again) {
+  Caller_.noteStage(RequestStage::AtTarget);
   const bool ToHost = !Decision_.Host_.empty();
   TargetPools &Pools =
       ToHost ? Home_.shared().HostPools_ : Home_.shared().Pools_;
--- a/libs/gateway/StopSequence.cpp
+++ b/libs/gateway/StopSequence.cpp
@@ -2,8 +2,10 @@
 
 #include "base/SystemClock.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <iterator>
 
 namespace lychee::gateway {
 
@@ -89,10 +91,10 @@
     Summary_.CutConnections_ = Shared_.Connections_;
   }
   for (const auto &Each : Workers_)
-    Each->cutAll([this](std::vector<std::string> Ids) {
+    Each->cutAll([this](std::vector<CutRequest> Cut) {
       const std::lock_guard Guard(Lock_);
-      Summary_.CutRequests_.insert(Summary_.CutRequests_.end(), Ids.begin(),
-                                   Ids.end());
+      std::move(Cut.begin(), Cut.end(),
+                std::back_inserter(Summary_.CutRequests_));
     });
 }
 
--- a/libs/gateway/StopSequence.h
+++ b/libs/gateway/StopSequence.h
@@ -15,8 +15,8 @@
 
 /// What came of a stop.
 struct StopSummary {
-  /// Ids of the requests that were cut; empty after a clean stop.
-  std::vector<std::string> CutRequests_;
+  /// The requests that were cut; empty after a clean stop.
+  std::vector<CutRequest> CutRequests_;
   /// Connections that were open when the stop's time ran out.
   std::uint32_t CutConnections_ = 0;
   base::Duration Took_{};
--- a/libs/gateway/Worker.cpp
+++ b/libs/gateway/Worker.cpp
@@ -75,12 +75,13 @@
   });
 }
 
-void Worker::cutAll(std::function<void(std::vector<std::string>)> Done) {
+void Worker::cutAll(std::function<void(std::vector<CutRequest>)> Done) {
   boost::asio::post(Context_, [this, Done = std::move(Done)] {
-    std::vector<std::string> Cut;
+    const base::TimePoint Now = base::SystemClock::monotonicNow();
+    std::vector<CutRequest> Cut;
     for (CallerConnection &Caller : Callers_) {
-      if (!Caller.requestId().empty())
-        Cut.push_back(Caller.requestId());
+      if (auto Request = Caller.requestInProgress(Now))
+        Cut.push_back(std::move(*Request));
       Caller.watch().fire(Watch::Cause::HungUp);
       Caller.close(true);
     }
--- a/libs/gateway/Worker.h
+++ b/libs/gateway/Worker.h
@@ -48,9 +48,9 @@
   /// that a request already on its way to us is not met by a closed door.
   void closeIdle(base::Duration IdleFor, base::TimePoint Now);
 
-  /// Ends every connection at once. \p Done hears the ids of the requests that
-  /// were in progress, on this worker's thread.
-  void cutAll(std::function<void(std::vector<std::string>)> Done);
+  /// Ends every connection at once. \p Done hears of the requests that were in
+  /// progress, on this worker's thread.
+  void cutAll(std::function<void(std::vector<CutRequest>)> Done);
 
   /// Hands decisions on waiting requests to their coroutines and gives back
   /// the room of those that nobody waits for.
--- a/libs/reporting/DecisionLog.cpp
+++ b/libs/reporting/DecisionLog.cpp
@@ -92,6 +92,8 @@
     Line.add("body_gone", 1);
   if (Taken.TookMs_ >= 0)
     Line.add("took_ms", Taken.TookMs_);
+  if (Taken.TimedOut_)
+    Line.add("timed_out", 1);
   if (Taken.Status_ != 0)
     Line.add("status", Taken.Status_);
   addUnlessEmpty(Line, "stated_rate", Taken.StatedRate_);
--- a/libs/reporting/DecisionLog.h
+++ b/libs/reporting/DecisionLog.h
@@ -90,6 +90,8 @@
   /// Of the end of a send: part of the request's body is no longer held, so
   /// that the request is not sent again.
   bool BodyGone_ = false;
+  /// Of the end of a send: no byte came for too long, and it was given up.
+  bool TimedOut_ = false;
   /// How long a send or request took; negative where it is not told.
   std::int64_t TookMs_ = -1;
   /// The answer's status, where the decision ends the request; else 0.
