--- a/tests/gateway/Fakes.h
+++ b/tests/gateway/Fakes.h
@@ -4,6 +4,7 @@
 #include "gateway/Collaborators.h"
 
 #include <atomic>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <set>
@@ -70,7 +71,13 @@
     return Made;
   }
 
-  void announceLeaving(base::TimePoint) override { Leaving_ = true; }
+  /// Called on the thread that begins the stop.
+  std::function<void()> OnLeaving_ = [] {};
+
+  void announceLeaving(base::TimePoint) override {
+    Leaving_ = true;
+    OnLeaving_();
+  }
 };
 
 /// Grants each key once; remembers how it ended.
--- a/tests/gateway/HedgeTest.cpp
+++ b/tests/gateway/HedgeTest.cpp
@@ -94,3 +94,50 @@
   LONGS_EQUAL(502, Answer.Status_);
   STRCMP_EQUAL("maybe", Answer.header("lychee-ran").c_str());
 }
+
+/// A target that works longer than usual on a request of a kept connection, so
+/// that a second copy is sent.
+TEST_GROUP(HedgeOfLongWork) {
+  Fixture Fixture_{1, {.Slots_ = 50}};
+  std::unique_ptr<RawClient> Caller_;
+  void setup() override {
+    Fixture_.Settings_.HedgeIdleLimit_ = {};
+    Fixture_.Settings_.Threads_ = 1;
+    Fixture_.Steering_->MaximumSends_ = 1;
+    Fixture_.start();
+    Caller_ = std::make_unique<RawClient>(Fixture_.address());
+    LONGS_EQUAL(200, Caller_->request("GET", "/s/warm").Status_);
+  }
+  /// Begins a request whose first copy is at work when this returns.
+  void beginLongWork() {
+    Caller_->send(tests::requestText("GET", "/s/x?work_ms=1000"));
+    CHECK(tests::waitFor([&] { return Fixture_.runs() == 2; }));
+  }
+};
+
+// The second copy was shed, and the caller got 502 though the first was at
+// work.
+TEST(HedgeOfLongWork, aSecondCopyThatIsShedLeavesTheFirstAtWork) {
+  beginLongWork();
+  Fixture_.target().setFaults(tests::faultsOf("shed=1"));
+  LONGS_EQUAL(200, Caller_->readAnswer().Status_);
+  LONGS_EQUAL(2, Fixture_.target().connectionsMade());
+  LONGS_EQUAL(2, Fixture_.runs());
+}
+
+// The second copy reset the connection on which the first was at work.
+TEST(HedgeOfLongWork, theFirstCopysAnswerIsTaken) {
+  beginLongWork();
+  Fixture_.target().setFaults(tests::faultsOf("slow_ms=20000"));
+  LONGS_EQUAL(200, Caller_->readAnswer().Status_);
+  LONGS_EQUAL(3, Fixture_.runs());
+  CHECK(
+      tests::waitFor([&] { return Fixture_.target().connectionsOpen() == 1; }));
+}
+
+TEST(HedgeOfLongWork, aSecondCopyThatIsWithheldLeavesTheFirstAtWork) {
+  beginLongWork();
+  Fixture_.Steering_->WithheldWrite_ = 3;
+  LONGS_EQUAL(200, Caller_->readAnswer().Status_);
+  LONGS_EQUAL(2, Fixture_.runs());
+}
--- a/tests/gateway/RawClient.cpp
+++ b/tests/gateway/RawClient.cpp
@@ -11,7 +11,7 @@
 
 namespace lychee::tests {
 
-RawClient::RawClient(const std::string &Address) {
+RawClient::RawClient(const std::string &Address, int ReceiveBytes) {
   const std::size_t Colon = Address.rfind(':');
   sockaddr_in Where{};
   Where.sin_family = AF_INET;
@@ -19,6 +19,9 @@
       htons(static_cast<std::uint16_t>(std::stoul(Address.substr(Colon + 1))));
   inet_pton(AF_INET, Address.substr(0, Colon).c_str(), &Where.sin_addr);
   Handle_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  if (ReceiveBytes > 0)
+    setsockopt(Handle_, SOL_SOCKET, SO_RCVBUF, &ReceiveBytes,
+               sizeof(ReceiveBytes));
   const timeval GiveUp{10, 0};
   setsockopt(Handle_, SOL_SOCKET, SO_RCVTIMEO, &GiveUp, sizeof(GiveUp));
   setsockopt(Handle_, SOL_SOCKET, SO_SNDTIMEO, &GiveUp, sizeof(GiveUp));
--- a/tests/gateway/RawClient.h
+++ b/tests/gateway/RawClient.h
@@ -28,7 +28,9 @@
 /// Reads give up after ten seconds, so that a test fails and does not hang.
 class RawClient {
 public:
-  explicit RawClient(const std::string &Address);
+  /// \param ReceiveBytes  size of the kernel's buffer for what is received;
+  /// 0: the usual one.
+  explicit RawClient(const std::string &Address, int ReceiveBytes = 0);
   RawClient(const RawClient &) = delete;
   RawClient &operator=(const RawClient &) = delete;
   ~RawClient();
--- a/tests/gateway/StopTest.cpp
+++ b/tests/gateway/StopTest.cpp
@@ -119,8 +119,10 @@
   Fixture_.gateway().requestStop();
   const StopSummary Summary = Fixture_.gateway().waitUntilStopped();
   LONGS_EQUAL(1, Summary.CutRequests_.size());
+  CHECK(Summary.CutRequests_.front().Stage_ ==
+        lychee::gateway::RequestStage::AtTarget);
   LONGS_EQUAL(1, Fixture_.target().counts().runsOfRequest(
-                     Summary.CutRequests_.front()));
+                     Summary.CutRequests_.front().Id_));
   LONGS_EQUAL(0, Caller.readAnswer().Status_);
   LONGS_EQUAL(0, Fixture_.Steering_->openTickets());
 }
@@ -138,3 +140,109 @@
   CHECK(
       tests::waitFor([&] { return Fixture_.target().connectionsOpen() == 0; }));
 }
+
+namespace {
+
+/// Closes to the caller's eyes: a request that the host refused, and that no
+/// target got.
+void checkRefusedAsNotRun(const RawAnswer &Answer) {
+  LONGS_EQUAL(503, Answer.Status_);
+  CHECK(Answer.Whole_);
+  STRCMP_EQUAL("no", Answer.header("lychee-ran").c_str());
+  STRCMP_EQUAL("close", Answer.header("connection").c_str());
+}
+
+} // namespace
+
+/// Callers may connect for most of the stop.
+TEST_GROUP(LateInStop) {
+  Fixture Fixture_{1, {.Slots_ = 50}};
+  void setup() override {
+    Fixture_.Settings_.LookupTimeToLive_ = std::chrono::milliseconds(1500);
+    Fixture_.Settings_.StopDeadline_ = std::chrono::milliseconds(2500);
+    Fixture_.start();
+  }
+  void stopAndPassHalfOfIt() {
+    Fixture_.gateway().requestStop();
+    std::this_thread::sleep_for(std::chrono::milliseconds(1350));
+  }
+};
+
+// The host took work that it had no time for, and reset it at the stop's end.
+TEST(LateInStop, workThatMayOutlastTheStopIsRefusedAsNotRun) {
+  stopAndPassHalfOfIt();
+  RawClient Caller(Fixture_.address());
+  checkRefusedAsNotRun(Caller.request("GET", "/s/x?work_ms=2000",
+                                      "Lychee-Deadline-Ms: 5000\r\n"));
+  LONGS_EQUAL(0, Fixture_.runs());
+  LONGS_EQUAL(0, Fixture_.gateway().waitUntilStopped().CutRequests_.size());
+}
+
+TEST(LateInStop, workWhoseDeadlineComesBeforeTheEndIsServed) {
+  stopAndPassHalfOfIt();
+  RawClient Caller(Fixture_.address());
+  LONGS_EQUAL(
+      200,
+      Caller.request("GET", "/s/x?work_ms=300", "Lychee-Deadline-Ms: 700\r\n")
+          .Status_);
+  LONGS_EQUAL(0, Fixture_.gateway().waitUntilStopped().CutRequests_.size());
+}
+
+// What waited for room when the stop was over was reset, though nothing of it
+// had run.
+TEST(LateInStop, whatWaitsAtTheEndIsRefusedAsNotRun) {
+  Fixture_.Steering_->Limit_ = 1;
+  RawClient Busy(Fixture_.address());
+  Busy.send(tests::requestText("POST", "/s/x?work_ms=60000", "", "abc"));
+  CHECK(tests::waitFor([&] { return Fixture_.runs() == 1; }));
+  RawClient Waiting(Fixture_.address());
+  Waiting.send(tests::requestText("POST", "/s/x", "", "abc"));
+  CHECK(tests::waitFor([&] { return Fixture_.Steering_->waiting() == 1; }));
+  Fixture_.gateway().requestStop();
+  checkRefusedAsNotRun(Waiting.readAnswer());
+  Fixture_.gateway().waitUntilStopped();
+  LONGS_EQUAL(1, Fixture_.runs());
+  LONGS_EQUAL(0, Fixture_.Steering_->openTickets());
+}
+
+/// Nobody has this host's address from a look-up.
+TEST_GROUP(StopAtOnce) {
+  Fixture Fixture_{1, {.Slots_ = 50}};
+  void setup() override {
+    Fixture_.Settings_.LookupTimeToLive_ = {};
+    Fixture_.Settings_.StopDeadline_ = std::chrono::seconds(20);
+    Fixture_.start();
+  }
+};
+
+// The stop was over while a connection still waited to be accepted.
+TEST(StopAtOnce, aConnectionThatWaitsToBeAcceptedIsServed) {
+  std::unique_ptr<RawClient> Caller;
+  Fixture_.Directory_.OnLeaving_ = [&] {
+    Caller = std::make_unique<RawClient>(Fixture_.address());
+    Caller->send(tests::requestText("POST", "/s/x?work_ms=300", "", "abc"));
+  };
+  Fixture_.gateway().requestStop();
+  Fixture_.gateway().waitUntilStopped();
+  LONGS_EQUAL(1, Fixture_.runs());
+  LONGS_EQUAL(0, Fixture_.gateway().inFlight());
+  LONGS_EQUAL(200, Caller->readAnswer().Status_);
+}
+
+// A close with unread bytes of the caller is a reset, which takes along what
+// the caller has not received yet of the answer before.
+TEST(StopAtOnce, anAnswerIsNotLostToBytesThatFollowItsRequest) {
+  constexpr int SmallBuffer = 4096;
+  RawClient Caller(Fixture_.address(), SmallBuffer);
+  Caller.send(tests::requestText("GET", "/s/x?work_ms=300&answer_bytes=60000"));
+  CHECK(tests::waitFor([&] { return Fixture_.runs() == 1; }));
+  Fixture_.gateway().requestStop();
+  CHECK(tests::waitFor([&] { return Fixture_.Directory_.Leaving_.load(); }));
+  Caller.send(tests::requestText("GET", "/s/x"));
+  CHECK(tests::waitFor([&] { return Fixture_.gateway().inFlight() == 0; }));
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  const RawAnswer Answer = Caller.readAnswer();
+  LONGS_EQUAL(200, Answer.Status_);
+  CHECK(Answer.Whole_);
+  LONGS_EQUAL(1, Fixture_.runs());
+}
--- a/tests/support/LiveFleet.cpp
+++ b/tests/support/LiveFleet.cpp
@@ -139,6 +139,8 @@
               "portal", 0}));
   Made["routes"]["rows"].append(
       listOf({"r-3", "a.example", "/z/", "idempotent", 2000, 1, "portal", 1}));
+  Made["routes"]["rows"].append(listOf({"r-4", "a.example", "/w/", "idempotent",
+                                        4000, MostTargets, "portal", 1}));
   for (std::size_t Each = 0; Each < MoreRules; ++Each) {
     const std::string Name = "more-" + std::to_string(Each);
     Made["routes"]["rows"].append(listOf({Name, "a.example", "/" + Name + "/",
--- a/tests/support/LiveFleet.h
+++ b/tests/support/LiveFleet.h
@@ -27,7 +27,8 @@
 
 /// Real hosts on the stand-in of the users' platform, with targets in this
 /// process. One customer "parish"; requests to /x/ may be repeated, those to
-/// /y/ may not, and those to /z/ may, but on one target only.
+/// /y/ may not, those to /z/ may, but on one target only, and those to /w/ may
+/// and take up to 4 s.
 /// \see TestFleet, hosts of the operators' own tree
 class LiveFleet {
 public:
