Stop: connections count from the moment that they are accepted

What callers saw: a host that was told to stop ended while their connection, or their first request, waited to be taken; they got a reset.

Cause: the stop is over when a count of connections is 0, a session raised it only when its coroutine began, and the listen queue was emptied after the first look at the count.

Change: a connection is counted when it is accepted, until its session has ended, and the stop goes on once the queue is empty and an accept that had completed before has handed its connection over.

Evidence: StopAtOnce.aConnectionThatWaitsToBeAcceptedIsServed failed before (the stop was over with 0 runs, or 1 request in flight), passes now. Shown in a test only, not in the users' record.

--- a/libs/gateway/CallerSession.cpp
+++ b/libs/gateway/CallerSession.cpp
@@ -42,11 +42,7 @@
 } // namespace
 
 CallerSession::CallerSession(Worker &Home, Socket Accepted)
-    : Home_(Home), Caller_(std::move(Accepted)) {
-  Home_.shared().Connections_.fetch_add(1);
-}
-
-CallerSession::~CallerSession() { Home_.shared().Connections_.fetch_sub(1); }
+    : Home_(Home), Caller_(std::move(Accepted)) {}
 
 Task<void> CallerSession::run() {
   bool GoesOn = true;
--- a/libs/gateway/CallerSession.h
+++ b/libs/gateway/CallerSession.h
@@ -16,7 +16,6 @@
   CallerSession(Worker &Home, Socket Accepted);
   CallerSession(const CallerSession &) = delete;
   CallerSession &operator=(const CallerSession &) = delete;
-  ~CallerSession();
 
   CallerConnection &connection() noexcept { return Caller_; }
 
--- a/libs/gateway/GatewayState.h
+++ b/libs/gateway/GatewayState.h
@@ -12,6 +12,7 @@
 #include <atomic>
 #include <cstdint>
 #include <mutex>
+#include <utility>
 
 namespace lychee::gateway {
 
@@ -34,6 +35,28 @@
   base::Duration IdleTimeout_{};
 };
 
+/// Counts a caller's connection from when it is accepted until its session has
+/// ended, so that a stop waits for those whose session is yet to begin.
+class ConnectionSlot {
+public:
+  explicit ConnectionSlot(std::atomic<std::uint32_t> &Count) noexcept
+      : Count_(&Count) {
+    Count_->fetch_add(1);
+  }
+  ConnectionSlot(ConnectionSlot &&Other) noexcept
+      : Count_(std::exchange(Other.Count_, nullptr)) {}
+  ConnectionSlot(const ConnectionSlot &) = delete;
+  ConnectionSlot &operator=(const ConnectionSlot &) = delete;
+  ConnectionSlot &operator=(ConnectionSlot &&) = delete;
+  ~ConnectionSlot() {
+    if (Count_ != nullptr)
+      Count_->fetch_sub(1);
+  }
+
+private:
+  std::atomic<std::uint32_t> *Count_;
+};
+
 /// What all workers of a gateway share.
 struct GatewayState {
   GatewayState(const GatewaySettings &Settings, const Collaborators &Others)
--- a/libs/gateway/Listener.cpp
+++ b/libs/gateway/Listener.cpp
@@ -87,7 +87,7 @@
   Accepted.write_some(boost::asio::buffer(Text), Ignored);
 }
 
-void Listener::drainBacklog() {
+Task<void> Listener::close() {
   // Callers in the kernel's queue are connected as far as they can see.
   ErrorCode Error;
   Acceptor_.non_blocking(true, Error);
@@ -97,10 +97,8 @@
       hand(std::move(Accepted));
   }
   Acceptor_.close(Error);
-}
-
-void Listener::close() {
-  boost::asio::post(Acceptor_.get_executor(), [this] { drainBacklog(); });
+  // An accept that had completed before hands its connection over now.
+  co_await boost::asio::post(Acceptor_.get_executor(), Await);
 }
 
 } // namespace lychee::gateway
--- a/libs/gateway/Listener.h
+++ b/libs/gateway/Listener.h
@@ -23,8 +23,9 @@
   bool open(const settings::Endpoint &At, base::Error &Failure);
   void start();
 
-  /// Takes what the kernel has accepted already, then closes. From any thread.
-  void close();
+  /// Takes what the kernel has accepted already, then closes. Each connection
+  /// is counted when this returns. On the thread of the first worker.
+  Task<void> close();
 
   settings::Endpoint endpoint() const { return Endpoint_; }
 
@@ -33,7 +34,6 @@
   void hand(Socket Accepted);
   /// Tells a caller over the connection limit so.
   void refuse(Socket &Accepted);
-  void drainBacklog();
 
   std::span<const std::unique_ptr<Worker>> Workers_;
   boost::asio::basic_socket_acceptor<Tcp, Executor> Acceptor_;
--- a/libs/gateway/StopSequence.cpp
+++ b/libs/gateway/StopSequence.cpp
@@ -52,7 +52,7 @@
   co_await pauseUntil(
       std::min(Deadline, Begin + Shared_.Settings_.LookupTimeToLive_));
   Shared_.Phase_ = Phase::Finishing;
-  Callers_.close();
+  co_await Callers_.close();
   co_await finishOpen(Deadline);
   if (Shared_.Connections_ > 0) {
     cut();
--- a/libs/gateway/Worker.cpp
+++ b/libs/gateway/Worker.cpp
@@ -20,7 +20,7 @@
 constexpr base::Duration ForgetPace = std::chrono::seconds(5);
 
 Task<void> runSession(Worker &Home, CallerConnectionList &Callers,
-                      Socket Accepted) {
+                      Socket Accepted, ConnectionSlot /*Counted*/) {
   CallerSession Session(Home, std::move(Accepted));
   Callers.push_back(Session.connection());
   co_await Session.run();
@@ -62,7 +62,8 @@
 void Worker::serve(Socket Accepted) {
   // An error that is not foreseen ends one connection, never the daemon.
   boost::asio::co_spawn(Context_,
-                        runSession(*this, Callers_, std::move(Accepted)),
+                        runSession(*this, Callers_, std::move(Accepted),
+                                   ConnectionSlot(Shared_.Connections_)),
                         [](const std::exception_ptr &) {});
 }
 
