Callers' connections: no close with unread bytes

What callers saw: an answer that broke off, or a reset in place of an answer, where the connection was closed after it, as a stop asks of each.

Cause: a close while bytes of the caller are unread is a reset, which takes along what the caller has not received yet. It met callers that had sent more than the request, bodies that were answered early, and a request that came in the moment in which an idle connection was closed.

Change: before a close, bytes that are there are read off (the linger that refusals have already); an early answer lingers, too; an idle connection whose wait is ended serves a request that is there.

--- a/libs/gateway/CallerAnswer.cpp
+++ b/libs/gateway/CallerAnswer.cpp
@@ -61,6 +61,12 @@
   return Read_.KeepAlive_ && Home_.shared().isServing() && Reader_.isWhole();
 }
 
+Ending CallerAnswer::endingOf(bool KeepAlive) const {
+  if (KeepAlive)
+    return Ending::KeepAlive;
+  return Reader_.isWhole() ? Ending::Close : Ending::Linger;
+}
+
 std::optional<ToldToHost> CallerAnswer::toldToHost() const {
   if (Read_.ForwardedBy_.empty())
     return std::nullopt;
@@ -96,11 +102,7 @@
   bound();
   const std::array Pieces{bufferOf(Text)};
   const bool Written = co_await Caller_.write(Pieces);
-  if (!Written)
-    co_return Ending::Close;
-  if (KeepAlive)
-    co_return Ending::KeepAlive;
-  co_return Reader_.isWhole() ? Ending::Close : Ending::Linger;
+  co_return Written ? endingOf(KeepAlive) : Ending::Close;
 }
 
 Task<Ending> CallerAnswer::refuse(ProblemDocument Problem) {
@@ -177,9 +179,7 @@
   bound();
   const std::array Pieces{bufferOf(Text), bufferOf(Send.heldBody())};
   const bool Written = co_await Caller_.write(Pieces);
-  if (!Written)
-    co_return Ending::Close;
-  co_return KeepAlive ? Ending::KeepAlive : Ending::Close;
+  co_return Written ? endingOf(KeepAlive) : Ending::Close;
 }
 
 Task<Ending> CallerAnswer::relay(TargetSend &Send, base::TimePoint Limit,
@@ -227,9 +227,7 @@
   const std::array Last{bufferOf(Body.Chunked_ ? LastChunk : "")};
   if (Body.Chunked_)
     Written = co_await Caller_.write(Last);
-  if (!Written)
-    co_return Ending::Close;
-  co_return KeepAlive ? Ending::KeepAlive : Ending::Close;
+  co_return Written ? endingOf(KeepAlive) : Ending::Close;
 }
 
 } // namespace lychee::gateway
--- a/libs/gateway/CallerAnswer.h
+++ b/libs/gateway/CallerAnswer.h
@@ -69,6 +69,8 @@
   Task<Ending> writeText(const std::string &Text, bool KeepAlive);
   void bound(base::TimePoint Limit = base::TimePoint::max());
   bool keepsAlive() const;
+  /// \returns what becomes of the connection after an answer that is whole.
+  Ending endingOf(bool KeepAlive) const;
   /// \returns nothing where no host forwarded the request.
   std::optional<ToldToHost> toldToHost() const;
   const Vocabulary &names() const;
--- a/libs/gateway/CallerConnection.cpp
+++ b/libs/gateway/CallerConnection.cpp
@@ -51,6 +51,11 @@
   co_return !Error;
 }
 
+bool CallerConnection::hasUnreadBytes() const noexcept {
+  ErrorCode Closed;
+  return Buffer_.size() > 0 || Socket_.available(Closed) > 0;
+}
+
 void CallerConnection::close(bool Visibly) noexcept {
   ErrorCode Ignored;
   if (Visibly)
--- a/libs/gateway/CallerConnection.h
+++ b/libs/gateway/CallerConnection.h
@@ -56,6 +56,10 @@
   /// \returns the request in progress; nothing where none is.
   std::optional<CutRequest> requestInProgress(base::TimePoint Now) const;
 
+  /// \returns whether bytes of the caller are there that were not used: a close
+  /// would be a reset, which takes an answer along that is still on its way.
+  bool hasUnreadBytes() const noexcept;
+
   /// Ends the connection with a reset where \p Visibly, so that the caller
   /// cannot take what it has for a whole answer.
   void close(bool Visibly) noexcept;
--- a/libs/gateway/CallerSession.cpp
+++ b/libs/gateway/CallerSession.cpp
@@ -51,6 +51,8 @@
     if (GoesOn)
       GoesOn = co_await serveOne();
   }
+  if (Caller_.hasUnreadBytes())
+    co_await linger();
   Caller_.close(false);
 }
 
@@ -69,7 +71,8 @@
   Caller_.buffer().shrink_to_fit();
   const auto [WaitFailure] = co_await Caller_.socket().async_wait(
       boost::asio::socket_base::wait_read, Await);
-  if (WaitFailure)
+  // A request may have come in the moment in which the wait was ended.
+  if (WaitFailure && !Caller_.hasUnreadBytes())
     co_return false;
   constexpr std::size_t FirstReadBytes = 8UL * 1024;
   const auto [Error, Count] = co_await Caller_.socket().async_read_some(
