Stop: no work is begun that may outlast it, and what is left at its end is answered

What callers saw: requests sent in the last seconds of a stop were passed on, and reset at its end while their targets worked on them; requests that waited for room were reset as well.

Cause: a stop took everything until its end and compared the time that a request may take with nothing. The end was 900 ms before the process is killed, during which nothing happened.

Change: StopWindow decides, before the decisions and before each send, whether a request is begun: where its deadline comes before the stop's end; in the first half, also where twice its expected time does. Else it is refused as not run, with a Retry-After of 50 ms and a close, so that another host has it after a round trip. At the end waiting requests are refused as not run, others told that they may have run; what is left 200 ms later is reset. The end is 400 ms before the kill.

--- a/apps/lycheed/LiveDaemon.cpp
+++ b/apps/lycheed/LiveDaemon.cpp
@@ -31,9 +31,9 @@
 constexpr std::chrono::milliseconds TimePace(200);
 /// A change of the settings file without a signal is seen within this.
 constexpr int FileCheckPaces = 10;
-/// A stop must be over this long before the process is ended by force. What is
-/// cut then was at work in the last sixth of a grace of 6 s.
-constexpr base::Duration StopMargin = std::chrono::milliseconds(900);
+/// From a stop's end to the end of the process by force: callers of what is
+/// left are told so, and a host that is short of processor time is late.
+constexpr base::Duration StopMargin = std::chrono::milliseconds(400);
 /// Callers that keep an answer of the directory three times as long as they
 /// should go on coming for this long.
 constexpr int LookupKeepFactor = 3;
--- a/libs/gateway/CallerAnswer.cpp
+++ b/libs/gateway/CallerAnswer.cpp
@@ -49,7 +49,7 @@
 
 void CallerAnswer::bound(base::TimePoint Limit) {
   Watch &Bound = Caller_.watch();
-  if (Bound.cause() == Watch::Cause::Expired)
+  if (Bound.cause() != Watch::Cause::HungUp)
     Bound.rearm();
   Bound.watchHangUp(-1);
   Bound.expireAt(
@@ -126,7 +126,14 @@
   co_return co_await refuse(problemFor(Refused, Id_.name()));
 }
 
+Task<Ending> CallerAnswer::refuseStopping(steering::Ran Ran) {
+  co_return co_await refuseFor(steering::Refusal::Stopping, Ran,
+                               ReturnToOtherHost);
+}
+
 Task<Ending> CallerAnswer::refuseBody(ReadEnd End, steering::Ran Ran) {
+  if (Caller_.watch().cause() == Watch::Cause::Stopped)
+    co_return co_await refuseStopping(Ran);
   const bool TimedOut = Caller_.watch().cause() == Watch::Cause::Expired;
   if (End == ReadEnd::Closed || (End == ReadEnd::Cut && !TimedOut)) {
     Outcome_ = "hung-up";
--- a/libs/gateway/CallerAnswer.h
+++ b/libs/gateway/CallerAnswer.h
@@ -28,6 +28,11 @@
 /// request whether the connection can carry another. \see Exchange
 class CallerAnswer {
 public:
+  /// What a caller is told to wait that a host turns away because it stops:
+  /// another host takes the request at once.
+  static constexpr base::Duration ReturnToOtherHost =
+      std::chrono::milliseconds(50);
+
   /// All outlive it.
   CallerAnswer(Worker &Home, CallerConnection &Caller, RequestReader &Reader,
                const CallerRequest &Read, const base::RequestId &Id);
@@ -40,6 +45,8 @@
   Task<Ending> refuse(ProblemDocument Problem);
   Task<Ending> refuseFor(steering::Refusal Reason, steering::Ran Ran,
                          base::Duration RetryAfter = {});
+  /// This host stops.
+  Task<Ending> refuseStopping(steering::Ran Ran);
   /// The body broke off, took too long, was malformed or too large.
   Task<Ending> refuseBody(ReadEnd End, steering::Ran Ran);
   Task<Ending> sendJson(int Status, std::string_view Body);
--- a/libs/gateway/Forwarding.cpp
+++ b/libs/gateway/Forwarding.cpp
@@ -115,7 +115,9 @@
                           std::string(Read_.IdempotencyKey_),
                           Request_.Fingerprint_, Request_.Deadline_};
   const base::TimePoint Now = base::SystemClock::monotonicNow();
-  Decision_ = Home_.shared().Others_.Steering_.arrive(Request_, Now);
+  const auto Stopping = recheckStop(std::nullopt);
+  Decision_ = Stopping ? *Stopping
+                       : Home_.shared().Others_.Steering_.arrive(Request_, Now);
   noteDecision(Now);
   const Ending End = co_await followDecisions();
   Home_.shared().Others_.Listener_.requestEnded(
@@ -169,7 +171,14 @@
     auto Refused = co_await claim();
     if (!Refused)
       Refused = recheckKey();
+    if (!Refused)
+      Refused = recheckStop(
+          Decision_.Inputs_
+              ? std::optional(Decision_.Inputs_->ExpectedResponseTime_)
+              : std::nullopt);
     if (Refused) {
+      settle(Ran_ == steering::Ran::No ? ClaimEnd::NotRun : ClaimEnd::Unknown,
+             0);
       finish({.Outcome_ = SendOutcome::Cancelled});
       Decision_ = *Refused;
       noteDecision(base::SystemClock::monotonicNow());
@@ -211,6 +220,11 @@
   } else {
     Shared.Others_.Steering_.cancel(Ticket, Now);
   }
+  if (Caller_.watch().cause() == Watch::Cause::Stopped) {
+    Decision_ = stoppingRefusal();
+    noteDecision(Now);
+    co_return true;
+  }
   Decision_ = {};
   Decision_.Refusal_ = steering::Refusal::DeadlineExceeded;
   Decision_.Ran_ = Ran_;
@@ -434,6 +448,24 @@
   return Refused;
 }
 
+std::optional<steering::Decision>
+Forwarding::recheckStop(std::optional<base::Duration> Expected) {
+  const auto Stop = Home_.shared().stopWindow();
+  if (!Stop || Stop->mayBegin(answerLimit(), Expected,
+                              base::SystemClock::monotonicNow()))
+    return std::nullopt;
+  return stoppingRefusal();
+}
+
+steering::Decision Forwarding::stoppingRefusal() const {
+  steering::Decision Refused;
+  Refused.Refusal_ = steering::Refusal::Stopping;
+  Refused.Ran_ = Ran_;
+  Refused.RetryAfter_ = CallerAnswer::ReturnToOtherHost;
+  Refused.SettingsVersion_ = Home_.shared().Others_.Router_.settingsVersion();
+  return Refused;
+}
+
 Task<Ending> Forwarding::answer(TargetSend &Send, bool &Again) {
   if (Send.isWhole()) {
     // Reported before the caller is written to: the target's room is free now,
@@ -482,6 +514,8 @@
     co_return co_await Answer_.refuseBody(BodyEnd_, Ran);
   if (Caller_.watch().cause() == Watch::Cause::HungUp)
     co_return Ending::Close;
+  if (Caller_.watch().cause() == Watch::Cause::Stopped)
+    co_return co_await Answer_.refuseStopping(Ran);
   co_return co_await Answer_.refuseFor(steering::Refusal::DeadlineExceeded,
                                        Ran);
 }
--- a/libs/gateway/Forwarding.h
+++ b/libs/gateway/Forwarding.h
@@ -53,6 +53,11 @@
   base::TimePoint answerLimit() const;
   /// \returns the refusal where the key does not hold any more.
   std::optional<steering::Decision> recheckKey();
+  /// \returns the refusal where the host stops and the request may outlast
+  /// that.
+  std::optional<steering::Decision>
+  recheckStop(std::optional<base::Duration> Expected);
+  steering::Decision stoppingRefusal() const;
   Task<Ending> handleFailure(TargetSend &Send, steering::SendOutcome End,
                              bool &Again);
   Task<Ending> endCancelled(const TargetSend &Send);
--- a/libs/gateway/GatewayState.h
+++ b/libs/gateway/GatewayState.h
@@ -8,10 +8,12 @@
 #include "gateway/WaitingRoom.h"
 
 #include "gateway/MessageReader.h"
+#include "gateway/StopWindow.h"
 
 #include <atomic>
 #include <cstdint>
 #include <mutex>
+#include <optional>
 #include <utility>
 
 namespace lychee::gateway {
@@ -83,6 +85,18 @@
 
   bool isServing() const noexcept { return Phase_ == Phase::Serving; }
 
+  /// A stop begins.
+  void beginStop(base::TimePoint Now) noexcept {
+    StopBegin_ = Now;
+    Phase_ = Phase::Leaving;
+  }
+  /// \returns nothing while no stop has begun.
+  std::optional<StopWindow> stopWindow() const noexcept {
+    if (isServing())
+      return std::nullopt;
+    return StopWindow(StopBegin_, Settings_.StopDeadline_);
+  }
+
   /// Operators changed what a caller may send and how long it may take.
   void setCallerLimits(const CallerLimits &Limits) {
     const std::lock_guard Guard(LimitsLock_);
@@ -96,6 +110,8 @@
   }
 
 private:
+  std::atomic<base::TimePoint> StopBegin_ = base::TimePoint();
+
   CallerLimits limits() const {
     const std::lock_guard Guard(LimitsLock_);
     return CallerLimits_;
--- a/libs/gateway/StopSequence.cpp
+++ b/libs/gateway/StopSequence.cpp
@@ -15,8 +15,10 @@
 /// A connection idle for less may have a request on its way to us. Round trips
 /// to callers are some tens of milliseconds; this is many of them.
 constexpr base::Duration IdleBeforeClose = std::chrono::seconds(1);
-/// Time for cut exchanges to report their ends before the loop ends.
-constexpr base::Duration CutGrace = std::chrono::milliseconds(500);
+/// Time in which callers of requests that are ended are told so.
+constexpr base::Duration AnswerGrace = std::chrono::milliseconds(200);
+/// Time for exchanges that are reset to report their ends.
+constexpr base::Duration ResetGrace = std::chrono::milliseconds(50);
 
 } // namespace
 
@@ -47,19 +49,15 @@
 Task<void> StopSequence::run() {
   const base::TimePoint Begin = base::SystemClock::monotonicNow();
   const base::TimePoint Deadline = Begin + Shared_.Settings_.StopDeadline_;
-  Shared_.Phase_ = Phase::Leaving;
+  Shared_.beginStop(Begin);
   Shared_.Others_.Directory_.announceLeaving(Begin);
   co_await pauseUntil(
       std::min(Deadline, Begin + Shared_.Settings_.LookupTimeToLive_));
   Shared_.Phase_ = Phase::Finishing;
   co_await Callers_.close();
   co_await finishOpen(Deadline);
-  if (Shared_.Connections_ > 0) {
-    cut();
-    const base::TimePoint Now = base::SystemClock::monotonicNow();
-    CutNow_ = false;
-    co_await finishOpen(Now + CutGrace);
-  }
+  if (Shared_.Connections_ > 0)
+    co_await endAll();
   Shared_.Phase_ = Phase::Stopped;
   const std::lock_guard Guard(Lock_);
   Summary_.Took_ = base::SystemClock::monotonicNow() - Begin;
@@ -85,17 +83,22 @@
   }
 }
 
-void StopSequence::cut() {
+Task<void> StopSequence::endAll() {
   {
     const std::lock_guard Guard(Lock_);
     Summary_.CutConnections_ = Shared_.Connections_;
   }
+  CutNow_ = false;
   for (const auto &Each : Workers_)
-    Each->cutAll([this](std::vector<CutRequest> Cut) {
+    Each->endAll([this](std::vector<CutRequest> Cut) {
       const std::lock_guard Guard(Lock_);
       std::move(Cut.begin(), Cut.end(),
                 std::back_inserter(Summary_.CutRequests_));
     });
+  co_await finishOpen(base::SystemClock::monotonicNow() + AnswerGrace);
+  for (const auto &Each : Workers_)
+    Each->resetAll();
+  co_await finishOpen(base::SystemClock::monotonicNow() + ResetGrace);
 }
 
 } // namespace lychee::gateway
--- a/libs/gateway/StopSequence.h
+++ b/libs/gateway/StopSequence.h
@@ -26,9 +26,10 @@
 /// look-ups leave this host out; callers that have cached an answer are served
 /// until its time to live is over, each answer asking them to connect anew;
 /// then no connection is taken, what is in flight ends, and idle connections
-/// are closed once they have been idle for a while. The stop's deadline, or a
-/// second call, cuts what is left and says what that was.
-/// \see docs/design/graceful-stop.md
+/// are closed once they have been idle for a while. No work is begun that may
+/// outlast the stop. The stop's deadline, or a second call, ends what is left:
+/// each caller is told what became of its request, and the summary says what
+/// was cut. \see StopWindow, docs/design/graceful-stop.md
 class StopSequence {
 public:
   /// All outlive it.
@@ -38,7 +39,7 @@
   StopSequence(const StopSequence &) = delete;
   StopSequence &operator=(const StopSequence &) = delete;
 
-  /// Begins; a second call cuts what is left. From any thread.
+  /// Begins; a second call ends what is left. From any thread.
   void request();
 
   /// Waits until the stop is over.
@@ -48,7 +49,7 @@
   Task<void> run();
   Task<void> pauseUntil(base::TimePoint Moment);
   Task<void> finishOpen(base::TimePoint Deadline);
-  void cut();
+  Task<void> endAll();
 
   GatewayState &Shared_;
   std::span<const std::unique_ptr<Worker>> Workers_;
--- a/libs/gateway/TargetSend.cpp
+++ b/libs/gateway/TargetSend.cpp
@@ -351,6 +351,7 @@
   if (!AnswerSeen_ && Written_ > 0 && Bound.cause() != Watch::Cause::HungUp)
     Pool_->closeOlderThan(FirstWrite_);
   if (Bound.cause() == Watch::Cause::HungUp ||
+      Bound.cause() == Watch::Cause::Stopped ||
       (Bound.fired() && Now >= Deadline_))
     return steering::SendOutcome::Cancelled;
   if (AnswerSeen_)
--- a/libs/gateway/Watch.h
+++ b/libs/gateway/Watch.h
@@ -20,7 +20,13 @@
 /// Of one thread. \see Watchdog
 class Watch : public WatchHook {
 public:
-  enum class Cause { None, Expired, HungUp };
+  enum class Cause {
+    None,
+    Expired,
+    HungUp,
+    /// The host's stop is over.
+    Stopped,
+  };
 
   explicit Watch(std::function<void()> OnFire) : OnFire_(std::move(OnFire)) {}
   Watch(const Watch &) = delete;
--- a/libs/gateway/Worker.cpp
+++ b/libs/gateway/Worker.cpp
@@ -76,17 +76,26 @@
   });
 }
 
-void Worker::cutAll(std::function<void(std::vector<CutRequest>)> Done) {
+void Worker::endAll(std::function<void(std::vector<CutRequest>)> Done) {
   boost::asio::post(Context_, [this, Done = std::move(Done)] {
     const base::TimePoint Now = base::SystemClock::monotonicNow();
     std::vector<CutRequest> Cut;
     for (CallerConnection &Caller : Callers_) {
-      if (auto Request = Caller.requestInProgress(Now))
+      auto Request = Caller.requestInProgress(Now);
+      if (Request && Request->Stage_ != RequestStage::Waiting)
         Cut.push_back(std::move(*Request));
+      Caller.watch().fire(Watch::Cause::Stopped);
+    }
+    Done(std::move(Cut));
+  });
+}
+
+void Worker::resetAll() {
+  boost::asio::post(Context_, [this] {
+    for (CallerConnection &Caller : Callers_) {
       Caller.watch().fire(Watch::Cause::HungUp);
       Caller.close(true);
     }
-    Done(std::move(Cut));
   });
 }
 
--- a/libs/gateway/Worker.h
+++ b/libs/gateway/Worker.h
@@ -48,9 +48,11 @@
   /// that a request already on its way to us is not met by a closed door.
   void closeIdle(base::Duration IdleFor, base::TimePoint Now);
 
-  /// Ends every connection at once. \p Done hears of the requests that were in
-  /// progress, on this worker's thread.
-  void cutAll(std::function<void(std::vector<CutRequest>)> Done);
+  /// Ends what every connection waits for. \p Done hears of the requests that
+  /// were in progress, but for those that only waited, on this worker's thread.
+  void endAll(std::function<void(std::vector<CutRequest>)> Done);
+  /// Resets the connections that are left.
+  void resetAll();
 
   /// Hands decisions on waiting requests to their coroutines and gives back
   /// the room of those that nobody waits for.
--- a/tests/gateway/StopTest.cpp
+++ b/tests/gateway/StopTest.cpp
@@ -110,7 +110,8 @@
 }
 
 // A request would take a minute. A second signal ends the stop at once: the
-// request is cut visibly, its end is reported, and the summary names it.
+// caller is told that it may have run, its end is reported, and the summary
+// names it.
 TEST(Stop, aSecondSignalCutsAndSaysWhat) {
   RawClient Caller(Fixture_.address());
   Caller.send(tests::requestText("POST", "/s/x?work_ms=60000", "", "abc"));
@@ -123,7 +124,10 @@
         lychee::gateway::RequestStage::AtTarget);
   LONGS_EQUAL(1, Fixture_.target().counts().runsOfRequest(
                      Summary.CutRequests_.front().Id_));
-  LONGS_EQUAL(0, Caller.readAnswer().Status_);
+  const RawAnswer Answer = Caller.readAnswer();
+  LONGS_EQUAL(502, Answer.Status_);
+  STRCMP_EQUAL("maybe", Answer.header("lychee-ran").c_str());
+  STRCMP_EQUAL("close", Answer.header("connection").c_str());
   LONGS_EQUAL(0, Fixture_.Steering_->openTickets());
 }
 
--- /dev/null
+++ b/tests/gateway/StopWindowTest.cpp
@@ -0,0 +1,42 @@
+#include "gateway/StopWindow.h"
+
+#include "CppUTest/TestHarness.h"
+
+using lychee::base::Duration;
+using lychee::base::TimePoint;
+using lychee::gateway::StopWindow;
+using namespace std::chrono_literals;
+
+TEST_GROUP(StopWindow) {
+  const TimePoint Begin_ = TimePoint(100s);
+  const StopWindow Stop_{Begin_, 6s};
+
+  bool mayBegin(Duration After, Duration Allowed,
+                std::optional<Duration> Expected = std::nullopt) const {
+    return Stop_.mayBegin(Begin_ + After + Allowed, Expected, Begin_ + After);
+  }
+};
+
+TEST(StopWindow, workThatEndsInTimeBeginsAtAnyMoment) {
+  CHECK(mayBegin(0s, 4s, 3s));
+  CHECK(mayBegin(1900ms, 4s, 3s));
+  CHECK(mayBegin(5s, 800ms));
+}
+
+TEST(StopWindow, anAnswerMustBeWrittenBeforeTheEnd) {
+  CHECK_FALSE(mayBegin(5s, 1s));
+  CHECK_FALSE(mayBegin(5s, 980ms));
+}
+
+TEST(StopWindow, earlyInAStopWorkOfAnyDeadlineBeginsThatIsExpectedToEnd) {
+  CHECK(mayBegin(1s, 20s, 1s));
+  CHECK(mayBegin(1s, 20s));
+  CHECK_FALSE(mayBegin(1s, 20s, 3s));
+}
+
+// Work of usual length with a tail was begun, and the tail was cut.
+TEST(StopWindow, lateInAStopOnlyTheDeadlineCounts) {
+  CHECK(mayBegin(2900ms, 20s, 1s));
+  CHECK_FALSE(mayBegin(3s, 20s, 1ms));
+  CHECK_FALSE(mayBegin(3s, 20s));
+}
