Stop: a SIGTERM that comes again changes nothing

What callers saw: after a second SIGTERM within a stop every request at work was cut at once.

Cause: the gateway's second request for a stop means 'now'; the daemons passed on each signal, whichever it was.

Change: StopSignals passes the first signal on, and SIGINT always; each is logged. Both daemons use it.

Evidence: LiveStop.aSignalThatComesTwiceCutsNothing failed before, passes now.

--- a/apps/lycheed/Daemon.cpp
+++ b/apps/lycheed/Daemon.cpp
@@ -271,13 +271,14 @@
 }
 
 void Daemon::awaitSignal() {
-  Signals_.async_wait([this](const boost::system::error_code &Failure, int) {
-    if (Failure)
-      return;
-    // The first begins a graceful stop, the second cuts what is left.
-    Gateway_.requestStop();
-    awaitSignal();
-  });
+  Signals_.async_wait(
+      [this](const boost::system::error_code &Failure, int Number) {
+        if (Failure)
+          return;
+        if (Stop_.mayRequest(Number))
+          Gateway_.requestStop();
+        awaitSignal();
+      });
 }
 
 int Daemon::run() {
--- a/apps/lycheed/Daemon.h
+++ b/apps/lycheed/Daemon.h
@@ -12,6 +12,7 @@
 #include "lycheed/IntentRouter.h"
 #include "lycheed/KeyCheck.h"
 #include "lycheed/LoadReporter.h"
+#include "lycheed/StopSignals.h"
 #include "operations/OperatorRpc.h"
 #include "store/GuardedStore.h"
 #include "store/HttpStore.h"
@@ -67,6 +68,7 @@
   const std::uint64_t Incarnation_;
   boost::asio::io_context Control_;
   boost::asio::signal_set Signals_;
+  StopSignals Stop_;
   std::vector<std::thread> ControlThreads_;
 
   reporting::Metrics Metrics_;
--- a/apps/lycheed/LiveDaemon.cpp
+++ b/apps/lycheed/LiveDaemon.cpp
@@ -488,7 +488,7 @@
           return;
         if (Number == SIGHUP)
           reloadSettings();
-        else
+        else if (Stop_.mayRequest(Number))
           Gateway_.requestStop();
         awaitSignal();
       });
--- a/apps/lycheed/LiveDaemon.h
+++ b/apps/lycheed/LiveDaemon.h
@@ -9,6 +9,7 @@
 #include "lycheed/LiveEntry.h"
 #include "lycheed/LiveFeed.h"
 #include "lycheed/LiveReports.h"
+#include "lycheed/StopSignals.h"
 #include "members/HeartbeatExchange.h"
 #include "members/RegionExchange.h"
 #include "members/TokenExchange.h"
@@ -103,6 +104,7 @@
   members::HeartbeatExchange Heartbeats_;
   members::RegionExchange News_;
   std::vector<std::unique_ptr<transport::HttpServer>> Servers_;
+  StopSignals Stop_;
   std::thread ControlThread_;
   std::set<base::HostId> Heard_;
   bool Trusted_ = false;
