Second copies: the first answer is taken, and no copy ends the other

What callers saw: 502 or 504 in place of an answer on which a target was at work, around a SIGTERM and without one.

Cause: a kept connection that stays silent for longer than usual gets a second copy of its request. The host closed the first connection before the second copy was answered, whatever its target did: a dead connection and a target that works for long look alike. The target dropped the work. Where the second copy was then shed, refused or withheld, or met the patience of the first one, which was over already, the caller got 502.

Change: the first connection stays open and the first answer is taken; a copy that fails, or is turned away, leaves the other one awaited. The second copy has the time that the first one had before it is given up. Bytes that a read got count where its time was over in the same moment.

--- a/libs/gateway/Forwarding.cpp
+++ b/libs/gateway/Forwarding.cpp
@@ -318,16 +318,16 @@
   Caller_.watch().rearm();
   Home_.shared().Others_.Listener_.hedged(Request_, Decision_,
                                           base::SystemClock::monotonicNow());
-  TargetSend::Failure Failed = co_await Send.reopen();
-  if (!Failed)
-    Failed = withhold(Send);
-  if (!Failed)
-    Failed = co_await writeRequest(Send);
-  if (!Failed)
-    Failed = co_await Send.readAnswer(Read_.Method_ == "HEAD");
+  TargetSend::Failure Second = co_await Send.openSecond();
+  if (!Second)
+    Second = withhold(Send);
+  if (!Second)
+    Second = co_await writeRequest(Send);
+  TargetSend::Failure Failed =
+      co_await Send.readEitherAnswer(Second, Read_.Method_ == "HEAD");
   if (!Failed && Send.saysNotRun())
     Failed = SendOutcome::Shed;
-  // However the second send ended, the first one may have run.
+  // However this copy ended, the other one may have run.
   if (Failed && provesNotRun(*Failed))
     Failed = SendOutcome::LostBeforeResponse;
   co_return Failed;
--- a/libs/gateway/Forwarding.h
+++ b/libs/gateway/Forwarding.h
@@ -36,7 +36,8 @@
   /// \returns the refusal where the work may not run here now.
   Task<std::optional<steering::Decision>> claim();
   Task<Ending> send(bool &Again);
-  /// Sends an idempotent request once more, on a new connection.
+  /// Sends an idempotent request once more, on a new connection, and takes the
+  /// first answer.
   Task<TargetSend::Failure> hedge(TargetSend &Send);
   /// \returns a failure where the target no longer takes the request.
   TargetSend::Failure withhold(TargetSend &Send) const;
--- a/libs/gateway/MessageReader.cpp
+++ b/libs/gateway/MessageReader.cpp
@@ -70,10 +70,8 @@
   const auto [Error, Count] =
       co_await Peer_.async_read_some(Buffer_.prepare(Room), Await);
   SawEnd_ = Error == boost::asio::error::eof && !Bound_.fired();
-  if (Error || Bound_.fired())
-    co_return ReadEnd::Cut;
   Buffer_.commit(Count);
-  co_return ReadEnd::Ok;
+  co_return Error || Bound_.fired() ? ReadEnd::Cut : ReadEnd::Ok;
 }
 
 template <bool IsRequest> void MessageReader<IsRequest>::skipEmptyLines() {
--- a/libs/gateway/TargetSend.cpp
+++ b/libs/gateway/TargetSend.cpp
@@ -36,10 +36,7 @@
                        base::TimePoint Deadline, const base::RequestId &Id)
     : Home_(Home), Caller_(Caller), Pool_(std::move(Pool)), Deadline_(Deadline),
       Id_(Id) {
-  Caller_.interruptAlso([this] {
-    if (Connection_)
-      Connection_->close();
-  });
+  Caller_.interruptAlso([this] { interrupt(); });
 }
 
 TargetSend::~TargetSend() {
@@ -47,6 +44,18 @@
   Caller_.interruptAlso({});
 }
 
+void TargetSend::interrupt() {
+  ErrorCode Ignored;
+  if (Connection_ && Silent_)
+    Connection_->socket().cancel(Ignored);
+  else if (Connection_)
+    Connection_->close();
+  const bool EndsBoth =
+      AwaitsBoth_ || Caller_.watch().cause() != Watch::Cause::Expired;
+  if (Other_ && EndsBoth)
+    Other_->close();
+}
+
 void TargetSend::bound(base::Duration Progress) {
   const base::TimePoint Now = base::SystemClock::monotonicNow();
   Caller_.watch().expireAt(std::min(Deadline_, Now + Progress));
@@ -71,13 +80,70 @@
   co_return std::nullopt;
 }
 
-Task<TargetSend::Failure> TargetSend::reopen() {
+Task<TargetSend::Failure> TargetSend::openSecond() {
   Pool_->spendHedge();
   Silent_ = false;
   HedgeDelay_.reset();
   RequestWhole_ = false;
-  Connection_.reset();
-  co_return co_await connect();
+  Other_ = std::move(Connection_);
+  const Failure Failed = co_await connect();
+  // The second copy has as long as the first one had.
+  if (Patience_ != base::TimePoint::max())
+    Patience_ = base::SystemClock::monotonicNow() +
+                std::max(Patience_ - FirstWrite_, base::Duration::zero());
+  co_return Failed;
+}
+
+Task<TargetSend::Failure> TargetSend::readEitherAnswer(Failure SecondEnd,
+                                                       bool WithoutBody) {
+  Failure End = SecondEnd;
+  if (End == steering::SendOutcome::Cancelled)
+    co_return End;
+  if (End)
+    goOnWithOther();
+  while (true) {
+    if (hasOtherCopy())
+      co_await awaitEither();
+    End = co_await readAnswer(WithoutBody);
+    const bool IsUseless =
+        End ? End != steering::SendOutcome::Cancelled : saysNotRun();
+    if (!IsUseless || !hasOtherCopy() || Caller_.watch().fired())
+      break;
+    goOnWithOther();
+  }
+  AwaitsBoth_ = false;
+  Other_.reset();
+  co_return End;
+}
+
+Task<void> TargetSend::awaitEither() {
+  using boost::asio::experimental::awaitable_operators::operator||;
+  AwaitsBoth_ = true;
+  if (Connection_->buffer().size() > 0)
+    co_return;
+  if (Other_->buffer().size() > 0) {
+    std::swap(Connection_, Other_);
+    co_return;
+  }
+  bound(std::min(Deadline_, Patience_) - base::SystemClock::monotonicNow());
+  watchPatience();
+  const auto Ready =
+      co_await (Connection_->socket().async_wait(Socket::wait_read, Await) ||
+                Other_->socket().async_wait(Socket::wait_read, Await));
+  if (Ready.index() == 1 && !Caller_.watch().fired())
+    std::swap(Connection_, Other_);
+}
+
+void TargetSend::goOnWithOther() {
+  if (Caller_.watch().cause() == Watch::Cause::Expired)
+    Caller_.watch().rearm();
+  Connection_ = std::move(Other_);
+  Held_.clear();
+  Received_ = 0;
+  AnswerSeen_ = false;
+  Unusable_ = false;
+  AnsweredEarly_ = false;
+  RequestWhole_ = true;
 }
 
 Task<TargetSend::Failure> TargetSend::connect() {
@@ -274,7 +340,8 @@
     const base::TimePoint Now = base::SystemClock::monotonicNow();
     if (HedgeDelay_) {
       // A moment long past: it fires at once.
-      if (!MayRepeat_ || MayRepeat_())
+      Silent_ = !MayRepeat_ || MayRepeat_();
+      if (Silent_)
         return base::TimePoint();
       HedgeDelay_.reset();
     }
--- a/libs/gateway/TargetSend.h
+++ b/libs/gateway/TargetSend.h
@@ -22,6 +22,10 @@
 /// whether the request may be sent again. Steps that return a SendOutcome have
 /// failed by it. A connection goes back to its pool only after a whole answer
 /// with nothing after it; in any other case it is closed.
+///
+/// A request may be written a second time, on another connection, where the
+/// first one is silent: a dead connection and a target that works for long look
+/// alike. The first answer is taken, and no copy ends the other by failing.
 class TargetSend {
 public:
   using Failure = std::optional<steering::SendOutcome>;
@@ -89,8 +93,13 @@
   /// request, if it is held, is to be sent once more on a new one.
   bool isSilent() const noexcept { return Silent_; }
 
-  /// Leaves the silent connection and opens a new one.
-  Task<Failure> reopen();
+  /// Opens a connection for a second copy. What is written next goes there, and
+  /// the silent one is kept.
+  Task<Failure> openSecond();
+
+  /// Reads the first answer to come, of either copy, as readAnswer() does.
+  /// \param SecondEnd  how the second copy failed; nothing: it was written.
+  Task<Failure> readEitherAnswer(Failure SecondEnd, bool WithoutBody);
 
   /// \returns whether the target, or the host, answered that the request did
   /// not run and may go elsewhere.
@@ -128,6 +137,17 @@
   /// request: an interim one, or a success, whose body the target may still
   /// read.
   bool wantsRestOfBody();
+  /// \returns whether a copy of the request is under way whose answer may yet
+  /// come.
+  bool hasOtherCopy() const noexcept { return Other_ != nullptr; }
+  /// Waits for bytes of an answer to either copy, and makes that connection the
+  /// one to read from.
+  Task<void> awaitEither();
+  /// Gives up the copy that is read from, and goes on with the other one.
+  void goOnWithOther();
+  /// Ends the pending operations; closes the connections unless the request
+  /// is to be sent a second time.
+  void interrupt();
   Failure failed();
   /// \returns how a write ended that did not write all; nothing where an answer
   /// is there.
@@ -146,6 +166,8 @@
   std::function<bool()> MayRepeat_;
   std::function<void(const steering::AnswerHead &)> Heard_;
   std::unique_ptr<TargetConnection> Connection_;
+  /// Of the other copy; empty where there is one copy.
+  std::unique_ptr<TargetConnection> Other_;
   std::unique_ptr<AnswerReader> Reader_;
   std::string Held_;
   std::uint64_t Written_ = 0;
@@ -159,6 +181,8 @@
   bool MayHaveRun_ = false;
   bool AnswerSeen_ = false;
   bool Silent_ = false;
+  /// An answer of either copy is awaited.
+  bool AwaitsBoth_ = false;
   /// No byte came until the time that the steering was patient for.
   bool LostPatience_ = false;
   /// How long to wait for the first byte before isSilent; nothing: no bound
