Abandoned sends: the place of the next send is reserved first

What callers saw: 502 in place of an answer on which a target was at work, where a target had grown slow or stood still.

Cause: a send that timed out was ended where another target had room for its request, and the next send was decided on afterwards. Sends of one target time out together, each found the same room, and all but the first were then refused; their targets' work was lost.

Change: whoever abandons a send counts at the next target from then on, and the send that follows goes there without another check.

Evidence: DispatchSteering.sendsThatAreAbandonedTogetherAreAllSentAgain failed before, passes now, as do the 206 tests of dispatch.

--- a/libs/dispatch/DispatchSteering.cpp
+++ b/libs/dispatch/DispatchSteering.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace lychee::dispatch {
 
@@ -166,13 +167,15 @@
 
 DispatchSteering::Selection
 DispatchSteering::chooseTarget(const InFlightRequest &Request,
-                               TokenSource Source, base::TimePoint Now) {
+                               TokenSource Source, base::TimePoint Now,
+                               const base::TargetId &Only) {
   ServiceState &Service = serviceState(Request.Service_);
   ChoiceQuery Query;
   Query.Object_ = Request.Object_;
   Query.BodyBytes_ = Request.BodyBytes_;
   Query.Homes_ = Request.Homes_ ? &*Request.Homes_ : nullptr;
   Query.TriedTargets_ = Request.TriedTargets_;
+  Query.Only_ = Only.empty() ? nullptr : &Only;
   Query.Region_ = Service.RegionSplit_.regionFor(
       Request.Object_, Request.BodyBytes_, Query.Homes_, Request.Rule_);
   Query.ExecutionTimes_ = executionTimesOf(Request);
@@ -248,11 +251,15 @@
 }
 
 Decision DispatchSteering::send(std::uint64_t Ticket, InFlightRequest &Request,
-                                TokenSource Source, base::TimePoint Now) {
+                                TokenSource Source, base::TimePoint Now,
+                                const base::TargetId &Reserved) {
   if (Request.Sends_ + Request.UndeliveredSends_ > 0)
     if (auto Unreached = forwardIfUnreached(Ticket, Request, Now))
       return *Unreached;
-  const Selection Selected = chooseTarget(Request, Source, Now);
+  Selection Selected = chooseTarget(Request, Source, Now, Reserved);
+  const bool IsReserved = !Reserved.empty() && Selected.Choice_;
+  if (!Reserved.empty() && !IsReserved)
+    Selected = chooseTarget(Request, Source, Now);
   const std::optional<Choice> &Chosen = Selected.Choice_;
   if (!Chosen) {
     const auto Forwarded = areTargetsDoubtful(Request, Now)
@@ -278,7 +285,7 @@
   }
   recordShare(Request, Now);
   recordShortage(Request, *Chosen, Now);
-  if (!canAnswerInTime(Request, *Chosen, Now)) {
+  if (!IsReserved && !canAnswerInTime(Request, *Chosen, Now)) {
     if (Selected.TookToken_)
       Target.Stated_->rate().refund();
     Decision Refused = endRequest(
@@ -332,9 +339,23 @@
     return false;
   Request.RetryReserved_ =
       serviceState(Request.Service_).RetryBudget_.trySpend();
+  if (Request.RetryReserved_ && Reach_.isReached()) {
+    Other->Target_->Load_.recordSend();
+    Request.ReservedTarget_ = Other->Target_->Record_.Id_;
+  }
   return Request.RetryReserved_;
 }
 
+base::TargetId DispatchSteering::releaseReserved(InFlightRequest &Request) {
+  base::TargetId Reserved = std::exchange(Request.ReservedTarget_, {});
+  if (Reserved.empty())
+    return Reserved;
+  if (TargetState *Target =
+          findTarget(serviceState(Request.Service_), Reserved))
+    Target->Load_.recordEnd();
+  return Reserved;
+}
+
 TargetState *DispatchSteering::lastTargetInUse(const InFlightRequest &Request,
                                                base::TimePoint Now) {
   if (Request.TriedTargets_.empty() || !Request.SentToHost_.empty())
@@ -435,6 +456,7 @@
   InFlightRequest &Request = Found->second;
   if (!Request.SentToHost_.empty())
     return finishForwarded(Ticket, Request, Report, Now);
+  const base::TargetId Reserved = releaseReserved(Request);
   ServiceState &Service = serviceState(Request.Service_);
   TargetState *Target = Request.TriedTargets_.empty()
                             ? nullptr
@@ -470,7 +492,7 @@
     return send(Ticket, Request,
                 Report.Outcome_ == SendOutcome::Answered ? TokenSource::ThisHost
                                                          : TokenSource::AnyHost,
-                Now);
+                Now, Reserved);
   const bool Ended = Report.Outcome_ == SendOutcome::Answered ||
                      Report.Outcome_ == SendOutcome::Cancelled ||
                      Report.Outcome_ == SendOutcome::CancelledBeforeWrite;
@@ -483,6 +505,8 @@
 
 void DispatchSteering::cancel(std::uint64_t Ticket, base::TimePoint /*Now*/) {
   const std::lock_guard Guard(Lock_);
+  if (const auto Found = InFlight_.find(Ticket); Found != InFlight_.end())
+    releaseReserved(Found->second);
   InFlight_.erase(Ticket);
   TokenWaits_.erase(Ticket);
 }
--- a/libs/dispatch/DispatchSteering.h
+++ b/libs/dispatch/DispatchSteering.h
@@ -275,6 +275,9 @@
     /// A token of the retry budget was spent ahead, for the send that follows
     /// an abandoned one.
     bool RetryReserved_ = false;
+    /// The target to which the send that follows an abandoned one goes; the
+    /// request counts there already. Empty: none.
+    base::TargetId ReservedTarget_;
     /// Number of targets for whose tokens it waited.
     std::uint32_t TokenRequests_ = 0;
     /// The target for which it was granted a token; empty: none.
@@ -393,8 +396,9 @@
   ServiceState &serviceState(const base::ServiceId &Service);
   TargetState *findTarget(ServiceState &Service, const base::TargetId &Target);
   ExecutionTimes &executionTimesOf(const InFlightRequest &Request);
+  /// \param Only  the one target to choose from; empty: any.
   Selection chooseTarget(const InFlightRequest &Request, TokenSource Source,
-                         base::TimePoint Now);
+                         base::TimePoint Now, const base::TargetId &Only = {});
   /// Takes what a request needs of the rates that all hosts share for the
   /// target, or notes in \p Result which host to ask for it.
   bool mayUse(ServiceState &Service, TargetState &Target,
@@ -409,6 +413,9 @@
   TargetStatements &statementsOf(TargetState &Target, base::TimePoint Now);
   void mergeRate(TargetState &Target, const members::TargetRate &Known,
                  bool FromOwnRegion, base::TimePoint Now);
+  /// Takes back the place that is counted for a send that follows an abandoned
+  /// one. \returns the target; empty: none was counted.
+  base::TargetId releaseReserved(InFlightRequest &Request);
   /// \returns the target of the last send, where it accepts requests now.
   TargetState *lastTargetInUse(const InFlightRequest &Request,
                                base::TimePoint Now);
@@ -493,8 +500,11 @@
   takeCustomerToken(const members::TokenRequest &Wanted, base::TimePoint Now);
   std::optional<base::Duration>
   takeFallbackToken(const base::CustomerId &Customer, base::TimePoint Now);
+  /// \param Reserved  the target where a place was counted for the request;
+  /// empty: none.
   steering::Decision send(std::uint64_t Ticket, InFlightRequest &Request,
-                          TokenSource Source, base::TimePoint Now);
+                          TokenSource Source, base::TimePoint Now,
+                          const base::TargetId &Reserved = {});
   /// Refuses a request that no target may take now.
   steering::Decision refuseUnplaced(std::uint64_t Ticket,
                                     const Selection &Selected,
--- a/libs/dispatch/TargetChooser.cpp
+++ b/libs/dispatch/TargetChooser.cpp
@@ -205,7 +205,8 @@
                       base::TimePoint Now) const {
   std::vector<Choice> Choices;
   for (const Candidate &Option : rank(Query, Targets, Now))
-    Choices.push_back(evaluate(Query, Option, Now));
+    if (Query.Only_ == nullptr || Option.Target_->Record_.Id_ == *Query.Only_)
+      Choices.push_back(evaluate(Query, Option, Now));
   std::sort(Choices.begin(), Choices.end(),
             [](const Choice &Left, const Choice &Right) {
               return Left.Cost_ < Right.Cost_;
--- a/libs/dispatch/TargetChooser.h
+++ b/libs/dispatch/TargetChooser.h
@@ -25,6 +25,8 @@
   const std::vector<base::RegionId> *Homes_ = nullptr;
   /// Targets that it was sent to before.
   std::span<const base::TargetId> TriedTargets_;
+  /// The one target that it may go to; null: any.
+  const base::TargetId *Only_ = nullptr;
   /// Execution times of its rule.
   ExecutionTimes ExecutionTimes_;
   /// Load of its service's targets; null: unknown.
--- a/tests/dispatch/DispatchSteeringTest.cpp
+++ b/tests/dispatch/DispatchSteeringTest.cpp
@@ -1,6 +1,9 @@
 #include "dispatch/DispatchSteering.h"
 
+#include <algorithm>
+#include <iterator>
 #include <string>
+#include <vector>
 
 #include "CppUTest/TestHarness.h"
 
@@ -208,6 +211,34 @@
           Decision::Action::Send);
 }
 
+// Sends time out together, as they do at a target that has grown slow, and each
+// finds the same room elsewhere. All but the first were broken off for nothing.
+TEST(DispatchSteering, sendsThatAreAbandonedTogetherAreAllSentAgain) {
+  Request Asked = requestOf(true);
+  Asked.LatencyObjective_ = 200ms;
+  Asked.ArrivedAt_ = Now_;
+  std::vector<Decision> Sent;
+  for (Decision Made = arrive(Asked); Made.Action_ == Decision::Action::Send;
+       Made = arrive(Asked)) {
+    Sent.push_back(Made);
+    ++Asked.ObjectHash_;
+  }
+  // Some end, so that there is room for some of the others.
+  constexpr std::size_t EndedCount = 3;
+  CHECK(Sent.size() > 2 * EndedCount);
+  for (std::size_t Each = 0; Each < EndedCount; ++Each)
+    finish(Sent[Each], SendOutcome::Answered, 200);
+  std::vector<Decision> Abandoned;
+  std::copy_if(Sent.begin() + EndedCount, Sent.end(),
+               std::back_inserter(Abandoned), [this](const Decision &Each) {
+                 return Steering_.mayAbandonSend(Each.Ticket_, Now_);
+               });
+  CHECK(!Abandoned.empty());
+  for (const Decision &Each : Abandoned)
+    CHECK(finish(Each, SendOutcome::LostBeforeResponse, 0, true).Action_ ==
+          Decision::Action::Send);
+}
+
 // A look-up runs cold at its target, which takes 3.3 times as long as a warm
 // run and is no failure. Abandoned, its work would be lost and done once more.
 TEST(DispatchSteering, theResponseTimeoutAllowsForAColdRun) {
