--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -6,6 +6,7 @@
 #include "soak/Ledger.h"
 #include "soak/RatedTarget.h"
 #include "soak/RestingTarget.h"
+#include "soak/StopPlay.h"
 #include "soak/Troubles.h"
 #include "support/LiveFleet.h"
 #include "support/TestFleet.h"
@@ -162,6 +163,9 @@
     Trouble.cutBesideSlowTargets(SlowTime);
     Check("not-served-after-slow-targets");
   }
+  StopPlay Stops(Fleet, Trouble.key(), Seed);
+  Stops.play();
+  Check("not-served-after-stops");
   std::this_thread::sleep_for(Aftermath);
   const auto RunsOf = [&Fleet](const std::string &Id) {
     std::vector<std::uint64_t> Runs;
@@ -172,13 +176,15 @@
   };
   for (std::string &Each : Book.broken(RunsOf))
     Result.Broken_.push_back(std::move(Each));
+  for (std::string &Each : Stops.broken())
+    Result.Broken_.push_back(std::move(Each));
   if (Rated)
     for (std::string &Each : Rated->broken(Book.hostStarts(), CallerCount))
       Result.Broken_.push_back(std::move(Each));
   if (Resting)
     for (std::string &Each : Resting->broken(Book))
       Result.Broken_.push_back(std::move(Each));
-  Result.Summary_ = Book.summary();
+  Result.Summary_ = Book.summary() + " " + Stops.summary();
   Result.History_ = Trouble.history();
   if (!Result.Broken_.empty())
     for (std::size_t Host = 0; Host < Fleet.hostCount(); ++Host)
