--- a/libs/dispatch/DispatchSteering.cpp
+++ b/libs/dispatch/DispatchSteering.cpp
@@ -339,7 +339,7 @@
     return false;
   Request.RetryReserved_ =
       serviceState(Request.Service_).RetryBudget_.trySpend();
-  if (Request.RetryReserved_ && Reach_.isReached()) {
+  if (Request.RetryReserved_ && Other && Reach_.isReached()) {
     Other->Target_->Load_.recordSend();
     Request.ReservedTarget_ = Other->Target_->Record_.Id_;
   }
--- a/tests/process/LiveStopTest.cpp
+++ b/tests/process/LiveStopTest.cpp
@@ -59,12 +59,14 @@
   std::vector<int> Statuses(CallerCount);
   {
     std::vector<std::unique_ptr<tests::CallerConnection>> Kept;
+    Kept.reserve(CallerCount);
     for (int Each = 0; Each < CallerCount; ++Each)
       Kept.push_back(
           std::make_unique<tests::CallerConnection>(Fleet_->callers(Stopped)));
     Fleet_->host(Stopped).signal(SIGTERM);
     const auto Signalled = std::chrono::steady_clock::now();
     std::vector<std::jthread> Callers;
+    Callers.reserve(CallerCount);
     for (int Each = 0; Each < CallerCount; ++Each)
       Callers.emplace_back([&, Each] {
         std::this_thread::sleep_until(Signalled + 2850ms + Each * 25ms);
