Stop: work that fits a stop is begun by its deadline only

Cause: in the first half of a stop twice the expected time decided, also where the deadline says whether the work ends in time.

Change: the expected time decides only on work that may take longer than a whole stop, which would otherwise be turned away from the first moment on.

--- a/libs/gateway/StopWindow.cpp
+++ b/libs/gateway/StopWindow.cpp
@@ -17,7 +17,8 @@
   const base::TimePoint Last = End_ - WriteTime;
   if (Deadline <= Last)
     return true;
-  if (Now >= Middle_)
+  const bool FitsAnyStop = Deadline - Now <= Last - Begin_;
+  if (FitsAnyStop || Now >= Middle_)
     return false;
   return !Expected || Now + *Expected * ExpectedFactor <= Last;
 }
--- a/tests/gateway/StopWindowTest.cpp
+++ b/tests/gateway/StopWindowTest.cpp
@@ -28,13 +28,18 @@
   CHECK_FALSE(mayBegin(5s, 980ms));
 }
 
-TEST(StopWindow, earlyInAStopWorkOfAnyDeadlineBeginsThatIsExpectedToEnd) {
+// Work with a tail was begun where it usually ends, and the tail was cut.
+TEST(StopWindow, workThatWouldHaveFitIsNotBegunByWhatIsExpected) {
+  CHECK_FALSE(mayBegin(2s, 4s, 1ms));
+  CHECK_FALSE(mayBegin(1s, 5500ms));
+}
+
+TEST(StopWindow, earlyInAStopWorkLongerThanAStopBeginsThatIsExpectedToEnd) {
   CHECK(mayBegin(1s, 20s, 1s));
   CHECK(mayBegin(1s, 20s));
   CHECK_FALSE(mayBegin(1s, 20s, 3s));
 }
 
-// Work of usual length with a tail was begun, and the tail was cut.
 TEST(StopWindow, lateInAStopOnlyTheDeadlineCounts) {
   CHECK(mayBegin(2900ms, 20s, 1s));
   CHECK_FALSE(mayBegin(3s, 20s, 1ms));
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -186,6 +186,8 @@
       Result.Broken_.push_back(std::move(Each));
   Result.Summary_ = Book.summary() + " " + Stops.summary();
   Result.History_ = Trouble.history();
+  if (!Result.Broken_.empty())
+    Result.Logs_ = Stops.logs();
   if (!Result.Broken_.empty())
     for (std::size_t Host = 0; Host < Fleet.hostCount(); ++Host)
       Result.Logs_ += Fleet.log(Host);
--- a/tests/soak/StopPlay.cpp
+++ b/tests/soak/StopPlay.cpp
@@ -47,6 +47,7 @@
     Each.join();
   for (std::size_t Host = 1; Host < Fleet_.hostCount(); ++Host) {
     Fleet_.host(Host).wait();
+    Logs_ += Fleet_.log(Host);
     Fleet_.startHost(Host);
   }
 }
--- a/tests/soak/StopPlay.h
+++ b/tests/soak/StopPlay.h
@@ -30,6 +30,9 @@
   /// \returns a line for each request that ran and was not answered.
   std::vector<std::string> broken() const;
 
+  /// \returns what the hosts wrote until they ended.
+  const std::string &logs() const noexcept { return Logs_; }
+
   /// \returns "stops=.. requests=.. served=..".
   std::string summary() const;
 
@@ -54,6 +57,7 @@
   std::vector<Sent> Sent_;
   std::uint64_t LastId_ = 0;
   std::size_t Stops_ = 0;
+  std::string Logs_;
 };
 
 } // namespace lychee::soak
