--- a/apps/lycheed/LiveFeed.cpp
+++ b/apps/lycheed/LiveFeed.cpp
@@ -110,6 +110,9 @@
   Heard.Trouble_ = [this, Kind](const base::Error &Why) {
     noteTrouble(Kind, Why);
   };
+  Heard.Listed_ = [Kind](const live::ObjectBatch &List) {
+    logList(Kind, List);
+  };
   Heard.Unreadable_ = [this, Kind](const live::UnreadableEntries &Entries) {
     noteUnreadable(Kind, Entries, SystemClock::monotonicNow());
   };
@@ -151,6 +154,19 @@
                                             .add("reason", Why.Reason_));
 }
 
+void LiveFeed::logList(std::string_view Kind, const live::ObjectBatch &List) {
+  reporting::logLine(
+      LogLevel::Info,
+      KeyValueLine()
+          .add("event", "store-listed")
+          .add("kind", Kind)
+          .add("pages", List.Pages_)
+          .add("entries", List.Objects_.size())
+          .add("last", List.Objects_.empty() ? "" : List.Objects_.back().Name_)
+          .add("revision", List.Revision_.Number_)
+          .add("era", List.Revision_.Era_));
+}
+
 void LiveFeed::noteUnreadable(std::string_view Kind,
                               const live::UnreadableEntries &Entries,
                               base::TimePoint Now) {
--- a/apps/lycheed/LiveFeed.h
+++ b/apps/lycheed/LiveFeed.h
@@ -84,6 +84,7 @@
   void noteEra(std::uint64_t Era, base::TimePoint Now);
   static void logRestore(std::string_view Kind,
                          const live::RestoreReport &Done);
+  static void logList(std::string_view Kind, const live::ObjectBatch &List);
   void noteUnreadable(std::string_view Kind,
                       const live::UnreadableEntries &Entries,
                       base::TimePoint Now);
--- a/libs/live/ObjectFollower.cpp
+++ b/libs/live/ObjectFollower.cpp
@@ -107,6 +107,8 @@
     Callbacks_.Trouble_(Last);
     co_return false;
   }
+  if (Callbacks_.Listed_)
+    Callbacks_.Listed_(*All);
   noteUnreadable(*All);
   const StoreRevision Before = Mirror_.revision();
   if (All->Revision_ < Before && Callbacks_.ListIgnored_)
--- a/libs/live/ObjectFollower.h
+++ b/libs/live/ObjectFollower.h
@@ -37,6 +37,8 @@
   std::function<void(const base::Error &)> Trouble_;
   /// A call to the store succeeded. May be empty.
   std::function<void()> Succeeded_;
+  /// The store was listed. May be empty.
+  std::function<void(const ObjectBatch &List)> Listed_;
   /// The store's answer has entries that cannot be read. May be empty.
   std::function<void(const UnreadableEntries &)> Unreadable_;
   /// A list is older than what is known at revision \p Known, and is ignored.
--- a/libs/live/ObjectSource.h
+++ b/libs/live/ObjectSource.h
@@ -61,6 +61,8 @@
   std::vector<StoredObject> Objects_;
   StoreRevision Revision_;
   UnreadableEntries Unreadable_ = {};
+  /// Answers that a list was read from; 0: no list.
+  std::size_t Pages_ = 0;
 };
 
 /// Reason why a call failed, as far as its caller distinguishes reasons.
