--- a/standins/platform/StandinObjects.cpp
+++ b/standins/platform/StandinObjects.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <cctype>
 #include <json/json.h>
 #include <memory>
 
@@ -38,12 +39,52 @@
   return Made;
 }
 
-std::string valueOf(std::string_view Query, std::string_view Name) {
-  const std::size_t Found = Query.find(std::string(Name) + "=");
-  if (Found == std::string_view::npos)
-    return {};
-  Query.remove_prefix(Found + Name.size() + 1);
-  return std::string(Query.substr(0, Query.find('&')));
+using Query = std::map<std::string, std::string>;
+
+int hexDigitOf(char Character) {
+  constexpr std::string_view Digits = "0123456789abcdef";
+  const auto Lower =
+      static_cast<char>(std::tolower(static_cast<unsigned char>(Character)));
+  const std::size_t Found = Digits.find(Lower);
+  return Found == std::string_view::npos ? -1 : static_cast<int>(Found);
+}
+
+/// \returns nothing where an escape is malformed or a character stands that
+/// has to be escaped.
+std::optional<std::string> decode(std::string_view Text, bool IsQuery) {
+  std::string Decoded;
+  while (!Text.empty()) {
+    const char First = Text.front();
+    if (First == '#' || First <= ' ')
+      return std::nullopt;
+    if (First != '%') {
+      Decoded += First == '+' && IsQuery ? ' ' : First;
+      Text.remove_prefix(1);
+      continue;
+    }
+    if (Text.size() < 3 || hexDigitOf(Text[1]) < 0 || hexDigitOf(Text[2]) < 0)
+      return std::nullopt;
+    Decoded +=
+        static_cast<char>(hexDigitOf(Text[1]) * 16 + hexDigitOf(Text[2]));
+    Text.remove_prefix(3);
+  }
+  return Decoded;
+}
+
+std::optional<Query> queryOf(std::string_view Text) {
+  Query Read;
+  while (!Text.empty()) {
+    const std::string_view Pair = Text.substr(0, Text.find('&'));
+    Text.remove_prefix(std::min(Text.size(), Pair.size() + 1));
+    const std::size_t Mark = std::min(Pair.find('='), Pair.size());
+    const auto Name = decode(Pair.substr(0, Mark), true);
+    const auto Value =
+        decode(Pair.substr(std::min(Mark + 1, Pair.size())), true);
+    if (!Name || !Value)
+      return std::nullopt;
+    Read[*Name] = *Value;
+  }
+  return Read;
 }
 
 } // namespace
@@ -153,6 +194,11 @@
   Faults_ = Faults;
 }
 
+void StandinObjects::setPageEntries(std::size_t Entries) {
+  const std::lock_guard Guard(Lock_);
+  PageEntries_ = Entries;
+}
+
 void StandinObjects::forgetHistory() {
   const std::lock_guard Guard(Lock_);
   Forgotten_ = Revision_;
@@ -165,15 +211,25 @@
   return Found == Kinds_.end() ? 0 : Found->second.size();
 }
 
-HttpAnswer StandinObjects::list(const std::string &Kind) const {
+HttpAnswer StandinObjects::list(const std::string &Kind,
+                                const std::string &After) const {
   const std::lock_guard Guard(Lock_);
   Json::Value Body;
   Body["items"] = Json::Value(Json::arrayValue);
-  if (const auto Found = Kinds_.find(Kind); Found != Kinds_.end())
-    for (const auto &[Name, Each] : Found->second)
-      Body["items"].append(objectOf(Name, Each.Revision_, Each.Content_));
   Body["hasMore"] = false;
   Body["at"] = Json::UInt64(Revision_);
+  const auto Found = Kinds_.find(Kind);
+  if (Found == Kinds_.end())
+    return answerOf(200, Body);
+  for (auto Each = Found->second.upper_bound(After);
+       Each != Found->second.end(); ++Each) {
+    if (Body["items"].size() == PageEntries_) {
+      Body["hasMore"] = true;
+      break;
+    }
+    Body["items"].append(
+        objectOf(Each->first, Each->second.Revision_, Each->second.Content_));
+  }
   return answerOf(200, Body);
 }
 
@@ -265,19 +321,23 @@
   if (!Target.starts_with(Root))
     co_return answerOf(404);
   const std::size_t Mark = Target.find('?');
-  const std::string Path(Target.substr(Root.size(), Mark - Root.size()));
-  const std::string_view Query =
-      Mark == std::string_view::npos ? "" : Target.substr(Mark + 1);
-  const std::string Kind = Path.substr(0, Path.find('/'));
-  const std::string Name =
-      Kind.size() == Path.size() ? "" : Path.substr(Kind.size() + 1);
+  const std::string_view Path = Target.substr(Root.size(), Mark - Root.size());
+  const std::size_t Slash = std::min(Path.find('/'), Path.size());
+  const auto Kind = decode(Path.substr(0, Slash), false);
+  const auto Name =
+      decode(Path.substr(std::min(Slash + 1, Path.size())), false);
+  const auto Stated =
+      queryOf(Mark == std::string_view::npos ? "" : Target.substr(Mark + 1));
+  if (!Kind || !Name || !Stated)
+    co_return answerOf(400);
   if (Asked.Method_ != "GET")
-    co_return write(Asked, Kind, Name);
-  const std::string Since = valueOf(Query, "watch");
-  if (Since.empty())
-    co_return list(Kind);
-  HttpAnswer Heard = co_await watch(Kind, std::stoull(Since),
-                                    std::stoll(valueOf(Query, "waitMs")));
+    co_return write(Asked, *Kind, *Name);
+  Query Values = *Stated;
+  if (!Values.contains("watch"))
+    co_return Faults.RejectedKind_ == *Kind ? answerOf(400)
+                                            : list(*Kind, Values["after"]);
+  HttpAnswer Heard = co_await watch(*Kind, std::stoull(Values["watch"]),
+                                    std::stoll(Values["waitMs"]));
   co_return Heard;
 }
 
--- a/standins/platform/StandinObjects.h
+++ b/standins/platform/StandinObjects.h
@@ -24,6 +24,8 @@
   bool Busy_ = false;
   /// Watches hear nothing of what changes.
   bool Deaf_ = false;
+  /// Lists of this kind are answered 400. Empty: none.
+  std::string RejectedKind_ = {};
 };
 
 /// The users' platform's store of objects by kind, in memory: lists, watches,
@@ -42,6 +44,9 @@
            const Json::Value &Content);
   void remove(const std::string &Kind, const std::string &Name);
   void setFaults(const ObjectFaults &Faults);
+  /// \param Entries  of a page of a list; a list that has more goes on behind
+  /// the name that the next call states.
+  void setPageEntries(std::size_t Entries);
   /// Forgets what changed before: older watches are told so.
   void forgetHistory();
 
@@ -85,7 +90,8 @@
   answerCall(transport::HttpRequest Asked);
   boost::asio::awaitable<transport::HttpAnswer>
   watch(std::string Kind, std::uint64_t Since, std::int64_t WaitMilliseconds);
-  transport::HttpAnswer list(const std::string &Kind) const;
+  transport::HttpAnswer list(const std::string &Kind,
+                             const std::string &After) const;
   transport::HttpAnswer write(const transport::HttpRequest &Asked,
                               const std::string &Kind, std::string Name);
   transport::HttpAnswer changesSince(const std::string &Kind,
@@ -112,6 +118,7 @@
   std::size_t Calls_ = 0;
   std::uint64_t Revision_ = 1;
   std::uint64_t Forgotten_ = 0;
+  std::size_t PageEntries_ = 500;
   ObjectFaults Faults_;
   transport::HttpServer Server_;
   std::thread Thread_;
--- a/tests/platform/ObjectClientTest.cpp
+++ b/tests/platform/ObjectClientTest.cpp
@@ -190,6 +190,33 @@
   CHECK_FALSE(list({{Page, ""}}).has_value());
 }
 
+// What such a list leaves out would count as deleted.
+TEST(ObjectClient, aListThatDoesNotAdvanceIsAFailure) {
+  const auto PageOf = [](const std::string &Entries) {
+    return std::pair(R"({"items":[)" + Entries + R"(],"hasMore":true,"at":9})",
+                     std::string());
+  };
+  const std::string One = entry("t1", "{}");
+  const std::string Two = entry("t2", "{}");
+  for (const std::vector<std::string> &Pages :
+       {std::vector<std::string>{One, One},
+        {One, Two, One},
+        {""},
+        {One, ""},
+        {One + "," + Two, One, Two},
+        {entry("", "{}")}}) {
+    std::deque<std::pair<std::string, std::string>> Answers;
+    // Enough for a list that would go round.
+    for (int Round = 0; Round < 4; ++Round)
+      for (const std::string &Each : Pages)
+        Answers.push_back(PageOf(Each));
+    Answers.emplace_back(Page, "");
+    Last_ = {};
+    CHECK_FALSE(list(std::move(Answers)).has_value());
+    CHECK_FALSE(Last_.Reason_.empty());
+  }
+}
+
 TEST(ObjectClient, aPageThatIsNoDocumentIsAFailure) {
   for (const char *Page :
        {"", "{", "[]", "null", R"({"items":[)", R"({"items":5})",
--- a/tests/process/LiveHostTest.cpp
+++ b/tests/process/LiveHostTest.cpp
@@ -116,6 +116,45 @@
       [&] { return Fleet_->ask(1, "third-key").Status_ == 200; }));
 }
 
+// Another writer's entry in a list of several pages, and all hosts start: no
+// target was found behind it.
+TEST(LiveHost, hostsThatStartFindTheTargetsBehindAnOddlyNamedEntry) {
+  Fleet_->objects().setPageEntries(1);
+  for (const char *Odd : {"a00%#", "a02&b=", "a03+", "a04%7A", "a05 b"}) {
+    Fleet_->objects().put("servers", Odd, "no target");
+    for (std::size_t Host = 0; Host < HostCount; ++Host)
+      Fleet_->killHost(Host);
+    for (std::size_t Host = 0; Host < HostCount; ++Host)
+      Fleet_->startHost(Host);
+    for (std::size_t Host = 0; Host < HostCount; ++Host)
+      CHECK_TRUE_TEXT(TestFleet::waitFor([&] {
+                        return Fleet_->ask(Host, Key).Status_ == 200;
+                      }),
+                      Odd);
+    Fleet_->objects().remove("servers", Odd);
+  }
+}
+
+// The store rejects the list of one kind, and serves the others.
+TEST(LiveHost, aListThatIsRejectedCancelsNoOtherCall) {
+  Fleet_->objects().setFaults({.RejectedKind_ = "servers"});
+  Fleet_->objects().forgetHistory();
+  for (std::size_t Host = 0; Host < HostCount; ++Host)
+    CHECK(TestFleet::waitFor([&] {
+      const std::string Log = Fleet_->log(Host);
+      std::size_t Rejected = 0;
+      for (std::size_t At = 0;
+           (At = Log.find("reason=\"status 400", At)) != std::string::npos;
+           ++At)
+        ++Rejected;
+      return Rejected >= 6;
+    }));
+  for (std::size_t Host = 0; Host < HostCount; ++Host) {
+    LONGS_EQUAL(200, Fleet_->ask(Host, Key).Status_);
+    CHECK(Fleet_->log(Host).find("step=store.watch") == std::string::npos);
+  }
+}
+
 // A target says that it leaves. Its entry alone tells; it gets nothing more.
 TEST(LiveHost, aLeavingTargetGetsNothingMore) {
   Fleet_->writeEntry(0, "draining");
