Targets: an entry whose address nobody can listen at is refused

Such a target takes sends that all fail to connect.

Why it works: such an entry names no target, so nothing is ever sent to it.

--- a/libs/gateway/TargetAddress.cpp
+++ b/libs/gateway/TargetAddress.cpp
@@ -12,7 +12,10 @@
     return std::nullopt;
   std::uint16_t Port = 0;
   const std::string_view Digits = Address.substr(Colon + 1);
-  std::from_chars(Digits.data(), Digits.data() + Digits.size(), Port);
+  const auto [End, Failure] =
+      std::from_chars(Digits.data(), Digits.data() + Digits.size(), Port);
+  if (Failure != std::errc() || End != Digits.data() + Digits.size())
+    return std::nullopt;
   ErrorCode Error;
   const auto Parsed = boost::asio::ip::make_address(
       std::string(Address.substr(0, Colon)), Error);
--- a/tests/platform/DecodersTest.cpp
+++ b/tests/platform/DecodersTest.cpp
@@ -136,6 +136,16 @@
       platform::decodeTarget("i-1", Json::Value("text"), Last_).has_value());
 }
 
+// Such entries became targets, and each send to one was lost.
+TEST(TargetDecoder, anAddressThatNobodyCanListenAtIsRefused) {
+  for (const char *Address :
+       {"", ":", ":80", "127.0.0.9", "127.0.0.9:", "127.0.0.9:0",
+        "127.0.0.9:65536", "127.0.0.9:99999", "127.0.0.9:-1", "127.0.0.9:+80",
+        "127.0.0.9:8080x", "127.0.0.9: 80", "127.0.0.9:4294975376",
+        "127.0.0:80", "host:80", "0.0.0.0:80", "127.0.0.9:80:80"})
+    CHECK_TRUE_TEXT(isRefused("127.0.0.9:80", Address), Address);
+}
+
 TEST_GROUP(BoundsDecoder) { base::Error Last_; };
 
 TEST(BoundsDecoder, readsWhatTheProductActsOnAndPassesOverTheRest) {
