--- a/tests/platform/DecodersTest.cpp
+++ b/tests/platform/DecodersTest.cpp
@@ -146,6 +146,16 @@
     CHECK_TRUE_TEXT(isRefused("127.0.0.9:80", Address), Address);
 }
 
+// A time that is too long for the clock wrapped around.
+TEST(TargetDecoder, aNumberThatIsTooLargeIsRefused) {
+  for (const char *Number : {"1e300", "1e15", "9223372036854775807",
+                             "18446744073709551615", "1e308"})
+    CHECK_TRUE_TEXT(isRefused("1500", Number), Number);
+  for (const char *Number : {"4294967296", "4294967295", "1e300", "3.5"})
+    CHECK_TRUE_TEXT(
+        isRefused(R"("slots":3)", std::string(R"("slots":)") + Number), Number);
+}
+
 TEST_GROUP(BoundsDecoder) { base::Error Last_; };
 
 TEST(BoundsDecoder, readsWhatTheProductActsOnAndPassesOverTheRest) {
