Targets: an entry whose name is no id names no target

What could be seen: an entry of another writer with sound content and a name with CR LF in it became a target; its name goes into the expected target's header of each request, so that the writer chose lines of the head. Names with '#', '%', '&', '+' or a blank were used as targets, too.

--- a/tests/platform/DecodersTest.cpp
+++ b/tests/platform/DecodersTest.cpp
@@ -156,6 +156,23 @@
         isRefused(R"("slots":3)", std::string(R"("slots":)") + Number), Number);
 }
 
+// A name goes into the head of each request to its target.
+TEST(TargetDecoder, aNameThatIsNoIdIsRefused) {
+  using namespace std::string_literals;
+  for (const std::string &Name :
+       {""s, "a b"s, "a\r\nX-Other: 1"s, "a\0b"s, "a\x7f"s, "a\xc3\xa9"s,
+        "a00%#"s, "a02&b="s, "a03+"s, "a/b"s, std::string(300, 'a')}) {
+    Last_ = {};
+    CHECK_TRUE_TEXT(
+        !platform::decodeTarget(Name, parse(Entry), Last_).has_value(),
+        Name.c_str());
+    CHECK_FALSE(Last_.Reason_.empty());
+  }
+  for (const char *Name : {"i-7f3a91c2", "t0", "A.b_c~9"})
+    CHECK_TRUE_TEXT(
+        platform::decodeTarget(Name, parse(Entry), Last_).has_value(), Name);
+}
+
 TEST_GROUP(BoundsDecoder) { base::Error Last_; };
 
 TEST(BoundsDecoder, readsWhatTheProductActsOnAndPassesOverTheRest) {
