Answers: one that ends with a connection whose write failed is not whole

Cause: the kernel reports a reset once. The write that fails takes the report, and the read after it sees the part and then an end in order, which a body without a length takes for its own.

Change: a connection remembers that a write on it failed, and a reader of its answer does not trust its end; the send is truncated, so the caller gets a failure. Answers with a length or in chunks say themselves when they are whole, and arrive as before (anAnswerOfATargetThatClosesArrives).

--- a/libs/gateway/MessageReader.cpp
+++ b/libs/gateway/MessageReader.cpp
@@ -169,7 +169,7 @@
 /// A body without a length is whole where the peer ended its side in order; a
 /// reset or a time-out in it is a cut (RFC 9112 6.3).
 template <bool IsRequest> ReadEnd MessageReader<IsRequest>::takeEnd() {
-  if (!EndsWithConnection_ || !SawEnd_)
+  if (!EndsWithConnection_ || !SawEnd_ || !TrustsEnd_)
     return ReadEnd::Cut;
   ErrorCode Error;
   Parser_.put_eof(Error);
--- a/libs/gateway/MessageReader.h
+++ b/libs/gateway/MessageReader.h
@@ -55,6 +55,10 @@
   /// \param Got  becomes the number of bytes; 0 with Ok: the body is whole.
   Task<ReadEnd> readBody(std::span<char> Out, std::size_t &Got);
 
+  /// The end of the connection does not tell whether it was reset: a body that
+  /// ends with it counts as cut.
+  void distrustEnd() noexcept { TrustsEnd_ = false; }
+
   const Message &message() const { return Parser_.get(); }
   bool isWhole() const { return Parser_.is_done(); }
   bool isChunked() const { return Parser_.chunked(); }
@@ -77,6 +81,7 @@
   bool EndsWithConnection_ = false;
   /// The peer ended its side in order, not by a reset.
   bool SawEnd_ = false;
+  bool TrustsEnd_ = true;
 };
 
 using RequestReader = MessageReader<true>;
--- a/libs/gateway/TargetConnection.h
+++ b/libs/gateway/TargetConnection.h
@@ -57,6 +57,11 @@
   void beginRequest() noexcept { HasRequest_ = true; }
   void endRequest() noexcept { HasRequest_ = false; }
 
+  /// A write failed. The kernel reports a reset once only, so that a read after
+  /// it sees the connection end as if in order.
+  void noteWriteFailure() noexcept { WriteFailed_ = true; }
+  bool hasWriteFailed() const noexcept { return WriteFailed_; }
+
   /// Ends it; a pending operation fails.
   void close() noexcept;
 
@@ -69,6 +74,7 @@
   base::TimePoint ReuseUntil_ = base::TimePoint::max();
   bool Reused_ = false;
   bool HasRequest_ = false;
+  bool WriteFailed_ = false;
 };
 
 } // namespace lychee::gateway
--- a/libs/gateway/TargetSend.cpp
+++ b/libs/gateway/TargetSend.cpp
@@ -184,6 +184,8 @@
     const auto [Error, Count] =
         co_await boost::asio::async_write(Connection_->socket(), Pieces, Await);
     Written_ += Count;
+    if (Error)
+      Connection_->noteWriteFailure();
     if (Error || Caller_.watch().fired())
       co_return writeEnded();
   }
@@ -224,8 +226,10 @@
     Text.remove_prefix(Count);
     if (!Error)
       continue;
-    if (Error != boost::asio::error::would_block)
+    if (Error != boost::asio::error::would_block) {
+      Connection_->noteWriteFailure();
       co_return false;
+    }
     co_await waitForRoom();
     if (AnsweredEarly_ || Caller_.watch().fired())
       co_return false;
@@ -271,6 +275,8 @@
         Connection_->socket(), Connection_->buffer(), Caller_.watch(),
         MessageLimits{Home_.shared().Settings_.HeaderLimitBytes_ * 4UL,
                       AnswerLimitBytes});
+    if (Connection_->hasWriteFailed())
+      Reader_->distrustEnd();
     End = co_await Reader_->readHead(WithoutBody);
     if (End != ReadEnd::Ok)
       co_return false;
--- a/tests/gateway/EarlyAnswerTest.cpp
+++ b/tests/gateway/EarlyAnswerTest.cpp
@@ -145,6 +145,23 @@
   checkBody(true);
 }
 
+// The write met the reset of an answer without a length, and the part that had
+// come was passed on as whole.
+TEST(EarlyAnswer, aPartOfAnAnswerThatEndsByAResetIsNotWhole) {
+  for (const bool IsHost : {false, true})
+    for (const bool Chunked : {false, true})
+      for (const std::chrono::milliseconds Pause : {0ms, 30ms, 200ms}) {
+        start({.Answer_ = "HTTP/1.1 200 OK\r\n\r\npart of a body",
+               .Early_ = true,
+               .Pause_ = Pause,
+               .Then_ = UploadTarget::Behaviour::Then::Reset},
+              IsHost);
+        const RawAnswer Got = upload(Chunked);
+        CHECK_FALSE(Got.Status_ == 200 && Got.Whole_);
+        stop();
+      }
+}
+
 // The target reads no further: the answer that lies ready must not wait for the
 // body.
 TEST(EarlyAnswer, anAnswerOfATargetThatReadsNoFurtherArrives) {
--- a/tests/gateway/UploadTarget.cpp
+++ b/tests/gateway/UploadTarget.cpp
@@ -32,6 +32,8 @@
       std::this_thread::sleep_for(How_.Pause_);
       if (How_.Then_ == Behaviour::Then::ReadNothing)
         waitFor([this] { return Over_.load(); });
+      if (How_.Then_ == Behaviour::Then::Reset)
+        From.set_option(boost::asio::socket_base::linger(true, 0), Failure);
       if (How_.Then_ != Behaviour::Then::ReadOn)
         return;
     }
--- a/tests/gateway/UploadTarget.h
+++ b/tests/gateway/UploadTarget.h
@@ -30,7 +30,7 @@
     bool Early_ = false;
     /// How long it reads nothing after an early answer.
     std::chrono::milliseconds Pause_{};
-    enum class Then { ReadOn, ReadNothing, Close };
+    enum class Then { ReadOn, ReadNothing, Close, Reset };
     /// What it does after that pause.
     Then Then_ = Then::ReadOn;
   };
