Answers: a status outside of 100 to 599 is no answer

Cause: a status below 200 was taken for an interim answer. 000 and 099 have a body, unlike those, and the body was read as the head of the answer: a 200 inside of it reached the caller. 600 and above were passed on as they were.

Evidence: AnswerHead.whatIsNoAnswerReachesNoCaller got 200 for 502 at status 000 on the code before. It passes now with fifteen heads, twice each on one caller's connection; names of fields with a blank, a tab, a control byte, DEL or a byte above ASCII, and 101, were refused before as well and are held by it.

Change: the reader of answers refuses such a head as malformed, for targets, other hosts and polls alike; the send counts as a broken answer.

--- a/libs/gateway/MessageReader.cpp
+++ b/libs/gateway/MessageReader.cpp
@@ -20,6 +20,13 @@
   return {static_cast<const char *>(Buffer.cdata().data()), Buffer.size()};
 }
 
+bool hasStatusOfAnswer(const RequestReader::Message & /*Head*/) { return true; }
+
+/// Others than 100 to 599 are no statuses (RFC 9110 15).
+bool hasStatusOfAnswer(const AnswerReader::Message &Head) {
+  return Head.result_int() >= 100 && Head.result_int() < 600;
+}
+
 ReadEnd endOf(const ErrorCode &Error) {
   if (Error == http::error::body_limit)
     return ReadEnd::BodyTooLarge;
@@ -125,6 +132,8 @@
     co_return endOf(Error);
   if (Used != Length || !Parser_.is_header_done())
     co_return ReadEnd::Malformed;
+  if (!hasStatusOfAnswer(Parser_.get()))
+    co_return ReadEnd::Malformed;
   Parser_.eager(true);
   EndsWithConnection_ = Parser_.need_eof();
   co_return ReadEnd::Ok;
--- a/tests/gateway/AnswerHeadTest.cpp
+++ b/tests/gateway/AnswerHeadTest.cpp
@@ -58,6 +58,39 @@
   }
 };
 
+// Status 000 was taken for an interim answer, and the body behind it for the
+// answer.
+TEST(AnswerHead, whatIsNoAnswerReachesNoCaller) {
+  const std::string Inner = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno";
+  const std::string Length =
+      "Content-Length: " + std::to_string(Inner.size()) + "\r\n";
+  for (const std::string &Head :
+       {std::string("HTTP/1.1 000 Trouble\r\n"),
+        std::string("HTTP/1.1 099 X\r\n"), std::string("HTTP/1.1 600 X\r\n"),
+        std::string("HTTP/1.1 999 X\r\n"), std::string("HTTP/1.1 20 X\r\n"),
+        std::string("HTTP/1.1 2000 X\r\n"), std::string("HTTP/1.1 101 X\r\n"),
+        std::string("HTTP/1.1 200 OK\r\nX Other: 1\r\n"),
+        std::string("HTTP/1.1 200 OK\r\nX-Other : 1\r\n"),
+        std::string("HTTP/1.1 200 OK\r\nX\tOther: 1\r\n"),
+        std::string("HTTP/1.1 200 OK\r\nX\x01Other: 1\r\n"),
+        std::string("HTTP/1.1 200 OK\r\nX\x7fOther: 1\r\n"),
+        std::string("HTTP/1.1 200 OK\r\nX\xe9Other: 1\r\n"),
+        std::string("HTTP/1.1 200 OK\r\n: 1\r\n"),
+        std::string("HTTP/1.1 200 OK\r\nX-Other: a\x01z\r\n")}) {
+    serve([&](RawTarget::Socket &Peer) {
+      while (!RawTarget::readHead(Peer).empty())
+        RawTarget::send(Peer, Head + Length + "\r\n" + Inner);
+    });
+    RawClient Caller(Fixture_->address());
+    for (int Time = 0; Time < 2; ++Time)
+      LONGS_EQUAL_TEXT(502,
+                       Caller.request("GET", "/s/x", "X-Name: r1\r\n").Status_,
+                       Head.c_str());
+    Fixture_.reset();
+    Target_.reset();
+  }
+}
+
 // Guards against a rest that is heard only with the end of its answer.
 TEST(AnswerHead, itIsHeardBeforeTheBodyHasCome) {
   serve([this](RawTarget::Socket &Peer) {
