HTTP client: what is read and not yet used is bounded

What could be seen: an answer whose chunk has an extension, or a size line, without end was kept by the process that had called until the call's timeout; it stopped at 32 MiB in the test only because the test stops there.

Cause: the parser bounds heads and bodies; its buffer for lines between chunks had no bound.

Evidence: EndlessBytes.aClientClosesAnAnswerWithoutEnd failed at 'the extension of a chunk' on the code before, and passes with eight kinds of bytes without end.

Change: a read buffer of 128 KiB at most, which a head of 16 KiB and a part of a body fit into. Used for the store, for other hosts and by the command line; the gateway's own reader bounded these lines before.

--- a/libs/transport/HttpClient.cpp
+++ b/libs/transport/HttpClient.cpp
@@ -147,7 +147,7 @@
   }
 
   beast::tcp_stream Stream_;
-  beast::flat_buffer Buffer_;
+  beast::flat_buffer Buffer_{ReadBufferBytes};
   base::TimePoint LastUse_;
   base::TimePoint Begun_ = base::TimePoint::max();
   bool Connected_ = false;
--- a/libs/transport/HttpMessage.h
+++ b/libs/transport/HttpMessage.h
@@ -1,12 +1,18 @@
 #ifndef LYCHEE_TRANSPORT_HTTPMESSAGE_H
 #define LYCHEE_TRANSPORT_HTTPMESSAGE_H
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 #include <vector>
 
 namespace lychee::transport {
 
+/// Bytes of a message that are read and not yet used: a head, or a part of a
+/// body with the lines around it. The parser bounds heads and bodies only; a
+/// chunk's size line and its extensions would be kept at any length.
+inline constexpr std::size_t ReadBufferBytes = 128UL << 10;
+
 /// One header line of a message.
 struct HttpHeader {
   std::string Name_;
