HTTP server: what is read and not yet used is bounded

Evidence: EndlessBytes.aServerClosesARequestWithoutEnd failed at 'the extension of a chunk' on the code before, and passes.

--- a/libs/transport/HttpServer.cpp
+++ b/libs/transport/HttpServer.cpp
@@ -108,7 +108,7 @@
 
   asio::awaitable<void> serve(Stream Served) {
     const std::shared_ptr<State> Self = shared_from_this();
-    beast::flat_buffer Buffer;
+    beast::flat_buffer Buffer(ReadBufferBytes);
     while (co_await serveOne(*Served, Buffer)) {
     }
     beast::error_code Ignored;
--- a/tests/transport/EndlessBytesTest.cpp
+++ b/tests/transport/EndlessBytesTest.cpp
@@ -103,3 +103,29 @@
     CHECK_TRUE_TEXT(Written < MostBytes, What.Name_);
   }
 }
+
+// The server kept what came until its timeout.
+TEST(EndlessBytes, aServerClosesARequestWithoutEnd) {
+  transport::HttpServer Server(
+      Loop_.get_executor(),
+      {.Address_ = "127.0.0.1", .Port_ = 0, .BodyLimitBytes_ = BodyLimit},
+      [](const transport::HttpRequest &)
+          -> asio::awaitable<transport::HttpAnswer> {
+        co_return transport::HttpAnswer();
+      });
+  CHECK(Server.listen(Last_));
+  std::vector<std::string> Kept;
+  std::thread Serving(
+      [this, Work = asio::make_work_guard(Loop_)] { Loop_.run(); });
+  for (const Endless &What : endlessMessages("POST / HTTP/1.1")) {
+    asio::io_context Other;
+    tcp::socket Peer(Other);
+    Peer.connect({asio::ip::address_v4::loopback(), Server.port()});
+    if (writeEndlessly(Peer, What) >= MostBytes)
+      Kept.emplace_back(What.Name_);
+  }
+  Loop_.stop();
+  Serving.join();
+  for (const std::string &Each : Kept)
+    FAIL_TEST(Each.c_str());
+}
