Bodies of requests: one bound on the memory that a host has for them

What was seen: 200 clients with bodies of 1 MiB that stop a byte short, whole, in large or in tiny chunks, or that are announced and do not come, took 228 to 242 MB of a host, and 155 MB with chunks without end; the users' trial with more of them ended a process.

Cause: each body got up to 1 MiB at once, filled with zeros before a byte had come, for as long as its client liked, and nothing added up what all connections hold.

Change: BodyMemory, 48 MiB a host ([callers] body_memory). A body takes from it as its bytes come, with the buffer it is read through; one that finds none is refused with 503, not run, and may come again in a second. While more than half is taken, a body that makes no progress for a second, or comes at less than 16 KiB a second, is ended with 408. A caller's buffer shrinks when its body is whole and while it is lingered for.

Why it works: what a host holds for bodies cannot pass the bound, and what is held without going on is freed within a second or two of becoming scarce.

--- a/libs/gateway/CallerSession.cpp
+++ b/libs/gateway/CallerSession.cpp
@@ -126,6 +126,8 @@
   Caller_.watch().rearm();
   Caller_.watch().watchHangUp(-1);
   Caller_.watch().expireAt(base::SystemClock::monotonicNow() + LingerTime);
+  Caller_.buffer().clear();
+  Caller_.buffer().shrink_to_fit();
   std::array<char, 8192> Unwanted{};
   std::size_t Total = 0;
   while (Total < LingerBytes) {
--- a/libs/gateway/Forwarding.cpp
+++ b/libs/gateway/Forwarding.cpp
@@ -18,6 +18,10 @@
 /// apart, and the same for each send of one.
 constexpr std::size_t FingerprintBytes = 4096;
 constexpr std::size_t StreamBytes = 64UL * 1024;
+/// Room for a body that comes in small parts.
+constexpr std::size_t FirstHeldBytes = 16UL * 1024;
+/// Bodies that make no progress have been ended by then.
+constexpr base::Duration ReturnForMemory = BodyMemory::ScarcePatience;
 /// A waiting request is decided by WaitUntil_; should that fail to come, the
 /// caller is not left hanging for longer than this.
 constexpr base::Duration WaitSlack = std::chrono::seconds(1);
@@ -57,7 +61,7 @@
                        CallerAnswer &Answer, const base::RequestId &Id,
                        const Identity &Identity, Route Found)
     : Home_(Home), Caller_(Caller), Reader_(Reader), Read_(Read),
-      Answer_(Answer), Identity_(Identity) {
+      Answer_(Answer), Identity_(Identity), Memory_(Home.shared().Bodies_) {
   const base::TimePoint Now = base::SystemClock::monotonicNow();
   Request_.Id_ = Id;
   Request_.Service_ = std::move(Found.Service_);
@@ -107,7 +111,7 @@
                              Home_.shared().Settings_.Names_);
   const ReadEnd BodyHeld = co_await holdBody();
   if (BodyHeld != ReadEnd::Ok)
-    co_return co_await Answer_.refuseBody(BodyHeld, steering::Ran::No);
+    co_return co_await refuseHeld(BodyHeld);
   Request_.Fingerprint_ = fingerprint();
   NeedsClaim_ = !Request_.Idempotent_ && !Read_.IdempotencyKey_.empty();
   if (NeedsClaim_)
@@ -136,21 +140,79 @@
   if (Reader_.isWhole() || (Large && Read_.ExpectsContinue_))
     co_return ReadEnd::Ok;
   co_await Answer_.sendContinue();
+  BodyBegin_ = base::SystemClock::monotonicNow();
+  const auto Wanted =
+      static_cast<std::size_t>(std::min(Limit, Length.value_or(Limit)));
   while (!Reader_.isWhole() && Held_.size() < Limit) {
+    if (!growHeld(Wanted)) {
+      LacksMemory_ = true;
+      co_return ReadEnd::Cut;
+    }
     const std::size_t Before = Held_.size();
-    Held_.resize(std::min(Limit, Length.value_or(Limit)));
-    Caller_.watch().expireAt(base::SystemClock::monotonicNow() +
-                             Settings.ProgressTimeout_);
+    Held_.resize(std::min(Held_.capacity(), Before + StreamBytes));
     std::size_t Got = 0;
-    const ReadEnd End = co_await Reader_.readBody(
-        {Held_.data() + Before, Held_.size() - Before}, Got);
+    const ReadEnd End =
+        co_await readBody({Held_.data() + Before, Held_.size() - Before}, Got);
     Held_.resize(Before + Got);
     if (End != ReadEnd::Ok)
       co_return End;
   }
+  // The memory of a caller's buffer counts only while a body comes through it.
+  Caller_.buffer().shrink_to_fit();
+  Memory_.tryResize(Reader_.isWhole() ? Held_.capacity()
+                                      : Held_.capacity() + BodyReadBytes);
   co_return ReadEnd::Ok;
 }
 
+bool Forwarding::growHeld(std::size_t Wanted) {
+  std::size_t Room = Held_.capacity();
+  if (Held_.size() == Room || Room < FirstHeldBytes)
+    Room = std::max(Held_.size() + 1,
+                    std::min(Wanted, std::max(2 * Room, FirstHeldBytes)));
+  const bool ReadsSocket = Caller_.buffer().size() == 0 || !Held_.empty();
+  if (!Memory_.tryResize(Room + (ReadsSocket ? BodyReadBytes : 0)))
+    return false;
+  if (Room == Held_.capacity())
+    return true;
+  // A string that grows by itself takes more than was asked for.
+  std::string Larger;
+  Larger.reserve(Room);
+  Larger += Held_;
+  Held_ = std::move(Larger);
+  return true;
+}
+
+Task<ReadEnd> Forwarding::readBody(std::span<char> Out, std::size_t &Got) {
+  const GatewayState &Shared = Home_.shared();
+  const base::TimePoint Since = base::SystemClock::monotonicNow();
+  if (!Shared.Bodies_.mayGoOn(BodyReceived_, Since - BodyBegin_)) {
+    Caller_.watch().fire(Watch::Cause::Expired);
+    co_return ReadEnd::Cut;
+  }
+  const auto Limit = [&Shared, Since] {
+    return Shared.Bodies_.waitLimit(Since, Shared.Settings_.ProgressTimeout_,
+                                    base::SystemClock::monotonicNow());
+  };
+  Caller_.watch().expireAt(Limit());
+  Caller_.watch().onExpiry(Limit);
+  const ReadEnd End = co_await Reader_.readBody(Out, Got);
+  Caller_.watch().onExpiry({});
+  BodyReceived_ += Got;
+  co_return End;
+}
+
+Task<Ending> Forwarding::refuseHeld(ReadEnd End) {
+  Held_ = std::string();
+  Memory_.tryResize(0);
+  if (!LacksMemory_)
+    co_return co_await Answer_.refuseBody(End, steering::Ran::No);
+  Decision_ = {};
+  Decision_.Refusal_ = steering::Refusal::BodyMemoryFull;
+  Decision_.RetryAfter_ = ReturnForMemory;
+  noteDecision(base::SystemClock::monotonicNow());
+  co_return co_await Answer_.refuse(problemFor(Decision_, Request_.Id_.name()));
+}
+
 Task<Ending> Forwarding::followDecisions() {
   while (true) {
     if (Decision_.Action_ == steering::Decision::Action::Wait) {
@@ -420,16 +482,15 @@
 
 Task<TargetSend::Failure> Forwarding::readPiece(std::string &Piece) {
   Piece.resize(StreamBytes);
-  Caller_.watch().expireAt(base::SystemClock::monotonicNow() +
-                           Home_.shared().Settings_.ProgressTimeout_);
   std::size_t Got = 0;
-  BodyEnd_ = co_await Reader_.readBody(Piece, Got);
+  BodyEnd_ = co_await readBody(Piece, Got);
   if (BodyEnd_ != ReadEnd::Ok)
     co_return SendOutcome::Cancelled;
   Piece.resize(Got);
   if (Got > 0 && !BodyGone_) {
     BodyGone_ = true;
     Held_ = std::string();
+    Memory_.tryResize(StreamBytes + BodyReadBytes);
   }
   co_return std::nullopt;
 }
--- a/libs/gateway/Forwarding.h
+++ b/libs/gateway/Forwarding.h
@@ -2,6 +2,7 @@
 #define LYCHEE_GATEWAY_FORWARDING_H
 
 #include "gateway/Authenticator.h"
+#include "gateway/BodyMemory.h"
 #include "gateway/CallerAnswer.h"
 #include "gateway/ClaimGate.h"
 #include "gateway/HeaderPolicy.h"
@@ -30,6 +31,13 @@
 
 private:
   Task<ReadEnd> holdBody();
+  /// Makes room for the next piece of the body in Held_. \returns false where
+  /// the host lacks memory.
+  bool growHeld(std::size_t Wanted);
+  /// Reads on for as long as the caller may take.
+  Task<ReadEnd> readBody(std::span<char> Out, std::size_t &Got);
+  /// Refuses a request whose body was not taken.
+  Task<Ending> refuseHeld(ReadEnd End);
   Task<Ending> followDecisions();
   /// \returns false where the caller hung up.
   Task<bool> waitForTurn();
@@ -85,6 +93,10 @@
   /// The body, or its beginning where it is longer than may be held; empty once
   /// BodyGone_ is set.
   std::string Held_;
+  BodyShare Memory_;
+  bool LacksMemory_ = false;
+  base::TimePoint BodyBegin_;
+  std::size_t BodyReceived_ = 0;
   ClaimRequest Claim_;
   bool NeedsClaim_ = false;
   bool Claimed_ = false;
--- a/libs/gateway/GatewaySettings.cpp
+++ b/libs/gateway/GatewaySettings.cpp
@@ -11,6 +11,7 @@
   Made.ConnectionLimit_ = Daemon.ConnectionLimit_;
   Made.HeaderLimitBytes_ = Daemon.HeaderLimitBytes_;
   Made.BodyLimitBytes_ = Daemon.BodyLimitBytes_;
+  Made.BodyMemoryBytes_ = Daemon.BodyMemoryBytes_;
   Made.IdleTimeout_ = Daemon.IdleTimeout_;
   Made.HeaderTimeout_ = Daemon.HeaderTimeout_;
   Made.ProgressTimeout_ = Daemon.ProgressTimeout_;
--- a/libs/gateway/GatewaySettings.h
+++ b/libs/gateway/GatewaySettings.h
@@ -25,7 +25,10 @@
   /// A body up to this size is held in memory whole, so that it can be sent
   /// again; of a longer one this much is held while it streams.
   std::uint32_t HeldBodyBytes_ = 64 * 1024;
-  /// The same for answers: a cut in a held one can be retried unseen.
+  /// For the bodies of all requests together. \see BodyMemory
+  std::uint64_t BodyMemoryBytes_ = 48ULL << 20;
+  /// The same as HeldBodyBytes_ for answers: a cut in a held one can be retried
+  /// unseen.
   std::uint32_t HeldAnswerBytes_ = 64 * 1024;
 
   /// A caller's connection may lie idle this long between requests.
--- a/libs/gateway/GatewayState.h
+++ b/libs/gateway/GatewayState.h
@@ -1,6 +1,7 @@
 #ifndef LYCHEE_GATEWAY_GATEWAYSTATE_H
 #define LYCHEE_GATEWAY_GATEWAYSTATE_H
 
+#include "gateway/BodyMemory.h"
 #include "gateway/Collaborators.h"
 #include "gateway/GatewaySettings.h"
 #include "gateway/TargetPools.h"
@@ -63,6 +64,7 @@
 struct GatewayState {
   GatewayState(const GatewaySettings &Settings, const Collaborators &Others)
       : Settings_(Settings), Others_(Others),
+        Bodies_(Settings.BodyMemoryBytes_),
         CallerLimits_{Settings.HeaderLimitBytes_, Settings.BodyLimitBytes_,
                       Settings.HeaderTimeout_, Settings.IdleTimeout_} {}
 
@@ -78,6 +80,7 @@
   /// Of requests that are forwarded to other hosts.
   VersionFloor Versions_;
   WaitingRoom Waiting_;
+  BodyMemory Bodies_;
   std::atomic<Phase> Phase_ = Phase::Serving;
   std::atomic<std::uint32_t> Connections_ = 0;
   /// Requests whose head has come and whose answer is not yet whole.
--- a/libs/gateway/MessageReader.cpp
+++ b/libs/gateway/MessageReader.cpp
@@ -9,9 +9,7 @@
 namespace {
 
 constexpr std::string_view HeadEnd = "\r\n\r\n";
-/// Read size: a small request or answer comes whole in one read, and a large
-/// body takes one system call for this much.
-constexpr std::size_t ReadBytes = 64UL * 1024;
+/// A small request or answer comes whole in one read.
 constexpr std::size_t FirstReadBytes = 8UL * 1024;
 /// The size line of a chunk, its extensions and the trailers must be shorter.
 constexpr std::size_t ChunkHeadBytes = 8UL * 1024;
@@ -73,7 +71,7 @@
 template <bool IsRequest> Task<ReadEnd> MessageReader<IsRequest>::readMore() {
   const std::size_t Room = Buffer_.size() == 0 && !Parser_.is_header_done()
                                ? FirstReadBytes
-                               : ReadBytes;
+                               : BodyReadBytes;
   const auto [Error, Count] =
       co_await Peer_.async_read_some(Buffer_.prepare(Room), Await);
   SawEnd_ = Error == boost::asio::error::eof && !Bound_.fired();
--- a/libs/gateway/MessageReader.h
+++ b/libs/gateway/MessageReader.h
@@ -12,6 +12,9 @@
 
 namespace lychee::gateway {
 
+/// What a connection's buffer takes while a body is read from it.
+inline constexpr std::size_t BodyReadBytes = 64UL * 1024;
+
 /// How reading a part of a message ended.
 enum class ReadEnd {
   Ok,
--- a/libs/gateway/ProblemDocument.cpp
+++ b/libs/gateway/ProblemDocument.cpp
@@ -62,6 +62,8 @@
     return "The rates that the service's targets state are used up.";
   case Refusal::TargetsRest:
     return "The service's targets have asked for a rest.";
+  case Refusal::BodyMemoryFull:
+    return "This host has no memory for the request's body now.";
   case Refusal::TargetsUnreached:
     return "This host reaches none of the service's targets.";
   case Refusal::SettingsOld:
@@ -118,6 +120,7 @@
   case Refusal::TargetRatesUsedUp:
   case Refusal::TargetsRest:
   case Refusal::TargetsUnreached:
+  case Refusal::BodyMemoryFull:
   case Refusal::SettingsOld:
   case Refusal::CrashSuspect:
   case Refusal::ClaimStoreDown:
--- a/libs/settings/DaemonSettings.cpp
+++ b/libs/settings/DaemonSettings.cpp
@@ -29,6 +29,8 @@
   Section.size("header_limit", HeaderLimit, {KiB, KiB * KiB});
   Into.HeaderLimitBytes_ = static_cast<std::uint32_t>(HeaderLimit);
   Section.size("body_limit", Into.BodyLimitBytes_, {KiB, 1024 * GiB});
+  Section.size("body_memory", Into.BodyMemoryBytes_,
+               {4 * KiB * KiB, 1024 * GiB});
   Section.count("connection_limit", Into.ConnectionLimit_, {1, 1'000'000});
   Section.duration("idle_timeout", Into.IdleTimeout_, {100ms, 1h});
   Section.duration("header_timeout", Into.HeaderTimeout_, {100ms, 1h});
--- a/libs/settings/DaemonSettings.h
+++ b/libs/settings/DaemonSettings.h
@@ -66,6 +66,7 @@
   Endpoint Callers_;
   std::uint32_t HeaderLimitBytes_ = 16 * 1024;
   std::uint64_t BodyLimitBytes_ = 1ULL << 30;
+  std::uint64_t BodyMemoryBytes_ = 48ULL << 20;
   std::uint32_t ConnectionLimit_ = 20000;
   base::Duration IdleTimeout_ = std::chrono::seconds(60);
   base::Duration HeaderTimeout_ = std::chrono::seconds(10);
--- a/libs/steering/Steering.cpp
+++ b/libs/steering/Steering.cpp
@@ -32,6 +32,8 @@
     return "target-rates-used-up";
   case Refusal::TargetsRest:
     return "targets-rest";
+  case Refusal::BodyMemoryFull:
+    return "body-memory-full";
   case Refusal::TargetsUnreached:
     return "targets-unreached";
   case Refusal::SettingsOld:
--- a/libs/steering/Steering.h
+++ b/libs/steering/Steering.h
@@ -139,6 +139,8 @@
   ClaimStoreDown,
   AlreadyRun,
   Stopping,
+  /// This host has no memory for the request's body.
+  BodyMemoryFull,
   TargetFailed,
   DeadlineExceeded,
 };
