Refusals: a body that stops after a part of it was sent is not answered 408

What could be seen (REFUSED): the body of a request that may run once stopped while it streamed to its target. The caller got 408 with ran=maybe. 408 promises that the request has not run and will not; its target had a part of it, and may run it.

Cause: the answer to a body that does not go on took no account of a send.

Change: 502 then, as wherever else a request may have run; 408 stays where nothing was sent.

--- a/libs/gateway/CallerAnswer.cpp
+++ b/libs/gateway/CallerAnswer.cpp
@@ -145,7 +145,7 @@
   Problem.Reason_ = "malformed-request";
   Problem.Detail_ = "The body of the request is not well formed.";
   if (TimedOut) {
-    Problem.Status_ = 408;
+    Problem.Status_ = Ran == steering::Ran::No ? 408 : 502;
     Problem.Reason_ = "request-timeout";
     Problem.Detail_ = "The body of the request did not go on.";
   } else if (End == ReadEnd::BodyTooLarge) {
--- /dev/null
+++ b/tests/gateway/BodyStopsTest.cpp
@@ -0,0 +1,51 @@
+#include "gateway/Fixture.h"
+#include "gateway/RawTarget.h"
+
+#include "CppUTest/TestHarness.h"
+
+namespace tests = lychee::tests;
+using tests::Fixture;
+using tests::RawAnswer;
+using tests::RawClient;
+using tests::RawTarget;
+using namespace std::chrono_literals;
+
+/// Bodies that stop short of their end.
+TEST_GROUP(BodyStops) {
+  RawTarget Target_{[](RawTarget::Socket &Peer) {
+    if (RawTarget::readHead(Peer).starts_with("GET"))
+      RawTarget::send(Peer, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    RawTarget::waitForEnd(Peer);
+  }};
+  std::unique_ptr<Fixture> Fixture_;
+
+  void setup() override {
+    Fixture_ = std::make_unique<Fixture>(0);
+    Fixture_->Settings_.HeldBodyBytes_ = 1024;
+    Fixture_->Settings_.ProgressTimeout_ = 200ms;
+    Fixture_->Steering_ = std::make_unique<tests::FakeSteering>(
+        std::vector<std::string>{Target_.address()});
+    Fixture_->start();
+  }
+  void teardown() override { Fixture_.reset(); }
+
+  RawAnswer stopAfter(std::size_t Bytes) const {
+    RawClient Caller(Fixture_->address());
+    Caller.send(tests::requestText("POST", "/s/x", "Content-Length: 9000\r\n") +
+                std::string(Bytes, 'x'));
+    return Caller.readAnswer();
+  }
+};
+
+TEST(BodyStops, beforeASendItIsSaidThatItHasNotRun) {
+  const RawAnswer Got = stopAfter(100);
+  LONGS_EQUAL(408, Got.Status_);
+  STRCMP_EQUAL("no", Got.header("lychee-ran").c_str());
+}
+
+// 408 promises that the request has not run, and its target had a part of it.
+TEST(BodyStops, afterASendNothingIsPromised) {
+  const RawAnswer Got = stopAfter(4000);
+  LONGS_EQUAL(502, Got.Status_);
+  STRCMP_EQUAL("maybe", Got.header("lychee-ran").c_str());
+}
