Uploads: one that does not go on frees its target's room for others

What was seen: long bodies that stop a byte short kept the room of their targets until the progress timeout of 20 s; ordinary requests found none meanwhile, and two tests of HostileClients took 20 s to get one answered.

Change: BodyPace, the decision of how long a body is waited for, taken out of BodyMemory: while memory is scarce, or while requests wait for room at targets or were refused for lack of it within a second, a body on its way to a target that makes no progress for a second, or comes at less than 16 KiB a second, is ended. Bodies up to what is held (1 MiB) are whole before they are sent and never meet it.

Why it works: only what keeps room that others need, and does not use it, is ended.

--- a/libs/gateway/BodyMemory.h
+++ b/libs/gateway/BodyMemory.h
@@ -1,8 +1,6 @@
 #ifndef LYCHEE_GATEWAY_BODYMEMORY_H
 #define LYCHEE_GATEWAY_BODYMEMORY_H
 
-#include "base/Time.h"
-
 #include <atomic>
 #include <cstddef>
 
@@ -11,15 +9,9 @@
 /// Memory of a host for the bodies of requests that are held or pass through.
 /// Answers the load of callers that send many bodies at once, or that begin
 /// bodies and do not go on: a body takes memory as its bytes come, one that
-/// finds none is refused, and while memory is scarce the bodies that advance
-/// least are ended. Thread-safe. \see BodyShare
+/// finds none is refused. Thread-safe. \see BodyShare, BodyPace
 class BodyMemory {
 public:
-  /// How long a body may make no progress while memory is scarce.
-  static constexpr base::Duration ScarcePatience = std::chrono::seconds(1);
-  /// Rate that a body must reach while memory is scarce.
-  static constexpr double ScarceBytesPerSecond = 16 * 1024;
-
   explicit BodyMemory(std::size_t Limit) noexcept : Limit_(Limit) {}
   BodyMemory(const BodyMemory &) = delete;
   BodyMemory &operator=(const BodyMemory &) = delete;
@@ -30,16 +22,6 @@
   std::size_t taken() const noexcept { return Taken_.load(); }
   bool isScarce() const noexcept { return taken() > Limit_ / 2; }
 
-  /// \returns whether a body of which \p Received bytes came within \p Elapsed
-  /// may go on.
-  bool mayGoOn(std::size_t Received, base::Duration Elapsed) const noexcept;
-
-  /// \returns until when a body that last made progress at \p Since may be
-  /// waited for at \p Now, before this is asked again; \p Now or earlier: no
-  /// longer.
-  base::TimePoint waitLimit(base::TimePoint Since, base::Duration Usual,
-                            base::TimePoint Now) const noexcept;
-
 private:
   const std::size_t Limit_;
   std::atomic<std::size_t> Taken_ = 0;
--- a/libs/gateway/Forwarding.cpp
+++ b/libs/gateway/Forwarding.cpp
@@ -21,7 +21,7 @@
 /// Room for a body that comes in small parts.
 constexpr std::size_t FirstHeldBytes = 16UL * 1024;
 /// Bodies that make no progress have been ended by then.
-constexpr base::Duration ReturnForMemory = BodyMemory::ScarcePatience;
+constexpr base::Duration ReturnForMemory = BodyPace::ScarcePatience;
 /// A waiting request is decided by WaitUntil_; should that fail to come, the
 /// caller is not left hanging for longer than this.
 constexpr base::Duration WaitSlack = std::chrono::seconds(1);
@@ -48,6 +48,15 @@
   return Both;
 }
 
+bool lacksRoom(const steering::Decision &Made) noexcept {
+  using steering::Refusal;
+  return Made.Action_ == steering::Decision::Action::Refuse &&
+         (Made.Refusal_ == Refusal::QueueFull ||
+          Made.Refusal_ == Refusal::NoHeadroom ||
+          Made.Refusal_ == Refusal::OverShare ||
+          Made.Refusal_ == Refusal::LessUrgent);
+}
+
 bool provesNotRun(SendOutcome End) noexcept {
   return End == SendOutcome::ConnectFailed ||
          End == SendOutcome::ClosedBeforeWrite ||
@@ -185,13 +194,17 @@
 Task<ReadEnd> Forwarding::readBody(std::span<char> Out, std::size_t &Got) {
   const GatewayState &Shared = Home_.shared();
   const base::TimePoint Since = base::SystemClock::monotonicNow();
-  if (!Shared.Bodies_.mayGoOn(BodyReceived_, Since - BodyBegin_)) {
+  const bool AtTarget = Decision_.Action_ == steering::Decision::Action::Send &&
+                        Decision_.Ticket_ != 0;
+  if (!Shared.bodyPace(AtTarget, Since)
+           .mayGoOn(BodyReceived_, Since - BodyBegin_)) {
     Caller_.watch().fire(Watch::Cause::Expired);
     co_return ReadEnd::Cut;
   }
-  const auto Limit = [&Shared, Since] {
-    return Shared.Bodies_.waitLimit(Since, Shared.Settings_.ProgressTimeout_,
-                                    base::SystemClock::monotonicNow());
+  const auto Limit = [&Shared, Since, AtTarget] {
+    const base::TimePoint Now = base::SystemClock::monotonicNow();
+    return Shared.bodyPace(AtTarget, Now)
+        .waitLimit(Since, Shared.Settings_.ProgressTimeout_, Now);
   };
   Caller_.watch().expireAt(Limit());
   Caller_.watch().onExpiry(Limit);
@@ -623,6 +636,8 @@
 }
 
 void Forwarding::noteDecision(base::TimePoint Now) {
+  if (lacksRoom(Decision_))
+    Home_.shared().noteLackOfRoom(Now);
   Home_.shared().Others_.Listener_.decided(Request_, Decision_, Now);
 }
 
--- a/libs/gateway/GatewayState.h
+++ b/libs/gateway/GatewayState.h
@@ -2,6 +2,7 @@
 #define LYCHEE_GATEWAY_GATEWAYSTATE_H
 
 #include "gateway/BodyMemory.h"
+#include "gateway/BodyPace.h"
 #include "gateway/Collaborators.h"
 #include "gateway/GatewaySettings.h"
 #include "gateway/TargetPools.h"
@@ -88,6 +89,18 @@
 
   bool isServing() const noexcept { return Phase_ == Phase::Serving; }
 
+  /// A request found no room at targets.
+  void noteLackOfRoom(base::TimePoint Now) noexcept { LackedRoomAt_ = Now; }
+  /// \returns the pace of a body that is on its way to a target, or of one that
+  /// is held only.
+  BodyPace bodyPace(bool AtTarget, base::TimePoint Now) const noexcept {
+    const base::TimePoint Lacked = LackedRoomAt_;
+    const bool LacksRoom =
+        Waiting_.size() > 0 || (Lacked != base::TimePoint() &&
+                                Now - Lacked < BodyPace::ScarcePatience);
+    return {Bodies_.isScarce() || (AtTarget && LacksRoom)};
+  }
+
   /// A stop begins.
   void beginStop(base::TimePoint Now) noexcept {
     StopBegin_ = Now;
@@ -114,6 +127,7 @@
 
 private:
   std::atomic<base::TimePoint> StopBegin_ = base::TimePoint();
+  std::atomic<base::TimePoint> LackedRoomAt_ = base::TimePoint();
 
   CallerLimits limits() const {
     const std::lock_guard Guard(LimitsLock_);
--- a/tests/gateway/BodyMemoryTest.cpp
+++ b/tests/gateway/BodyMemoryTest.cpp
@@ -1,9 +1,11 @@
 #include "gateway/BodyMemory.h"
+#include "gateway/BodyPace.h"
 
 #include "CppUTest/TestHarness.h"
 
 namespace base = lychee::base;
 using lychee::gateway::BodyMemory;
+using lychee::gateway::BodyPace;
 using lychee::gateway::BodyShare;
 using namespace std::chrono_literals;
 
@@ -31,26 +33,28 @@
 TEST(BodyMemory, aBodyIsWaitedForAsUsualWhileThereIsMemory) {
   BodyShare Taken(Memory_);
   CHECK(Taken.tryResize(Limit / 2));
-  CHECK(Memory_.mayGoOn(0, 1h));
+  const BodyPace Pace{Memory_.isScarce()};
+  CHECK(Pace.mayGoOn(0, 1h));
   for (const base::Duration Passed : {0s, 1s, 5s, 19s})
-    CHECK(Memory_.waitLimit(Begin_, 20s, Begin_ + Passed) > Begin_ + Passed);
-  CHECK(Memory_.waitLimit(Begin_, 20s, Begin_ + 20s) <= Begin_ + 20s);
+    CHECK(Pace.waitLimit(Begin_, 20s, Begin_ + Passed) > Begin_ + Passed);
+  CHECK(Pace.waitLimit(Begin_, 20s, Begin_ + 20s) <= Begin_ + 20s);
 }
 
 // Guards against bodies that keep scarce memory and do not go on.
 TEST(BodyMemory, aBodyThatDoesNotGoOnEndsWhileMemoryIsScarce) {
   BodyShare Taken(Memory_);
   CHECK(Taken.tryResize(Limit / 2 + 1));
-  CHECK(Memory_.waitLimit(Begin_, 20s, Begin_ + 999ms) > Begin_ + 999ms);
-  CHECK(Memory_.waitLimit(Begin_, 20s, Begin_ + 1s) <= Begin_ + 1s);
-  CHECK(Memory_.mayGoOn(0, 999ms));
-  CHECK(Memory_.mayGoOn(32 * 1024, 2s));
-  CHECK_FALSE(Memory_.mayGoOn(32 * 1024 - 1, 2s));
+  const BodyPace Pace{Memory_.isScarce()};
+  CHECK(Pace.waitLimit(Begin_, 20s, Begin_ + 999ms) > Begin_ + 999ms);
+  CHECK(Pace.waitLimit(Begin_, 20s, Begin_ + 1s) <= Begin_ + 1s);
+  CHECK(Pace.mayGoOn(0, 999ms));
+  CHECK(Pace.mayGoOn(32 * 1024, 2s));
+  CHECK_FALSE(Pace.mayGoOn(32 * 1024 - 1, 2s));
 }
 
 // Scarcity that begins during a wait must be noticed.
 TEST(BodyMemory, aWaitIsLookedAtAgainWithinASecond) {
+  const BodyPace Pace{Memory_.isScarce()};
   for (const base::Duration Passed : {0s, 3s, 10s})
-    CHECK(Memory_.waitLimit(Begin_, 20s, Begin_ + Passed) <=
-          Begin_ + Passed + 1s);
+    CHECK(Pace.waitLimit(Begin_, 20s, Begin_ + Passed) <= Begin_ + Passed + 1s);
 }
--- a/tests/gateway/BodyStopsTest.cpp
+++ b/tests/gateway/BodyStopsTest.cpp
@@ -43,6 +43,24 @@
   STRCMP_EQUAL("no", Got.header("lychee-ran").c_str());
 }
 
+// A body that stopped kept its target's room until the progress timeout.
+TEST(BodyStops, atATargetItMakesRoomForARequestThatWaits) {
+  Fixture_.reset();
+  Fixture_ = std::make_unique<Fixture>(0);
+  Fixture_->Settings_.HeldBodyBytes_ = 1024;
+  Fixture_->Steering_ = std::make_unique<tests::FakeSteering>(
+      std::vector<std::string>{Target_.address()});
+  Fixture_->Steering_->Limit_ = 1;
+  Fixture_->start();
+  RawClient Stopped(Fixture_->address());
+  Stopped.send(tests::requestText("POST", "/s/x", "Content-Length: 9000\r\n") +
+               std::string(4000, 'x'));
+  CHECK(tests::waitFor(
+      [this] { return Fixture_->Steering_->openTickets() == 1; }));
+  RawClient Other(Fixture_->address());
+  LONGS_EQUAL(200, Other.request("GET", "/s/x").Status_);
+}
+
 // 408 promises that the request has not run, and its target had a part of it.
 TEST(BodyStops, afterASendNothingIsPromised) {
   const RawAnswer Got = stopAfter(4000);
