Callers' connections: within a part of the descriptors, and the longest waiting makes room

What was seen: 2,000 clients that connect and send nothing, or a part of a head, took all 1,024 descriptors of a host. An ordinary request was answered after 34 s and 10 to 14 s, when the crowd had timed out; targets and the store could not be connected to meanwhile.

Cause: the limit of connections, 20,000, was above the descriptors, and whoever came later waited for whoever had come first.

Beyond it the connection that has waited longest without a request, or inside a head, is closed; a connection with a request never is. Where all have one, a new caller is refused with 503 as before.

Why it works: a new caller's place does not depend on how long those before it stay silent.

--- a/apps/lycheed/Daemon.cpp
+++ b/apps/lycheed/Daemon.cpp
@@ -70,7 +70,7 @@
           Control_, ClaimStore_, PeerClient_, Handlers_,
           exchange::ExchangeNode::incarnationId(Settings.Host_, Incarnation_),
           Incarnation_),
-      Claims_(ClaimService_), Gateway_(gateway::gatewaySettingsOf(Settings),
+      Claims_(ClaimService_), Gateway_(boundedGatewaySettings(Settings),
                                        {Steering_, Keys_, Router_, Directory_,
                                         Claims_, Reporter_, Loads_},
                                        drawSeed()),
--- a/apps/lycheed/DaemonParts.cpp
+++ b/apps/lycheed/DaemonParts.cpp
@@ -3,7 +3,9 @@
 #include "base/SystemClock.h"
 #include "exchange/ExchangeNode.h"
 #include "reporting/Log.h"
+#include "transport/DescriptorShares.h"
 
+#include <algorithm>
 #include <random>
 
 namespace lychee::daemon {
@@ -48,6 +50,22 @@
   return Options;
 }
 
+std::uint64_t descriptorsOf(const settings::DaemonSettings &Settings) {
+  const std::uint64_t Allowed = transport::descriptorLimit();
+  return Settings.Descriptors_ == 0
+             ? Allowed
+             : std::min<std::uint64_t>(Allowed, Settings.Descriptors_);
+}
+
+gateway::GatewaySettings
+boundedGatewaySettings(const settings::DaemonSettings &Settings) {
+  gateway::GatewaySettings Made = gateway::gatewaySettingsOf(Settings);
+  Made.ConnectionLimit_ =
+      std::min(Made.ConnectionLimit_,
+               transport::divideDescriptors(descriptorsOf(Settings)).Callers_);
+  return Made;
+}
+
 gateway::HostEntry selfEntry(const settings::DaemonSettings &Settings) {
   return {Settings.Host_, Settings.Region_, Settings.Zone_,
           Settings.Callers_.text()};
--- a/apps/lycheed/DaemonParts.h
+++ b/apps/lycheed/DaemonParts.h
@@ -4,6 +4,7 @@
 #include "budget/RateBudgets.h"
 #include "claims/ClaimService.h"
 #include "fleet/Directory.h"
+#include "gateway/GatewaySettings.h"
 #include "gateway/HostDirectory.h"
 #include "gateway/StopSequence.h"
 #include "gateway/TargetObserver.h"
@@ -34,6 +35,14 @@
 
 transport::HttpServerOptions optionsFor(const settings::Endpoint &Where);
 
+/// \returns the descriptors that the process may have.
+std::uint64_t descriptorsOf(const settings::DaemonSettings &Settings);
+
+/// \returns a gateway's settings, with callers' connections within their part
+/// of the descriptors.
+gateway::GatewaySettings
+boundedGatewaySettings(const settings::DaemonSettings &Settings);
+
 gateway::HostEntry selfEntry(const settings::DaemonSettings &Settings);
 
 /// \returns the hosts that callers may use: leaving ones are absent.
--- a/apps/lycheed/LiveDaemon.cpp
+++ b/apps/lycheed/LiveDaemon.cpp
@@ -55,7 +55,7 @@
 gateway::GatewaySettings
 liveGatewaySettings(const settings::DaemonSettings &Settings,
                     const live::DeploymentBounds &Bounds) {
-  gateway::GatewaySettings Made = gateway::gatewaySettingsOf(Settings);
+  gateway::GatewaySettings Made = boundedGatewaySettings(Settings);
   Made.Names_ = platform::vocabulary();
   Made.Threads_ = 1;
   Made.HeldBodyBytes_ = HeldBodyBytes;
--- a/libs/gateway/CallerConnection.cpp
+++ b/libs/gateway/CallerConnection.cpp
@@ -33,6 +33,7 @@
   RequestId_ = Id;
   Stage_ = RequestStage::Reading;
   RequestSince_ = Now;
+  WaitingSince_ = base::TimePoint::max();
 }
 
 std::optional<CutRequest>
--- a/libs/gateway/CallerConnection.h
+++ b/libs/gateway/CallerConnection.h
@@ -49,6 +49,11 @@
   void markBusy() noexcept { IdleSince_ = base::TimePoint::max(); }
   base::TimePoint idleSince() const noexcept { return IdleSince_; }
 
+  /// Without a request, or with a part of its head, since then.
+  void markWaiting(base::TimePoint Now) noexcept { WaitingSince_ = Now; }
+  /// \returns the latest time possible while a request is in progress.
+  base::TimePoint waitingSince() const noexcept { return WaitingSince_; }
+
   /// The request in progress, for the account of a stop that cuts it; empty:
   /// none is.
   void noteRequest(std::string_view Id, base::TimePoint Now);
@@ -76,6 +81,7 @@
   RequestStage Stage_ = RequestStage::Reading;
   base::TimePoint RequestSince_;
   base::TimePoint IdleSince_ = base::TimePoint::max();
+  base::TimePoint WaitingSince_ = base::TimePoint::max();
 };
 
 using CallerConnectionList =
--- a/libs/gateway/CallerSession.cpp
+++ b/libs/gateway/CallerSession.cpp
@@ -51,7 +51,8 @@
     if (GoesOn)
       GoesOn = co_await serveOne();
   }
-  if (Caller_.hasUnreadBytes())
+  const bool IsEvicted = Caller_.watch().cause() == Watch::Cause::Evicted;
+  if (Caller_.hasUnreadBytes() && !IsEvicted)
     co_await linger();
   Caller_.close(false);
 }
@@ -60,6 +61,7 @@
   const base::TimePoint Now = base::SystemClock::monotonicNow();
   Watch &Bound = Caller_.watch();
   Bound.rearm();
+  Caller_.markWaiting(Now);
   Bound.watchHangUp(-1);
   Bound.expireAt(Now + Home_.shared().idleTimeout());
   Home_.watchdog().watchCoarsely(Bound);
--- a/libs/gateway/Listener.cpp
+++ b/libs/gateway/Listener.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/ProblemDocument.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
@@ -13,6 +14,8 @@
 /// Pause after a failed accept: out of descriptors, accept fails at once again
 /// and again, and would take the thread from the callers it has.
 constexpr std::chrono::milliseconds AcceptPause(20);
+/// Connections beyond the limit while those whose places they take are closed.
+constexpr std::uint32_t MostEvictions = 32;
 
 } // namespace
 
@@ -64,8 +67,11 @@
 void Listener::hand(Socket Accepted) {
   Worker &Chosen = *Workers_[Next_];
   Next_ = (Next_ + 1) % Workers_.size();
-  if (Chosen.shared().Connections_ >=
-      Chosen.shared().Settings_.ConnectionLimit_) {
+  const std::uint32_t Open = Chosen.shared().Connections_;
+  const std::uint32_t Limit = Chosen.shared().Settings_.ConnectionLimit_;
+  if (Open >= Limit)
+    Chosen.evictLongestWaiting();
+  if (Open >= Limit + std::min(Limit / 8, MostEvictions)) {
     refuse(Accepted);
     return;
   }
--- a/libs/gateway/Watch.h
+++ b/libs/gateway/Watch.h
@@ -26,6 +26,8 @@
     HungUp,
     /// The host's stop is over.
     Stopped,
+    /// The connection's place is given to another caller.
+    Evicted,
   };
 
   explicit Watch(std::function<void()> OnFire) : OnFire_(std::move(OnFire)) {}
--- a/libs/gateway/Worker.cpp
+++ b/libs/gateway/Worker.cpp
@@ -76,6 +76,19 @@
   });
 }
 
+void Worker::evictLongestWaiting() {
+  boost::asio::post(Context_, [this] {
+    CallerConnection *Longest = nullptr;
+    for (CallerConnection &Caller : Callers_)
+      if (!Caller.watch().fired() &&
+          (Longest == nullptr ||
+           Caller.waitingSince() < Longest->waitingSince()))
+        Longest = &Caller;
+    if (Longest != nullptr && Longest->waitingSince() != base::TimePoint::max())
+      Longest->watch().fire(Watch::Cause::Evicted);
+  });
+}
+
 void Worker::endAll(std::function<void(std::vector<CutRequest>)> Done) {
   boost::asio::post(Context_, [this, Done = std::move(Done)] {
     const base::TimePoint Now = base::SystemClock::monotonicNow();
--- a/libs/gateway/Worker.h
+++ b/libs/gateway/Worker.h
@@ -48,6 +48,10 @@
   /// that a request already on its way to us is not met by a closed door.
   void closeIdle(base::Duration IdleFor, base::TimePoint Now);
 
+  /// Closes the connection that has waited longest without a request, as
+  /// another caller needs its place. From any thread.
+  void evictLongestWaiting();
+
   /// Ends what every connection waits for. \p Done hears of the requests that
   /// were in progress, but for those that only waited, on this worker's thread.
   void endAll(std::function<void(std::vector<CutRequest>)> Done);
--- a/libs/settings/DaemonSettings.cpp
+++ b/libs/settings/DaemonSettings.cpp
@@ -21,6 +21,7 @@
   Section.name("zone", Into.Zone_);
   Section.count("threads", Into.Threads_, {1, 256});
   Section.address("source", Into.Source_);
+  Section.count("descriptors", Into.Descriptors_, {64, 1'000'000});
 }
 
 void readCallers(SectionReader &Section, DaemonSettings &Into) {
--- a/libs/settings/DaemonSettings.h
+++ b/libs/settings/DaemonSettings.h
@@ -59,6 +59,8 @@
   base::RegionId Region_;
   base::ZoneId Zone_;
   std::uint32_t Threads_ = 2;
+  /// Descriptors that the process may have; 0: what the system says.
+  std::uint32_t Descriptors_ = 0;
   /// IP from which targets are connected to; empty: the kernel chooses.
   std::string Source_;
 
