HTTP server: a new connection takes the place of the one that waits longest

What was seen: 2,000 connections to the directory took all descriptors of a host; each of its four servers took 1,024 connections, each for 60 s without a request.

Change: a server takes its part of the descriptors, a sixteenth. Beyond it the connection that has waited longest for a whole request is closed; where all are being answered, the new one is, as before.

--- a/apps/lycheed/Daemon.cpp
+++ b/apps/lycheed/Daemon.cpp
@@ -212,11 +212,11 @@
 // Start and stop.
 
 bool Daemon::startAll(base::Error &Last) {
-  Peers_ = std::make_unique<fleet::PeerServer>(Control_.get_executor(),
-                                               optionsFor(Settings_.Peers_),
-                                               Handlers_, Authenticator_);
+  Peers_ = std::make_unique<fleet::PeerServer>(
+      Control_.get_executor(), optionsFor(Settings_, Settings_.Peers_),
+      Handlers_, Authenticator_);
   MetricsServer_ = std::make_unique<transport::HttpServer>(
-      Control_.get_executor(), optionsFor(Settings_.Metrics_),
+      Control_.get_executor(), optionsFor(Settings_, Settings_.Metrics_),
       [this](transport::HttpRequest Asked) {
         return answerMetrics(std::move(Asked));
       });
--- a/apps/lycheed/DaemonParts.cpp
+++ b/apps/lycheed/DaemonParts.cpp
@@ -43,10 +43,14 @@
   return Made;
 }
 
-transport::HttpServerOptions optionsFor(const settings::Endpoint &Where) {
+transport::HttpServerOptions optionsFor(const settings::DaemonSettings &Host,
+                                        const settings::Endpoint &Where) {
   transport::HttpServerOptions Options;
   Options.Address_ = Where.Address_;
   Options.Port_ = Where.Port_;
+  Options.ConnectionLimit_ =
+      std::min(Options.ConnectionLimit_,
+               transport::divideDescriptors(descriptorsOf(Host)).Server_);
   return Options;
 }
 
--- a/apps/lycheed/DaemonParts.h
+++ b/apps/lycheed/DaemonParts.h
@@ -33,7 +33,9 @@
 steeringSettings(const settings::DaemonSettings &Settings,
                  std::uint64_t Incarnation, budget::RateBudgets &Rates);
 
-transport::HttpServerOptions optionsFor(const settings::Endpoint &Where);
+/// \returns the options of one of a host's own servers.
+transport::HttpServerOptions optionsFor(const settings::DaemonSettings &Host,
+                                        const settings::Endpoint &Where);
 
 /// \returns the descriptors that the process may have.
 std::uint64_t descriptorsOf(const settings::DaemonSettings &Settings);
--- a/apps/lycheed/LiveDaemon.cpp
+++ b/apps/lycheed/LiveDaemon.cpp
@@ -355,7 +355,8 @@
   const auto Serve = [this](const settings::Endpoint &Where,
                             transport::HttpServer::Handler Answers) {
     Servers_.push_back(std::make_unique<transport::HttpServer>(
-        Control_.get_executor(), optionsFor(Where), std::move(Answers)));
+        Control_.get_executor(), optionsFor(Settings_, Where),
+        std::move(Answers)));
   };
   Serve(Live_.Directory_, [this](transport::HttpRequest Asked) {
     return answerDirectory(std::move(Asked));
--- a/libs/transport/HttpServer.cpp
+++ b/libs/transport/HttpServer.cpp
@@ -1,7 +1,9 @@
 #include "transport/HttpServer.h"
 
+#include "base/SystemClock.h"
 #include "reporting/Log.h"
 
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -12,8 +14,8 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
+#include <map>
 #include <mutex>
-#include <set>
 
 namespace lychee::transport {
 
@@ -77,12 +79,35 @@
 
   bool admit(const Stream &Accepted) {
     const std::lock_guard Guard(Lock_);
-    if (Stopped_ || Open_.size() >= Options_.ConnectionLimit_)
+    if (Stopped_)
       return false;
-    Open_.insert(Accepted);
+    if (Open_.size() >= Options_.ConnectionLimit_ && !evictLongestWaiting())
+      return false;
+    Open_[Accepted] = base::SystemClock::monotonicNow();
+    return true;
+  }
+
+  /// Called with the lock held. \returns false where all have requests.
+  bool evictLongestWaiting() {
+    const auto Longest = std::min_element(
+        Open_.begin(), Open_.end(), [](const auto &Left, const auto &Right) {
+          return Left.second < Right.second;
+        });
+    if (Longest == Open_.end() || Longest->second == base::TimePoint::max())
+      return false;
+    asio::post(Longest->first->get_executor(),
+               [Evicted = Longest->first] { Evicted->close(); });
+    Open_.erase(Longest);
     return true;
   }
 
+  /// \param Since  the latest time possible while a request is answered.
+  void markWaiting(const Stream &Served, base::TimePoint Since) {
+    const std::lock_guard Guard(Lock_);
+    if (const auto Found = Open_.find(Served); Found != Open_.end())
+      Found->second = Since;
+  }
+
   void forget(const Stream &Ended) {
     const std::lock_guard Guard(Lock_);
     Open_.erase(Ended);
@@ -109,7 +134,7 @@
   asio::awaitable<void> serve(Stream Served) {
     const std::shared_ptr<State> Self = shared_from_this();
     beast::flat_buffer Buffer(ReadBufferBytes);
-    while (co_await serveOne(*Served, Buffer)) {
+    while (co_await serveOne(Served, Buffer)) {
     }
     beast::error_code Ignored;
     Served->socket().shutdown(Tcp::socket::shutdown_send, Ignored);
@@ -118,8 +143,10 @@
   }
 
   /// \returns false when the connection is to be closed.
-  asio::awaitable<bool> serveOne(beast::tcp_stream &Served,
+  asio::awaitable<bool> serveOne(const Stream &Connection,
                                  beast::flat_buffer &Buffer) {
+    beast::tcp_stream &Served = *Connection;
+    markWaiting(Connection, base::SystemClock::monotonicNow());
     Served.expires_after(Options_.ReadTimeout_);
     http::request_parser<http::string_body> Parser;
     Parser.body_limit(Options_.BodyLimitBytes_);
@@ -128,6 +155,7 @@
         co_await http::async_read(Served, Buffer, Parser, AsTuple);
     if (Options_.Traffic_)
       Options_.Traffic_->received(Read);
+    markWaiting(Connection, base::TimePoint::max());
     HttpAnswer Answer;
     bool KeepAlive = false;
     if (Failure) {
@@ -160,14 +188,14 @@
   }
 
   void stop() {
-    std::set<Stream> Closing;
+    std::map<Stream, base::TimePoint> Closing;
     {
       const std::lock_guard Guard(Lock_);
       Stopped_ = true;
       Closing.swap(Open_);
     }
-    for (const Stream &Each : Closing)
-      asio::post(Each->get_executor(), [Each] { Each->close(); });
+    for (const auto &[Each, Since] : Closing)
+      asio::post(Each->get_executor(), [Each = Each] { Each->close(); });
     const std::shared_ptr<State> Self = shared_from_this();
     asio::post(Acceptor_.get_executor(), [Self] {
       beast::error_code Ignored;
@@ -182,7 +210,8 @@
   std::uint16_t Port_ = 0;
   std::mutex Lock_;
   bool Stopped_ = false;
-  std::set<Stream> Open_;
+  /// Since when each waits for a request.
+  std::map<Stream, base::TimePoint> Open_;
 };
 
 HttpServer::HttpServer(asio::any_io_executor Executor,
--- a/libs/transport/HttpServer.h
+++ b/libs/transport/HttpServer.h
@@ -23,8 +23,9 @@
   std::uint16_t Port_ = 0;
   std::size_t BodyLimitBytes_ = 4 << 20;
   std::size_t HeaderLimitBytes_ = 16 << 10;
-  /// Connections served at once; further ones are closed at once, so that a
-  /// flood of connections cannot take the memory of the daemon.
+  /// Connections served at once, so that a flood of them cannot take the memory
+  /// or the descriptors of the daemon. A further one takes the place of the one
+  /// that has waited longest without a request; where none waits, it is closed.
   std::size_t ConnectionLimit_ = 1024;
   /// A request must be whole this long after the one before it ended.
   base::Duration ReadTimeout_ = std::chrono::seconds(60);
