Servers of a host: a bound on bodies that fits what is asked there

What was seen: 200 clients that send 4 MiB less a byte to the directory took 285 MB of a host, though each server had only 64 connections then: each of them could hold a body of 4 MiB.

Change: 4 KiB for the directory, readiness and metrics, whose requests need no body, 64 KiB for what hosts ask each other; the operators' port keeps the 4 MiB of one change of the tree.

Evidence: HostileClients.longBodiesForTheDirectory failed at 285,073,408 bytes on the code before and passes; the tests of HostileClients wait now until the host has read what lies in the kernel's buffers, which none was sure of before: 14 of 14 pass in one run.

--- a/apps/lycheed/Daemon.cpp
+++ b/apps/lycheed/Daemon.cpp
@@ -36,6 +36,8 @@
 /// Three partitions' writes and as many reads back.
 constexpr double ClaimCallsPerSecond = 80;
 
+/// One change of the settings tree.
+constexpr std::size_t PeerBodyLimit = 4UL << 20;
 constexpr int ExitStartFailed = 1;
 constexpr int ExitRequestsCut = 3;
 constexpr int ExitRemoved = 4;
@@ -213,10 +215,12 @@
 
 bool Daemon::startAll(base::Error &Last) {
   Peers_ = std::make_unique<fleet::PeerServer>(
-      Control_.get_executor(), optionsFor(Settings_, Settings_.Peers_),
-      Handlers_, Authenticator_);
+      Control_.get_executor(),
+      optionsFor(Settings_, Settings_.Peers_, PeerBodyLimit), Handlers_,
+      Authenticator_);
   MetricsServer_ = std::make_unique<transport::HttpServer>(
-      Control_.get_executor(), optionsFor(Settings_, Settings_.Metrics_),
+      Control_.get_executor(),
+      optionsFor(Settings_, Settings_.Metrics_, QueryBodyLimit),
       [this](transport::HttpRequest Asked) {
         return answerMetrics(std::move(Asked));
       });
--- a/apps/lycheed/DaemonParts.cpp
+++ b/apps/lycheed/DaemonParts.cpp
@@ -44,10 +44,12 @@
 }
 
 transport::HttpServerOptions optionsFor(const settings::DaemonSettings &Host,
-                                        const settings::Endpoint &Where) {
+                                        const settings::Endpoint &Where,
+                                        std::size_t BodyLimit) {
   transport::HttpServerOptions Options;
   Options.Address_ = Where.Address_;
   Options.Port_ = Where.Port_;
+  Options.BodyLimitBytes_ = BodyLimit;
   Options.ConnectionLimit_ =
       std::min(Options.ConnectionLimit_,
                transport::divideDescriptors(descriptorsOf(Host)).Server_);
--- a/apps/lycheed/DaemonParts.h
+++ b/apps/lycheed/DaemonParts.h
@@ -34,8 +34,13 @@
                  std::uint64_t Incarnation, budget::RateBudgets &Rates);
 
 /// \returns the options of one of a host's own servers.
+/// \param BodyLimit  in bytes; \see QueryBodyLimit
 transport::HttpServerOptions optionsFor(const settings::DaemonSettings &Host,
-                                        const settings::Endpoint &Where);
+                                        const settings::Endpoint &Where,
+                                        std::size_t BodyLimit);
+
+/// For servers that anyone may ask, and whose requests need no body.
+inline constexpr std::size_t QueryBodyLimit = 4UL << 10;
 
 /// \returns the descriptors that the process may have.
 std::uint64_t descriptorsOf(const settings::DaemonSettings &Settings);
--- a/apps/lycheed/LiveDaemon.cpp
+++ b/apps/lycheed/LiveDaemon.cpp
@@ -48,6 +48,8 @@
 /// No command line asks this host to explain a request; its log does. 0.5 MB
 /// were kept here for nobody.
 constexpr std::size_t ExplainBytes = 32UL << 10;
+/// What hosts ask each other names revisions only.
+constexpr std::size_t RelayBodyLimit = 64UL << 10;
 constexpr unsigned StatusNotFound = 404;
 constexpr int ExitStartFailed = 1;
 constexpr int ExitRequestsCut = 3;
@@ -353,23 +355,25 @@
 
 bool LiveDaemon::startAll(base::Error &Last) {
   const auto Serve = [this](const settings::Endpoint &Where,
+                            std::size_t BodyLimit,
                             transport::HttpServer::Handler Answers) {
     Servers_.push_back(std::make_unique<transport::HttpServer>(
-        Control_.get_executor(), optionsFor(Settings_, Where),
+        Control_.get_executor(), optionsFor(Settings_, Where, BodyLimit),
         std::move(Answers)));
   };
-  Serve(Live_.Directory_, [this](transport::HttpRequest Asked) {
+  Serve(Live_.Directory_, QueryBodyLimit, [this](transport::HttpRequest Asked) {
     return answerDirectory(std::move(Asked));
   });
-  Serve(Live_.Readiness_, [this](transport::HttpRequest Asked) {
+  Serve(Live_.Readiness_, QueryBodyLimit, [this](transport::HttpRequest Asked) {
     return answerReadiness(std::move(Asked));
   });
-  Serve(Live_.Relays_, [this](transport::HttpRequest Asked) {
+  Serve(Live_.Relays_, RelayBodyLimit, [this](transport::HttpRequest Asked) {
     return answerHost(std::move(Asked));
   });
-  Serve(Settings_.Metrics_, [this](transport::HttpRequest Asked) {
-    return answerMetrics(std::move(Asked));
-  });
+  Serve(Settings_.Metrics_, QueryBodyLimit,
+        [this](transport::HttpRequest Asked) {
+          return answerMetrics(std::move(Asked));
+        });
   for (const auto &Each : Servers_)
     if (!Each->listen(Last))
       return false;
--- a/tests/process/HostileClientsTest.cpp
+++ b/tests/process/HostileClientsTest.cpp
@@ -3,8 +3,10 @@
 #include "support/LiveFleet.h"
 #include "support/TestFleet.h"
 
+#include <chrono>
 #include <memory>
 #include <sys/resource.h>
+#include <thread>
 #include <unistd.h>
 
 #include "CppUTest/TestHarness.h"
@@ -87,6 +89,7 @@
     {
       Crowd Clients(Address, Base_ + "200", Size);
       Clients.send(Bytes);
+      awaitSteadyUse();
       checkHost();
       CHECK(TestFleet::waitFor(
           [&] { return Fleet_->ask(0, Key).Status_ == 200; }));
@@ -95,6 +98,16 @@
     CHECK(TestFleet::waitFor([&] { return upload(MiB).Status_ == 200; }));
     checkHost();
   }
+  /// Waits until the host has read what lies in the kernel's buffers.
+  void awaitSteadyUse() {
+    std::size_t Peak = 0;
+    std::size_t Before = 1;
+    while (Peak != Before && !Fleet_->host(0).ended()) {
+      Before = Peak;
+      std::this_thread::sleep_for(std::chrono::milliseconds(300));
+      Peak = tests::useOf(Fleet_->host(0).id()).PeakMemory_;
+    }
+  }
   void checkHost() {
     CHECK_FALSE(Fleet_->host(0).ended());
     const ProcessUse Use = tests::useOf(Fleet_->host(0).id());
@@ -170,6 +183,10 @@
   play(directory(), CrowdSize, byLength("/resolve", 4 * MiB, MiB));
 }
 
+TEST(HostileClients, longBodiesForTheDirectory) {
+  play(directory(), CrowdSize, byLength("/resolve", 4 * MiB, 4 * MiB - 1));
+}
+
 TEST(HostileClients, connectionsToTheDirectory) {
   play(directory(), LargeCrowdSize, "GET /resolve HTTP/1.1\r\n");
 }
