Bodies: only the time in which the caller is waited for counts against it

Found by reading the change again: the pace of a body was taken over all the time since it began, and a body that waits to be asked for (Expect: 100-continue) never began. While memory or room was scarce such a body was ended at its first byte, and a body to a slow target was ended for its target's slowness. Its memory was not counted either.

Change: the waits for the caller are added up; a large body that waits to be asked for takes its part of the memory before it is asked for, or is refused.

Evidence: BodyStops.aBodyThatWaitsToBeAskedForIsNotSlow got 502 for 200 on the code before, and passes.

--- a/libs/gateway/Forwarding.cpp
+++ b/libs/gateway/Forwarding.cpp
@@ -146,10 +146,13 @@
   const bool Large = Length.value_or(Limit + 1) > Limit;
   // A caller that waits to be asked for a large body is asked once it is
   // decided that the request goes through.
-  if (Reader_.isWhole() || (Large && Read_.ExpectsContinue_))
+  if (Reader_.isWhole())
     co_return ReadEnd::Ok;
+  if (Large && Read_.ExpectsContinue_) {
+    LacksMemory_ = !Memory_.tryResize(StreamBytes + BodyReadBytes);
+    co_return LacksMemory_ ? ReadEnd::Cut : ReadEnd::Ok;
+  }
   co_await Answer_.sendContinue();
-  BodyBegin_ = base::SystemClock::monotonicNow();
   const auto Wanted =
       static_cast<std::size_t>(std::min(Limit, Length.value_or(Limit)));
   while (!Reader_.isWhole() && Held_.size() < Limit) {
@@ -196,8 +199,7 @@
   const base::TimePoint Since = base::SystemClock::monotonicNow();
   const bool AtTarget = Decision_.Action_ == steering::Decision::Action::Send &&
                         Decision_.Ticket_ != 0;
-  if (!Shared.bodyPace(AtTarget, Since)
-           .mayGoOn(BodyReceived_, Since - BodyBegin_)) {
+  if (!Shared.bodyPace(AtTarget, Since).mayGoOn(BodyReceived_, BodyWait_)) {
     Caller_.watch().fire(Watch::Cause::Expired);
     co_return ReadEnd::Cut;
   }
@@ -211,6 +213,7 @@
   const ReadEnd End = co_await Reader_.readBody(Out, Got);
   Caller_.watch().onExpiry({});
   BodyReceived_ += Got;
+  BodyWait_ += base::SystemClock::monotonicNow() - Since;
   co_return End;
 }
 
--- a/libs/gateway/Forwarding.h
+++ b/libs/gateway/Forwarding.h
@@ -95,7 +95,8 @@
   std::string Held_;
   BodyShare Memory_;
   bool LacksMemory_ = false;
-  base::TimePoint BodyBegin_;
+  /// Time that was spent waiting for the caller's body.
+  base::Duration BodyWait_{};
   std::size_t BodyReceived_ = 0;
   ClaimRequest Claim_;
   bool NeedsClaim_ = false;
--- a/tests/gateway/BodyStopsTest.cpp
+++ b/tests/gateway/BodyStopsTest.cpp
@@ -1,5 +1,6 @@
 #include "gateway/Fixture.h"
 #include "gateway/RawTarget.h"
+#include "gateway/UploadTarget.h"
 
 #include "CppUTest/TestHarness.h"
 
@@ -8,6 +9,7 @@
 using tests::RawAnswer;
 using tests::RawClient;
 using tests::RawTarget;
+using tests::UploadTarget;
 using namespace std::chrono_literals;
 
 /// Bodies that stop short of their end.
@@ -61,6 +63,28 @@
   LONGS_EQUAL(200, Other.request("GET", "/s/x").Status_);
 }
 
+// The time before the first byte was asked for counted as the caller's.
+TEST(BodyStops, aBodyThatWaitsToBeAskedForIsNotSlow) {
+  UploadTarget Storing({.Answer_ = tests::emptyAnswer("200 OK")});
+  Fixture_.reset();
+  Fixture_ = std::make_unique<Fixture>(0);
+  Fixture_->Settings_.HeldBodyBytes_ = 1024;
+  // One body that streams makes it scarce.
+  Fixture_->Settings_.BodyMemoryBytes_ = 200UL << 10;
+  Fixture_->Steering_ = std::make_unique<tests::FakeSteering>(
+      std::vector<std::string>{Storing.address()});
+  Fixture_->start();
+  RawClient Caller(Fixture_->address());
+  for (int Time = 0; Time < 2; ++Time) {
+    Caller.send(tests::requestText("POST", "/s/x",
+                                   "Expect: 100-continue\r\n"
+                                   "Content-Length: 300000\r\n"));
+    LONGS_EQUAL(100, Caller.readAnswer(true).Status_);
+    Caller.send(std::string(300'000, 'x'));
+    LONGS_EQUAL(200, Caller.readAnswer().Status_);
+  }
+}
+
 // 408 promises that the request has not run, and its target had a part of it.
 TEST(BodyStops, afterASendNothingIsPromised) {
   const RawAnswer Got = stopAfter(4000);
