--- a/tests/gateway/BodyStopsTest.cpp
+++ b/tests/gateway/BodyStopsTest.cpp
@@ -83,6 +83,8 @@
     Caller.send(std::string(300'000, 'x'));
     LONGS_EQUAL(200, Caller.readAnswer().Status_);
   }
+  // Closes the connection that the target serves.
+  Fixture_.reset();
 }
 
 // 408 promises that the request has not run, and its target had a part of it.
