Tests: clean for the linter; a crowd that cannot connect fails its test

An optional kind in the stand-in's faults, widened products, no using-directive, and the crowd checks its binds and connects. No expectation has changed.

--- a/standins/platform/StandinObjects.h
+++ b/standins/platform/StandinObjects.h
@@ -24,8 +24,8 @@
   bool Busy_ = false;
   /// Watches hear nothing of what changes.
   bool Deaf_ = false;
-  /// Lists of this kind are answered 400. Empty: none.
-  std::string RejectedKind_ = {};
+  /// Lists of this kind are answered 400.
+  std::optional<std::string> RejectedKind_ = std::nullopt;
 };
 
 /// The users' platform's store of objects by kind, in memory: lists, watches,
--- a/tests/gateway/BodyMemoryTest.cpp
+++ b/tests/gateway/BodyMemoryTest.cpp
@@ -48,8 +48,8 @@
   CHECK(Pace.waitLimit(Begin_, 20s, Begin_ + 999ms) > Begin_ + 999ms);
   CHECK(Pace.waitLimit(Begin_, 20s, Begin_ + 1s) <= Begin_ + 1s);
   CHECK(Pace.mayGoOn(0, 999ms));
-  CHECK(Pace.mayGoOn(32 * 1024, 2s));
-  CHECK_FALSE(Pace.mayGoOn(32 * 1024 - 1, 2s));
+  CHECK(Pace.mayGoOn(32UL * 1024, 2s));
+  CHECK_FALSE(Pace.mayGoOn(32UL * 1024 - 1, 2s));
 }
 
 // Scarcity that begins during a wait must be noticed.
--- a/tests/platform/ObjectClientTest.cpp
+++ b/tests/platform/ObjectClientTest.cpp
@@ -198,12 +198,14 @@
   };
   const std::string One = entry("t1", "{}");
   const std::string Two = entry("t2", "{}");
+  std::string Both = One;
+  Both.append(",").append(Two);
   for (const std::vector<std::string> &Pages :
        {std::vector<std::string>{One, One},
         {One, Two, One},
         {""},
         {One, ""},
-        {One + "," + Two, One, Two},
+        {Both, One, Two},
         {entry("", "{}")}}) {
     std::deque<std::pair<std::string, std::string>> Answers;
     // Enough for a list that would go round.
--- a/tests/support/Crowd.cpp
+++ b/tests/support/Crowd.cpp
@@ -8,6 +8,7 @@
 #include <fstream>
 #include <netinet/in.h>
 #include <poll.h>
+#include <stdexcept>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -29,8 +30,14 @@
 
 int connectTo(const sockaddr_in &Where, const sockaddr_in &From) {
   const int Handle = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-  bind(Handle, reinterpret_cast<const sockaddr *>(&From), sizeof From);
-  connect(Handle, reinterpret_cast<const sockaddr *>(&Where), sizeof Where);
+  const bool Bound =
+      bind(Handle, reinterpret_cast<const sockaddr *>(&From), sizeof From) == 0;
+  const bool Connects =
+      Bound && (connect(Handle, reinterpret_cast<const sockaddr *>(&Where),
+                        sizeof Where) == 0 ||
+                errno == EINPROGRESS);
+  if (!Connects)
+    throw std::runtime_error("a client of the crowd cannot connect");
   return Handle;
 }
 
--- a/tests/transport/DescriptorSharesTest.cpp
+++ b/tests/transport/DescriptorSharesTest.cpp
@@ -4,7 +4,8 @@
 
 #include "CppUTest/TestHarness.h"
 
-using namespace lychee::transport;
+using lychee::transport::DescriptorShares;
+using lychee::transport::divideDescriptors;
 
 TEST_GROUP(DescriptorShares){};
 
