--- a/tests/gateway/AnswerHeadTest.cpp
+++ b/tests/gateway/AnswerHeadTest.cpp
@@ -77,9 +77,11 @@
         std::string("HTTP/1.1 200 OK\r\nX\xe9Other: 1\r\n"),
         std::string("HTTP/1.1 200 OK\r\n: 1\r\n"),
         std::string("HTTP/1.1 200 OK\r\nX-Other: a\x01z\r\n")}) {
-    serve([&](RawTarget::Socket &Peer) {
+    std::string Text = Head;
+    Text.append(Length).append("\r\n").append(Inner);
+    serve([&Text](RawTarget::Socket &Peer) {
       while (!RawTarget::readHead(Peer).empty())
-        RawTarget::send(Peer, Head + Length + "\r\n" + Inner);
+        RawTarget::send(Peer, Text);
     });
     RawClient Caller(Fixture_->address());
     for (int Time = 0; Time < 2; ++Time)
