--- a/review/standin-2/Deployment.h
+++ b/review/standin-2/Deployment.h
@@ -134,6 +134,24 @@
     return Came && Told.status() == 200;
   }
 
+  /// \returns the value of one of the host's metrics, or -1.
+  double metric(const std::string &Name) const {
+    const TimePoint Limit = after(1);
+    const int Handle = connectTo(ip(), At_.Port_ + Metrics, Limit);
+    if (Handle < 0)
+      return -1;
+    Message Told;
+    MessageStream Stream(Handle);
+    const bool Came =
+        sendAll(Handle, "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n", Limit) &&
+        Stream.read(Told, Limit) == MessageStream::End::Whole;
+    close(Handle);
+    const std::size_t Found = Told.Body_.find("\n" + Name + " ");
+    if (!Came || Found == std::string::npos)
+      return -1;
+    return std::atof(Told.Body_.c_str() + Found + Name.size() + 2);
+  }
+
   bool isRunning() const {
     return Process_ > 0 && waitpid(Process_, nullptr, WNOHANG) == 0;
   }
--- a/review/standin-2/Endpoint.h
+++ b/review/standin-2/Endpoint.h
@@ -110,9 +110,16 @@
 
   void serve(int Handle, std::uint64_t Boot) {
     MessageStream Stream(Handle);
+    sockaddr_in Peer{};
+    socklen_t Size = sizeof Peer;
+    getpeername(Handle, reinterpret_cast<sockaddr *>(&Peer), &Size);
+    char Text[INET_ADDRSTRLEN] = "";
+    inet_ntop(AF_INET, &Peer.sin_addr, Text, sizeof Text);
     Message Asked;
     while (Boot == Boot_ &&
            Stream.read(Asked, after(10)) == MessageStream::End::Whole) {
+      // The machine that it comes from; no header has a blank in its name.
+      Asked.Fields_["from machine"] = Text;
       const std::string Expected = Asked.field("x-lycheespoke-expect-instance");
       if (!Expected.empty() && Expected != id()) {
         if (!answer(Handle, Asked, 421, false))
--- a/review/standin-2/Store.h
+++ b/review/standin-2/Store.h
@@ -14,7 +14,12 @@
 /// DELETE. It is sound at all times.
 class Store {
 public:
-  Store(std::string Ip, int Port) : Ip_(std::move(Ip)), Port_(Port) {}
+  /// \param AnswerSeconds  from a call to its answer, the way included.
+  /// \param ConnectSeconds  what a new connection's first answer takes beyond.
+  Store(std::string Ip, int Port, double AnswerSeconds = 0.004,
+        double ConnectSeconds = 0)
+      : Ip_(std::move(Ip)), Port_(Port), AnswerSeconds_(AnswerSeconds),
+        ConnectSeconds_(ConnectSeconds) {}
 
   bool start() {
     Listener_ = listenAt(Ip_, Port_);
@@ -40,6 +45,13 @@
     removeLocked(Kind, Name);
   }
 
+  /// "A watch that is waiting may be cut off."
+  void cutWaiting() {
+    const std::lock_guard Guard(Lock_);
+    ++Cuts_;
+    Changed_.notify_all();
+  }
+
 private:
   struct Object {
     std::uint64_t Revision_ = 0;
@@ -106,10 +118,15 @@
   void serve(int Handle) {
     MessageStream Stream(Handle);
     Message Asked;
+    bool IsFirst = true;
     while (Stream.read(Asked, after(3600)) == MessageStream::End::Whole) {
       int Status = 200;
+      pauseFor(AnswerSeconds_ / 2 + (IsFirst ? ConnectSeconds_ : 0));
+      IsFirst = false;
       const std::string Body = answer(Asked, Status);
-      pauseFor(0.004);
+      if (Status == 0)
+        break;
+      pauseFor(AnswerSeconds_ / 2);
       if (!sendAll(Handle,
                    "HTTP/1.1 " + std::to_string(Status) +
                        " X\r\nContent-Type: application/json\r\n"
@@ -134,7 +151,7 @@
     if (Asked.First_ == "GET" && !parameter(Query, "watch").empty())
       return watch(Kind, std::stoull(parameter(Query, "watch")),
                    after(std::stod("0" + parameter(Query, "waitMs")) / 1000),
-                   Guard);
+                   Guard, Status);
     if (Asked.First_ == "GET" && Name.empty())
       return list(Kind, parameter(Query, "after"));
     const bool Exists = Kinds_[Kind].count(Name.empty() ? nameOf(Asked.Body_) : Name) > 0;
@@ -170,7 +187,8 @@
   }
 
   std::string watch(const std::string &Kind, std::uint64_t Since, TimePoint End,
-                    std::unique_lock<std::mutex> &Guard) {
+                    std::unique_lock<std::mutex> &Guard, int &Status) {
+    const std::uint64_t Cuts = Cuts_;
     while (true) {
       std::string Events;
       for (const Change &Each : Changes_)
@@ -182,17 +200,23 @@
         return "{\"events\":[" + Events + "],\"at\":" + std::to_string(Revision_) +
                "}";
       Changed_.wait_until(Guard, End);
+      if (Cuts != Cuts_) {
+        Status = 0;
+        return "";
+      }
     }
   }
 
   const std::string Ip_;
   const int Port_;
+  const double AnswerSeconds_, ConnectSeconds_;
   int Listener_ = -1;
   std::mutex Lock_;
   std::condition_variable Changed_;
   std::map<std::string, std::map<std::string, Object>> Kinds_;
   std::vector<Change> Changes_;
   std::uint64_t Revision_ = 100;
+  std::uint64_t Cuts_ = 0;
 };
 
 } // namespace review
