--- a/review/standin-2/Deployment.h
+++ b/review/standin-2/Deployment.h
@@ -70,31 +70,52 @@
        std::vector<std::pair<std::string, std::string>> Zones, int Seeds,
        std::string Folder)
       : At_(At), Index_(Index), Name_(std::move(Name)),
-        Path_(Folder + "/" + Name_ + ".boot"), Log_(Folder + "/" + Name_ + ".log") {
+        Path_(Folder + "/" + Name_ + ".boot"),
+        Log_(Folder + "/" + Name_ + ".log") {
     std::ofstream Into(Path_);
-    Into << "[host]\nname = " << Name_ << "\nregion = " << Region
-         << "\nzone = " << Zone << "\nthreads = 1\ndescriptors = 4100\n"
-         << "source = " << ip() << "\n[callers]\nlisten = " << at(Front)
-         << "\nidle_timeout = 17s\nheader_timeout = 3s\nprogress_timeout = 20s\n"
-         << "[metrics]\nlisten = " << at(Metrics) << "\n[store]\naddress = "
-         << At.store() << ":" << At.Port_ + StorePort << "\ntimeout = 1s\n"
-         << "[log]\nlevel = info\n[live]\ndirectory = " << at(Directory)
-         << "\nreadiness = " << at(Ready) << "\nheartbeats = " << at(Heartbeats)
-         << "\nrelays = " << at(Relays) << "\nseeds =";
+    Into
+        << "[host]\nname = " << Name_ << "\nregion = " << Region
+        << "\nzone = " << Zone << "\nthreads = 1\ndescriptors = 4100\n"
+        << "source = " << ip() << "\n[callers]\nlisten = " << at(Front)
+        << "\nidle_timeout = 17s\nheader_timeout = 3s\nprogress_timeout = 20s\n"
+        << "[metrics]\nlisten = " << at(Metrics)
+        << "\n[store]\naddress = " << At.store() << ":" << At.Port_ + StorePort
+        << "\ntimeout = 1s\n"
+        << "[log]\nlevel = info\n[live]\ndirectory = " << at(Directory)
+        << "\nreadiness = " << at(Ready) << "\nheartbeats = " << at(Heartbeats)
+        << "\nrelays = " << at(Relays) << "\nseeds =";
     for (int Each = 0; Each < Seeds; ++Each)
       Into << " " << At.host(Each) << ":" << At.Port_ + Control;
     Into << "\n";
-    for (const char *Bound :
-         {"seedLagS=3", "reuseAfterS=2", "stableWindowMs=3000", "ackMs=4000",
-          "catchUpS=4", "drainMs=2500", "graceS=6", "lossSlackMs=200",
-          "configApplyMs=2500", "rollbackSlackMs=250", "maxStretchMs=5000",
-          "strictRevoke=true", "revokeMs=5000", "retryBudgetRatio=0.2",
-          "retryWindowS=10", "retryBudgetSlack=56", "quotaWindowS=5",
-          "quotaOverage=0.1", "quotaSlack=20", "coldOverage=1.5", "coldSlack=5",
-          "evacuateMs=5000", "recoveryS=15", "ttl_max_s=5", "maxShift=0.15"})
+    for (const char *Bound : {"seedLagS=3",
+                              "reuseAfterS=2",
+                              "stableWindowMs=3000",
+                              "ackMs=4000",
+                              "catchUpS=4",
+                              "drainMs=2500",
+                              "graceS=6",
+                              "lossSlackMs=200",
+                              "configApplyMs=2500",
+                              "rollbackSlackMs=250",
+                              "maxStretchMs=5000",
+                              "strictRevoke=true",
+                              "revokeMs=5000",
+                              "retryBudgetRatio=0.2",
+                              "retryWindowS=10",
+                              "retryBudgetSlack=56",
+                              "quotaWindowS=5",
+                              "quotaOverage=0.1",
+                              "quotaSlack=20",
+                              "coldOverage=1.5",
+                              "coldSlack=5",
+                              "evacuateMs=5000",
+                              "recoveryS=15",
+                              "ttl_max_s=5",
+                              "maxShift=0.15"})
       Into << "bound = " << Bound << "\n";
-    for (const char *Contract : {"base", "drain", "config", "cost", "retry",
-                                 "recover", "places", "tenants", "quota", "platform"})
+    for (const char *Contract :
+         {"base", "drain", "config", "cost", "retry", "recover", "places",
+          "tenants", "quota", "platform"})
       Into << "contract = " << Contract << "\n";
     for (const auto &[Each, Where] : Zones)
       Into << "[zone " << Each << "]\nregion = " << Where << "\n";
--- a/review/standin-2/Drain.cpp
+++ b/review/standin-2/Drain.cpp
@@ -12,10 +12,13 @@
 
 namespace {
 
-/// A region of the site kmw-impact: three machines in one zone, two in the other.
+/// A region of the site kmw-impact: three machines in one zone, two in the
+/// other.
 const std::vector<std::pair<std::string, std::string>> Machines = {
-    {"edge-fuk-a-1", "fuk-a"}, {"edge-fuk-a-2", "fuk-a"},
-    {"edge-fuk-a-3", "fuk-a"}, {"edge-fuk-b-1", "fuk-b"},
+    {"edge-fuk-a-1", "fuk-a"},
+    {"edge-fuk-a-2", "fuk-a"},
+    {"edge-fuk-a-3", "fuk-a"},
+    {"edge-fuk-b-1", "fuk-b"},
     {"edge-fuk-b-2", "fuk-b"}};
 const std::vector<std::pair<std::string, std::string>> Zones = {
     {"fuk-a", "fukuoka"}, {"fuk-b", "fukuoka"}};
@@ -25,8 +28,8 @@
 constexpr double LeavingGap = 0.05;
 /// From the first removal to the kill.
 constexpr double KillSeconds = 0.44;
-/// Endpoints begin to leave so long after the watches were cut: if that is taken
-/// for a disturbance, the store has been stable for stableWindowMs again.
+/// Endpoints begin to leave so long after the watches were cut: if that is
+/// taken for a disturbance, the store has been stable for stableWindowMs again.
 constexpr double CalmSeconds = 3.02;
 /// drainMs, stableWindowMs.
 constexpr double DrainSeconds = 2.5;
@@ -52,9 +55,11 @@
   /// \param Trouble  "0": none; "cut" and "kill": only one of the two.
   Play(std::string Program, const std::string &Record,
        const std::string &Trouble, std::string Folder)
-      : Program_(std::move(Program)), Cuts_(Trouble != "0" && Trouble != "kill"),
-        Kills_(Trouble != "0" && Trouble != "cut"), Folder_(std::move(Folder)), At_(Places::choose()),
-        Store_(At_.store(), At_.Port_ + StorePort, StoreSeconds, ConnectSeconds),
+      : Program_(std::move(Program)),
+        Cuts_(Trouble != "0" && Trouble != "kill"),
+        Kills_(Trouble != "0" && Trouble != "cut"), Folder_(std::move(Folder)),
+        At_(Places::choose()), Store_(At_.store(), At_.Port_ + StorePort,
+                                      StoreSeconds, ConnectSeconds),
         Record_(Record) {}
 
   int run() {
@@ -90,8 +95,8 @@
     Store_.put("config", "main", Configuration);
     for (std::size_t Each = 0; Each < Machines.size(); ++Each) {
       Hosts_.push_back(std::make_unique<Host>(
-          At_, static_cast<int>(Each), Machines[Each].first, Machines[Each].second,
-          "fukuoka", Zones, 3, Folder_));
+          At_, static_cast<int>(Each), Machines[Each].first,
+          Machines[Each].second, "fukuoka", Zones, 3, Folder_));
       StartedAt_.push_back(0);
       if (!Hosts_.back()->start(Program_))
         return false;
@@ -140,9 +145,9 @@
       return;
     const std::string From = Asked.field("from machine");
     const double Age = When - Gone->second;
-    Record_ << When << " reaches endpoint=" << Id << " request="
-            << Asked.field("x-lycheespoke-request-id") << " from=" << From
-            << " after_removal=" << Age << "\n";
+    Record_ << When << " reaches endpoint=" << Id
+            << " request=" << Asked.field("x-lycheespoke-request-id")
+            << " from=" << From << " after_removal=" << Age << "\n";
     if (Age <= DrainSeconds)
       return;
     for (std::size_t Each = 0; Each < Hosts_.size(); ++Each)
@@ -245,12 +250,13 @@
       Record_ << "late request=" << Id << " after_removal=" << Age
               << " status=" << Statuses_[Id] << "\n";
     }
-    const std::string Sum =
-        "requests sent: " + std::to_string(Sent_) +
-        ", served: " + std::to_string(Served_) +
-        "; that reached an endpoint later than 2.5 s after its entry was removed: " +
-        std::to_string(Late_.size()) + ", the latest at " + std::to_string(Worst) +
-        " s, of these not served: " + std::to_string(Lost);
+    const std::string Sum = "requests sent: " + std::to_string(Sent_) +
+                            ", served: " + std::to_string(Served_) +
+                            "; that reached an endpoint later than 2.5 s after "
+                            "its entry was removed: " +
+                            std::to_string(Late_.size()) + ", the latest at " +
+                            std::to_string(Worst) +
+                            " s, of these not served: " + std::to_string(Lost);
     Record_ << Sum << "\n";
     Record_.flush();
     std::printf("%s\n", Sum.c_str());
--- a/review/standin-2/Endpoint.h
+++ b/review/standin-2/Endpoint.h
@@ -85,7 +85,8 @@
     return "{\"service\":\"" + Service_ + "\",\"address\":\"" + Ip_ + ":" +
            std::to_string(Port_) + "\",\"zone\":\"" + Zone_ +
            "\",\"version\":\"v1\",\"slots\":" + std::to_string(Slots) +
-           ",\"state\":\"ready\",\"coldRemainingMs\":" + std::to_string(ColdMs) +
+           ",\"state\":\"ready\",\"coldRemainingMs\":" +
+           std::to_string(ColdMs) +
            ",\"sequence\":" + std::to_string(Sequence) +
            ",\"born\":" + std::to_string(Born_) + "}";
   }
@@ -158,9 +159,8 @@
                               : "") +
                        "X-Lycheespoke-Server-Load: " +
                        std::to_string(std::max(0, Running_.load())) + ",0," +
-                       std::to_string(Slots) +
-                       "\r\nContent-Length: " + std::to_string(Body.size()) +
-                       "\r\n\r\n" + Body,
+                       std::to_string(Slots) + "\r\nContent-Length: " +
+                       std::to_string(Body.size()) + "\r\n\r\n" + Body,
                    after(5));
   }
 
--- a/review/standin-2/Keys.cpp
+++ b/review/standin-2/Keys.cpp
@@ -5,9 +5,9 @@
 #include <cstdio>
 #include <memory>
 
-/// Cases on keys that a new version takes away. "tenant": the version takes away
-/// the only tenant. "weight": the same version splits a route by weights that
-/// are fractions.
+/// Cases on keys that a new version takes away. "tenant": the version takes
+/// away the only tenant. "weight": the same version splits a route by weights
+/// that are fractions.
 using namespace review;
 
 namespace {
@@ -77,13 +77,14 @@
       Store_.put("servers", Id, Endpoints_.back()->entry(1, 0));
     }
     Store_.put("config", "main",
-               configuration(1, "", OfTenant_
-                                        ? R"(["office",["key-1"],1,0,0,[]])"
-                                        : R"(["office",["key-1","key-2"],1,0,0,[]])"));
+               configuration(1, "",
+                             OfTenant_
+                                 ? R"(["office",["key-1"],1,0,0,[]])"
+                                 : R"(["office",["key-1","key-2"],1,0,0,[]])"));
     for (int Each = 0; Each < HostCount; ++Each) {
       const auto &[Zone, Region] = Zones[static_cast<std::size_t>(Each)];
-      Hosts_.push_back(std::make_unique<Host>(
-          At_, Each, "edge-" + Zone + "-1", Zone, Region, Zones, 3, Folder_));
+      Hosts_.push_back(std::make_unique<Host>(At_, Each, "edge-" + Zone + "-1",
+                                              Zone, Region, Zones, 3, Folder_));
       if (!Hosts_.back()->start(Program_))
         return false;
     }
@@ -106,13 +107,14 @@
       Store_.put("config", "main",
                  configuration(2, "", R"(["office",["key-2"],1,0,0,[]])"));
     else
-      Store_.put("config", "main",
-                 configuration(
-                     2,
-                     Troubled_
-                         ? R"([{"service":"portal","weight":0.9},{"service":"vault","weight":0.1}])"
-                         : R"([{"service":"portal","weight":9},{"service":"vault","weight":1}])",
-                     R"(["office",["key-1"],1,0,0,[]])"));
+      Store_.put(
+          "config", "main",
+          configuration(
+              2,
+              Troubled_
+                  ? R"([{"service":"portal","weight":0.9},{"service":"vault","weight":0.1}])"
+                  : R"([{"service":"portal","weight":9},{"service":"vault","weight":1}])",
+              R"(["office",["key-1"],1,0,0,[]])"));
     Acked_ = now();
     const std::lock_guard Guard(Lock_);
     Record_ << *Acked_ << " version r2 is acknowledged\n";
@@ -159,7 +161,8 @@
     Record_ << now() << " has run request=" << Request << " endpoint=" << Id
             << " tenant=" << Asked.field("x-lycheespoke-tenant") << "\n";
     const std::string Key = Keys_[Request];
-    if (Key == withdrawn() && Acked_ && SentAt_[Request] > *Acked_ + RevokeSeconds)
+    if (Key == withdrawn() && Acked_ &&
+        SentAt_[Request] > *Acked_ + RevokeSeconds)
       ++Withdrawn_;
     if (Key == "key-that-never-was")
       ++Never_;
@@ -171,9 +174,11 @@
         return 2;
     const std::lock_guard Guard(Lock_);
     const std::string Sum =
-        "requests sent: " + std::to_string(Sent_) + ", answered 200: " +
-        std::to_string(Served_) + "; run though sent with a key that had been "
-        "taken away more than 5 s before: " + std::to_string(Withdrawn_) +
+        "requests sent: " + std::to_string(Sent_) +
+        ", answered 200: " + std::to_string(Served_) +
+        "; run though sent with a key that had been "
+        "taken away more than 5 s before: " +
+        std::to_string(Withdrawn_) +
         "; run though no configuration ever held their key: " +
         std::to_string(Never_);
     Record_ << Sum << "\n";
--- a/review/standin-2/Net.h
+++ b/review/standin-2/Net.h
@@ -165,7 +165,8 @@
         continue;
       std::string Name = Field.substr(0, Colon);
       for (char &Each : Name)
-        Each = static_cast<char>(std::tolower(static_cast<unsigned char>(Each)));
+        Each =
+            static_cast<char>(std::tolower(static_cast<unsigned char>(Each)));
       const std::size_t Value = Field.find_first_not_of(' ', Colon + 1);
       Into.Fields_[Name] =
           Value == std::string::npos ? "" : Field.substr(Value);
@@ -199,7 +200,8 @@
       while ((LineEnd = Buffer_.find("\r\n")) == std::string::npos)
         if (const End Ended = more(Limit); Ended != End::Whole)
           return Ended;
-      const std::size_t Size = std::stoul(Buffer_.substr(0, LineEnd), nullptr, 16);
+      const std::size_t Size =
+          std::stoul(Buffer_.substr(0, LineEnd), nullptr, 16);
       Buffer_.erase(0, LineEnd + 2);
       std::string Rest;
       if (const End Ended = take(Size, Into.Body_, Limit); Ended != End::Whole)
--- a/review/standin-2/Poison.cpp
+++ b/review/standin-2/Poison.cpp
@@ -106,8 +106,8 @@
 
   bool startEndpoint(int Index, int ColdMs) {
     Endpoint &Started = *Endpoints_[static_cast<std::size_t>(Index)];
-    const std::string Id = "i-" + std::to_string(Index) + "-" +
-                           std::to_string(++Boots_[Index]);
+    const std::string Id =
+        "i-" + std::to_string(Index) + "-" + std::to_string(++Boots_[Index]);
     const bool Up = Started.start(
         Id,
         [this](const Message &Asked) {
@@ -115,7 +115,9 @@
           return Crashes ? Deed::Crash : Deed::Run;
         },
         [this, Index](const std::string &Event, const Message &Asked,
-                      const Endpoint &Where) { note(Index, Event, Asked, Where); });
+                      const Endpoint &Where) {
+          note(Index, Event, Asked, Where);
+        });
     if (Up)
       Store_.put("servers", Id, Started.entry(1, ColdMs));
     return Up;
@@ -158,7 +160,8 @@
               << " sent request=" << Sent.Id_
               << " host=" << Hosts_[Chosen]->name() << "\n";
     }
-    const Outcome Seen = ask(Hosts_[Chosen]->ip(), Hosts_[Chosen]->frontPort(), Sent);
+    const Outcome Seen =
+        ask(Hosts_[Chosen]->ip(), Hosts_[Chosen]->frontPort(), Sent);
     const std::lock_guard Guard(Lock_);
     Statuses_[Sent.Id_] = Seen.Status_;
     Record_ << secondsBetween(Start_, Clock::now())
@@ -215,14 +218,14 @@
             break;
           }
     }
-    std::string Sum = "the request was sent " + std::to_string(Sent) +
-                      " times; endpoints crashed: " + std::to_string(Crashed.size()) +
-                      "; retries that reached endpoints later than 3 s after the "
-                      "third had crashed: " +
-                      std::to_string(Retries) + " (allowed: 3); other requests: " +
-                      std::to_string(Statuses_.size() - Sent) +
-                      ", of these lost at an endpoint that crashed: " +
-                      std::to_string(Lost);
+    std::string Sum =
+        "the request was sent " + std::to_string(Sent) +
+        " times; endpoints crashed: " + std::to_string(Crashed.size()) +
+        "; retries that reached endpoints later than 3 s after the "
+        "third had crashed: " +
+        std::to_string(Retries) + " (allowed: 3); other requests: " +
+        std::to_string(Statuses_.size() - Sent) +
+        ", of these lost at an endpoint that crashed: " + std::to_string(Lost);
     Record_ << Sum << "\n";
     Record_.flush();
     std::printf("%s\n", Sum.c_str());
--- a/review/standin-2/Store.h
+++ b/review/standin-2/Store.h
@@ -91,7 +91,8 @@
            "\"spec\":" +
            Spec + ",\"status\":null}";
   }
-  static std::string parameter(const std::string &Query, const std::string &Name) {
+  static std::string parameter(const std::string &Query,
+                               const std::string &Name) {
     std::size_t At = Query.find(Name + "=");
     if (At == std::string::npos)
       return "";
@@ -140,7 +141,8 @@
 
   std::string answer(const Message &Asked, int &Status) {
     const std::size_t Mark = Asked.Second_.find('?');
-    const std::string Path = Asked.Second_.substr(9, Mark == std::string::npos ? Mark : Mark - 9);
+    const std::string Path =
+        Asked.Second_.substr(9, Mark == std::string::npos ? Mark : Mark - 9);
     const std::string Query =
         Mark == std::string::npos ? "" : Asked.Second_.substr(Mark + 1);
     const std::size_t Slash = Path.find('/');
@@ -154,7 +156,8 @@
                    Guard, Status);
     if (Asked.First_ == "GET" && Name.empty())
       return list(Kind, parameter(Query, "after"));
-    const bool Exists = Kinds_[Kind].count(Name.empty() ? nameOf(Asked.Body_) : Name) > 0;
+    const bool Exists =
+        Kinds_[Kind].count(Name.empty() ? nameOf(Asked.Body_) : Name) > 0;
     if (Asked.First_ == "DELETE") {
       Status = removeLocked(Kind, Name) ? 200 : 404;
       return "{}";
@@ -174,15 +177,18 @@
     std::size_t Count = 0;
     bool More = false;
     const auto &Objects = Kinds_[Kind];
-    for (auto Each = Objects.upper_bound(After); Each != Objects.end(); ++Each) {
+    for (auto Each = Objects.upper_bound(After); Each != Objects.end();
+         ++Each) {
       if (Count++ == PageEntries) {
         More = true;
         break;
       }
-      Items += (Items.empty() ? "" : ",") +
-               objectText(Each->first, Each->second.Revision_, Each->second.Spec_);
+      Items +=
+          (Items.empty() ? "" : ",") +
+          objectText(Each->first, Each->second.Revision_, Each->second.Spec_);
     }
-    return "{\"items\":[" + Items + "],\"hasMore\":" + (More ? "true" : "false") +
+    return "{\"items\":[" + Items +
+           "],\"hasMore\":" + (More ? "true" : "false") +
            ",\"at\":" + std::to_string(Revision_) + "}";
   }
 
@@ -193,12 +199,13 @@
       std::string Events;
       for (const Change &Each : Changes_)
         if (Each.Revision_ > Since && Each.Kind_ == Kind)
-          Events += std::string(Events.empty() ? "" : ",") + "{\"deleted\":" +
-                    (Each.Deleted_ ? "true" : "false") + ",\"object\":" +
+          Events += std::string(Events.empty() ? "" : ",") +
+                    "{\"deleted\":" + (Each.Deleted_ ? "true" : "false") +
+                    ",\"object\":" +
                     objectText(Each.Name_, Each.Revision_, Each.Spec_) + "}";
       if (!Events.empty() || Clock::now() >= End)
-        return "{\"events\":[" + Events + "],\"at\":" + std::to_string(Revision_) +
-               "}";
+        return "{\"events\":[" + Events +
+               "],\"at\":" + std::to_string(Revision_) + "}";
       Changed_.wait_until(Guard, End);
       if (Cuts != Cuts_) {
         Status = 0;
