Logs: a removal tells how old its news may be, and how long its target is kept

Two hypotheses fit the logs: the news is late, or the target is kept after it is known. target-gone now states seen_ms_ago, the time since the entry was surely there (the last confirmation of the kind, kept for all kinds now), and target-kept reason=store-failed states for_ms. No decision changes.

--- a/apps/lycheed/LiveFeed.cpp
+++ b/apps/lycheed/LiveFeed.cpp
@@ -41,11 +41,16 @@
 /// A call begun so shortly before another failed is no older than the trouble.
 constexpr base::Duration FreshCall = std::chrono::seconds(1);
 
+/// Position in the list of followers.
+constexpr std::size_t TargetFollower = 1;
+
 constexpr base::Duration IgnoredListLogInterval = std::chrono::seconds(1);
 constexpr base::Duration UnreadableLogInterval = std::chrono::seconds(1);
 
 std::string_view reasonOf(live::TargetKept Kept) {
   switch (Kept) {
+  case live::TargetKept::StoreFailed:
+    return "store-failed";
   case live::TargetKept::Leaving:
     return "leaving";
   case live::TargetKept::LaterStart:
@@ -59,11 +64,13 @@
 }
 
 void logKept(const live::KeptTarget &Kept) {
-  reporting::logLine(LogLevel::Info,
-                     KeyValueLine()
-                         .add("event", "target-kept")
-                         .add("target", Kept.Target_.name())
-                         .add("reason", reasonOf(Kept.Reason_)));
+  KeyValueLine Line;
+  Line.add("event", "target-kept")
+      .add("target", Kept.Target_.name())
+      .add("reason", reasonOf(Kept.Reason_));
+  if (Kept.For_)
+    Line.add("for_ms", base::toMilliseconds(*Kept.For_));
+  reporting::logLine(LogLevel::Info, Line);
 }
 
 /// Empty where a listed host tells none.
@@ -356,8 +363,10 @@
   const base::TimePoint Now = SystemClock::monotonicNow();
   std::vector<live::TargetChange> Changes;
   Changes.reserve(Heard.size());
+  const base::Duration SeenAge =
+      Now - Followers_[TargetFollower]->confirmedAt().value_or(Now);
   for (const live::StoredObject &Each : Heard) {
-    Changes.push_back(readTarget(Each));
+    Changes.push_back(readTarget(Each, SeenAge));
     Changes.back().Restored_ = Each.Restored_;
   }
   for (const live::KeptTarget &Kept : Targets_.apply(Changes, Now))
@@ -367,7 +376,8 @@
 }
 
 /// An entry that cannot be read names no target to use.
-live::TargetChange LiveFeed::readTarget(const live::StoredObject &Entry) {
+live::TargetChange LiveFeed::readTarget(const live::StoredObject &Entry,
+                                        base::Duration SeenAge) {
   const base::TargetId Target(Entry.Name_);
   if (Entry.Deleted_) {
     reporting::logLine(LogLevel::Info,
@@ -375,6 +385,7 @@
                            .add("event", "target-gone")
                            .add("target", Entry.Name_)
                            .add("restored", Entry.Restored_ ? 1 : 0)
+                           .add("seen_ms_ago", base::toMilliseconds(SeenAge))
                            .add("revision", Entry.Revision_.Number_));
     return {Target, std::nullopt};
   }
--- a/apps/lycheed/LiveFeed.h
+++ b/apps/lycheed/LiveFeed.h
@@ -98,7 +98,9 @@
   live::ObjectUpdate newsFor(const live::ObjectFollower &Told,
                              live::StoreRevision Since, bool Refused,
                              base::TimePoint Now);
-  static live::TargetChange readTarget(const live::StoredObject &Entry);
+  /// \param SeenAge  time since an entry that is missing now was surely there.
+  static live::TargetChange readTarget(const live::StoredObject &Entry,
+                                       base::Duration SeenAge);
   void takeTargets(std::span<const live::StoredObject> Heard);
   void takeEvacuations(std::span<const live::StoredObject> Heard);
   void takeHosts(std::span<const live::StoredObject> Heard);
--- a/libs/live/ObjectFollower.cpp
+++ b/libs/live/ObjectFollower.cpp
@@ -177,12 +177,10 @@
     Callbacks_.Changed_(Changes);
   // A watch that the store cut short does not confirm the time it did not run.
   const bool RanFullLength = Now - CallStartedAt_ >= Wait;
-  if (Callbacks_.Confirmed_) {
-    confirm(RanFullLength ? std::max(CallStartedAt_,
-                                     CallStartedAt_ + Wait - WatchBlindTime)
-                          : CallStartedAt_);
-    ConfirmSoon_ = !RanFullLength;
-  }
+  confirm(RanFullLength
+              ? std::max(CallStartedAt_, CallStartedAt_ + Wait - WatchBlindTime)
+              : CallStartedAt_);
+  ConfirmSoon_ = !RanFullLength && Callbacks_.Confirmed_;
   // A store that ends a watch early without changes must not be called again
   // immediately.
   if (!RanFullLength && !HasChanges)
--- a/libs/live/ObjectFollower.h
+++ b/libs/live/ObjectFollower.h
@@ -134,6 +134,14 @@
     return LastContact_;
   }
 
+  /// \returns the time at which the known state was last known to be the
+  /// newest one; nothing before the first list. What a change reports happened
+  /// later. During FollowerCallbacks::Changed_ it is the time before the
+  /// change.
+  std::optional<base::TimePoint> confirmedAt() const noexcept {
+    return ConfirmedAt_;
+  }
+
   /// Records that the store came back from an older copy as era \p Era. The
   /// call in progress may still speak of an earlier one: its caller cancels it,
   /// and a list is read next. \see ObjectSource::cancelStartedBefore
--- a/libs/live/TargetRegistry.cpp
+++ b/libs/live/TargetRegistry.cpp
@@ -29,13 +29,18 @@
   Stored.ExpiresAt_ = MayComeBack ? Now + Grace_ : Now;
 }
 
-void TargetRegistry::remove(const base::TargetId &Target, base::TimePoint Now) {
+std::optional<KeptTarget> TargetRegistry::remove(const base::TargetId &Target,
+                                                 base::TimePoint Now) {
   Doubted_.erase(Target);
   const auto Found = Entries_.find(Target);
   if (Found == Entries_.end())
-    return;
+    return std::nullopt;
   markMissing(Found->second, Now);
+  const base::Duration Left = *Found->second.ExpiresAt_ - Now;
   expire(Now);
+  if (Left <= base::Duration::zero())
+    return std::nullopt;
+  return KeptTarget{Target, TargetKept::StoreFailed, Left};
 }
 
 void TargetRegistry::awaitRewrite(Entry &Stored, base::TimePoint Now) {
@@ -85,16 +90,19 @@
                       base::TimePoint Now) {
   std::vector<KeptTarget> AllKept;
   for (const TargetChange &Change : Changes) {
-    std::optional<TargetKept> Kept;
-    if (Change.Restored_)
-      Kept = Change.Record_ ? restore(*Change.Record_, Now)
-                            : restoreMissing(Change.Target_, Now);
-    else if (Change.Record_)
+    std::optional<KeptTarget> Kept;
+    if (Change.Restored_) {
+      const auto Reason = Change.Record_ ? restore(*Change.Record_, Now)
+                                         : restoreMissing(Change.Target_, Now);
+      if (Reason)
+        Kept = {Change.Target_, *Reason};
+    } else if (Change.Record_) {
       put(*Change.Record_, Now);
-    else
-      remove(Change.Target_, Now);
+    } else {
+      Kept = remove(Change.Target_, Now);
+    }
     if (Kept)
-      AllKept.push_back({Change.Target_, *Kept});
+      AllKept.push_back(std::move(*Kept));
   }
   return AllKept;
 }
--- a/libs/live/TargetRegistry.h
+++ b/libs/live/TargetRegistry.h
@@ -26,23 +26,27 @@
   bool Restored_ = false;
 };
 
-/// Reason why the state known of a target outlasts that in a restored store.
+/// Reason why the state known of a target outlasts that in the store.
 enum class TargetKept {
+  /// The store failed a moment ago, and has no entry: the target may write it
+  /// again.
+  StoreFailed,
   /// The target said that it leaves.
   Leaving,
   /// The store has an earlier start of the target.
   LaterStart,
   /// The target is gone.
   Gone,
-  /// The store has no entry, and the target may write it again.
+  /// A restored store has no entry, and the target may write it again.
   Missing,
 };
 
-/// Decision about a target on which a restored store differs from what is
-/// known.
+/// Decision about a target on which the store differs from what is known.
 struct KeptTarget {
   base::TargetId Target_;
   TargetKept Reason_ = TargetKept::Missing;
+  /// Time for which the target is kept; nothing if none is set.
+  std::optional<base::Duration> For_ = std::nullopt;
 };
 
 /// Tracks the targets that registered themselves.
@@ -103,11 +107,13 @@
 
   /// Applies changes in the order in which they happened. One batch may hold
   /// both an entry's last change and its deletion.
-  /// \returns the decisions against a restored store.
+  /// \returns the decisions against the store's state.
   std::vector<KeptTarget> apply(std::span<const TargetChange> Changes,
                                 base::TimePoint Now);
   void put(const TargetRecord &Record, base::TimePoint Now);
-  void remove(const base::TargetId &Target, base::TimePoint Now);
+  /// \returns the decision if the target is kept for now.
+  std::optional<KeptTarget> remove(const base::TargetId &Target,
+                                   base::TimePoint Now);
 
   /// Records that the store came back from a copy, perhaps again: entries that
   /// are to be written again get the whole time for it.
