--- a/libs/live/TargetRegistry.cpp
+++ b/libs/live/TargetRegistry.cpp
@@ -23,10 +23,10 @@
   if (Stored.ExpiresAt_ && !Stored.AwaitsRewrite_)
     return;
   Stored.AwaitsRewrite_ = false;
-  const bool MayComeBack = LastFailure_ &&
-                           Now - *LastFailure_ < FailureWindow &&
-                           !Stored.Known_.Record_.Leaving_;
-  Stored.ExpiresAt_ = MayComeBack ? Now + Grace_ : Now;
+  const bool MayComeBack = LastFailure_ && !Stored.Known_.Record_.Leaving_;
+  Stored.ExpiresAt_ =
+      MayComeBack ? std::min(Now + Grace_, *LastFailure_ + RetryTime + MaxGrace)
+                  : Now;
 }
 
 std::optional<KeptTarget> TargetRegistry::remove(const base::TargetId &Target,
--- a/libs/live/TargetRegistry.h
+++ b/libs/live/TargetRegistry.h
@@ -54,14 +54,20 @@
 /// Failure: entries expire while the store is unavailable, and the first list
 /// after its recovery is short or empty. Without a safeguard all targets would
 /// be considered gone and callers would be refused although every target is
-/// healthy. An entry that disappears within FailureWindow of a store failure is
-/// therefore kept for a grace period. Live targets write their entries again in
-/// that time, and one that is still missing afterwards is gone. Without a
-/// recent failure a missing entry means that the target left, and it is removed
+/// healthy. An entry that disappears shortly after a store failure is therefore
+/// kept for a grace period. Live targets write their entries again in that
+/// time, and one that is still missing afterwards is gone. Without a recent
+/// failure a missing entry means that the target left, and it is removed
 /// immediately. Since a target may also leave without notice shortly after a
 /// failure, the grace period ends before the time after which leaving targets
 /// must get no more requests.
 ///
+/// Failure: a target leaves without notice when the store is sound again, and
+/// the hosts that learn of it die before they tell the others. Without a
+/// safeguard these keep the target for a whole grace period from the late
+/// moment at which they learn of it. The period therefore also ends with the
+/// time that live targets have after the failure, however late the news is.
+///
 /// Failure: the store comes back from an older copy, in which a target that has
 /// left since is ready, and one that registered since is missing. Without a
 /// safeguard the first gets requests and the second none. What a target said
@@ -90,9 +96,9 @@
   static constexpr base::Duration DeadEntryTime = std::chrono::seconds(6);
   /// Targets that ended are remembered for longer than copies are old.
   static constexpr base::Duration EndedMemory = std::chrono::seconds(60);
-  /// An older failure does not explain a missing entry: three heartbeats of
-  /// targets (1.5 s each), after which the platform drops an entry.
-  static constexpr base::Duration FailureWindow = std::chrono::seconds(5);
+  /// A host that fails to reach the store calls it again within this time, so
+  /// the store came back at most this much later than the last failure.
+  static constexpr base::Duration RetryTime = std::chrono::milliseconds(500);
 
   /// \param DrainBound time after which a leaving target must get no more
   /// requests.
--- a/tests/live/TargetRegistryTest.cpp
+++ b/tests/live/TargetRegistryTest.cpp
@@ -87,6 +87,36 @@
   CHECK(KeptFor(10s) <= TargetRegistry::MaxGrace + 20ms);
 }
 
+// A target leaves without notice once the store has been sound for 3 s, and the
+// hosts that hear of it die. The others learned of it 1.4 s late and kept the
+// target for 1.3 s more.
+TEST(TargetRegistry, lateNewsOfARemovalDoesNotExtendTheGracePeriod) {
+  constexpr base::Duration SoundTime = 3s;
+  for (const base::Duration Bound : {1000ms, 2000ms, 2500ms, 3000ms, 10000ms})
+    for (base::Duration Left = SoundTime; Left < 9s; Left += 50ms)
+      for (base::Duration Late{}; Late < Bound; Late += 50ms) {
+        TargetRegistry Targets(Bound);
+        Targets.put(recordOf("t1"), Now_);
+        Targets.noteTrouble(Now_);
+        Targets.remove(base::TargetId("t1"), Now_ + Left + Late);
+        Targets.expire(Now_ + Left + Bound);
+        LONGS_EQUAL(0, Targets.size());
+      }
+}
+
+// Entries may be missing until 2 s after the store's return, which is up to
+// half a second after the last failed call.
+TEST(TargetRegistry, gracePeriodCountsFromLearningWhileTargetsMayComeBack) {
+  for (base::Duration Learned{}; Learned <= 1300ms; Learned += 50ms) {
+    TargetRegistry Targets(2500ms);
+    Targets.put(recordOf("t1"), Now_);
+    Targets.noteTrouble(Now_);
+    Targets.remove(base::TargetId("t1"), Now_ + Learned);
+    Targets.expire(Now_ + Learned + 1250ms);
+    LONGS_EQUAL(1, Targets.size());
+  }
+}
+
 TEST(TargetRegistry, leavingTargetGetsNoGracePeriod) {
   TargetRecord Leaving = recordOf("t1");
   Leaving.Leaving_ = true;
