--- a/libs/live/ActiveIntent.cpp
+++ b/libs/live/ActiveIntent.cpp
@@ -14,6 +14,16 @@
 /// Number of hash digits, enough to distinguish a deployment's keys.
 constexpr std::size_t KeyIdDigits = 16;
 
+/// \returns the factor with which a rule's weights can be summed up: weights
+/// of any size that a number may have only state proportions.
+double weightScaleOf(const RouteRule &Rule) {
+  constexpr double MaxWeight = 1e15;
+  double Largest = 0;
+  for (const WeightedService &Part : Rule.Services_)
+    Largest = std::max(Largest, Part.Weight_);
+  return Largest > MaxWeight ? 1 / Largest : 1;
+}
+
 } // namespace
 
 ActiveIntent::Snapshot
@@ -98,12 +108,14 @@
 const base::ServiceId &ActiveIntent::pickService(const RouteRule &Rule) {
   if (Rule.Services_.size() == 1)
     return Rule.Services_.front().Service_;
-  std::vector<std::int64_t> &Credit = Balancers_[Rule.Name_].Credit_;
+  std::vector<double> &Credit = Balancers_[Rule.Name_].Credit_;
   Credit.resize(Rule.Services_.size());
-  std::int64_t Sum = 0;
+  const double Scale = weightScaleOf(Rule);
+  double Sum = 0;
   for (std::size_t Index = 0; Index < Credit.size(); ++Index) {
-    Credit[Index] += Rule.Services_[Index].Weight_;
-    Sum += Rule.Services_[Index].Weight_;
+    const double Gain = Rule.Services_[Index].Weight_ * Scale;
+    Credit[Index] += Gain;
+    Sum += Gain;
   }
   const auto Chosen = std::max_element(Credit.begin(), Credit.end());
   *Chosen -= Sum;
--- a/libs/live/ActiveIntent.h
+++ b/libs/live/ActiveIntent.h
@@ -85,7 +85,7 @@
   /// its weight, and the one with the highest credit is chosen and pays the
   /// sum. Random choice would deviate from the proportion.
   struct WeightedRoundRobin {
-    std::vector<std::int64_t> Credit_;
+    std::vector<double> Credit_;
   };
 
   struct KeyHolder {
--- a/libs/live/Intent.h
+++ b/libs/live/Intent.h
@@ -15,7 +15,8 @@
 /// One of the services among which a rule's requests are divided.
 struct WeightedService {
   base::ServiceId Service_;
-  std::uint32_t Weight_ = 1;
+  /// In proportion to the weights of the rule's other services; above 0.
+  double Weight_ = 1;
 };
 
 /// Maps requests to services, with the conditions that apply to them.
--- a/tests/live/ActiveIntentTest.cpp
+++ b/tests/live/ActiveIntentTest.cpp
@@ -1,6 +1,8 @@
 #include "live/ActiveIntent.h"
 
+#include <cstdlib>
 #include <string>
+#include <vector>
 
 #include "CppUTest/TestHarness.h"
 
@@ -124,6 +126,39 @@
   LONGS_EQUAL(20, New);
 }
 
+TEST(ActiveIntent, weightsOfAnySizeAreProportions) {
+  struct Split {
+    std::vector<double> Weights_;
+    std::vector<int> Picks_;
+  };
+  const std::vector<Split> Splits = {
+      {{0.9, 0.1}, {900, 100}},
+      {{0.333, 0.667}, {333, 667}},
+      {{0.1, 0.2, 0.7}, {100, 200, 700}},
+      {{1e-300, 3e-300}, {250, 750}},
+      {{1e308, 1e308}, {500, 500}},
+      {{1e308, 1.5e308, 1e307}, {385, 577, 38}},
+      {{1e300, 1e-300}, {1000, 0}},
+      {{4000000000.0, 1000000000.0}, {800, 200}}};
+  std::uint64_t Version = 1;
+  for (const Split &Each : Splits) {
+    live::Intent Split = intentOf(++Version);
+    Split.Routes_[0].Services_.clear();
+    for (std::size_t Part = 0; Part < Each.Weights_.size(); ++Part)
+      Split.Routes_[0].Services_.push_back(
+          {base::ServiceId(std::to_string(Part)), Each.Weights_[Part]});
+    CHECK(offer(Split));
+    std::vector<int> Picks(Each.Weights_.size());
+    for (int Pick = 0; Pick < 1000; ++Pick) {
+      const auto Found = Active_.route({"", "a.example", "/x/1", "GET", 0});
+      ++Picks[std::stoul(
+          Found.value_or(lychee::gateway::Route()).Service_.name())];
+    }
+    for (std::size_t Part = 0; Part < Picks.size(); ++Part)
+      CHECK(std::abs(Picks[Part] - Each.Picks_[Part]) <= 1);
+  }
+}
+
 TEST(ActiveIntent, newerVersionThanTheRestoredStoresIsAnnouncedForAWhile) {
   offer(intentOf(5));
   CHECK_FALSE(Active_.versionAheadOfStore(Now_).has_value());
