--- a/apps/lycheed/LiveFeed.cpp
+++ b/apps/lycheed/LiveFeed.cpp
@@ -326,12 +326,16 @@
 
 void LiveFeed::takeIntent(std::span<const live::StoredObject> Heard) {
   for (const live::StoredObject &Each : Heard) {
-    if (Each.Name_ != platform::IntentName || Each.Deleted_)
+    if (Each.Name_ != platform::IntentName)
       continue;
     const base::TimePoint Begun = SystemClock::monotonicNow();
-    base::Error Why;
-    const auto Read = platform::decodeIntent(Each.Content_, Why);
+    base::Error Why{"store", Each.Name_, "was deleted"};
+    const auto Read = Each.Deleted_
+                          ? std::nullopt
+                          : platform::decodeIntent(Each.Content_, Why);
+    Parts_.Gauges_.setIntentRefused(!Read);
     if (!Read) {
+      Intents_.noteUnreadable();
       reporting::logLine(LogLevel::Error,
                          KeyValueLine()
                              .add("event", "intent-refused")
--- a/apps/lycheed/LiveGauges.cpp
+++ b/apps/lycheed/LiveGauges.cpp
@@ -32,6 +32,9 @@
       IntentAge_(Metrics.gauge(
           "lychee_settings_age_seconds",
           "Since the intent was known to be the newest; -1: never")),
+      IntentRefused_(Metrics.gauge(
+          "lychee_settings_refused",
+          "1 while the newest intent of the store cannot be read")),
       KeysTrusted_(Metrics.gauge("lychee_keys_trusted",
                                  "1 while keys are known to hold")),
       AsksStore_(Metrics.gauge("lychee_asks_store",
--- a/apps/lycheed/LiveGauges.h
+++ b/apps/lycheed/LiveGauges.h
@@ -47,6 +47,11 @@
   void set(const LiveReadings &Read) const;
   void setAdmittedShare(const base::ServiceId &Service, double Share) const;
 
+  /// \param Refused  the newest intent cannot be read.
+  void setIntentRefused(bool Refused) const {
+    IntentRefused_.set(Refused ? 1 : 0);
+  }
+
   // Calls, each with its end.
   void countStoreCall(const std::string &Kind, bool Came);
   /// A watch that the store ended before its time, without an answer.
@@ -70,6 +75,7 @@
   reporting::Metrics &Metrics_;
   const reporting::Gauge IntentVersion_;
   const reporting::Gauge IntentAge_;
+  const reporting::Gauge IntentRefused_;
   const reporting::Gauge KeysTrusted_;
   const reporting::Gauge AsksStore_;
   const reporting::Gauge HostsAlive_;
--- a/libs/live/ActiveIntent.cpp
+++ b/libs/live/ActiveIntent.cpp
@@ -51,6 +51,7 @@
                          base::TimePoint Now) {
   Snapshot Result = makeSnapshot(std::move(Candidate));
   const std::lock_guard Guard(Lock_);
+  Unreadable_ = false;
   const std::uint64_t Known = Current_.Intent_ ? Current_.Intent_->Version_ : 0;
   AheadSince_ =
       Result.Intent_->Version_ < Known ? std::optional(Now) : std::nullopt;
@@ -78,8 +79,15 @@
   AnnouncedAt_ = Now;
 }
 
+void ActiveIntent::noteUnreadable() {
+  const std::lock_guard Guard(Lock_);
+  Unreadable_ = true;
+}
+
 void ActiveIntent::confirm(base::TimePoint Time) {
   const std::lock_guard Guard(Lock_);
+  if (Unreadable_)
+    return;
   if (!ConfirmedAt_ || Time > *ConfirmedAt_)
     ConfirmedAt_ = Time;
 }
--- a/libs/live/ActiveIntent.h
+++ b/libs/live/ActiveIntent.h
@@ -26,6 +26,11 @@
 /// it. This is sufficient, because an intent that is the newest at time C
 /// cannot have been replaced before C.
 ///
+/// Failure: the newest intent cannot be read. Without a safeguard the one
+/// before it goes on being confirmed, and a key that was withdrawn works for
+/// good. An unreadable intent ends the confirmations until one can be read
+/// again, so that all keys become stale within KeyTrust.
+///
 /// Failure: the store comes back from an older copy, and a host starts before
 /// the operator has written the newest intent again. It knows nothing newer
 /// than the copy, in which a withdrawn key is valid. Hosts that hold a newer
@@ -48,7 +53,7 @@
   /// target.
   explicit ActiveIntent(base::Duration KeyTrust) : KeyTrust_(KeyTrust) {}
 
-  /// Puts \p Candidate in force.
+  /// Puts \p Candidate in force. It is the newest one that the store has.
   /// \returns false if it is not newer than the intent in force, which then
   /// stays.
   bool offer(std::shared_ptr<const Intent> Candidate, base::TimePoint Now);
@@ -60,7 +65,11 @@
   /// Records that another host announced its version as newer than the store's.
   void noteAnnouncedVersion(std::uint64_t Version, base::TimePoint Now);
 
-  /// Records that the intent in force was the newest at \p Time.
+  /// Records that the newest intent of the store cannot be read, or is gone.
+  void noteUnreadable();
+
+  /// Records that the store's newest intent at \p Time was the last one that
+  /// was offered, or noted as unreadable.
   void confirm(base::TimePoint Time);
 
   std::shared_ptr<const Intent> current() const;
@@ -113,6 +122,8 @@
   Snapshot Current_;
   std::unordered_map<std::string, WeightedRoundRobin> Balancers_;
   std::optional<base::TimePoint> ConfirmedAt_;
+  /// The newest intent of the store cannot be read.
+  bool Unreadable_ = false;
   /// Set while the store shows an older intent than the one in force.
   std::optional<base::TimePoint> AheadSince_;
   std::uint64_t AnnouncedVersion_ = 0;
--- a/tests/live/ActiveIntentTest.cpp
+++ b/tests/live/ActiveIntentTest.cpp
@@ -188,3 +188,36 @@
   Active_.noteAnnouncedVersion(5, Now_);
   CHECK(Active_.isTrusted(Now_ + 2s));
 }
+
+// A version that cannot be read kept the withdrawn keys of the one before it
+// for good.
+TEST(ActiveIntent, keysBecomeStaleAfterAnIntentThatCannotBeRead) {
+  constexpr base::Duration Bound = 5s;
+  constexpr base::Duration Poll = 50ms;
+  // The operator's ack lies at each moment between two confirmations.
+  for (base::Duration Ack{}; Ack <= 1s; Ack += Poll) {
+    live::ActiveIntent Active(4700ms);
+    Active.offer(std::make_shared<const live::Intent>(intentOf(1)), Now_);
+    for (base::Duration At{}; At < Ack; At += 100ms)
+      Active.confirm(Now_ + At);
+    for (base::Duration Learned = Ack; Learned < Ack + 1s; Learned += Poll) {
+      Active.noteUnreadable();
+      Active.confirm(Now_ + Learned);
+    }
+    CHECK(Active.check("first-key", Now_ + Ack + Bound).Refusal_ ==
+          Refusal::KeysStale);
+    Active.offer(std::make_shared<const live::Intent>(intentOf(2)), Now_);
+    Active.confirm(Now_ + Ack + Bound);
+    CHECK(Active.check("first-key", Now_ + Ack + Bound).Refusal_ ==
+          Refusal::None);
+  }
+}
+
+// Its operator takes the version back: the one in force is the newest again.
+TEST(ActiveIntent, theSameIntentAgainEndsTheUnreadableOne) {
+  offer(intentOf(1));
+  Active_.noteUnreadable();
+  CHECK_FALSE(offer(intentOf(1)));
+  Active_.confirm(Now_);
+  CHECK(Active_.isTrusted(Now_));
+}
--- a/tests/support/LiveFleet.cpp
+++ b/tests/support/LiveFleet.cpp
@@ -127,6 +127,15 @@
 
 std::size_t LiveFleet::writeIntent(int Version, const std::string &Key,
                                    std::size_t MoreRules) {
+  const Json::Value Made = makeIntent(Version, Key, MoreRules);
+  Objects_->put("config", "main", Made);
+  Json::StreamWriterBuilder Builder;
+  Builder["indentation"] = "";
+  return Json::writeString(Builder, Made).size();
+}
+
+Json::Value LiveFleet::makeIntent(int Version, const std::string &Key,
+                                  std::size_t MoreRules) {
   Json::Value Made;
   Made["version"] = "r" + std::to_string(Version);
   Made["routes"]["columns"] =
@@ -150,10 +159,7 @@
   Made["services"]["rows"].append(listOf({"portal", "/health"}));
   Made["tenants"]["columns"] = listOf({"name", "apiKeys"});
   Made["tenants"]["rows"].append(listOf({"parish", listOf({Key})}));
-  Objects_->put("config", "main", Made);
-  Json::StreamWriterBuilder Builder;
-  Builder["indentation"] = "";
-  return Json::writeString(Builder, Made).size();
+  return Made;
 }
 
 void LiveFleet::writeEntry(std::size_t Target, const std::string &State,
@@ -178,9 +184,10 @@
 }
 
 CallerAnswer LiveFleet::ask(std::size_t Host, const std::string &Key,
-                            const std::string &Id) const {
+                            const std::string &Id,
+                            const std::string &Path) const {
   CallerRequest Request;
-  Request.Target_ = "/x/1";
+  Request.Target_ = Path;
   Request.Headers_ = {{"Host", "a.example"},
                       {"Authorization", "Bearer " + Key},
                       {platform::vocabulary().RequestId_, Id},
--- a/tests/support/LiveFleet.h
+++ b/tests/support/LiveFleet.h
@@ -72,6 +72,9 @@
   /// \returns how many bytes it takes as JSON.
   std::size_t writeIntent(int Version, const std::string &Key,
                           std::size_t MoreRules = 0);
+  /// \returns the configuration that writeIntent() writes.
+  static Json::Value makeIntent(int Version, const std::string &Key,
+                                std::size_t MoreRules = 0);
   /// Writes a target's entry. \p State  "ready" or "draining".
   /// \param Start  Unix millisecond of the target's start.
   void writeEntry(std::size_t Target, const std::string &State,
@@ -84,8 +87,10 @@
   std::string source(std::size_t Host) const;
   bool isReady(std::size_t Host) const;
   /// \param Id  of the request; targets count arrivals by it.
+  /// \param Path  of the request. \see LiveFleet
   CallerAnswer ask(std::size_t Host, const std::string &Key,
-                   const std::string &Id = "r1") const;
+                   const std::string &Id = "r1",
+                   const std::string &Path = "/x/1") const;
   std::string resolve(std::size_t Host) const;
   std::string log(std::size_t Host) const;
   std::string metrics(std::size_t Host) const;
