--- a/apps/lycheed/LiveFeed.cpp
+++ b/apps/lycheed/LiveFeed.cpp
@@ -73,6 +73,17 @@
   reporting::logLine(LogLevel::Info, Line);
 }
 
+void logIntentFaults(std::string_view Event, const live::StoredObject &Entry,
+                     std::size_t Count, const base::Error &First) {
+  reporting::logLine(LogLevel::Error,
+                     KeyValueLine()
+                         .add("event", Event)
+                         .add("revision", Entry.Revision_.Number_)
+                         .add("count", Count)
+                         .add("where", First.Peer_)
+                         .add("reason", First.Reason_));
+}
+
 /// Empty where a listed host tells none.
 std::string regionOf(const Json::Value &Content) {
   return Content["region"].isString() ? Content["region"].asString() : "";
@@ -333,17 +344,15 @@
     const auto Read = Each.Deleted_
                           ? std::nullopt
                           : platform::decodeIntent(Each.Content_, Why);
-    Parts_.Gauges_.setIntentRefused(!Read);
+    Parts_.Gauges_.setIntentFaults(!Read, Read ? Read->Faults_.Count_ : 0);
     if (!Read) {
       Intents_.noteUnreadable();
-      reporting::logLine(LogLevel::Error,
-                         KeyValueLine()
-                             .add("event", "intent-refused")
-                             .add("revision", Each.Revision_.Number_)
-                             .add("where", Why.Peer_)
-                             .add("reason", Why.Reason_));
+      logIntentFaults("intent-refused", Each, 1, Why);
       continue;
     }
+    if (Read->Faults_.Count_ > 0)
+      logIntentFaults("intent-rows-unreadable", Each, Read->Faults_.Count_,
+                      Read->Faults_.First_);
     const auto Fresh = std::make_shared<const live::Intent>(*Read);
     const bool Newer = Intents_.offer(Fresh, Begun);
     if (Newer)
--- a/apps/lycheed/LiveGauges.cpp
+++ b/apps/lycheed/LiveGauges.cpp
@@ -35,6 +35,9 @@
       IntentRefused_(Metrics.gauge(
           "lychee_settings_refused",
           "1 while the newest intent of the store cannot be read")),
+      IntentRowsUnreadable_(
+          Metrics.gauge("lychee_settings_rows_unreadable",
+                        "Rows of the newest intent that cannot be read")),
       KeysTrusted_(Metrics.gauge("lychee_keys_trusted",
                                  "1 while keys are known to hold")),
       AsksStore_(Metrics.gauge("lychee_asks_store",
@@ -126,6 +129,11 @@
       .add();
 }
 
+void LiveGauges::setIntentFaults(bool Refused, std::size_t Rows) const {
+  IntentRefused_.set(Refused ? 1 : 0);
+  IntentRowsUnreadable_.set(static_cast<double>(Rows));
+}
+
 void LiveGauges::countWatchCut(const std::string &Kind) const {
   const std::array<reporting::Label, 1> Labels = {{{"kind", Kind}}};
   Metrics_
--- a/apps/lycheed/LiveGauges.h
+++ b/apps/lycheed/LiveGauges.h
@@ -47,10 +47,9 @@
   void set(const LiveReadings &Read) const;
   void setAdmittedShare(const base::ServiceId &Service, double Share) const;
 
-  /// \param Refused  the newest intent cannot be read.
-  void setIntentRefused(bool Refused) const {
-    IntentRefused_.set(Refused ? 1 : 0);
-  }
+  /// \param Refused  the newest intent cannot be read at all.
+  /// \param Rows  of it that cannot be read.
+  void setIntentFaults(bool Refused, std::size_t Rows) const;
 
   // Calls, each with its end.
   void countStoreCall(const std::string &Kind, bool Came);
@@ -76,6 +75,7 @@
   const reporting::Gauge IntentVersion_;
   const reporting::Gauge IntentAge_;
   const reporting::Gauge IntentRefused_;
+  const reporting::Gauge IntentRowsUnreadable_;
   const reporting::Gauge KeysTrusted_;
   const reporting::Gauge AsksStore_;
   const reporting::Gauge HostsAlive_;
--- a/libs/gateway/Exchange.cpp
+++ b/libs/gateway/Exchange.cpp
@@ -95,6 +95,13 @@
   auto Found = Shared.Others_.Router_.route({Read_.ServiceName_,
                                              Read_.HostName_, Read_.Path_,
                                              Read_.Method_, Caller_.address()});
+  // Whether it wants a key is not known either.
+  if (Found && !Found->Readable_) {
+    Caller.SettingsVersion_ = Found->SettingsVersion_;
+    Caller.RetryAfter_ = Found->RetryAfter_;
+    co_return co_await refuseEarly(Caller,
+                                   steering::Refusal::SettingsUnreadable);
+  }
   if (Found && Found->Public_)
     Caller.Refusal_ = steering::Refusal::None;
   else
--- a/libs/gateway/ProblemDocument.cpp
+++ b/libs/gateway/ProblemDocument.cpp
@@ -68,6 +68,8 @@
     return "This host reaches none of the service's targets.";
   case Refusal::SettingsOld:
     return "This host has older settings than the request came by.";
+  case Refusal::SettingsUnreadable:
+    return "The operators' settings for the request cannot be read.";
   case Refusal::CrashSuspect:
     return "Targets were lost while they ran requests like this one.";
   case Refusal::ClaimHeldElsewhere:
@@ -122,6 +124,7 @@
   case Refusal::TargetsUnreached:
   case Refusal::BodyMemoryFull:
   case Refusal::SettingsOld:
+  case Refusal::SettingsUnreadable:
   case Refusal::CrashSuspect:
   case Refusal::ClaimStoreDown:
   case Refusal::Stopping:
--- a/libs/gateway/RequestRouter.h
+++ b/libs/gateway/RequestRouter.h
@@ -35,6 +35,11 @@
   std::uint64_t SettingsVersion_ = 0;
   /// What operators call the rule that took the request; empty: it has none.
   std::string Name_;
+  /// False: the rule that took the request cannot be read, and nothing else is
+  /// known of it.
+  bool Readable_ = true;
+  /// When coming back helps if it cannot be read.
+  base::Duration RetryAfter_{};
   /// Anyone may ask; no key is checked.
   bool Public_ = false;
   /// Longest time that a caller is kept waiting, whatever it asks for.
--- a/libs/live/ActiveIntent.cpp
+++ b/libs/live/ActiveIntent.cpp
@@ -3,6 +3,7 @@
 #include "base/Hash.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace lychee::live {
 
@@ -11,9 +12,19 @@
 /// A host that cannot tell whether a key is valid may know better after this
 /// time.
 constexpr base::Duration StaleKeyRetry = std::chrono::milliseconds(300);
+/// Until operators have written settings that can be read.
+constexpr base::Duration UnreadableRetry = std::chrono::seconds(1);
 /// Number of hash digits, enough to distinguish a deployment's keys.
 constexpr std::size_t KeyIdDigits = 16;
 
+/// Rules with a longer prefix go first, and first of all one whose prefix
+/// cannot be read: any request of its host may be its own.
+std::size_t rankOf(const RouteRule &Rule) {
+  return !Rule.Readable_ && Rule.PathPrefix_.empty()
+             ? std::numeric_limits<std::size_t>::max()
+             : Rule.PathPrefix_.size();
+}
+
 /// \returns the factor with which a rule's weights can be summed up: weights
 /// of any size that a number may have only state proportions.
 double weightScaleOf(const RouteRule &Rule) {
@@ -26,6 +37,13 @@
 
 } // namespace
 
+void ActiveIntent::addKey(Snapshot &Into, const std::string &Key,
+                          std::optional<std::size_t> Customer) {
+  const base::KeyId Id(base::sha256Hex(Key).substr(0, KeyIdDigits));
+  Into.ByKey_.emplace(Key, KeyHolder{Customer, Id});
+  Into.ById_.emplace(Id.name(), Customer);
+}
+
 ActiveIntent::Snapshot
 ActiveIntent::makeSnapshot(std::shared_ptr<const Intent> Source) {
   Snapshot Result;
@@ -34,15 +52,14 @@
   for (auto &[Host, Rules] : Result.ByHost_)
     std::stable_sort(Rules.begin(), Rules.end(),
                      [&Source](std::size_t Left, std::size_t Right) {
-                       return Source->Routes_[Left].PathPrefix_.size() >
-                              Source->Routes_[Right].PathPrefix_.size();
+                       return rankOf(Source->Routes_[Left]) >
+                              rankOf(Source->Routes_[Right]);
                      });
   for (std::size_t Index = 0; Index < Source->Customers_.size(); ++Index)
-    for (const std::string &Key : Source->Customers_[Index].Keys_) {
-      const base::KeyId Id(base::sha256Hex(Key).substr(0, KeyIdDigits));
-      Result.ByKey_.emplace(Key, KeyHolder{Index, Id});
-      Result.ById_.emplace(Id.name(), Index);
-    }
+    for (const std::string &Key : Source->Customers_[Index].Keys_)
+      addKey(Result, Key, Index);
+  for (const std::string &Key : Source->UnreadableCustomersKeys_)
+    addKey(Result, Key, std::nullopt);
   Result.Intent_ = std::move(Source);
   return Result;
 }
@@ -147,12 +164,17 @@
     if (!Query.Path_.starts_with(Rule.PathPrefix_))
       continue;
     gateway::Route Found;
+    Found.Readable_ = Rule.Readable_;
+    Found.RetryAfter_ =
+        Rule.Readable_ ? base::Duration::zero() : UnreadableRetry;
+    Found.Name_ = Rule.Name_;
+    Found.SettingsVersion_ = Current_.Intent_->Version_;
+    if (!Rule.Readable_)
+      return Found;
     Found.Service_ = pickService(Rule);
     Found.Deadline_ = Rule.Timeout_;
     Found.Timeout_ = Rule.Timeout_;
     Found.Idempotent_ = Rule.Idempotent_;
-    Found.SettingsVersion_ = Current_.Intent_->Version_;
-    Found.Name_ = Rule.Name_;
     Found.Public_ = Rule.Public_ || Current_.Intent_->Customers_.empty();
     Found.Objective_ = Rule.Objective_;
     Found.MaximumSends_ = Rule.MaximumSends_;
@@ -176,10 +198,18 @@
   }
   Found.SettingsVersion_ = Current_.Intent_->Version_;
   const auto Holder = Current_.ByKey_.find(std::string(Presented));
-  if (Presented.empty() || Holder == Current_.ByKey_.end())
+  const bool IsKnown = !Presented.empty() && Holder != Current_.ByKey_.end();
+  const bool MayBeValid =
+      IsKnown ? !Holder->second.Customer_
+              : !Presented.empty() && Current_.Intent_->HasUnreadableKeys_;
+  if (MayBeValid) {
+    Found.Refusal_ = steering::Refusal::SettingsUnreadable;
+    Found.RetryAfter_ = UnreadableRetry;
+  }
+  if (MayBeValid || !IsKnown)
     return Found;
   const CustomerRule &Customer =
-      Current_.Intent_->Customers_[Holder->second.Customer_];
+      Current_.Intent_->Customers_[*Holder->second.Customer_];
   Found.Refusal_ = steering::Refusal::None;
   Found.Customer_ = Customer.Id_;
   Found.Key_ = Holder->second.Id_;
@@ -194,9 +224,12 @@
     return steering::Refusal::KeysStale;
   const std::lock_guard Guard(Lock_);
   const auto Holder = Current_.ById_.find(Presented.Key_.name());
+  const bool IsKnown = Holder != Current_.ById_.end();
+  if (IsKnown ? !Holder->second : Current_.Intent_->HasUnreadableKeys_)
+    return steering::Refusal::SettingsUnreadable;
   const bool IsValid =
-      Holder != Current_.ById_.end() &&
-      Current_.Intent_->Customers_[Holder->second].Id_ == Presented.Customer_;
+      IsKnown &&
+      Current_.Intent_->Customers_[*Holder->second].Id_ == Presented.Customer_;
   return IsValid ? steering::Refusal::None : steering::Refusal::KeyWithdrawn;
 }
 
--- a/libs/live/ActiveIntent.h
+++ b/libs/live/ActiveIntent.h
@@ -29,7 +29,9 @@
 /// Failure: the newest intent cannot be read. Without a safeguard the one
 /// before it goes on being confirmed, and a key that was withdrawn works for
 /// good. An unreadable intent ends the confirmations until one can be read
-/// again, so that all keys become stale within KeyTrust.
+/// again, so that all keys become stale within KeyTrust. If only parts of it
+/// cannot be read, the rest is in force, and requests that the unreadable parts
+/// may concern are refused as not executed.
 ///
 /// Failure: the store comes back from an older copy, and a host starts before
 /// the operator has written the newest intent again. It knows nothing newer
@@ -98,7 +100,8 @@
   };
 
   struct KeyHolder {
-    std::size_t Customer_ = 0;
+    /// Nothing if the customer's settings cannot be read.
+    std::optional<std::size_t> Customer_;
     /// Identifies the key in logs and later checks: a prefix of its hash, from
     /// which the key cannot be recovered.
     base::KeyId Id_;
@@ -111,10 +114,12 @@
     std::unordered_map<std::string, std::vector<std::size_t>> ByHost_;
     std::unordered_map<std::string, KeyHolder> ByKey_;
     /// Customers by key ID.
-    std::unordered_map<std::string, std::size_t> ById_;
+    std::unordered_map<std::string, std::optional<std::size_t>> ById_;
   };
 
   const base::ServiceId &pickService(const RouteRule &Rule);
+  static void addKey(Snapshot &Into, const std::string &Key,
+                     std::optional<std::size_t> Customer);
   static Snapshot makeSnapshot(std::shared_ptr<const Intent> Source);
 
   const base::Duration KeyTrust_;
--- a/libs/live/Intent.h
+++ b/libs/live/Intent.h
@@ -1,6 +1,7 @@
 #ifndef LYCHEE_LIVE_INTENT_H
 #define LYCHEE_LIVE_INTENT_H
 
+#include "base/Error.h"
 #include "base/Id.h"
 #include "base/Time.h"
 
@@ -22,9 +23,12 @@
 /// Maps requests to services, with the conditions that apply to them.
 struct RouteRule {
   std::string Name_;
+  /// False: what else operators say of these requests cannot be read, and they
+  /// are refused.
+  bool Readable_ = true;
   /// Host header in lower case, without a port.
   std::string Host_;
-  /// Begins and ends with a slash.
+  /// Begins and ends with a slash; empty if it cannot be read.
   std::string PathPrefix_;
   /// Whether a request may be executed more than once.
   bool Idempotent_ = false;
@@ -72,6 +76,17 @@
   base::Duration IdleTimeout_ = std::chrono::seconds(15);
 };
 
+/// Parts of an intent that cannot be read, and are left out.
+struct IntentFaults {
+  std::size_t Count_ = 0;
+  base::Error First_;
+
+  void add(const base::Error &Fault) {
+    if (Count_++ == 0)
+      First_ = Fault;
+  }
+};
+
 /// All settings of operators as of one version. Immutable: a newer version is a
 /// new object. \see ActiveIntent
 struct Intent {
@@ -79,7 +94,12 @@
   std::vector<RouteRule> Routes_;
   std::map<base::ServiceId, ServiceRule> Services_;
   std::vector<CustomerRule> Customers_;
+  /// Keys of customers whose other settings cannot be read.
+  std::vector<std::string> UnreadableCustomersKeys_;
+  /// There are keys that cannot be read: an unknown key may be one of them.
+  bool HasUnreadableKeys_ = false;
   CallerBounds Callers_;
+  IntentFaults Faults_;
 };
 
 /// Which decisions on heavy load a deployment calls for; the others are made as
--- a/libs/steering/Steering.cpp
+++ b/libs/steering/Steering.cpp
@@ -38,6 +38,8 @@
     return "targets-unreached";
   case Refusal::SettingsOld:
     return "settings-old";
+  case Refusal::SettingsUnreadable:
+    return "settings-unreadable";
   case Refusal::CrashSuspect:
     return "crash-suspect";
   case Refusal::ClaimHeldElsewhere:
--- a/libs/steering/Steering.h
+++ b/libs/steering/Steering.h
@@ -134,6 +134,8 @@
   TargetsUnreached,
   /// This host has older settings than the host that forwarded the request.
   SettingsOld,
+  /// The operators' settings for the request cannot be read.
+  SettingsUnreadable,
   CrashSuspect,
   ClaimHeldElsewhere,
   ClaimStoreDown,
--- a/tests/live/ActiveIntentTest.cpp
+++ b/tests/live/ActiveIntentTest.cpp
@@ -221,3 +221,47 @@
   Active_.confirm(Now_);
   CHECK(Active_.isTrusted(Now_));
 }
+
+// The requests of a route that cannot be read went to the service of a shorter
+// prefix.
+TEST(ActiveIntent, noOtherRuleTakesTheRequestsOfAnUnreadableOne) {
+  live::Intent Broken = intentOf(1);
+  Broken.Routes_[1].Readable_ = false;
+  Broken.Routes_[1].Services_.clear();
+  offer(Broken);
+  const auto readable = [this](std::string_view Path) {
+    const auto Found = Active_.route({"", "a.example", Path, "GET", 0});
+    return Found && Found->Readable_;
+  };
+  CHECK(readable("/x/z"));
+  CHECK_FALSE(readable("/x/y/z"));
+  STRCMP_EQUAL("long", routeOf("/x/y/z").c_str());
+  Broken.Version_ = 2;
+  Broken.Routes_[1].PathPrefix_.clear();
+  offer(Broken);
+  CHECK_FALSE(readable("/x/z"));
+}
+
+TEST(ActiveIntent, keysThatMayBeValidAreNotRefusedForGood) {
+  live::Intent Broken = intentOf(1);
+  Broken.UnreadableCustomersKeys_ = {"third-key"};
+  offer(Broken);
+  Active_.confirm(Now_);
+  const auto Before = Active_.check("first-key", Now_);
+  CHECK(Before.Refusal_ == Refusal::None);
+  CHECK(Active_.check("third-key", Now_).Refusal_ ==
+        Refusal::SettingsUnreadable);
+  CHECK(Active_.check("no-key", Now_).Refusal_ == Refusal::UnknownKey);
+  Broken.Version_ = 2;
+  Broken.HasUnreadableKeys_ = true;
+  Broken.Customers_[0].Keys_ = {"second-key"};
+  offer(Broken);
+  CHECK(Active_.check("second-key", Now_).Refusal_ == Refusal::None);
+  CHECK(Active_.check("no-key", Now_).Refusal_ == Refusal::SettingsUnreadable);
+  CHECK(Active_.check("", Now_).Refusal_ == Refusal::UnknownKey);
+  CHECK(Active_.recheck(Before, Now_) == Refusal::SettingsUnreadable);
+  Broken.Version_ = 3;
+  Broken.UnreadableCustomersKeys_ = {"first-key"};
+  offer(Broken);
+  CHECK(Active_.recheck(Before, Now_) == Refusal::SettingsUnreadable);
+}
--- a/tests/process/LiveIntentFaultsTest.cpp
+++ b/tests/process/LiveIntentFaultsTest.cpp
@@ -74,3 +74,20 @@
   write(LiveFleet::makeIntent(3, NewKey));
   CHECK(waitUntilAll(NewKey, 200));
 }
+
+// A row that could not be read kept the whole version from being in force.
+TEST(LiveIntentFaults, aRowThatCannotBeReadLeavesTheOthersInForce) {
+  Json::Value Broken = LiveFleet::makeIntent(2, NewKey);
+  constexpr Json::ArrayIndex KindColumn = 3;
+  Broken["routes"]["rows"][1][KindColumn] = 7;
+  write(Broken);
+  CHECK(waitUntilAll(NewKey, 200));
+  CHECK(waitUntilAll(OldKey, 401));
+  CHECK(waitUntilAll(NewKey, 503, "/y/1"));
+  STRCMP_EQUAL(
+      "1.000",
+      Fleet_->ask(0, NewKey, "r1", "/y/1").header("retry-after").c_str());
+  CHECK(haveAll("lychee_settings_rows_unreadable", 1));
+  write(LiveFleet::makeIntent(3, NewKey));
+  CHECK(waitUntilAll(NewKey, 200, "/y/1"));
+}
