--- a/libs/live/ActiveIntent.cpp
+++ b/libs/live/ActiveIntent.cpp
@@ -175,7 +175,7 @@
     Found.Deadline_ = Rule.Timeout_;
     Found.Timeout_ = Rule.Timeout_;
     Found.Idempotent_ = Rule.Idempotent_;
-    Found.Public_ = Rule.Public_ || Current_.Intent_->Customers_.empty();
+    Found.Public_ = Rule.Public_ || !Current_.Intent_->NeedsKeys_;
     Found.Objective_ = Rule.Objective_;
     Found.MaximumSends_ = Rule.MaximumSends_;
     Found.Priority_ = Rule.Priority_;
--- a/libs/live/Intent.h
+++ b/libs/live/Intent.h
@@ -93,6 +93,9 @@
   std::uint64_t Version_ = 0;
   std::vector<RouteRule> Routes_;
   std::map<base::ServiceId, ServiceRule> Services_;
+  /// Requests need a customer's key unless their rule is public, also if there
+  /// is no customer.
+  bool NeedsKeys_ = true;
   std::vector<CustomerRule> Customers_;
   /// Keys of customers whose other settings cannot be read.
   std::vector<std::string> UnreadableCustomersKeys_;
--- a/tests/live/ActiveIntentTest.cpp
+++ b/tests/live/ActiveIntentTest.cpp
@@ -265,3 +265,36 @@
   offer(Broken);
   CHECK(Active_.recheck(Before, Now_) == Refusal::SettingsUnreadable);
 }
+
+// Once the last customer was gone, every request ran, with any key or none.
+TEST(ActiveIntent, withoutCustomersNobodyIsLetIn) {
+  const auto isPublic = [this](std::string_view Path) {
+    const auto Found = Active_.route({"", "a.example", Path, "GET", 0});
+    return Found && Found->Public_;
+  };
+  live::Intent Next = intentOf(1);
+  Next.Routes_[1].Public_ = true;
+  offer(Next);
+  Active_.confirm(Now_);
+  const auto Before = Active_.check("first-key", Now_);
+  for (const bool HasCustomer : {true, false}) {
+    ++Next.Version_;
+    Next.Customers_.resize(HasCustomer ? 1 : 0);
+    if (HasCustomer)
+      Next.Customers_[0].Keys_.clear();
+    offer(Next);
+    CHECK_FALSE(isPublic("/x/z"));
+    CHECK(isPublic("/x/y/z"));
+    CHECK(Active_.check("first-key", Now_).Refusal_ == Refusal::UnknownKey);
+    CHECK(Active_.check("", Now_).Refusal_ == Refusal::UnknownKey);
+    CHECK(Active_.recheck(Before, Now_) == Refusal::KeyWithdrawn);
+  }
+  ++Next.Version_;
+  Next.NeedsKeys_ = false;
+  offer(Next);
+  CHECK(isPublic("/x/z"));
+  Next = intentOf(Next.Version_ + 1);
+  offer(Next);
+  CHECK_FALSE(isPublic("/x/z"));
+  CHECK(Active_.check("first-key", Now_).Refusal_ == Refusal::None);
+}
--- a/tests/platform/DecodersTest.cpp
+++ b/tests/platform/DecodersTest.cpp
@@ -169,6 +169,23 @@
   LONGS_EQUAL(2, Left_.Routes_.size());
 }
 
+// A table without rows was taken for a configuration without keys.
+TEST(IntentDecoder, keysAreNeededWhereThereIsATableOfTenants) {
+  Json::Value Whole = parse(Sample);
+  const auto needsKeys = [&] {
+    const auto Read = platform::decodeIntent(Whole, Last_);
+    CHECK(Read.has_value());
+    return Read && Read->NeedsKeys_;
+  };
+  CHECK(needsKeys());
+  Whole["tenants"]["rows"] = Json::Value(Json::arrayValue);
+  CHECK(needsKeys());
+  Whole["tenants"]["rows"].append(5);
+  CHECK(needsKeys());
+  Whole.removeMember("tenants");
+  CHECK_FALSE(needsKeys());
+}
+
 TEST(IntentDecoder, anUnreadableServiceOrLimitChangesNothingButItself) {
   STRCMP_EQUAL("services[0]", faultOf("390,3.5", "390.5,3.5").c_str());
   CHECK(Left_.Services_.empty());
--- a/tests/process/LiveIntentFaultsTest.cpp
+++ b/tests/process/LiveIntentFaultsTest.cpp
@@ -91,3 +91,21 @@
   write(LiveFleet::makeIntent(3, NewKey));
   CHECK(waitUntilAll(NewKey, 200, "/y/1"));
 }
+
+// Every request ran once the last tenant was gone.
+TEST(LiveIntentFaults, aVersionThatTakesTheLastTenantAwayLetsNobodyIn) {
+  Json::Value Next = LiveFleet::makeIntent(2, OldKey);
+  Next["tenants"]["rows"] = Json::Value(Json::arrayValue);
+  write(Next);
+  CHECK(waitUntilAll(OldKey, 401));
+  CHECK(waitUntilAll("no-key", 401));
+  write(LiveFleet::makeIntent(3, NewKey));
+  CHECK(waitUntilAll(NewKey, 200));
+  CHECK(waitUntilAll(OldKey, 401));
+  Next = LiveFleet::makeIntent(4, OldKey);
+  Next.removeMember("tenants");
+  write(Next);
+  CHECK(waitUntilAll("no-key", 200));
+  write(LiveFleet::makeIntent(5, NewKey));
+  CHECK(waitUntilAll("no-key", 401));
+}
