Descriptors: the limit comes by the command line, not by the settings' template

The template asked for limits.maxFds in a section; a renderer that does not know that field leaves the line as it is, and no host starts with it.

That the process sees the platform's limit itself (RLIMIT_NOFILE) is not stated.

Tests: HostileClients.theCommandLineLimitsTheDescriptors, .aLimitThatIsNoNumberIsRefused.

--- a/apps/lycheed/Main.cpp
+++ b/apps/lycheed/Main.cpp
@@ -4,12 +4,16 @@
 #include "platform/BoundsDecoder.h"
 #include "reporting/Log.h"
 
+#include <charconv>
 #include <gflags/gflags.h>
 #include <iostream>
 #include <malloc.h>
 #include <optional>
 
 DEFINE_string(settings, "", "INI file of this daemon; see docs/SETTINGS.md");
+DEFINE_string(descriptors, "",
+              "descriptors of this process, in place of [host] descriptors; "
+              "empty: as the file says");
 DEFINE_bool(check, false, "check the settings file and exit");
 
 namespace {
@@ -37,6 +41,25 @@
   return Bounds;
 }
 
+/// Takes the number of descriptors from the command line.
+/// \returns false, with a line on standard error, where it is none.
+bool takeDescriptors(lychee::settings::DaemonSettings &Into) {
+  const std::string &Text = FLAGS_descriptors;
+  if (Text.empty())
+    return true;
+  std::uint32_t Read = 0;
+  const char *End = Text.data() + Text.size();
+  const auto Parsed = std::from_chars(Text.data(), End, Read);
+  constexpr std::uint32_t Least = 64;
+  if (Parsed.ec != std::errc() || Parsed.ptr != End || Read < Least) {
+    std::cerr << "--descriptors: found " << Text << ", allowed a number from "
+              << Least << '\n';
+    return false;
+  }
+  Into.Descriptors_ = Read;
+  return true;
+}
+
 /// One arena for the two threads that allocate, and freed memory goes back to
 /// the system early: 6.4 MB in place of 7.7 MB at a host's peak on a calm day
 /// of 12 hosts, and no more processor time.
@@ -66,14 +89,15 @@
 
 int main(int ArgumentCount, char **Arguments) {
   gflags::SetUsageMessage("one host of a lycheespoke fleet\n"
-                          "  lycheed --settings FILE.ini [--check]");
+                          "  lycheed --settings FILE.ini [--descriptors N] "
+                          "[--check]");
   gflags::SetVersionString("0.1.0");
   gflags::ParseCommandLineFlags(&ArgumentCount, &Arguments, true);
   lychee::settings::Problems Found;
-  const auto Settings = lychee::daemon::readSettingsFile(FLAGS_settings, Found);
+  auto Settings = lychee::daemon::readSettingsFile(FLAGS_settings, Found);
   for (const lychee::settings::Problem &Each : Found)
     std::cerr << Each.describe() << '\n';
-  if (!Settings)
+  if (!Settings || !takeDescriptors(*Settings))
     return ExitBadSettings;
   if (Settings->Live_)
     return runLive(*Settings, *Settings->Live_);
--- a/tests/process/HostileClientsTest.cpp
+++ b/tests/process/HostileClientsTest.cpp
@@ -190,3 +190,33 @@
 TEST(HostileClients, connectionsToTheDirectory) {
   play(directory(), LargeCrowdSize, "GET /resolve HTTP/1.1\r\n");
 }
+
+// The settings' template stated the limit, and a platform that does not fill it
+// in left a file that no host starts with.
+TEST(HostileClients, theCommandLineLimitsTheDescriptors) {
+  constexpr std::size_t Few = 128;
+  Fleet_.reset();
+  Fleet_ = std::make_unique<LiveFleet>(tests::LiveFleetSize{
+      Base_, 1, 2, false, {"--descriptors=" + std::to_string(Few)}});
+  CHECK(TestFleet::waitFor([&] { return Fleet_->isReady(0); }));
+  const Crowd Clients(Fleet_->callers(0), Base_ + "200", 2 * Few);
+  CHECK(TestFleet::waitFor([&] { return Fleet_->ask(0, Key).Status_ == 200; }));
+  CHECK(tests::useOf(Fleet_->host(0).id()).Descriptors_ < Few);
+}
+
+TEST(HostileClients, aLimitThatIsNoNumberIsRefused) {
+  const auto checkWith = [](const std::string &Number) {
+    return tests::runProgram(
+        "lycheed",
+        {"--check", "--descriptors=" + Number, "--settings",
+         LYCHEE_SOURCE_DIR "/examples/kitakyushu/hosts/kitakyushu-1.ini"},
+        "/tmp/lychee-descriptors." + std::to_string(getpid()));
+  };
+  for (const char *Wrong : {"many", "63", "-1", "128x"}) {
+    const auto Ended = checkWith(Wrong);
+    LONGS_EQUAL(2, Ended.ExitCode_);
+    STRCMP_CONTAINS("--descriptors: found", Ended.Output_.c_str());
+  }
+  for (const char *Right : {"", "64", "4100"})
+    LONGS_EQUAL(0, checkWith(Right).ExitCode_);
+}
--- a/tests/support/LiveFleet.cpp
+++ b/tests/support/LiveFleet.cpp
@@ -110,8 +110,10 @@
                       << "leading_split = yes\n"
                       << "[zone near-1]\nregion = near\n";
   Hosts_[Index].reset();
-  Hosts_[Index] = std::make_unique<ChildProcess>(
-      "lycheed", std::vector<std::string>{"--settings", Path}, logPath(Index));
+  std::vector<std::string> Arguments = Size_.Arguments_;
+  Arguments.insert(Arguments.end(), {"--settings", Path});
+  Hosts_[Index] =
+      std::make_unique<ChildProcess>("lycheed", Arguments, logPath(Index));
 }
 
 void LiveFleet::setTargetLinks(std::size_t Host,
