--- a/libs/live/ActiveIntent.cpp
+++ b/libs/live/ActiveIntent.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <optional>
 
 namespace lychee::live {
 
@@ -197,19 +198,19 @@
     return Found;
   }
   Found.SettingsVersion_ = Current_.Intent_->Version_;
+  if (Presented.empty())
+    return Found;
   const auto Holder = Current_.ByKey_.find(std::string(Presented));
-  const bool IsKnown = !Presented.empty() && Holder != Current_.ByKey_.end();
-  const bool MayBeValid =
-      IsKnown ? !Holder->second.Customer_
-              : !Presented.empty() && Current_.Intent_->HasUnreadableKeys_;
-  if (MayBeValid) {
+  const bool IsKnown = Holder != Current_.ByKey_.end();
+  const std::optional<std::size_t> Owner =
+      IsKnown ? Holder->second.Customer_ : std::nullopt;
+  if (!Owner && (IsKnown || Current_.Intent_->HasUnreadableKeys_)) {
     Found.Refusal_ = steering::Refusal::SettingsUnreadable;
     Found.RetryAfter_ = UnreadableRetry;
   }
-  if (MayBeValid || !IsKnown)
+  if (!Owner)
     return Found;
-  const CustomerRule &Customer =
-      Current_.Intent_->Customers_[*Holder->second.Customer_];
+  const CustomerRule &Customer = Current_.Intent_->Customers_[*Owner];
   Found.Refusal_ = steering::Refusal::None;
   Found.Customer_ = Customer.Id_;
   Found.Key_ = Holder->second.Id_;
@@ -225,12 +226,15 @@
   const std::lock_guard Guard(Lock_);
   const auto Holder = Current_.ById_.find(Presented.Key_.name());
   const bool IsKnown = Holder != Current_.ById_.end();
-  if (IsKnown ? !Holder->second : Current_.Intent_->HasUnreadableKeys_)
-    return steering::Refusal::SettingsUnreadable;
-  const bool IsValid =
-      IsKnown &&
-      Current_.Intent_->Customers_[*Holder->second].Id_ == Presented.Customer_;
-  return IsValid ? steering::Refusal::None : steering::Refusal::KeyWithdrawn;
+  const std::optional<std::size_t> Owner =
+      IsKnown ? Holder->second : std::nullopt;
+  if (!Owner)
+    return IsKnown || Current_.Intent_->HasUnreadableKeys_
+               ? steering::Refusal::SettingsUnreadable
+               : steering::Refusal::KeyWithdrawn;
+  const CustomerRule &Customer = Current_.Intent_->Customers_[*Owner];
+  return Customer.Id_ == Presented.Customer_ ? steering::Refusal::None
+                                             : steering::Refusal::KeyWithdrawn;
 }
 
 } // namespace lychee::live
--- a/libs/live/TargetRegistry.cpp
+++ b/libs/live/TargetRegistry.cpp
@@ -19,14 +19,17 @@
   Changed_ = true;
 }
 
-void TargetRegistry::markMissing(Entry &Stored, base::TimePoint Now) {
+base::TimePoint TargetRegistry::markMissing(Entry &Stored,
+                                            base::TimePoint Now) {
   if (Stored.ExpiresAt_ && !Stored.AwaitsRewrite_)
-    return;
+    return *Stored.ExpiresAt_;
   Stored.AwaitsRewrite_ = false;
   const bool MayComeBack = LastFailure_ && !Stored.Known_.Record_.Leaving_;
-  Stored.ExpiresAt_ =
+  const base::TimePoint End =
       MayComeBack ? std::min(Now + Grace_, *LastFailure_ + RetryTime + MaxGrace)
                   : Now;
+  Stored.ExpiresAt_ = End;
+  return End;
 }
 
 std::optional<KeptTarget> TargetRegistry::remove(const base::TargetId &Target,
@@ -35,8 +38,7 @@
   const auto Found = Entries_.find(Target);
   if (Found == Entries_.end())
     return std::nullopt;
-  markMissing(Found->second, Now);
-  const base::Duration Left = *Found->second.ExpiresAt_ - Now;
+  const base::Duration Left = markMissing(Found->second, Now) - Now;
   expire(Now);
   if (Left <= base::Duration::zero())
     return std::nullopt;
--- a/libs/live/TargetRegistry.h
+++ b/libs/live/TargetRegistry.h
@@ -151,7 +151,8 @@
     base::TimePoint BelievedAt_;
   };
 
-  void markMissing(Entry &Stored, base::TimePoint Now);
+  /// \returns when the target is removed.
+  base::TimePoint markMissing(Entry &Stored, base::TimePoint Now);
   std::optional<TargetKept> restore(const TargetRecord &Record,
                                     base::TimePoint Now);
   std::optional<TargetKept> restoreMissing(const base::TargetId &Target,
