--- a/libs/relaying/RelayMessages.cpp
+++ b/libs/relaying/RelayMessages.cpp
@@ -31,13 +31,13 @@
 constexpr Json::ArrayIndex RestoredRowSize = 6;
 
 /// The last element of a restored object's row is the hash of the content that
-/// is left out, or null.
-Json::Value encodeObject(const StoredObject &Object) {
+/// is left out, or null. The content is moved from.
+Json::Value encodeObject(StoredObject &Object) {
   Json::Value Row(Json::arrayValue);
   Row.append(Object.Name_);
   Row.append(Json::UInt64(Object.Revision_.Number_));
   Row.append(Object.Deleted_);
-  Row.append(Object.Deleted_ ? Json::Value() : Object.Content_);
+  Row.append(Object.Deleted_ ? Json::Value() : std::move(Object.Content_));
   Row.append(Json::UInt64(Object.Revision_.Era_));
   if (Object.Restored_)
     Row.append(Object.ContentHash_
@@ -46,16 +46,18 @@
   return Row;
 }
 
-std::optional<StoredObject> decodeObject(const Json::Value &Row) {
+/// \param Row  whose content is moved from.
+std::optional<StoredObject> decodeObject(Json::Value &Row) {
   if (!Row.isArray() || Row.size() < RowSize || Row.size() > RestoredRowSize ||
       !Row[0].isString() || !Row[1].isUInt64() || !Row[2].isBool() ||
       !Row[4].isUInt64())
     return std::nullopt;
+  const std::size_t Bytes = live::parsedBytes(Row[3]);
   StoredObject Object{Row[0].asString(),
                       {Row[1].asUInt64(), Row[4].asUInt64()},
-                      Row[3],
+                      std::move(Row[3]),
                       Row[2].asBool(),
-                      live::parsedBytes(Row[3])};
+                      Bytes};
   Object.Restored_ = Row.size() == RestoredRowSize;
   if (Object.Restored_ && Row[5].isUInt64())
     Object.ContentHash_ = Row[5].asUInt64();
@@ -76,7 +78,8 @@
   return live::StoreRevision(Pair[1].asUInt64(), Pair[0].asUInt64());
 }
 
-Json::Value encodeUpdate(const ObjectUpdate &Update) {
+/// \param Update  whose contents are moved from.
+Json::Value encodeUpdate(ObjectUpdate &Update) {
   Json::Value Document;
   Document["at"] = encodeRevision(Update.Changes_.Revision_);
   Document["newest"] = encodeRevision(Update.NewestRevision_);
@@ -84,13 +87,14 @@
     Document["list"] = true;
   if (Update.Age_)
     Document["age"] = Json::Int64(base::toMilliseconds(*Update.Age_));
-  for (const StoredObject &Object : Update.Changes_.Objects_)
+  for (StoredObject &Object : Update.Changes_.Objects_)
     Document["objects"].append(encodeObject(Object));
   return Document;
 }
 
+/// \param Document  whose contents are moved from.
 std::optional<ObjectUpdate> decodeUpdate(const std::string &Kind,
-                                         const Json::Value &Document) {
+                                         Json::Value &Document) {
   ObjectUpdate Result;
   Result.Kind_ = Kind;
   if (!Document.isObject())
@@ -105,11 +109,11 @@
   // Rounded up, so that an update never appears more recent than it is.
   if (Document["age"].isInt64())
     Result.Age_ = std::chrono::milliseconds(Document["age"].asInt64() + 1);
-  for (const Json::Value &Row : Document["objects"]) {
-    const auto Object = decodeObject(Row);
+  for (Json::Value &Row : Document["objects"]) {
+    auto Object = decodeObject(Row);
     if (!Object)
       return std::nullopt;
-    Result.Changes_.Objects_.push_back(*Object);
+    Result.Changes_.Objects_.push_back(std::move(*Object));
   }
   return Result;
 }
@@ -125,7 +129,7 @@
   return writeJson(Document);
 }
 
-std::string encodeResponse(const RelayResponse &Response) {
+std::string encodeResponse(RelayResponse Response) {
   Json::Value Document;
   Document["sound"] = Response.IsSynced_;
   if (Response.ContactAge_)
@@ -134,7 +138,7 @@
   if (Response.TroubleAge_)
     Document["trouble"] =
         Json::Int64(base::toMilliseconds(*Response.TroubleAge_));
-  for (const ObjectUpdate &Update : Response.Updates_)
+  for (ObjectUpdate &Update : Response.Updates_)
     Document["news"][Update.Kind_] = encodeUpdate(Update);
   return writeJson(Document);
 }
@@ -159,11 +163,11 @@
 
 std::optional<RelayResponse> decodeResponse(std::string_view Text,
                                             base::Error &Last) {
-  const auto Document = parse(Text, "relay.answer", Last);
+  auto Document = parse(Text, "relay.answer", Last);
   if (!Document)
     return std::nullopt;
   Last = {"relay.answer", "host", "a field is missing or of another type"};
-  const Json::Value &Updates = (*Document)["news"];
+  Json::Value &Updates = (*Document)["news"];
   if (!(*Document)["sound"].isBool() ||
       !(Updates.isObject() || Updates.isNull()))
     return std::nullopt;
--- a/libs/relaying/RelayMessages.h
+++ b/libs/relaying/RelayMessages.h
@@ -35,7 +35,7 @@
 };
 
 std::string encodeRequest(const RelayRequest &Request);
-std::string encodeResponse(const RelayResponse &Response);
+std::string encodeResponse(RelayResponse Response);
 
 /// Both return nothing and fill \p Last if \p Text is not such a message.
 std::optional<RelayRequest> decodeRequest(std::string_view Text,
