--- a/tests/live/ActiveIntentTest.cpp
+++ b/tests/live/ActiveIntentTest.cpp
@@ -229,17 +229,17 @@
   Broken.Routes_[1].Readable_ = false;
   Broken.Routes_[1].Services_.clear();
   offer(Broken);
-  const auto readable = [this](std::string_view Path) {
+  const auto IsReadable = [this](std::string_view Path) {
     const auto Found = Active_.route({"", "a.example", Path, "GET", 0});
     return Found && Found->Readable_;
   };
-  CHECK(readable("/x/z"));
-  CHECK_FALSE(readable("/x/y/z"));
+  CHECK(IsReadable("/x/z"));
+  CHECK_FALSE(IsReadable("/x/y/z"));
   STRCMP_EQUAL("long", routeOf("/x/y/z").c_str());
   Broken.Version_ = 2;
   Broken.Routes_[1].PathPrefix_.clear();
   offer(Broken);
-  CHECK_FALSE(readable("/x/z"));
+  CHECK_FALSE(IsReadable("/x/z"));
 }
 
 TEST(ActiveIntent, keysThatMayBeValidAreNotRefusedForGood) {
@@ -268,7 +268,7 @@
 
 // Once the last customer was gone, every request ran, with any key or none.
 TEST(ActiveIntent, withoutCustomersNobodyIsLetIn) {
-  const auto isPublic = [this](std::string_view Path) {
+  const auto IsPublic = [this](std::string_view Path) {
     const auto Found = Active_.route({"", "a.example", Path, "GET", 0});
     return Found && Found->Public_;
   };
@@ -283,8 +283,8 @@
     if (HasCustomer)
       Next.Customers_[0].Keys_.clear();
     offer(Next);
-    CHECK_FALSE(isPublic("/x/z"));
-    CHECK(isPublic("/x/y/z"));
+    CHECK_FALSE(IsPublic("/x/z"));
+    CHECK(IsPublic("/x/y/z"));
     CHECK(Active_.check("first-key", Now_).Refusal_ == Refusal::UnknownKey);
     CHECK(Active_.check("", Now_).Refusal_ == Refusal::UnknownKey);
     CHECK(Active_.recheck(Before, Now_) == Refusal::KeyWithdrawn);
@@ -292,9 +292,9 @@
   ++Next.Version_;
   Next.NeedsKeys_ = false;
   offer(Next);
-  CHECK(isPublic("/x/z"));
+  CHECK(IsPublic("/x/z"));
   Next = intentOf(Next.Version_ + 1);
   offer(Next);
-  CHECK_FALSE(isPublic("/x/z"));
+  CHECK_FALSE(IsPublic("/x/z"));
   CHECK(Active_.check("first-key", Now_).Refusal_ == Refusal::None);
 }
--- a/tests/platform/DecodersTest.cpp
+++ b/tests/platform/DecodersTest.cpp
@@ -172,18 +172,18 @@
 // A table without rows was taken for a configuration without keys.
 TEST(IntentDecoder, keysAreNeededWhereThereIsATableOfTenants) {
   Json::Value Whole = parse(Sample);
-  const auto needsKeys = [&] {
+  const auto NeedsKeys = [&] {
     const auto Read = platform::decodeIntent(Whole, Last_);
     CHECK(Read.has_value());
     return Read && Read->NeedsKeys_;
   };
-  CHECK(needsKeys());
+  CHECK(NeedsKeys());
   Whole["tenants"]["rows"] = Json::Value(Json::arrayValue);
-  CHECK(needsKeys());
+  CHECK(NeedsKeys());
   Whole["tenants"]["rows"].append(5);
-  CHECK(needsKeys());
+  CHECK(NeedsKeys());
   Whole.removeMember("tenants");
-  CHECK_FALSE(needsKeys());
+  CHECK_FALSE(NeedsKeys());
 }
 
 TEST(IntentDecoder, anUnreadableServiceOrLimitChangesNothingButItself) {
--- a/tests/process/HostileClientsTest.cpp
+++ b/tests/process/HostileClientsTest.cpp
@@ -197,7 +197,7 @@
   constexpr std::size_t Few = 128;
   Fleet_.reset();
   Fleet_ = std::make_unique<LiveFleet>(tests::LiveFleetSize{
-      Base_, 1, 2, false, {"--descriptors=" + std::to_string(Few)}});
+      Base_, 1, 2, false, "--descriptors=" + std::to_string(Few)});
   CHECK(TestFleet::waitFor([&] { return Fleet_->isReady(0); }));
   const Crowd Clients(Fleet_->callers(0), Base_ + "200", 2 * Few);
   CHECK(TestFleet::waitFor([&] { return Fleet_->ask(0, Key).Status_ == 200; }));
@@ -205,7 +205,7 @@
 }
 
 TEST(HostileClients, aLimitThatIsNoNumberIsRefused) {
-  const auto checkWith = [](const std::string &Number) {
+  const auto CheckWith = [](const std::string &Number) {
     return tests::runProgram(
         "lycheed",
         {"--check", "--descriptors=" + Number, "--settings",
@@ -213,10 +213,10 @@
         "/tmp/lychee-descriptors." + std::to_string(getpid()));
   };
   for (const char *Wrong : {"many", "63", "-1", "128x"}) {
-    const auto Ended = checkWith(Wrong);
+    const auto Ended = CheckWith(Wrong);
     LONGS_EQUAL(2, Ended.ExitCode_);
     STRCMP_CONTAINS("--descriptors: found", Ended.Output_.c_str());
   }
   for (const char *Right : {"", "64", "4100"})
-    LONGS_EQUAL(0, checkWith(Right).ExitCode_);
+    LONGS_EQUAL(0, CheckWith(Right).ExitCode_);
 }
--- a/tests/support/LiveFleet.cpp
+++ b/tests/support/LiveFleet.cpp
@@ -110,8 +110,9 @@
                       << "leading_split = yes\n"
                       << "[zone near-1]\nregion = near\n";
   Hosts_[Index].reset();
-  std::vector<std::string> Arguments = Size_.Arguments_;
-  Arguments.insert(Arguments.end(), {"--settings", Path});
+  std::vector<std::string> Arguments = {"--settings", Path};
+  if (Size_.Argument_)
+    Arguments.push_back(*Size_.Argument_);
   Hosts_[Index] =
       std::make_unique<ChildProcess>("lycheed", Arguments, logPath(Index));
 }
--- a/tests/support/LiveFleet.h
+++ b/tests/support/LiveFleet.h
@@ -23,8 +23,8 @@
   std::size_t Targets_ = 2;
   /// Each host reaches the store, and all hosts a target, through a proxy.
   bool HasProxies_ = false;
-  /// More arguments of each host.
-  std::vector<std::string> Arguments_ = {};
+  /// One more argument of each host.
+  std::optional<std::string> Argument_ = std::nullopt;
 };
 
 /// Real hosts on the stand-in of the users' platform, with targets in this
